--- /dev/null
+++ b/core/claim.c
@@ -0,0 +1,913 @@
+#include "dandelionvalve/claim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "xmalloc.h"
+
+#define NONCE_BYTES 16
+#define NONCE_HEX_BYTES (2 * NONCE_BYTES)
+#define KEY_FUTURE_MS (5 * 60 * 1000)
+#define RETENTION_SHARE 0.45
+#define UUID_BYTES 36
+
+struct nonce {
+    char hex[NONCE_HEX_BYTES + 1];
+};
+
+/// What the fold knows of a key.
+struct entry {
+    struct str key;
+    struct nonce nonce;
+    uint64_t hash;
+    int64_t time_ms;
+    int64_t window_ms;
+    int64_t run_limit_ms;
+    bool finished;
+    struct claim_answer answer;
+    struct entry *prev;
+    struct entry *next;
+    UT_hash_handle hh;
+};
+
+/// A nonce that was released and must never count again.
+struct released {
+    struct nonce nonce;
+    int64_t until_ms;
+    struct released *prev;
+    struct released *next;
+    UT_hash_handle hh;
+};
+
+enum waiting_state {
+    WAITING_BATCH,
+    WAITING_APPEND,
+    WAITING_FOLD,
+};
+
+/// A request of this process that waits for its claim.
+struct waiting {
+    enum waiting_state state;
+    struct nonce nonce;
+    struct str key;
+    uint64_t hash;
+    int64_t run_limit_ms;
+    int64_t give_up_ms;
+    int64_t offset;
+    bool maybe_landed;
+    void *request;
+    struct waiting *prev;
+    struct waiting *next;
+};
+
+/// A request of this process that may run.
+struct owned {
+    struct nonce nonce;
+    struct str key;
+    const void *request;
+    UT_hash_handle hh;
+};
+
+/// An outcome or a release that has to be appended.
+struct notice {
+    bool is_release;
+    bool appending;
+    struct str key;
+    struct nonce nonce;
+    struct claim_answer answer;
+    struct notice *prev;
+    struct notice *next;
+};
+
+struct claims {
+    struct claim_options options;
+    struct entry *entries;
+    struct entry *by_age;
+    struct released *released;
+    struct released *released_by_age;
+    struct waiting *waiting;
+    struct notice *notices;
+    struct owned *owned;
+    int64_t next_offset;
+    int64_t fold_time_ms;      ///< time of the last record folded
+    int64_t platform_ahead_ms; ///< platform's time less the clock
+    int64_t retention_ms;
+    bool started;
+    bool appending;
+    int64_t next_append_ms;
+    struct claim_counts counts;
+};
+
+struct claims *
+claims_new(const struct claim_options *options)
+{
+    struct claims *claims = xcalloc(1, sizeof(*claims));
+
+    claims->options = *options;
+    return claims;
+}
+
+static int64_t
+now_ms(const struct claims *claims)
+{
+    return clock_ms(claims->options.clock);
+}
+
+static void
+answer_free(struct claim_answer *answer)
+{
+    free((char *)answer->content_type.data);
+    free((char *)answer->body.data);
+    *answer = (struct claim_answer){0};
+}
+
+static struct claim_answer
+answer_copy(const struct claims *claims, const struct claim_answer *answer)
+{
+    bool keep = answer->body_kept &&
+                answer->body.len <= claims->options.answer_bytes_max;
+
+    return (struct claim_answer){
+        .status = answer->status,
+        .content_type = str_copy(answer->content_type),
+        .body = str_copy(keep ? answer->body : STR_LITERAL("")),
+        .body_kept = keep,
+    };
+}
+
+static void
+entry_free(struct claims *claims, struct entry *entry)
+{
+    HASH_DEL(claims->entries, entry);
+    DL_DELETE(claims->by_age, entry);
+    answer_free(&entry->answer);
+    free((char *)entry->key.data);
+    free(entry);
+}
+
+static void
+waiting_free(struct claims *claims, struct waiting *waiting)
+{
+    DL_DELETE(claims->waiting, waiting);
+    free((char *)waiting->key.data);
+    free(waiting);
+}
+
+static void
+notice_free(struct claims *claims, struct notice *notice)
+{
+    DL_DELETE(claims->notices, notice);
+    answer_free(&notice->answer);
+    free((char *)notice->key.data);
+    free(notice);
+}
+
+static void
+owned_free(struct claims *claims, struct owned *owned)
+{
+    HASH_DEL(claims->owned, owned);
+    free((char *)owned->key.data);
+    free(owned);
+}
+
+static void
+released_free(struct claims *claims, struct released *released)
+{
+    HASH_DEL(claims->released, released);
+    DL_DELETE(claims->released_by_age, released);
+    free(released);
+}
+
+static void
+drop_fold(struct claims *claims)
+{
+    while (claims->by_age != NULL) {
+        entry_free(claims, claims->by_age);
+    }
+    while (claims->released_by_age != NULL) {
+        released_free(claims, claims->released_by_age);
+    }
+}
+
+void
+claims_free(struct claims *claims)
+{
+    if (claims == NULL) {
+        return;
+    }
+    drop_fold(claims);
+    while (claims->waiting != NULL) {
+        waiting_free(claims, claims->waiting);
+    }
+    while (claims->notices != NULL) {
+        notice_free(claims, claims->notices);
+    }
+    while (claims->owned != NULL) {
+        owned_free(claims, claims->owned);
+    }
+    free(claims);
+}
+
+void
+claims_set_window(struct claims *claims, int64_t window_ms)
+{
+    claims->options.window_ms = window_ms;
+}
+
+/// The window that can be kept: records must not age out before it ends.
+static int64_t
+window_ms(const struct claims *claims)
+{
+    int64_t kept = (int64_t)((double)claims->retention_ms * RETENTION_SHARE);
+
+    return kept < claims->options.window_ms ? kept : claims->options.window_ms;
+}
+
+static int64_t
+platform_now_ms(const struct claims *claims)
+{
+    return now_ms(claims) + claims->platform_ahead_ms;
+}
+
+static bool
+is_expired(const struct entry *entry, int64_t time_ms)
+{
+    return time_ms > entry->time_ms + entry->window_ms;
+}
+
+static struct entry *
+find_entry(const struct claims *claims, struct str key)
+{
+    struct entry *entry;
+
+    HASH_FIND(hh, claims->entries, key.data, key.len, entry);
+    return entry;
+}
+
+static bool
+is_released(const struct claims *claims, const struct nonce *nonce)
+{
+    struct released *released;
+
+    HASH_FIND(hh, claims->released, nonce->hex, NONCE_HEX_BYTES, released);
+    return released != NULL;
+}
+
+static struct nonce
+new_nonce(const struct claims *claims)
+{
+    uint64_t random[2] = {
+        random_next(claims->options.random),
+        random_next(claims->options.random),
+    };
+    struct nonce nonce;
+
+    hex_encode(random, sizeof(random), nonce.hex);
+    return nonce;
+}
+
+static void
+decide(struct claims *claims, struct waiting *waiting,
+       const struct claim_decision *decision)
+{
+    void *request = waiting->request;
+
+    waiting_free(claims, waiting);
+    claims->options.decided(claims->options.ctx, request, decision);
+}
+
+/// What a request gets to hear of an entry that it does not own.
+static struct claim_decision
+decision_of_entry(const struct claims *claims, const struct entry *entry,
+                  uint64_t hash)
+{
+    struct claim_decision decision = {.verdict = CLAIM_IN_PROGRESS};
+
+    if (entry->hash != hash) {
+        decision.verdict = CLAIM_CONFLICT;
+    }
+    else if (entry->finished && entry->answer.status != 0) {
+        decision.verdict = CLAIM_REPLAY;
+        decision.answer = entry->answer;
+    }
+    else if (entry->finished ||
+             platform_now_ms(claims) - entry->time_ms > entry->run_limit_ms) {
+        decision.verdict = CLAIM_UNKNOWN;
+    }
+    return decision;
+}
+
+static void
+add_notice(struct claims *claims, bool is_release, struct str key,
+           const struct nonce *nonce, const struct claim_answer *answer)
+{
+    struct notice *notice = xcalloc(1, sizeof(*notice));
+
+    notice->is_release = is_release;
+    notice->key = str_copy(key);
+    notice->nonce = *nonce;
+    if (answer != NULL) {
+        notice->answer = answer_copy(claims, answer);
+    }
+    DL_APPEND(claims->notices, notice);
+}
+
+/// Ends the wait of a request that has no claim; its nonce never runs.
+static void
+give_up(struct claims *claims, struct waiting *waiting)
+{
+    const struct claim_decision decision = {.verdict = CLAIM_LOG_DOWN};
+
+    if (waiting->maybe_landed || waiting->state != WAITING_BATCH) {
+        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
+    }
+    decide(claims, waiting, &decision);
+}
+
+static void
+own(struct claims *claims, const struct waiting *waiting)
+{
+    struct owned *owned = xcalloc(1, sizeof(*owned));
+
+    owned->nonce = waiting->nonce;
+    owned->key = str_copy(waiting->key);
+    owned->request = waiting->request;
+    HASH_ADD_PTR(claims->owned, request, owned);
+}
+
+/// Decides a request whose own record has been folded.
+static void
+decide_folded(struct claims *claims, struct waiting *waiting)
+{
+    struct entry *entry = find_entry(claims, waiting->key);
+    struct claim_decision decision = {.verdict = CLAIM_RUN};
+
+    if (entry == NULL) {
+        // The entry left the window while the request waited.
+        give_up(claims, waiting);
+        return;
+    }
+    if (strcmp(entry->nonce.hex, waiting->nonce.hex) != 0) {
+        decision = decision_of_entry(claims, entry, waiting->hash);
+    }
+    else if (now_ms(claims) >= waiting->give_up_ms) {
+        // A process that was paused must not run on an old decision.
+        give_up(claims, waiting);
+        return;
+    }
+    else {
+        own(claims, waiting);
+    }
+    decide(claims, waiting, &decision);
+}
+
+static void
+decide_waiting(struct claims *claims)
+{
+    struct waiting *waiting, *next;
+
+    DL_FOREACH_SAFE(claims->waiting, waiting, next)
+    {
+        const struct entry *entry = find_entry(claims, waiting->key);
+        bool is_own =
+            entry != NULL && !strcmp(entry->nonce.hex, waiting->nonce.hex);
+
+        if (is_own || (waiting->state == WAITING_FOLD &&
+                       waiting->offset < claims->next_offset)) {
+            decide_folded(claims, waiting);
+        }
+    }
+}
+
+static json_t *
+claim_json(const struct claims *claims, const struct waiting *waiting)
+{
+    return json_pack("{s:s%, s:s, s:I, s:I, s:I}", "key", waiting->key.data,
+                     waiting->key.len, "nonce", waiting->nonce.hex, "hash",
+                     (json_int_t)waiting->hash, "limit",
+                     (json_int_t)waiting->run_limit_ms, "window",
+                     (json_int_t)window_ms(claims));
+}
+
+static json_t *
+outcome_json(const struct notice *notice)
+{
+    const struct claim_answer *answer = &notice->answer;
+
+    return json_pack(
+        "{s:s%, s:s, s:i, s:s%, s:s%, s:b}", "key", notice->key.data,
+        notice->key.len, "nonce", notice->nonce.hex, "status", answer->status,
+        "type", answer->content_type.data, answer->content_type.len, "body",
+        answer->body.data, answer->body.len, "kept", answer->body_kept);
+}
+
+static json_t *
+release_json(const struct notice *notice)
+{
+    return json_pack("{s:s%, s:s}", "key", notice->key.data, notice->key.len,
+                     "nonce", notice->nonce.hex);
+}
+
+static size_t
+batch_waiting(struct claims *claims, json_t *list, size_t room)
+{
+    struct waiting *waiting;
+    size_t count = 0;
+
+    DL_FOREACH(claims->waiting, waiting)
+    {
+        if (waiting->state == WAITING_BATCH && count < room) {
+            json_array_append_new(list, claim_json(claims, waiting));
+            waiting->state = WAITING_APPEND;
+            count++;
+        }
+    }
+    claims->counts.claims += count;
+    return count;
+}
+
+static size_t
+batch_notices(struct claims *claims, json_t *outcomes, json_t *releases,
+              size_t room)
+{
+    struct notice *notice;
+    size_t count = 0;
+
+    DL_FOREACH(claims->notices, notice)
+    {
+        if (count == room) {
+            break;
+        }
+        json_t *json =
+            notice->is_release ? release_json(notice) : outcome_json(notice);
+
+        // A body that is not UTF-8 text cannot stand in a record.
+        if (json == NULL) {
+            notice->answer.body_kept = false;
+            notice->answer.body.len = 0;
+            notice->answer.content_type.len = 0;
+            json = outcome_json(notice);
+        }
+        json_array_append_new(notice->is_release ? releases : outcomes, json);
+        notice->appending = true;
+        count++;
+    }
+    return count;
+}
+
+static void
+append_batch(struct claims *claims)
+{
+    json_t *list = json_array();
+    json_t *outcomes = json_array();
+    json_t *releases = json_array();
+    size_t room = claims->options.batch_max;
+    json_t *record;
+    char *text;
+
+    room -= batch_notices(claims, outcomes, releases, room);
+    batch_waiting(claims, list, room);
+    record = json_pack("{s:o, s:o, s:o}", "claims", list, "outcomes", outcomes,
+                       "releases", releases);
+    text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    claims->appending = true;
+    claims->next_append_ms =
+        now_ms(claims) + claims->options.append_interval_ms;
+    claims->counts.appends++;
+    claims->options.append(claims->options.ctx, str_from(text));
+    free(text);
+}
+
+static bool
+has_unsent(const struct claims *claims)
+{
+    const struct waiting *waiting;
+
+    if (claims->notices != NULL) {
+        return true;
+    }
+    DL_FOREACH(claims->waiting, waiting)
+    {
+        if (waiting->state == WAITING_BATCH) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+append_if_due(struct claims *claims)
+{
+    if (!claims->appending && claims->started &&
+        now_ms(claims) >= claims->next_append_ms && has_unsent(claims)) {
+        append_batch(claims);
+    }
+}
+
+static bool
+is_outside_window(const struct claims *claims, struct str key)
+{
+    const char *slash = memchr(key.data, '/', key.len);
+    struct str bare = key;
+    int64_t time_ms;
+    int64_t now;
+
+    if (slash != NULL) {
+        bare.data = slash + 1;
+        bare.len = key.len - (size_t)(bare.data - key.data);
+    }
+    time_ms = claim_key_time_ms(bare);
+    if (time_ms < 0) {
+        return false;
+    }
+    now = platform_now_ms(claims);
+    return time_ms > now + KEY_FUTURE_MS ||
+           time_ms < now - window_ms(claims) + KEY_FUTURE_MS;
+}
+
+void
+claim_begin(struct claims *claims, const struct claim_request *request)
+{
+    struct waiting *waiting = xcalloc(1, sizeof(*waiting));
+    const struct entry *entry = find_entry(claims, request->key);
+    struct claim_decision decision = {.verdict = CLAIM_EXPIRED};
+
+    waiting->nonce = new_nonce(claims);
+    waiting->key = str_copy(request->key);
+    waiting->hash = request->hash;
+    waiting->run_limit_ms = request->run_limit_ms;
+    waiting->give_up_ms = now_ms(claims) + claims->options.wait_ms;
+    waiting->request = request->request;
+    DL_APPEND(claims->waiting, waiting);
+    if (claims->started && is_outside_window(claims, request->key)) {
+        decide(claims, waiting, &decision);
+        return;
+    }
+    // Another's entry settles it without an append.
+    if (entry != NULL && !is_expired(entry, platform_now_ms(claims))) {
+        decision = decision_of_entry(claims, entry, request->hash);
+        decide(claims, waiting, &decision);
+        return;
+    }
+    append_if_due(claims);
+}
+
+static struct waiting *
+find_waiting(const struct claims *claims, const void *request)
+{
+    struct waiting *waiting;
+
+    DL_FOREACH(claims->waiting, waiting)
+    {
+        if (waiting->request == request) {
+            return waiting;
+        }
+    }
+    return NULL;
+}
+
+void
+claim_withdraw(struct claims *claims, const void *request)
+{
+    struct waiting *waiting = find_waiting(claims, request);
+
+    if (waiting == NULL) {
+        return;
+    }
+    if (waiting->maybe_landed || waiting->state != WAITING_BATCH) {
+        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
+    }
+    waiting_free(claims, waiting);
+    append_if_due(claims);
+}
+
+static struct owned *
+find_owned(const struct claims *claims, const void *request)
+{
+    struct owned *owned;
+
+    HASH_FIND_PTR(claims->owned, &request, owned);
+    return owned;
+}
+
+void
+claim_finish(struct claims *claims, const void *request,
+             const struct claim_answer *answer)
+{
+    struct owned *owned = find_owned(claims, request);
+    struct entry *entry;
+
+    INVARIANT(owned != NULL);
+    entry = find_entry(claims, owned->key);
+    if (entry != NULL && !entry->finished &&
+        !strcmp(entry->nonce.hex, owned->nonce.hex)) {
+        entry->finished = true;
+        entry->answer = answer_copy(claims, answer);
+    }
+    add_notice(claims, false, owned->key, &owned->nonce, answer);
+    owned_free(claims, owned);
+    append_if_due(claims);
+}
+
+static void
+add_released(struct claims *claims, const struct nonce *nonce,
+             int64_t until_ms)
+{
+    struct released *released;
+
+    if (is_released(claims, nonce)) {
+        return;
+    }
+    released = xcalloc(1, sizeof(*released));
+    released->nonce = *nonce;
+    released->until_ms = until_ms;
+    HASH_ADD(hh, claims->released, nonce.hex, NONCE_HEX_BYTES, released);
+    DL_APPEND(claims->released_by_age, released);
+}
+
+void
+claim_release(struct claims *claims, const void *request)
+{
+    struct owned *owned = find_owned(claims, request);
+
+    INVARIANT(owned != NULL);
+    add_notice(claims, true, owned->key, &owned->nonce, NULL);
+    owned_free(claims, owned);
+    append_if_due(claims);
+}
+
+static void
+settle_notices(struct claims *claims, bool appended)
+{
+    struct notice *notice, *next;
+
+    DL_FOREACH_SAFE(claims->notices, notice, next)
+    {
+        if (!notice->appending) {
+            continue;
+        }
+        if (appended) {
+            notice_free(claims, notice);
+        }
+        else {
+            notice->appending = false;
+        }
+    }
+}
+
+void
+claim_appended(struct claims *claims, enum claim_append_status status,
+               int64_t offset)
+{
+    struct waiting *waiting;
+
+    INVARIANT(claims->appending);
+    claims->appending = false;
+    settle_notices(claims, status == CLAIM_APPEND_OK);
+    DL_FOREACH(claims->waiting, waiting)
+    {
+        if (waiting->state != WAITING_APPEND) {
+            continue;
+        }
+        waiting->state =
+            status == CLAIM_APPEND_OK ? WAITING_FOLD : WAITING_BATCH;
+        waiting->offset = offset;
+        if (status == CLAIM_APPEND_UNKNOWN) {
+            waiting->maybe_landed = true;
+        }
+    }
+    if (status == CLAIM_APPEND_OK) {
+        decide_waiting(claims);
+        append_if_due(claims);
+    }
+    else {
+        // Repeats after a failure are paced by claim_tick().
+        claims->next_append_ms =
+            now_ms(claims) + 10 * claims->options.append_interval_ms;
+    }
+}
+
+void
+claim_start(struct claims *claims, int64_t first_offset, int64_t retention_ms)
+{
+    claims->retention_ms = retention_ms;
+    if (claims->started && first_offset <= claims->next_offset) {
+        return;
+    }
+    drop_fold(claims);
+    claims->next_offset = first_offset;
+    claims->started = true;
+}
+
+static bool
+read_nonce(const json_t *json, struct nonce *nonce)
+{
+    if (json_string_length(json) != NONCE_HEX_BYTES) {
+        return false;
+    }
+    memcpy(nonce->hex, json_string_value(json), NONCE_HEX_BYTES + 1);
+    return true;
+}
+
+static struct str
+json_view(const json_t *json, const char *key)
+{
+    const json_t *value = json_object_get(json, key);
+
+    return (struct str){json_string_value(value), json_string_length(value)};
+}
+
+static int64_t
+json_int(const json_t *json, const char *key)
+{
+    return json_integer_value(json_object_get(json, key));
+}
+
+static void
+fold_claim(struct claims *claims, const json_t *json, int64_t time_ms)
+{
+    struct str key = json_view(json, "key");
+    struct entry *entry = find_entry(claims, key);
+    struct nonce nonce;
+
+    if (key.len == 0 || !read_nonce(json_object_get(json, "nonce"), &nonce) ||
+        is_released(claims, &nonce) ||
+        (entry != NULL && !is_expired(entry, time_ms))) {
+        return;
+    }
+    if (entry != NULL) {
+        entry_free(claims, entry);
+    }
+    entry = xcalloc(1, sizeof(*entry));
+    entry->key = str_copy(key);
+    entry->nonce = nonce;
+    entry->hash = (uint64_t)json_int(json, "hash");
+    entry->run_limit_ms = json_int(json, "limit");
+    entry->window_ms = json_int(json, "window");
+    entry->time_ms = time_ms;
+    HASH_ADD_KEYPTR(hh, claims->entries, entry->key.data, entry->key.len,
+                    entry);
+    DL_APPEND(claims->by_age, entry);
+}
+
+static void
+fold_outcome(struct claims *claims, const json_t *json)
+{
+    struct entry *entry = find_entry(claims, json_view(json, "key"));
+    struct nonce nonce;
+    struct claim_answer answer = {
+        .status = (int)json_integer_value(json_object_get(json, "status")),
+        .content_type = json_view(json, "type"),
+        .body = json_view(json, "body"),
+        .body_kept = json_is_true(json_object_get(json, "kept")),
+    };
+
+    if (entry == NULL || entry->finished ||
+        !read_nonce(json_object_get(json, "nonce"), &nonce) ||
+        strcmp(entry->nonce.hex, nonce.hex) != 0) {
+        return;
+    }
+    entry->finished = true;
+    entry->answer = answer_copy(claims, &answer);
+}
+
+static void
+fold_release(struct claims *claims, const json_t *json, int64_t time_ms)
+{
+    struct entry *entry = find_entry(claims, json_view(json, "key"));
+    struct nonce nonce;
+
+    if (!read_nonce(json_object_get(json, "nonce"), &nonce)) {
+        return;
+    }
+    // A claim that lands later than the retention after its release cannot
+    // be in anyone's fold together with it.
+    add_released(claims, &nonce, time_ms + claims->retention_ms);
+    if (entry != NULL && !entry->finished &&
+        !strcmp(entry->nonce.hex, nonce.hex)) {
+        entry_free(claims, entry);
+    }
+}
+
+/// Keeps the fold's memory to what a later record can still meet.
+static void
+drop_old(struct claims *claims, int64_t time_ms)
+{
+    while (claims->by_age != NULL && is_expired(claims->by_age, time_ms)) {
+        entry_free(claims, claims->by_age);
+    }
+    while (claims->released_by_age != NULL &&
+           claims->released_by_age->until_ms < time_ms) {
+        released_free(claims, claims->released_by_age);
+    }
+}
+
+void
+claim_record(struct claims *claims, int64_t offset, int64_t time_ms,
+             struct str record)
+{
+    json_t *json;
+    const json_t *item;
+    size_t i;
+
+    if (!claims->started || offset < claims->next_offset) {
+        return;
+    }
+    claims->next_offset = offset + 1;
+    json = json_loadb(record.data, record.len, JSON_ALLOW_NUL, NULL);
+    json_array_foreach(json_object_get(json, "releases"), i, item)
+    {
+        fold_release(claims, item, time_ms);
+    }
+    json_array_foreach(json_object_get(json, "claims"), i, item)
+    {
+        fold_claim(claims, item, time_ms);
+    }
+    json_array_foreach(json_object_get(json, "outcomes"), i, item)
+    {
+        fold_outcome(claims, item);
+    }
+    json_decref(json);
+    drop_old(claims, time_ms);
+    decide_waiting(claims);
+}
+
+void
+claim_caught_up(struct claims *claims, int64_t time_ms)
+{
+    claims->platform_ahead_ms = time_ms - now_ms(claims);
+    drop_old(claims, time_ms);
+}
+
+int64_t
+claim_next_offset(const struct claims *claims)
+{
+    return claims->next_offset;
+}
+
+void
+claim_tick(struct claims *claims)
+{
+    struct waiting *waiting, *next;
+    int64_t now = now_ms(claims);
+
+    DL_FOREACH_SAFE(claims->waiting, waiting, next)
+    {
+        if (now >= waiting->give_up_ms) {
+            give_up(claims, waiting);
+        }
+    }
+    append_if_due(claims);
+}
+
+struct claim_counts
+claim_counts(const struct claims *claims)
+{
+    struct claim_counts counts = claims->counts;
+    const struct waiting *waiting;
+
+    counts.entries = HASH_COUNT(claims->entries);
+    DL_COUNT(claims->waiting, waiting, counts.waiting);
+    return counts;
+}
+
+int64_t
+claim_key_time_ms(struct str key)
+{
+    unsigned char bytes[6];
+    char digits[13] = {0};
+
+    if (key.len != UUID_BYTES || key.data[8] != '-' || key.data[13] != '-' ||
+        key.data[14] != '7') {
+        return -1;
+    }
+    memcpy(digits, key.data, 8);
+    memcpy(digits + 8, key.data + 9, 4);
+    if (!hex_decode((struct str){digits, 12}, bytes, sizeof(bytes))) {
+        return -1;
+    }
+    return (int64_t)bytes[0] << 40 | (int64_t)bytes[1] << 32 |
+           (int64_t)bytes[2] << 24 | (int64_t)bytes[3] << 16 |
+           (int64_t)bytes[4] << 8 | (int64_t)bytes[5];
+}
+
+const char *
+claim_verdict_name(enum claim_verdict verdict)
+{
+    static const char *const names[] = {
+        [CLAIM_RUN] = "run",
+        [CLAIM_REPLAY] = "replay",
+        [CLAIM_IN_PROGRESS] = "in-progress",
+        [CLAIM_UNKNOWN] = "unknown",
+        [CLAIM_CONFLICT] = "conflict",
+        [CLAIM_EXPIRED] = "expired",
+        [CLAIM_LOG_DOWN] = "log-down",
+    };
+
+    return names[verdict];
+}
--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,607 @@
+#include "dandelionvalve/gate.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "xmalloc.h"
+
+#define PRIORITIES 10
+#define RATE_WINDOW_MS 10000.0
+#define RETRY_AFTER_MIN_MS 1000.0
+#define RETRY_AFTER_MAX_MS 300000.0
+#define EXPIRY_SCAN_INTERVAL_MS 20
+
+struct waiting {
+    struct gate_request request;
+    struct waiting *prev;
+    struct waiting *next;
+};
+
+/// An account with waiting requests, in the round of the deficit round robin.
+struct account {
+    struct str name;
+    uint32_t weight;
+    uint32_t deficit;
+    size_t count;
+    struct waiting *queues[PRIORITIES];
+    struct account *prev;
+    struct account *next;
+    UT_hash_handle hh;
+};
+
+struct router {
+    struct str name;
+    uint32_t in_flight;
+    int64_t at_ms;
+    UT_hash_handle hh;
+};
+
+/// A count that decays with RATE_WINDOW_MS, so that count / window is a rate.
+struct decayed {
+    double value;
+    int64_t at_ms;
+};
+
+struct gate {
+    struct gate_options options;
+    enum agent_state state;
+    uint64_t total_weight;
+    uint32_t own_weight;
+    uint32_t running;
+    struct router *routers;
+    uint64_t in_flight_sum;
+    double in_flight_time_sum;
+    struct account *accounts;
+    struct account *round;
+    size_t queued;
+    size_t queued_bytes;
+    struct decayed ended;
+    struct decayed refused;
+    int64_t next_expiry_scan_ms;
+};
+
+struct gate *
+gate_new(const struct gate_options *options)
+{
+    struct gate *gate = xcalloc(1, sizeof(*gate));
+
+    gate->options = *options;
+    gate->state = AGENT_READY;
+    gate->total_weight = 1;
+    gate->own_weight = 1;
+    return gate;
+}
+
+static void
+account_remove(struct gate *gate, struct account *account)
+{
+    HASH_DEL(gate->accounts, account);
+    DL_DELETE(gate->round, account);
+    free((char *)account->name.data);
+    free(account);
+}
+
+static void
+unlink_waiting(struct gate *gate, struct account *account,
+               struct waiting *waiting)
+{
+    DL_DELETE(account->queues[waiting->request.priority], waiting);
+    account->count--;
+    gate->queued--;
+    gate->queued_bytes -= waiting->request.bytes;
+    free(waiting);
+}
+
+static void
+drop_queue(struct gate *gate)
+{
+    while (gate->round != NULL) {
+        struct account *account = gate->round;
+
+        for (size_t p = 0; p < PRIORITIES; p++) {
+            while (account->queues[p] != NULL) {
+                unlink_waiting(gate, account, account->queues[p]);
+            }
+        }
+        account_remove(gate, account);
+    }
+}
+
+static void
+router_remove(struct gate *gate, struct router *router)
+{
+    gate->in_flight_sum -= router->in_flight;
+    gate->in_flight_time_sum -=
+        (double)router->in_flight * (double)router->at_ms;
+    HASH_DEL(gate->routers, router);
+    free((char *)router->name.data);
+    free(router);
+}
+
+void
+gate_free(struct gate *gate)
+{
+    if (gate == NULL) {
+        return;
+    }
+    drop_queue(gate);
+    while (gate->routers != NULL) {
+        router_remove(gate, gate->routers);
+    }
+    free(gate);
+}
+
+void
+gate_set_options(struct gate *gate, double bound_multiple,
+                 size_t queue_requests_max, size_t queue_bytes_max)
+{
+    gate->options.bound_multiple = bound_multiple;
+    gate->options.queue_requests_max = queue_requests_max;
+    gate->options.queue_bytes_max = queue_bytes_max;
+}
+
+void
+gate_set_pool(struct gate *gate, uint64_t total_weight, uint32_t own_weight)
+{
+    gate->total_weight = total_weight > 0 ? total_weight : 1;
+    gate->own_weight = own_weight;
+}
+
+void
+gate_set_state(struct gate *gate, enum agent_state state)
+{
+    gate->state = state;
+}
+
+enum agent_state
+gate_state(const struct gate *gate)
+{
+    return gate->state;
+}
+
+static int64_t
+now_ms(const struct gate *gate)
+{
+    return clock_ms(gate->options.clock);
+}
+
+static struct router *
+find_router(const struct gate *gate, struct str name)
+{
+    struct router *router;
+
+    HASH_FIND(hh, gate->routers, name.data, name.len, router);
+    return router;
+}
+
+void
+gate_router_count(struct gate *gate, struct str name, uint32_t in_flight)
+{
+    struct router *router = find_router(gate, name);
+
+    if (router == NULL) {
+        router = xcalloc(1, sizeof(*router));
+        router->name = str_copy(name);
+        HASH_ADD_KEYPTR(hh, gate->routers, router->name.data, router->name.len,
+                        router);
+    }
+    gate->in_flight_sum -= router->in_flight;
+    gate->in_flight_time_sum -=
+        (double)router->in_flight * (double)router->at_ms;
+    router->in_flight = in_flight;
+    router->at_ms = now_ms(gate);
+    gate->in_flight_sum += router->in_flight;
+    gate->in_flight_time_sum +=
+        (double)router->in_flight * (double)router->at_ms;
+}
+
+void
+gate_router_gone(struct gate *gate, struct str name)
+{
+    struct router *router = find_router(gate, name);
+
+    if (router != NULL) {
+        router_remove(gate, router);
+    }
+}
+
+uint64_t
+gate_pool_in_flight(const struct gate *gate)
+{
+    return gate->in_flight_sum > gate->running ? gate->in_flight_sum
+                                               : gate->running;
+}
+
+/// Mean age of the routers' numbers, weighted by the numbers.
+static double
+mean_age_ms(const struct gate *gate)
+{
+    double age;
+
+    if (gate->in_flight_sum == 0) {
+        return 0;
+    }
+    age = (double)now_ms(gate) -
+          gate->in_flight_time_sum / (double)gate->in_flight_sum;
+    return age > 0 ? age : 0;
+}
+
+uint32_t
+gate_bound(const struct gate *gate)
+{
+    double share = (double)gate->own_weight / (double)gate->total_weight;
+    double margin =
+        1 - gate->options.margin_per_100ms * mean_age_ms(gate) / 100;
+    double bound =
+        gate->options.bound_multiple * (margin > 0.5 ? margin : 0.5);
+
+    // Rounded down: the routers' numbers may be ahead of the true load.
+    bound = floor(bound * (double)gate_pool_in_flight(gate) * share);
+    if (bound < 1) {
+        return 1;
+    }
+    return bound < UINT32_MAX ? (uint32_t)bound : UINT32_MAX;
+}
+
+static uint32_t
+limit(const struct gate *gate)
+{
+    uint32_t bound = gate_bound(gate);
+
+    return bound < gate->options.slots ? bound : gate->options.slots;
+}
+
+static void
+decay(const struct gate *gate, struct decayed *count)
+{
+    int64_t now = now_ms(gate);
+
+    count->value *= exp(-(double)(now - count->at_ms) / RATE_WINDOW_MS);
+    count->at_ms = now;
+}
+
+// The crowd that was refused comes back after the time the endpoint needs for
+// it, spread evenly, so that it does not come back in one wave.
+static uint32_t
+retry_after_ms(struct gate *gate)
+{
+    double backlog;
+    double rate_per_ms;
+    double wait;
+
+    decay(gate, &gate->ended);
+    decay(gate, &gate->refused);
+    backlog = (double)gate->queued + gate->refused.value + 1;
+    rate_per_ms = gate->ended.value / RATE_WINDOW_MS;
+    if (rate_per_ms < (double)gate->options.slots / RATE_WINDOW_MS) {
+        rate_per_ms = (double)gate->options.slots / RATE_WINDOW_MS;
+    }
+    wait = 2 * backlog / rate_per_ms;
+    if (wait < RETRY_AFTER_MIN_MS) {
+        wait = RETRY_AFTER_MIN_MS;
+    }
+    if (wait > RETRY_AFTER_MAX_MS) {
+        wait = RETRY_AFTER_MAX_MS;
+    }
+    wait = RETRY_AFTER_MIN_MS + wait * random_unit(gate->options.random);
+    return (uint32_t)wait;
+}
+
+static struct gate_decision
+refuse(struct gate *gate, enum refuse_reason reason)
+{
+    struct gate_decision decision = {GATE_REFUSED, reason, 0};
+
+    if (reason == REFUSE_QUEUE_FULL) {
+        decay(gate, &gate->refused);
+        gate->refused.value += 1;
+        decision.retry_after_ms = retry_after_ms(gate);
+    }
+    return decision;
+}
+
+static struct account *
+find_account(const struct gate *gate, struct str name)
+{
+    struct account *account;
+
+    HASH_FIND(hh, gate->accounts, name.data, name.len, account);
+    return account;
+}
+
+static struct account *
+add_account(struct gate *gate, const struct gate_request *request)
+{
+    struct account *account = find_account(gate, request->account);
+
+    if (account == NULL) {
+        account = xcalloc(1, sizeof(*account));
+        account->name = str_copy(request->account);
+        HASH_ADD_KEYPTR(hh, gate->accounts, account->name.data,
+                        account->name.len, account);
+        DL_APPEND(gate->round, account);
+    }
+    account->weight =
+        request->account_weight > 0 ? request->account_weight : 1;
+    return account;
+}
+
+static double
+queue_share(const struct account *account)
+{
+    return (double)account->count / account->weight;
+}
+
+static struct account *
+largest_account(const struct gate *gate)
+{
+    struct account *largest = gate->round;
+    struct account *account;
+
+    DL_FOREACH(gate->round, account)
+    {
+        if (queue_share(account) > queue_share(largest)) {
+            largest = account;
+        }
+    }
+    return largest;
+}
+
+static bool
+queue_has_room(const struct gate *gate, size_t bytes)
+{
+    return gate->queued < gate->options.queue_requests_max &&
+           gate->queued_bytes + bytes <= gate->options.queue_bytes_max;
+}
+
+static struct waiting *
+newest_lowest(const struct account *account)
+{
+    for (size_t p = 0; p < PRIORITIES; p++) {
+        if (account->queues[p] != NULL) {
+            return account->queues[p]->prev;
+        }
+    }
+    return NULL;
+}
+
+/// Drops the newest request of the account that holds more of the queue than
+/// the asking one would; false if there is none.
+static bool
+shed_largest(struct gate *gate, const struct gate_request *request)
+{
+    struct account *asking = find_account(gate, request->account);
+    struct account *largest = largest_account(gate);
+    double own = (asking != NULL ? (double)asking->count : 0) + 1;
+    struct waiting *victim;
+    void *dropped;
+
+    if (largest == NULL || largest == asking ||
+        queue_share(largest) <=
+            own /
+                (request->account_weight > 0 ? request->account_weight : 1)) {
+        return false;
+    }
+    victim = newest_lowest(largest);
+    dropped = victim->request.request;
+    unlink_waiting(gate, largest, victim);
+    if (largest->count == 0) {
+        account_remove(gate, largest);
+    }
+    gate->options.dropped(gate->options.ctx, dropped, REFUSE_QUEUE_FULL,
+                          refuse(gate, REFUSE_QUEUE_FULL).retry_after_ms);
+    return true;
+}
+
+static struct gate_decision
+enqueue(struct gate *gate, const struct gate_request *request)
+{
+    struct account *account;
+    struct waiting *waiting;
+
+    while (!queue_has_room(gate, request->bytes)) {
+        if (!shed_largest(gate, request)) {
+            return refuse(gate, REFUSE_QUEUE_FULL);
+        }
+    }
+    account = add_account(gate, request);
+    waiting = xcalloc(1, sizeof(*waiting));
+    waiting->request = *request;
+    waiting->request.account = account->name;
+    if (waiting->request.priority >= PRIORITIES) {
+        waiting->request.priority = PRIORITIES - 1;
+    }
+    DL_APPEND(account->queues[waiting->request.priority], waiting);
+    account->count++;
+    gate->queued++;
+    gate->queued_bytes += request->bytes;
+    return (struct gate_decision){.verdict = GATE_QUEUED};
+}
+
+struct gate_decision
+gate_offer(struct gate *gate, const struct gate_request *request)
+{
+    if (gate->state == AGENT_LEAVING) {
+        return refuse(gate, REFUSE_LEAVING);
+    }
+    if (gate->state == AGENT_ENDPOINT_DOWN) {
+        return refuse(gate, REFUSE_ENDPOINT_DOWN);
+    }
+    if (request->deadline_ms <= now_ms(gate)) {
+        return refuse(gate, REFUSE_DEADLINE);
+    }
+    if (gate->queued == 0 && gate->running < limit(gate)) {
+        gate->running++;
+        return (struct gate_decision){.verdict = GATE_ADMITTED};
+    }
+    if (request->may_wait) {
+        return enqueue(gate, request);
+    }
+    return refuse(gate, gate->running < gate->options.slots ? REFUSE_OVER_BOUND
+                                                            : REFUSE_FULL);
+}
+
+static struct waiting *
+oldest_highest(const struct account *account)
+{
+    for (size_t p = PRIORITIES; p-- > 0;) {
+        if (account->queues[p] != NULL) {
+            return account->queues[p];
+        }
+    }
+    return NULL;
+}
+
+// Deficit round robin with a cost of one for each request: an account is
+// served `weight` times before the next one's turn.
+static void
+admit_next(struct gate *gate)
+{
+    struct account *account = gate->round;
+    struct waiting *waiting = oldest_highest(account);
+    void *request = waiting->request.request;
+
+    if (account->deficit == 0) {
+        account->deficit = account->weight;
+    }
+    account->deficit--;
+    unlink_waiting(gate, account, waiting);
+    if (account->count == 0) {
+        account_remove(gate, account);
+    }
+    else if (account->deficit == 0) {
+        DL_DELETE(gate->round, account);
+        DL_APPEND(gate->round, account);
+    }
+    gate->running++;
+    gate->options.admitted(gate->options.ctx, request);
+}
+
+static void
+admit_waiting(struct gate *gate)
+{
+    while (gate->queued > 0 && gate->running < limit(gate) &&
+           gate->state != AGENT_ENDPOINT_DOWN) {
+        admit_next(gate);
+    }
+}
+
+void
+gate_end(struct gate *gate)
+{
+    INVARIANT(gate->running > 0);
+    gate->running--;
+    decay(gate, &gate->ended);
+    gate->ended.value += 1;
+    admit_waiting(gate);
+}
+
+static bool
+withdraw_from(struct gate *gate, struct account *account, const void *request)
+{
+    for (size_t p = 0; p < PRIORITIES; p++) {
+        struct waiting *waiting;
+
+        DL_FOREACH(account->queues[p], waiting)
+        {
+            if (waiting->request.request == request) {
+                unlink_waiting(gate, account, waiting);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool
+gate_withdraw(struct gate *gate, const void *request)
+{
+    struct account *account;
+
+    DL_FOREACH(gate->round, account)
+    {
+        if (withdraw_from(gate, account, request)) {
+            if (account->count == 0) {
+                account_remove(gate, account);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+static struct waiting *
+first_expired(const struct account *account, int64_t now)
+{
+    for (size_t p = 0; p < PRIORITIES; p++) {
+        struct waiting *waiting;
+
+        DL_FOREACH(account->queues[p], waiting)
+        {
+            if (waiting->request.deadline_ms <= now) {
+                return waiting;
+            }
+        }
+    }
+    return NULL;
+}
+
+static void
+drop_expired(struct gate *gate)
+{
+    int64_t now = now_ms(gate);
+    struct account *account, *next;
+
+    if (now < gate->next_expiry_scan_ms) {
+        return;
+    }
+    gate->next_expiry_scan_ms = now + EXPIRY_SCAN_INTERVAL_MS;
+    DL_FOREACH_SAFE(gate->round, account, next)
+    {
+        struct waiting *waiting = first_expired(account, now);
+
+        while (waiting != NULL) {
+            void *request = waiting->request.request;
+
+            unlink_waiting(gate, account, waiting);
+            gate->options.dropped(gate->options.ctx, request, REFUSE_DEADLINE,
+                                  0);
+            waiting = first_expired(account, now);
+        }
+        if (account->count == 0) {
+            account_remove(gate, account);
+        }
+    }
+}
+
+void
+gate_tick(struct gate *gate)
+{
+    int64_t oldest = now_ms(gate) - gate->options.router_silent_ms;
+    struct router *router, *next;
+
+    HASH_ITER(hh, gate->routers, router, next)
+    {
+        if (router->at_ms < oldest) {
+            router_remove(gate, router);
+        }
+    }
+    drop_expired(gate);
+    admit_waiting(gate);
+}
+
+struct load_report
+gate_load(const struct gate *gate)
+{
+    return (struct load_report){
+        .incarnation = gate->options.incarnation,
+        .state = gate->state,
+        .running = gate->running,
+        .queued = (uint32_t)gate->queued,
+        .slots = gate->options.slots,
+        .bound = gate_bound(gate),
+    };
+}
--- /dev/null
+++ b/core/message.c
@@ -0,0 +1,533 @@
+#include "dandelionvalve/message.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "xmalloc.h"
+
+struct message_codec {
+    msgpack_sbuffer out;
+    msgpack_packer packer;
+    msgpack_zone zone;
+};
+
+/// Walks the elements of a decoded array; the first error sticks.
+struct cursor {
+    const msgpack_object *next;
+    const msgpack_object *end;
+    bool bad;
+};
+
+struct message_codec *
+message_codec_new(void)
+{
+    struct message_codec *codec = xcalloc(1, sizeof(*codec));
+
+    msgpack_sbuffer_init(&codec->out);
+    msgpack_packer_init(&codec->packer, &codec->out, msgpack_sbuffer_write);
+    if (!msgpack_zone_init(&codec->zone, 8192)) {
+        BUG("out of memory");
+    }
+    return codec;
+}
+
+void
+message_codec_free(struct message_codec *codec)
+{
+    if (codec == NULL) {
+        return;
+    }
+    msgpack_zone_destroy(&codec->zone);
+    msgpack_sbuffer_destroy(&codec->out);
+    free(codec);
+}
+
+static void
+put_str(msgpack_packer *packer, struct str s)
+{
+    msgpack_pack_bin(packer, s.len);
+    msgpack_pack_bin_body(packer, s.data, s.len);
+}
+
+static void
+put_uint(msgpack_packer *packer, uint64_t value)
+{
+    msgpack_pack_uint64(packer, value);
+}
+
+static void
+put_bool(msgpack_packer *packer, bool value)
+{
+    if (value) {
+        msgpack_pack_true(packer);
+    }
+    else {
+        msgpack_pack_false(packer);
+    }
+}
+
+static void
+put_id(msgpack_packer *packer, const struct attempt_id *id)
+{
+    put_str(packer, (struct str){(const char *)id->request.bytes,
+                                 sizeof(id->request.bytes)});
+    put_uint(packer, id->attempt);
+}
+
+static void
+put_load(msgpack_packer *packer, const struct load_report *load)
+{
+    put_uint(packer, load->incarnation);
+    put_uint(packer, load->state);
+    put_uint(packer, load->running);
+    put_uint(packer, load->queued);
+    put_uint(packer, load->slots);
+    put_uint(packer, load->bound);
+}
+
+static void
+put_headers(msgpack_packer *packer, const struct message_header *headers,
+            size_t count)
+{
+    msgpack_pack_array(packer, 2 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_str(packer, headers[i].name);
+        put_str(packer, headers[i].value);
+    }
+}
+
+static void
+put_offer(msgpack_packer *packer, const struct message_offer *offer)
+{
+    put_id(packer, &offer->id);
+    put_uint(packer, offer->in_flight);
+    put_str(packer, offer->account);
+    put_uint(packer, offer->account_weight);
+    put_uint(packer, offer->priority);
+    put_str(packer, offer->route);
+    put_str(packer, offer->key);
+    put_bool(packer, offer->repeatable);
+    put_bool(packer, offer->may_wait);
+    put_bool(packer, offer->cut_on_disconnect);
+    put_uint(packer, offer->fingerprint);
+    put_uint(packer, offer->deadline_ms);
+    put_uint(packer, offer->first_byte_ms);
+    put_uint(packer, offer->idle_ms);
+    put_str(packer, offer->method);
+    put_str(packer, offer->uri);
+    put_headers(packer, offer->headers, offer->header_count);
+    put_uint(packer, offer->body_bytes);
+    put_str(packer, offer->body);
+}
+
+static size_t
+field_count(enum message_type type)
+{
+    static const size_t counts[MESSAGE_TYPE_END] = {
+        [MESSAGE_HELLO] = 5,  [MESSAGE_PROOF] = 1,     [MESSAGE_OFFER] = 20,
+        [MESSAGE_BODY] = 4,   [MESSAGE_ACCEPT] = 8,    [MESSAGE_REFUSE] = 10,
+        [MESSAGE_HEAD] = 4,   [MESSAGE_DATA] = 4,      [MESSAGE_END] = 10,
+        [MESSAGE_FAIL] = 9,   [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
+        [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 1, [MESSAGE_STATE] = 6,
+    };
+
+    return counts[type];
+}
+
+static void
+put_fields(msgpack_packer *packer, const struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_HELLO:
+        put_uint(packer, m->hello.version);
+        put_str(packer, m->hello.name);
+        put_str(packer, m->hello.role);
+        put_uint(packer, m->hello.incarnation);
+        put_str(packer, m->hello.nonce);
+        return;
+    case MESSAGE_PROOF:
+        put_str(packer, m->proof.mac);
+        return;
+    case MESSAGE_OFFER:
+        put_offer(packer, &m->offer);
+        return;
+    case MESSAGE_BODY:
+    case MESSAGE_DATA:
+        put_id(packer, &m->part.id);
+        put_uint(packer, m->part.offset);
+        put_str(packer, m->part.bytes);
+        return;
+    case MESSAGE_ACCEPT:
+        put_id(packer, &m->accept.id);
+        put_load(packer, &m->accept.load);
+        return;
+    case MESSAGE_REFUSE:
+        put_id(packer, &m->refuse.id);
+        put_uint(packer, m->refuse.reason);
+        put_uint(packer, m->refuse.retry_after_ms);
+        put_load(packer, &m->refuse.load);
+        return;
+    case MESSAGE_HEAD:
+        put_id(packer, &m->head.id);
+        put_uint(packer, m->head.status);
+        put_headers(packer, m->head.headers, m->head.header_count);
+        return;
+    case MESSAGE_END:
+        put_id(packer, &m->end.id);
+        put_uint(packer, m->end.total_bytes);
+        put_uint(packer, m->end.hash);
+        put_load(packer, &m->end.load);
+        return;
+    case MESSAGE_FAIL:
+        put_id(packer, &m->fail.id);
+        put_uint(packer, m->fail.reason);
+        put_load(packer, &m->fail.load);
+        return;
+    case MESSAGE_ACK:
+        put_id(packer, &m->ack.id);
+        put_uint(packer, m->ack.offset);
+        put_bool(packer, m->ack.finished);
+        put_uint(packer, m->ack.in_flight);
+        return;
+    case MESSAGE_CANCEL:
+        put_id(packer, &m->cancel.id);
+        put_uint(packer, m->cancel.in_flight);
+        return;
+    case MESSAGE_RESUME:
+        put_id(packer, &m->resume.id);
+        put_uint(packer, m->resume.offset);
+        put_bool(packer, m->resume.need_head);
+        return;
+    case MESSAGE_IN_FLIGHT:
+        put_uint(packer, m->in_flight.in_flight);
+        return;
+    case MESSAGE_STATE:
+        put_load(packer, &m->state.load);
+        return;
+    case MESSAGE_PING:
+    case MESSAGE_PONG:
+        return;
+    case MESSAGE_TYPE_END:
+        break;
+    }
+    BUG("message type %d", (int)m->type);
+}
+
+struct str
+message_encode(struct message_codec *codec, const struct message *message)
+{
+    msgpack_sbuffer_clear(&codec->out);
+    msgpack_pack_array(&codec->packer, 1 + field_count(message->type));
+    put_uint(&codec->packer, message->type);
+    put_fields(&codec->packer, message);
+    return (struct str){codec->out.data, codec->out.size};
+}
+
+static const msgpack_object *
+get(struct cursor *cursor, msgpack_object_type type)
+{
+    const msgpack_object *object = cursor->next;
+
+    if (cursor->bad || object == cursor->end || object->type != type) {
+        cursor->bad = true;
+        return NULL;
+    }
+    cursor->next++;
+    return object;
+}
+
+static uint64_t
+get_uint(struct cursor *cursor, uint64_t max)
+{
+    const msgpack_object *o = get(cursor, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+    if (o == NULL || o->via.u64 > max) {
+        cursor->bad = true;
+        return 0;
+    }
+    return o->via.u64;
+}
+
+static uint32_t
+get_u32(struct cursor *cursor)
+{
+    return (uint32_t)get_uint(cursor, UINT32_MAX);
+}
+
+static bool
+get_bool(struct cursor *cursor)
+{
+    const msgpack_object *object = get(cursor, MSGPACK_OBJECT_BOOLEAN);
+
+    return object != NULL && object->via.boolean;
+}
+
+static struct str
+get_str(struct cursor *cursor)
+{
+    const msgpack_object *object = get(cursor, MSGPACK_OBJECT_BIN);
+
+    if (object == NULL) {
+        return STR_LITERAL("");
+    }
+    return (struct str){object->via.bin.ptr, object->via.bin.size};
+}
+
+static struct attempt_id
+get_id(struct cursor *cursor)
+{
+    struct attempt_id id = {0};
+    struct str bytes = get_str(cursor);
+
+    if (bytes.len != sizeof(id.request.bytes)) {
+        cursor->bad = true;
+        return id;
+    }
+    memcpy(id.request.bytes, bytes.data, bytes.len);
+    id.attempt = get_u32(cursor);
+    return id;
+}
+
+static struct load_report
+get_load(struct cursor *cursor)
+{
+    struct load_report load;
+
+    load.incarnation = get_uint(cursor, UINT64_MAX);
+    load.state = (enum agent_state)get_uint(cursor, AGENT_ENDPOINT_DOWN);
+    load.running = get_u32(cursor);
+    load.queued = get_u32(cursor);
+    load.slots = get_u32(cursor);
+    load.bound = get_u32(cursor);
+    return load;
+}
+
+static size_t
+get_headers(struct cursor *cursor, struct message_header *headers)
+{
+    const msgpack_object *array = get(cursor, MSGPACK_OBJECT_ARRAY);
+    struct cursor items;
+    size_t count;
+
+    if (array == NULL || array->via.array.size % 2 != 0 ||
+        array->via.array.size > 2 * MESSAGE_HEADERS_MAX) {
+        cursor->bad = true;
+        return 0;
+    }
+    count = array->via.array.size / 2;
+    items.next = array->via.array.ptr;
+    items.end = items.next + 2 * count;
+    items.bad = false;
+    for (size_t i = 0; i < count; i++) {
+        headers[i].name = get_str(&items);
+        headers[i].value = get_str(&items);
+    }
+    cursor->bad = cursor->bad || items.bad;
+    return count;
+}
+
+static void
+get_offer(struct cursor *cursor, struct message_offer *offer)
+{
+    offer->id = get_id(cursor);
+    offer->in_flight = get_u32(cursor);
+    offer->account = get_str(cursor);
+    offer->account_weight = get_u32(cursor);
+    offer->priority = get_u32(cursor);
+    offer->route = get_str(cursor);
+    offer->key = get_str(cursor);
+    offer->repeatable = get_bool(cursor);
+    offer->may_wait = get_bool(cursor);
+    offer->cut_on_disconnect = get_bool(cursor);
+    offer->fingerprint = get_uint(cursor, UINT64_MAX);
+    offer->deadline_ms = get_u32(cursor);
+    offer->first_byte_ms = get_u32(cursor);
+    offer->idle_ms = get_u32(cursor);
+    offer->method = get_str(cursor);
+    offer->uri = get_str(cursor);
+    offer->header_count = get_headers(cursor, offer->headers);
+    offer->body_bytes = get_uint(cursor, UINT64_MAX);
+    offer->body = get_str(cursor);
+    if (offer->body.len > 0 && offer->body.len != offer->body_bytes) {
+        cursor->bad = true;
+    }
+}
+
+static void
+get_fields(struct cursor *cursor, struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_HELLO:
+        m->hello.version = get_u32(cursor);
+        m->hello.name = get_str(cursor);
+        m->hello.role = get_str(cursor);
+        m->hello.incarnation = get_uint(cursor, UINT64_MAX);
+        m->hello.nonce = get_str(cursor);
+        return;
+    case MESSAGE_PROOF:
+        m->proof.mac = get_str(cursor);
+        return;
+    case MESSAGE_OFFER:
+        get_offer(cursor, &m->offer);
+        return;
+    case MESSAGE_BODY:
+    case MESSAGE_DATA:
+        m->part.id = get_id(cursor);
+        m->part.offset = get_uint(cursor, UINT64_MAX);
+        m->part.bytes = get_str(cursor);
+        return;
+    case MESSAGE_ACCEPT:
+        m->accept.id = get_id(cursor);
+        m->accept.load = get_load(cursor);
+        return;
+    case MESSAGE_REFUSE:
+        m->refuse.id = get_id(cursor);
+        m->refuse.reason =
+            (enum refuse_reason)get_uint(cursor, REFUSE_REASON_END - 1);
+        m->refuse.retry_after_ms = get_u32(cursor);
+        m->refuse.load = get_load(cursor);
+        return;
+    case MESSAGE_HEAD:
+        m->head.id = get_id(cursor);
+        m->head.status = (uint32_t)get_uint(cursor, 999);
+        m->head.header_count = get_headers(cursor, m->head.headers);
+        return;
+    case MESSAGE_END:
+        m->end.id = get_id(cursor);
+        m->end.total_bytes = get_uint(cursor, UINT64_MAX);
+        m->end.hash = get_uint(cursor, UINT64_MAX);
+        m->end.load = get_load(cursor);
+        return;
+    case MESSAGE_FAIL:
+        m->fail.id = get_id(cursor);
+        m->fail.reason =
+            (enum fail_reason)get_uint(cursor, FAIL_REASON_END - 1);
+        m->fail.load = get_load(cursor);
+        return;
+    case MESSAGE_ACK:
+        m->ack.id = get_id(cursor);
+        m->ack.offset = get_uint(cursor, UINT64_MAX);
+        m->ack.finished = get_bool(cursor);
+        m->ack.in_flight = get_u32(cursor);
+        return;
+    case MESSAGE_CANCEL:
+        m->cancel.id = get_id(cursor);
+        m->cancel.in_flight = get_u32(cursor);
+        return;
+    case MESSAGE_RESUME:
+        m->resume.id = get_id(cursor);
+        m->resume.offset = get_uint(cursor, UINT64_MAX);
+        m->resume.need_head = get_bool(cursor);
+        return;
+    case MESSAGE_IN_FLIGHT:
+        m->in_flight.in_flight = get_u32(cursor);
+        return;
+    case MESSAGE_STATE:
+        m->state.load = get_load(cursor);
+        return;
+    case MESSAGE_PING:
+    case MESSAGE_PONG:
+    case MESSAGE_TYPE_END:
+        return;
+    }
+}
+
+bool
+message_decode(struct message_codec *codec, struct str bytes,
+               struct message *message, struct err *err)
+{
+    msgpack_object object;
+    struct cursor cursor = {0};
+    size_t offset = 0;
+
+    msgpack_zone_clear(&codec->zone);
+    if (msgpack_unpack(bytes.data, bytes.len, &offset, &codec->zone,
+                       &object) != MSGPACK_UNPACK_SUCCESS ||
+        offset != bytes.len) {
+        return err_set(err, ERR_PROTOCOL, "decode", NULL,
+                       "frame of %zu bytes is not one MessagePack value",
+                       bytes.len);
+    }
+    if (object.type != MSGPACK_OBJECT_ARRAY || object.via.array.size == 0) {
+        return err_set(err, ERR_PROTOCOL, "decode", NULL,
+                       "frame is not an array");
+    }
+    cursor.next = object.via.array.ptr;
+    cursor.end = cursor.next + object.via.array.size;
+    message->type = (enum message_type)get_uint(&cursor, MESSAGE_TYPE_END - 1);
+    if (cursor.bad || message->type < MESSAGE_HELLO) {
+        return err_set(err, ERR_PROTOCOL, "decode", NULL,
+                       "frame of an unknown type");
+    }
+    get_fields(&cursor, message);
+    if (cursor.bad || cursor.next != cursor.end) {
+        return err_set(err, ERR_PROTOCOL, "decode", NULL,
+                       "frame %s has wrong fields",
+                       message_type_name(message->type));
+    }
+    return true;
+}
+
+const char *
+message_type_name(enum message_type type)
+{
+    static const char *const names[MESSAGE_TYPE_END] = {
+        [MESSAGE_HELLO] = "hello",   [MESSAGE_PROOF] = "proof",
+        [MESSAGE_OFFER] = "offer",   [MESSAGE_BODY] = "body",
+        [MESSAGE_ACCEPT] = "accept", [MESSAGE_REFUSE] = "refuse",
+        [MESSAGE_HEAD] = "head",     [MESSAGE_DATA] = "data",
+        [MESSAGE_END] = "end",       [MESSAGE_FAIL] = "fail",
+        [MESSAGE_ACK] = "ack",       [MESSAGE_CANCEL] = "cancel",
+        [MESSAGE_RESUME] = "resume", [MESSAGE_PING] = "ping",
+        [MESSAGE_PONG] = "pong",     [MESSAGE_IN_FLIGHT] = "in-flight",
+        [MESSAGE_STATE] = "state",
+    };
+
+    return names[type];
+}
+
+const char *
+refuse_reason_name(enum refuse_reason reason)
+{
+    static const char *const names[REFUSE_REASON_END] = {
+        [REFUSE_OVER_BOUND] = "over-bound",
+        [REFUSE_FULL] = "full",
+        [REFUSE_QUEUE_FULL] = "queue-full",
+        [REFUSE_LEAVING] = "leaving",
+        [REFUSE_DEADLINE] = "deadline",
+        [REFUSE_QUARANTINED] = "quarantined",
+        [REFUSE_ENDPOINT_DOWN] = "endpoint-down",
+        [REFUSE_LOG_DOWN] = "log-down",
+        [REFUSE_KEY_CONFLICT] = "key-conflict",
+        [REFUSE_KEY_IN_PROGRESS] = "key-in-progress",
+        [REFUSE_KEY_EXPIRED] = "key-expired",
+        [REFUSE_BAD_REQUEST] = "bad-request",
+        [REFUSE_NOT_RECEIVED] = "not-received",
+    };
+
+    return names[reason];
+}
+
+const char *
+fail_reason_name(enum fail_reason reason)
+{
+    static const char *const names[FAIL_REASON_END] = {
+        [FAIL_ENDPOINT_LOST] = "endpoint-lost",
+        [FAIL_FIRST_BYTE_TIMEOUT] = "first-byte-timeout",
+        [FAIL_IDLE_TIMEOUT] = "idle-timeout",
+        [FAIL_DEADLINE] = "deadline",
+        [FAIL_INCOMPLETE] = "incomplete",
+        [FAIL_UNKNOWN_OUTCOME] = "unknown-outcome",
+        [FAIL_ANSWER_NOT_KEPT] = "answer-not-kept",
+    };
+
+    return names[reason];
+}
+
+bool
+request_id_equal(const struct request_id *a, const struct request_id *b)
+{
+    return !memcmp(a->bytes, b->bytes, sizeof(a->bytes));
+}
--- /dev/null
+++ b/ctl/fleet.h
@@ -0,0 +1,22 @@
+/// Asks the listed daemons what they have in force.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+struct event_base;
+struct platform;
+
+struct fleet_count {
+    size_t routers;
+    size_t agents;
+    size_t answered;
+    size_t in_force; ///< routers with at least the wanted version
+};
+
+/// Asks every listed daemon for its status. A line for each goes to `out` if
+/// it is not NULL. False if the list cannot be read.
+bool fleet_ask(struct event_base *base, struct platform *platform,
+               int64_t wanted_version, FILE *out, struct fleet_count *count);
--- /dev/null
+++ b/daemon/admin.c
@@ -0,0 +1,92 @@
+#include "admin.h"
+
+#include <stdlib.h>
+
+#include <event2/http.h>
+
+#include "core/xmalloc.h"
+#include "net/http.h"
+
+#define TEXT_TYPE "text/plain; version=0.0.4"
+#define BODY_BYTES_MAX 4096
+
+struct admin {
+    struct admin_options options;
+    struct evhttp *http;
+    struct address address;
+};
+
+static void
+on_healthz(struct evhttp_request *request, void *ctx)
+{
+    (void)ctx;
+    http_reply(request, 200, TEXT_TYPE, STR_LITERAL("ok\n"));
+}
+
+static void
+on_readyz(struct evhttp_request *request, void *ctx)
+{
+    struct admin *admin = ctx;
+    const char *why = "ok\n";
+    bool ready = admin->options.is_ready(admin->options.ctx, &why);
+
+    http_reply(request, ready ? 200 : 503, TEXT_TYPE, str_from(why));
+}
+
+static void
+on_metrics(struct evhttp_request *request, void *ctx)
+{
+    struct admin *admin = ctx;
+    char *text = counter_text(admin->options.counters);
+
+    http_reply(request, 200, TEXT_TYPE, str_from(text));
+    free(text);
+}
+
+static void
+on_status(struct evhttp_request *request, void *ctx)
+{
+    struct admin *admin = ctx;
+    char *text = admin->options.status(admin->options.ctx);
+
+    http_reply(request, 200, "application/json", str_from(text));
+    free(text);
+}
+
+struct admin *
+admin_new(const struct admin_options *options, struct err *err)
+{
+    struct admin *admin = xcalloc(1, sizeof(*admin));
+
+    admin->options = *options;
+    admin->http = evhttp_new(options->base);
+    if (admin->http == NULL) {
+        BUG("out of memory");
+    }
+    evhttp_set_max_body_size(admin->http, BODY_BYTES_MAX);
+    evhttp_set_cb(admin->http, "/healthz", on_healthz, admin);
+    evhttp_set_cb(admin->http, "/readyz", on_readyz, admin);
+    evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
+    evhttp_set_cb(admin->http, "/status", on_status, admin);
+    if (!http_bind(admin->http, &options->address, &admin->address, err)) {
+        admin_free(admin);
+        return NULL;
+    }
+    return admin;
+}
+
+void
+admin_free(struct admin *admin)
+{
+    if (admin == NULL) {
+        return;
+    }
+    evhttp_free(admin->http);
+    free(admin);
+}
+
+struct address
+admin_address(const struct admin *admin)
+{
+    return admin->address;
+}
--- /dev/null
+++ b/daemon/admin.h
@@ -0,0 +1,26 @@
+/// The admin address of a daemon: /healthz, /readyz and /metrics.
+#pragma once
+
+#include <stdbool.h>
+
+#include "dandelionvalve/counter.h"
+#include "net/address.h"
+
+struct admin;
+struct event_base;
+
+struct admin_options {
+    struct event_base *base;
+    struct address address;
+    const struct counters *counters;
+    /// True while the daemon should get traffic; else *why says why not.
+    bool (*is_ready)(void *ctx, const char **why);
+    /// A JSON description of the daemon for operators; freed by the caller.
+    char *(*status)(void *ctx);
+    void *ctx;
+};
+
+/// NULL with `err` set if the address cannot be bound.
+struct admin *admin_new(const struct admin_options *options, struct err *err);
+void admin_free(struct admin *admin);
+struct address admin_address(const struct admin *admin);
--- /dev/null
+++ b/daemon/agent.c
@@ -0,0 +1,615 @@
+#include "agent.h"
+
+#include <stdlib.h>
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <jansson.h>
+#include <utlist.h>
+
+#include "admin.h"
+#include "claimlog.h"
+#include "configuration.h"
+#include "core/xmalloc.h"
+#include "dandelionvalve/gate.h"
+#include "dandelionvalve/quarantine.h"
+#include "membership.h"
+#include "net/endpoint.h"
+#include "net/link.h"
+#include "net/log.h"
+#include "net/platform.h"
+#include "probe.h"
+#include "run.h"
+
+#define LOG_MODULE "agent"
+#define TICK_MS 20
+#define BUSY_INTERVAL_MS 500
+#define PLATFORM_TIMEOUT_MS 3000
+#define ROUTER_SILENT_MS 3000
+#define MARGIN_PER_100MS 0.01
+#define WINDOW_BYTES (256 * 1024)
+#define BODY_BYTES_MAX (16 * 1024 * 1024)
+#define HOLD_MS 15000
+#define IDLE_CONNECTIONS_MAX 64
+#define HEADER_BYTES_MAX 65536
+#define STRUCK_REQUESTS_MAX 10000
+#define CLAIM_SHARDS 4
+#define CLAIM_WINDOW_MS (24 * 3600 * 1000LL)
+
+/// A link to a router.
+struct peer {
+    struct link *link;
+    struct peer *prev;
+    struct peer *next;
+};
+
+struct agent {
+    struct agent_options options;
+    struct counters counters;
+    struct link_options link_options;
+    struct evconnlistener *listener;
+    struct address links_address;
+    struct peer *peers;
+    struct gate *gate;
+    struct endpoint *endpoint;
+    struct probe *probe;
+    struct quarantine *quarantine;
+    struct claimlog *claimlog;
+    struct runs *runs;
+    struct platform *platform;
+    struct configuration *configuration;
+    struct membership *membership;
+    struct admin *admin;
+    struct event *tick;
+    bool draining;
+    bool drained;
+    bool has_pool;
+    uint64_t pool_weight;
+    int64_t next_busy_ms;
+};
+
+static void
+broadcast_state(struct agent *agent)
+{
+    const struct message message = {
+        .type = MESSAGE_STATE,
+        .state = {.load = gate_load(agent->gate)},
+    };
+    struct peer *peer;
+
+    DL_FOREACH(agent->peers, peer)
+    {
+        link_send(peer->link, &message);
+    }
+}
+
+static void
+set_state(struct agent *agent, enum agent_state state)
+{
+    if (gate_state(agent->gate) == state ||
+        gate_state(agent->gate) == AGENT_LEAVING) {
+        return;
+    }
+    LOG_INFO("event=agent-state from=%d to=%d", (int)gate_state(agent->gate),
+             (int)state);
+    gate_set_state(agent->gate, state);
+    broadcast_state(agent);
+}
+
+static void
+on_probed(void *ctx, bool alive)
+{
+    set_state(ctx, alive ? AGENT_READY : AGENT_ENDPOINT_DOWN);
+}
+
+static void
+on_endpoint_failed(void *ctx)
+{
+    struct agent *agent = ctx;
+
+    probe_now(agent->probe);
+}
+
+static void
+on_ready(void *ctx, struct link *link)
+{
+    struct agent *agent = ctx;
+    const struct message message = {
+        .type = MESSAGE_STATE,
+        .state = {.load = gate_load(agent->gate)},
+    };
+    struct peer *peer, *next;
+
+    // The newest link of a router takes the place of the older ones, so that
+    // nothing that was still under way on them can arrive any more.
+    DL_FOREACH_SAFE(agent->peers, peer, next)
+    {
+        if (peer->link != link && link_is_ready(peer->link) &&
+            str_equal(link_peer_name(peer->link), link_peer_name(link))) {
+            runs_link_lost(agent->runs, peer->link);
+            link_close(peer->link);
+            DL_DELETE(agent->peers, peer);
+            free(peer);
+        }
+    }
+    link_send(link, &message);
+}
+
+static void
+on_message(void *ctx, struct link *link, const struct message *message)
+{
+    struct agent *agent = ctx;
+
+    switch (message->type) {
+    case MESSAGE_OFFER:
+        counter_add(&agent->counters, COUNTER_OFFERS, 1);
+        runs_offer(agent->runs, link, &message->offer);
+        return;
+    case MESSAGE_BODY:
+        runs_body(agent->runs, &message->part.id, message->part.offset,
+                  message->part.bytes);
+        return;
+    case MESSAGE_ACK:
+        gate_router_count(agent->gate, link_peer_name(link),
+                          message->ack.in_flight);
+        runs_ack(agent->runs, &message->ack.id, message->ack.offset,
+                 message->ack.finished);
+        return;
+    case MESSAGE_CANCEL:
+        gate_router_count(agent->gate, link_peer_name(link),
+                          message->cancel.in_flight);
+        runs_cancel(agent->runs, &message->cancel.id);
+        return;
+    case MESSAGE_RESUME:
+        runs_resume(agent->runs, link, &message->resume.id,
+                    message->resume.offset, message->resume.need_head);
+        return;
+    case MESSAGE_IN_FLIGHT:
+        gate_router_count(agent->gate, link_peer_name(link),
+                          message->in_flight.in_flight);
+        return;
+    default:
+        counter_add(&agent->counters, COUNTER_LINK_BAD_FRAMES, 1);
+        LOG_WARNING("event=unexpected-message type=%s peer=%s",
+                    message_type_name(message->type), link_peer_address(link));
+    }
+}
+
+static void
+on_closed(void *ctx, struct link *link, const struct err *err)
+{
+    struct agent *agent = ctx;
+    struct peer *peer, *next;
+
+    (void)err;
+    runs_link_lost(agent->runs, link);
+    DL_FOREACH_SAFE(agent->peers, peer, next)
+    {
+        if (peer->link == link) {
+            DL_DELETE(agent->peers, peer);
+            free(peer);
+        }
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int len, void *ctx)
+{
+    struct agent *agent = ctx;
+    struct peer *peer = xcalloc(1, sizeof(*peer));
+
+    (void)listener;
+    (void)len;
+    peer->link = link_accept(&agent->link_options, fd, address);
+    DL_APPEND(agent->peers, peer);
+}
+
+static void
+apply_conf(struct agent *agent, const struct conf *conf)
+{
+    const struct settings_agent *settings = agent->options.settings;
+    const struct conf_pool *pool = conf_find_pool(conf, settings->pool);
+
+    agent->has_pool = pool != NULL;
+    if (pool == NULL) {
+        LOG_WARNING("event=pool-unknown pool=" STR_FMT,
+                    STR_ARG(settings->pool));
+        return;
+    }
+    gate_set_options(agent->gate, pool->bound_multiple,
+                     (size_t)pool->queue_requests, (size_t)pool->queue_bytes);
+    quarantine_set_options(agent->quarantine,
+                           (uint32_t)conf->quarantine.strikes,
+                           conf->quarantine.hold_ms);
+    claimlog_set_window(agent->claimlog, conf->claims.window_ms);
+}
+
+static void
+on_conf(void *ctx, const struct conf *conf, int64_t version)
+{
+    (void)version;
+    apply_conf(ctx, conf);
+}
+
+static void
+add_weight(void *ctx, const struct member *member)
+{
+    struct agent *agent = ctx;
+
+    if (member->info.role == MEMBER_AGENT && !member->info.leaving &&
+        member->use != MEMBER_UNUSABLE &&
+        str_equal(member->info.pool, agent->options.settings->pool)) {
+        agent->pool_weight += member->info.weight;
+    }
+}
+
+static void
+update_pool(struct agent *agent)
+{
+    struct members *members = membership_members(agent->membership);
+    uint32_t own = (uint32_t)agent->options.settings->slots;
+
+    agent->pool_weight = 0;
+    members_each(members, add_weight, agent);
+    if (agent->pool_weight < own) {
+        agent->pool_weight = own;
+    }
+    gate_set_pool(agent->gate, agent->pool_weight, own);
+}
+
+static void
+on_member(void *ctx, const struct member *member)
+{
+    struct agent *agent = ctx;
+
+    (void)member;
+    if (agent->membership != NULL) {
+        update_pool(agent);
+    }
+}
+
+static void
+on_member_probe(void *ctx, const struct member *member)
+{
+    // Agents open no links to others; the routers probe.
+    (void)ctx;
+    (void)member;
+}
+
+static void
+finish_drain(struct agent *agent)
+{
+    if (agent->draining && !agent->drained && runs_active(agent->runs) == 0 &&
+        runs_unacknowledged(agent->runs) == 0) {
+        agent->drained = true;
+        LOG_INFO("event=drained");
+        agent->options.drained(agent->options.ctx);
+    }
+}
+
+/// Silence is watched only on links that carry requests.
+static void
+update_busy(struct agent *agent)
+{
+    int64_t now = clock_ms(agent->options.clock);
+    struct peer *peer;
+
+    if (now < agent->next_busy_ms) {
+        return;
+    }
+    agent->next_busy_ms = now + BUSY_INTERVAL_MS;
+    DL_FOREACH(agent->peers, peer)
+    {
+        link_set_busy(peer->link, runs_use_link(agent->runs, peer->link));
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    struct agent *agent = ctx;
+
+    (void)fd;
+    (void)events;
+    gate_tick(agent->gate);
+    runs_tick(agent->runs);
+    update_pool(agent);
+    update_busy(agent);
+    counter_set(&agent->counters, COUNTER_IN_FLIGHT, runs_active(agent->runs));
+    log_flush();
+    finish_drain(agent);
+}
+
+static bool
+is_ready(void *ctx, const char **why)
+{
+    const struct agent *agent = ctx;
+
+    if (agent->draining) {
+        *why = "draining\n";
+        return false;
+    }
+    if (configuration_conf(agent->configuration) == NULL) {
+        *why = "no configuration yet\n";
+        return false;
+    }
+    if (gate_state(agent->gate) != AGENT_READY) {
+        *why = "endpoint down\n";
+        return false;
+    }
+    return true;
+}
+
+static char *
+status_text(void *ctx)
+{
+    const struct agent *agent = ctx;
+    struct load_report load = gate_load(agent->gate);
+    json_t *json = json_pack(
+        "{s:s%, s:s, s:I, s:i, s:i, s:i, s:i, s:i, s:I}", "name",
+        agent->options.settings->common.name.data,
+        agent->options.settings->common.name.len, "role", "agent", "version",
+        (json_int_t)configuration_version(agent->configuration), "state",
+        (int)load.state, "running", (int)load.running, "queued",
+        (int)load.queued, "slots", (int)load.slots, "bound", (int)load.bound,
+        "pool_in_flight", (json_int_t)gate_pool_in_flight(agent->gate));
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    json_decref(json);
+    return text;
+}
+
+static void
+create_gate(struct agent *agent)
+{
+    const struct agent_options *options = &agent->options;
+    const struct gate_options gate = {
+        .clock = options->clock,
+        .random = options->random,
+        .slots = (uint32_t)options->settings->slots,
+        .incarnation = options->incarnation,
+        .bound_multiple = 1.25,
+        .margin_per_100ms = MARGIN_PER_100MS,
+        .router_silent_ms = ROUTER_SILENT_MS,
+        .queue_requests_max = 256,
+        .queue_bytes_max = 32 * 1024 * 1024,
+        .admitted = runs_admitted,
+        .dropped = runs_dropped,
+    };
+    const struct quarantine_options quarantine = {
+        .clock = options->clock,
+        .strikes_max = 2,
+        .hold_ms = 600000,
+        .requests_max = STRUCK_REQUESTS_MAX,
+    };
+
+    agent->gate = gate_new(&gate);
+    agent->quarantine = quarantine_new(&quarantine);
+}
+
+static void
+create_endpoint(struct agent *agent)
+{
+    const struct agent_options *options = &agent->options;
+    const struct endpoint_options endpoint = {
+        .base = options->base,
+        .address = options->settings->endpoint,
+        .idle_connections_max = IDLE_CONNECTIONS_MAX,
+        .header_bytes_max = HEADER_BYTES_MAX,
+    };
+    const struct probe_options probe = {
+        .base = options->base,
+        .endpoint = options->settings->endpoint,
+        .probed = on_probed,
+        .ctx = agent,
+    };
+
+    agent->endpoint = endpoint_new(&endpoint);
+    agent->probe = probe_new(&probe);
+}
+
+static void
+create_controllers(struct agent *agent)
+{
+    const struct agent_options *options = &agent->options;
+    const struct settings_common *common = &options->settings->common;
+    const struct platform_options platform = {
+        .base = options->base,
+        .address = common->platform,
+        .counters = &agent->counters,
+        .timeout_ms = PLATFORM_TIMEOUT_MS,
+    };
+    struct claimlog_options claimlog = {
+        .base = options->base,
+        .clock = options->clock,
+        .random = options->random,
+        .counters = &agent->counters,
+        .environment = common->environment,
+        .shards = CLAIM_SHARDS,
+        .window_ms = CLAIM_WINDOW_MS,
+        .decided = runs_claimed,
+    };
+    struct configuration_options configuration = {
+        .base = options->base,
+        .clock = options->clock,
+        .random = options->random,
+        .counters = &agent->counters,
+        .environment = common->environment,
+        .name = common->name.data,
+        .changed = on_conf,
+        .ctx = agent,
+    };
+    struct membership_options membership = {
+        .base = options->base,
+        .clock = options->clock,
+        .counters = &agent->counters,
+        .changed = on_member,
+        .removed = on_member,
+        .probe = on_member_probe,
+        .ctx = agent,
+    };
+
+    agent->platform = platform_new(&platform);
+    claimlog.platform = agent->platform;
+    configuration.platform = agent->platform;
+    membership.platform = agent->platform;
+    agent->claimlog = claimlog_new(&claimlog);
+    agent->configuration = configuration_new(&configuration);
+    agent->membership = membership_new(&membership);
+}
+
+static void
+create_runs(struct agent *agent)
+{
+    const struct runs_options runs = {
+        .base = agent->options.base,
+        .clock = agent->options.clock,
+        .counters = &agent->counters,
+        .gate = agent->gate,
+        .endpoint = agent->endpoint,
+        .claimlog = agent->claimlog,
+        .quarantine = agent->quarantine,
+        .window_bytes = WINDOW_BYTES,
+        .body_bytes_max = BODY_BYTES_MAX,
+        .hold_ms = HOLD_MS,
+        .endpoint_failed = on_endpoint_failed,
+        .ctx = agent,
+    };
+
+    agent->runs = runs_new(&runs);
+}
+
+static bool
+listen_links(struct agent *agent, struct err *err)
+{
+    const struct address *address = &agent->options.settings->links;
+
+    agent->link_options = (struct link_options){
+        .base = agent->options.base,
+        .clock = agent->options.clock,
+        .random = agent->options.random,
+        .counters = &agent->counters,
+        .name = agent->options.settings->common.name.data,
+        .role = "agent",
+        .peer_role = "router",
+        .incarnation = agent->options.incarnation,
+        .keys = &agent->options.settings->common.keys,
+        .heartbeat_ms = LINK_HEARTBEAT_MS,
+        .silence_ms = LINK_SILENCE_MS,
+        .check_ms = LINK_CHECK_MS,
+        .handshake_ms = LINK_HANDSHAKE_MS,
+        .output_bytes_max = LINK_OUTPUT_BYTES_MAX,
+        .ready = on_ready,
+        .message = on_message,
+        .closed = on_closed,
+        .ctx = agent,
+    };
+    agent->listener = evconnlistener_new_bind(
+        agent->options.base, on_accept, agent,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        (const struct sockaddr *)&address->storage, (int)address->len);
+    if (agent->listener == NULL) {
+        return err_set(err, ERR_IO, "bind", address->ip,
+                       "cannot listen for links on %s port %d", address->ip,
+                       address->port);
+    }
+    return address_of_socket(evconnlistener_get_fd(agent->listener),
+                             &agent->links_address);
+}
+
+static void
+start_tick(struct agent *agent)
+{
+    static const struct timeval interval = {.tv_usec = TICK_MS * 1000};
+
+    agent->tick =
+        event_new(agent->options.base, -1, EV_PERSIST, on_tick, agent);
+    if (agent->tick == NULL) {
+        BUG("out of memory");
+    }
+    event_add(agent->tick, &interval);
+}
+
+struct agent *
+agent_new(const struct agent_options *options, struct err *err)
+{
+    struct agent *agent = xcalloc(1, sizeof(*agent));
+    const struct admin_options admin = {
+        .base = options->base,
+        .address = options->settings->common.admin,
+        .counters = &agent->counters,
+        .is_ready = is_ready,
+        .status = status_text,
+        .ctx = agent,
+    };
+
+    agent->options = *options;
+    create_gate(agent);
+    create_endpoint(agent);
+    create_controllers(agent);
+    create_runs(agent);
+    start_tick(agent);
+    agent->admin = admin_new(&admin, err);
+    if (agent->admin == NULL || !listen_links(agent, err)) {
+        agent_free(agent);
+        return NULL;
+    }
+    return agent;
+}
+
+void
+agent_free(struct agent *agent)
+{
+    if (agent == NULL) {
+        return;
+    }
+    while (agent->peers != NULL) {
+        struct peer *peer = agent->peers;
+
+        DL_DELETE(agent->peers, peer);
+        link_close(peer->link);
+        free(peer);
+    }
+    if (agent->listener != NULL) {
+        evconnlistener_free(agent->listener);
+    }
+    admin_free(agent->admin);
+    event_free(agent->tick);
+    runs_free(agent->runs);
+    membership_free(agent->membership);
+    configuration_free(agent->configuration);
+    claimlog_free(agent->claimlog);
+    platform_free(agent->platform);
+    probe_free(agent->probe);
+    endpoint_free(agent->endpoint);
+    quarantine_free(agent->quarantine);
+    gate_free(agent->gate);
+    free(agent);
+}
+
+void
+agent_drain(struct agent *agent)
+{
+    agent->draining = true;
+    LOG_INFO("event=draining running=%zu", runs_active(agent->runs));
+    set_state(agent, AGENT_LEAVING);
+}
+
+struct address
+agent_links_address(const struct agent *agent)
+{
+    return agent->links_address;
+}
+
+struct address
+agent_admin_address(const struct agent *agent)
+{
+    return admin_address(agent->admin);
+}
+
+const struct counters *
+agent_counters(const struct agent *agent)
+{
+    return &agent->counters;
+}
--- /dev/null
+++ b/daemon/probe.c
@@ -0,0 +1,138 @@
+#include "probe.h"
+
+#include <stdlib.h>
+
+#include <event2/event.h>
+
+#include "core/xmalloc.h"
+#include "net/endpoint.h"
+
+#define PROBE_PATH "/health"
+#define TIMEOUT_MS 1000
+#define INTERVAL_MS 500
+#define HEADER_BYTES_MAX 16384
+
+struct probe {
+    struct probe_options options;
+    struct endpoint *endpoint;
+    struct endpoint_call *call;
+    struct event *timer;
+    bool answered;
+};
+
+static void
+arm(struct probe *probe, int64_t delay_ms)
+{
+    const struct timeval delay = {
+        .tv_sec = delay_ms / 1000,
+        .tv_usec = delay_ms % 1000 * 1000,
+    };
+
+    event_add(probe->timer, &delay);
+}
+
+static void
+finish(struct probe *probe, bool alive)
+{
+    probe->call = NULL;
+    event_del(probe->timer);
+    if (!alive) {
+        arm(probe, INTERVAL_MS);
+    }
+    probe->options.probed(probe->options.ctx, alive);
+}
+
+static void
+on_head(void *ctx, int status, const struct message_header *headers,
+        size_t count)
+{
+    struct probe *probe = ctx;
+
+    (void)headers;
+    (void)count;
+    // Any answer is a sign of life, but one that says the opposite.
+    probe->answered = status != 503;
+}
+
+static void
+on_data(void *ctx, struct evbuffer *data)
+{
+    (void)ctx;
+    (void)data;
+}
+
+static void
+on_end(void *ctx, enum endpoint_end end)
+{
+    struct probe *probe = ctx;
+
+    finish(probe, end == ENDPOINT_WHOLE && probe->answered);
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct probe *probe = ctx;
+
+    (void)fd;
+    (void)events;
+    if (probe->call == NULL) {
+        probe_now(probe);
+        return;
+    }
+    endpoint_cancel(probe->call);
+    finish(probe, false);
+}
+
+struct probe *
+probe_new(const struct probe_options *options)
+{
+    struct probe *probe = xcalloc(1, sizeof(*probe));
+    const struct endpoint_options endpoint = {
+        .base = options->base,
+        .address = options->endpoint,
+        .header_bytes_max = HEADER_BYTES_MAX,
+    };
+
+    probe->options = *options;
+    probe->endpoint = endpoint_new(&endpoint);
+    probe->timer = event_new(options->base, -1, 0, on_timer, probe);
+    if (probe->timer == NULL) {
+        BUG("out of memory");
+    }
+    probe_now(probe);
+    return probe;
+}
+
+void
+probe_free(struct probe *probe)
+{
+    if (probe == NULL) {
+        return;
+    }
+    endpoint_free(probe->endpoint);
+    event_free(probe->timer);
+    free(probe);
+}
+
+void
+probe_now(struct probe *probe)
+{
+    const struct endpoint_call_options call = {
+        .method = STR_LITERAL("GET"),
+        .uri = STR_LITERAL(PROBE_PATH),
+        .body = STR_LITERAL(""),
+        .fresh_connection = true,
+        .head = on_head,
+        .data = on_data,
+        .end = on_end,
+        .ctx = probe,
+    };
+
+    if (probe->call != NULL) {
+        return;
+    }
+    probe->answered = false;
+    probe->call = endpoint_call(probe->endpoint, &call);
+    arm(probe, probe->call != NULL ? TIMEOUT_MS : INTERVAL_MS);
+}
--- /dev/null
+++ b/daemon/program.c
@@ -0,0 +1,126 @@
+#include "program.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <event2/event.h>
+#include <popt.h>
+#include <sodium.h>
+
+#include "core/xmalloc.h"
+#include "version.h"
+
+struct signals {
+    struct event_base *base;
+    void (*terminate)(void *ctx);
+    void *ctx;
+    bool terminating;
+};
+
+bool
+program_parse(struct program *program, int argc, const char **argv,
+              int *status)
+{
+    int version = 0;
+    int check = 0;
+    char *config = NULL;
+    const struct poptOption options[] = {
+        {"config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE"},
+        {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings and exit",
+         NULL},
+        {"version", 0, POPT_ARG_NONE, &version, 0, "print the version", NULL},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context =
+        poptGetContext(program->name, argc, argv, options, 0);
+    int result = poptGetNextOpt(context);
+    bool go_on = false;
+
+    *status = EXIT_BAD_INPUT;
+    if (result < -1) {
+        fprintf(stderr, "%s: %s: %s\n", program->name,
+                poptBadOption(context, 0), poptStrerror(result));
+    }
+    else if (poptPeekArg(context) != NULL) {
+        fprintf(stderr, "%s: unexpected argument '%s'\n", program->name,
+                poptPeekArg(context));
+    }
+    else if (version) {
+        printf("%s %s\n", program->name, VERSION);
+        *status = EXIT_SUCCESS;
+    }
+    else if (config == NULL) {
+        fprintf(stderr, "%s: --config FILE is needed; see --help\n",
+                program->name);
+    }
+    else {
+        program->config = config;
+        program->check_only = check != 0;
+        config = NULL;
+        go_on = true;
+    }
+    free(config);
+    poptFreeContext(context);
+    if (go_on && sodium_init() < 0) {
+        BUG("libsodium cannot be initialised");
+    }
+    return go_on;
+}
+
+void
+program_destroy(struct program *program)
+{
+    free(program->config);
+    program->config = NULL;
+}
+
+int
+program_fail(const struct program *program, const struct err *err)
+{
+    fprintf(stderr, "%s: %s\n", program->name, err->message);
+    return EXIT_BAD_INPUT;
+}
+
+static void
+on_signal(evutil_socket_t number, short events, void *ctx)
+{
+    struct signals *signals = ctx;
+
+    (void)number;
+    (void)events;
+    if (signals->terminating) {
+        event_base_loopbreak(signals->base);
+        return;
+    }
+    signals->terminating = true;
+    signals->terminate(signals->ctx);
+}
+
+void
+program_run(struct event_base *base, void (*terminate)(void *ctx), void *ctx)
+{
+    struct signals signals = {base, terminate, ctx, false};
+    struct event *term = evsignal_new(base, SIGTERM, on_signal, &signals);
+    struct event *interrupt = evsignal_new(base, SIGINT, on_signal, &signals);
+
+    if (term == NULL || interrupt == NULL) {
+        BUG("out of memory");
+    }
+    signal(SIGPIPE, SIG_IGN);
+    event_add(term, NULL);
+    event_add(interrupt, NULL);
+    event_base_dispatch(base);
+    event_free(term);
+    event_free(interrupt);
+}
+
+uint64_t
+program_incarnation(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
--- /dev/null
+++ b/daemon/program.h
@@ -0,0 +1,34 @@
+/// What the mains of all programs share: command line, signals, loop.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "dandelionvalve/err.h"
+
+struct event_base;
+
+#define EXIT_BAD_INPUT 2
+
+struct program {
+    const char *name;
+    const char *summary;
+    char *config;
+    bool check_only;
+};
+
+/// Parses the command line. False if the program should end with *status.
+bool program_parse(struct program *program, int argc, const char **argv,
+                   int *status);
+void program_destroy(struct program *program);
+
+/// Reports an input error on standard error and returns EXIT_BAD_INPUT.
+int program_fail(const struct program *program, const struct err *err);
+
+/// Runs the loop until event_base_loopbreak(); `terminate` is called on
+/// SIGTERM and SIGINT, a second signal ends the loop at once.
+void program_run(struct event_base *base, void (*terminate)(void *ctx),
+                 void *ctx);
+
+/// A number that rises with each start of a process on one VM.
+uint64_t program_incarnation(void);
--- /dev/null
+++ b/daemon/router.c
@@ -0,0 +1,815 @@
+#include "router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <jansson.h>
+#include <uthash.h>
+
+#include "admin.h"
+#include "configuration.h"
+#include "core/xmalloc.h"
+#include "dandelionvalve/quarantine.h"
+#include "dandelionvalve/retry.h"
+#include "dandelionvalve/route.h"
+#include "membership.h"
+#include "net/http.h"
+#include "net/log.h"
+#include "net/platform.h"
+#include "peer.h"
+#include "request.h"
+#include "router_state.h"
+
+#define LOG_MODULE "router"
+#define TICK_MS 50
+#define PLATFORM_TIMEOUT_MS 3000
+#define REFUSAL_MEMORY_MS 50
+#define PLACEMENTS_MAX 20000
+#define ORDER_PLACES 2
+#define REFUSALS_MAX 3
+#define REOPEN_MS 3000
+#define REOPEN_INTERVAL_MS 200
+#define STRUCK_REQUESTS_MAX 10000
+#define IN_FLIGHT_NEWS_MS 100
+#define IN_FLIGHT_NEWS_PER_TICK 2
+
+struct pool {
+    char *name;
+    struct route *route;
+    UT_hash_handle hh;
+};
+
+struct account {
+    char *name;
+    uint32_t in_flight;
+    UT_hash_handle hh;
+};
+
+struct router {
+    struct router_options options;
+    struct counters counters;
+    struct evhttp *http;
+    struct evhttp_bound_socket *socket;
+    struct address callers_address;
+    struct admin *admin;
+    struct platform *platform;
+    struct configuration *configuration;
+    struct membership *membership;
+    struct peers *peers;
+    struct quarantine *quarantine;
+    struct retry_budget retry_budget;
+    struct pool *pools;
+    struct account *accounts;
+    struct request *requests;
+    struct event *tick;
+    struct event *drain_timer;
+    int unsent;
+    bool draining;
+    bool closed;
+    bool drained;
+};
+
+const struct conf *
+router_conf(const struct router *router)
+{
+    return configuration_conf(router->configuration);
+}
+
+const struct clock *
+router_clock(const struct router *router)
+{
+    return router->options.clock;
+}
+
+const struct random_source *
+router_random(const struct router *router)
+{
+    return router->options.random;
+}
+
+struct counters *
+router_counters(struct router *router)
+{
+    return &router->counters;
+}
+
+struct event_base *
+router_base(const struct router *router)
+{
+    return router->options.base;
+}
+
+struct quarantine *
+router_quarantine(struct router *router)
+{
+    return router->quarantine;
+}
+
+struct retry_budget *
+router_retry_budget(struct router *router)
+{
+    return &router->retry_budget;
+}
+
+bool
+router_is_draining(const struct router *router)
+{
+    return router->draining;
+}
+
+struct route *
+router_pool(struct router *router, const char *name)
+{
+    const struct route_options options = {
+        .clock = router->options.clock,
+        .random = router->options.random,
+        .refusal_memory_ms = REFUSAL_MEMORY_MS,
+        .placements_max = PLACEMENTS_MAX,
+        .order_places = ORDER_PLACES,
+        .refusals_max = REFUSALS_MAX,
+    };
+    struct pool *pool;
+
+    HASH_FIND_STR(router->pools, name, pool);
+    if (pool == NULL) {
+        pool = xcalloc(1, sizeof(*pool));
+        pool->name = xstrdup(name);
+        pool->route = route_new(&options);
+        HASH_ADD_KEYPTR(hh, router->pools, pool->name, strlen(pool->name),
+                        pool);
+    }
+    return pool->route;
+}
+
+struct peer *
+router_peer(struct router *router, struct str name)
+{
+    const struct member *member =
+        members_find(membership_members(router->membership), name);
+
+    if (member == NULL) {
+        return peers_find(router->peers, name);
+    }
+    return peers_get(router->peers, name, member->info.address);
+}
+
+static struct account *
+find_account(const struct router *router, const char *name)
+{
+    struct account *account;
+
+    HASH_FIND_STR(router->accounts, name, account);
+    return account;
+}
+
+uint32_t
+router_account_in_flight(const struct router *router, const char *name)
+{
+    const struct account *account = find_account(router, name);
+
+    return account != NULL ? account->in_flight : 0;
+}
+
+void
+router_add(struct router *router, struct request *request)
+{
+    HASH_ADD(hh, router->requests, id, sizeof(request->id), request);
+}
+
+void
+router_count_account(struct router *router, const char *name)
+{
+    struct account *account = find_account(router, name);
+
+    if (account == NULL) {
+        account = xcalloc(1, sizeof(*account));
+        account->name = xstrdup(name);
+        HASH_ADD_KEYPTR(hh, router->accounts, account->name,
+                        strlen(account->name), account);
+    }
+    account->in_flight++;
+}
+
+static void
+account_free(struct router *router, struct account *account)
+{
+    HASH_DEL(router->accounts, account);
+    free(account->name);
+    free(account);
+}
+
+static void
+finish_drain(struct router *router)
+{
+    if (router->closed && !router->drained && router->requests == NULL &&
+        router->unsent == 0) {
+        router->drained = true;
+        LOG_INFO("event=drained");
+        router->options.drained(router->options.ctx);
+    }
+}
+
+void
+router_remove(struct router *router, struct request *request)
+{
+    struct account *account = NULL;
+
+    HASH_DEL(router->requests, request);
+    if (request->counted) {
+        account = find_account(router, request->policy.account_name);
+    }
+    if (account != NULL && --account->in_flight == 0) {
+        account_free(router, account);
+    }
+}
+
+void
+router_count_unsent(struct router *router, int change)
+{
+    router->unsent += change;
+}
+
+void
+router_strike(struct router *router, uint64_t fingerprint)
+{
+    uint32_t strikes = quarantine_strike(router->quarantine, fingerprint);
+
+    counter_add(&router->counters, COUNTER_STRIKES, 1);
+    LOG_WARNING("event=strike fingerprint=%016llx strikes=%u",
+                (unsigned long long)fingerprint, strikes);
+}
+
+size_t
+router_requests(const struct router *router)
+{
+    return HASH_COUNT(router->requests);
+}
+
+const struct counters *
+router_counters_const(const struct router *router)
+{
+    return &router->counters;
+}
+
+static const struct load_report *
+load_of(const struct message *message)
+{
+    switch (message->type) {
+    case MESSAGE_ACCEPT:
+        return &message->accept.load;
+    case MESSAGE_REFUSE:
+        return &message->refuse.load;
+    case MESSAGE_END:
+        return &message->end.load;
+    case MESSAGE_FAIL:
+        return &message->fail.load;
+    case MESSAGE_STATE:
+        return &message->state.load;
+    default:
+        return NULL;
+    }
+}
+
+static const struct attempt_id *
+id_of(const struct message *message)
+{
+    switch (message->type) {
+    case MESSAGE_ACCEPT:
+        return &message->accept.id;
+    case MESSAGE_REFUSE:
+        return &message->refuse.id;
+    case MESSAGE_HEAD:
+        return &message->head.id;
+    case MESSAGE_DATA:
+        return &message->part.id;
+    case MESSAGE_END:
+        return &message->end.id;
+    case MESSAGE_FAIL:
+        return &message->fail.id;
+    default:
+        return NULL;
+    }
+}
+
+static void
+note_load(struct router *router, struct str name,
+          const struct load_report *load)
+{
+    struct members *members = membership_members(router->membership);
+    const struct member *member;
+
+    members_word(members, name, load->incarnation, load->state);
+    members_heard(members, name);
+    member = members_find(members, name);
+    if (member != NULL && member->info.pool.len > 0) {
+        char *pool = str_dup(member->info.pool);
+
+        route_report(router_pool(router, pool), name, load);
+        free(pool);
+    }
+}
+
+/// Tells a router's own view of a request that it no longer knows: the agent
+/// need not keep its answer.
+static void
+drop_unknown(struct router *router, struct peer *peer,
+             const struct message *message, const struct attempt_id *id)
+{
+    struct message cancel = {.type = MESSAGE_CANCEL};
+
+    counter_add(&router->counters, COUNTER_ANSWER_DROPPED, 1);
+    if (message->type == MESSAGE_HEAD || message->type == MESSAGE_ACCEPT) {
+        cancel.cancel.id = *id;
+        cancel.cancel.in_flight = peer_noted_in_flight(peer);
+        peer_send(peer, &cancel);
+    }
+}
+
+static void
+on_message(void *ctx, struct peer *peer, const struct message *message)
+{
+    struct router *router = ctx;
+    const struct load_report *load = load_of(message);
+    const struct attempt_id *id = id_of(message);
+    struct request *request = NULL;
+
+    if (load != NULL) {
+        note_load(router, peer_name(peer), load);
+    }
+    if (id == NULL) {
+        return;
+    }
+    HASH_FIND(hh, router->requests, &id->request, sizeof(id->request),
+              request);
+    if (request == NULL || request->attempt != id->attempt ||
+        request->peer != peer) {
+        drop_unknown(router, peer, message, id);
+        return;
+    }
+    request_message(request, message);
+}
+
+static void
+on_peer_ready(void *ctx, struct peer *peer)
+{
+    struct router *router = ctx;
+    struct request *request, *next;
+
+    members_heard(membership_members(router->membership), peer_name(peer));
+    HASH_ITER(hh, router->requests, request, next)
+    {
+        if (request->peer == peer) {
+            request_link_ready(request);
+        }
+    }
+}
+
+static void
+on_peer_broken(void *ctx, struct peer *peer)
+{
+    // The link is opened anew at once if requests depend on it.
+    (void)ctx;
+    (void)peer;
+}
+
+static void
+on_peer_unreachable(void *ctx, struct peer *peer)
+{
+    struct router *router = ctx;
+    struct request *request, *next;
+
+    members_unreachable(membership_members(router->membership),
+                        peer_name(peer));
+    HASH_ITER(hh, router->requests, request, next)
+    {
+        if (request->peer == peer) {
+            request_link_lost(request);
+        }
+    }
+}
+
+static void
+on_member(void *ctx, const struct member *member)
+{
+    struct router *router = ctx;
+    const struct route_endpoint_options endpoint = {
+        .name = member->info.name,
+        .weight = member->info.weight,
+    };
+    struct address address;
+    struct err err = {0};
+    struct route *route;
+    char *pool;
+
+    if (member->info.role != MEMBER_AGENT) {
+        return;
+    }
+    if (!address_parse(member->info.address, &address, &err)) {
+        LOG_WARNING("event=bad-member member=" STR_FMT " reason=\"%s\"",
+                    STR_ARG(member->info.name), err.message);
+        return;
+    }
+    pool = str_dup(member->info.pool);
+    route = router_pool(router, pool);
+    route_add(route, &endpoint);
+    route_set_use(route, member->info.name, member->use);
+    peers_get(router->peers, member->info.name, member->info.address);
+    free(pool);
+}
+
+static void
+on_member_removed(void *ctx, const struct member *member)
+{
+    struct router *router = ctx;
+    char *pool = str_dup(member->info.pool);
+
+    route_remove(router_pool(router, pool), member->info.name);
+    peers_remove(router->peers, member->info.name);
+    free(pool);
+}
+
+static void
+on_member_probe(void *ctx, const struct member *member)
+{
+    struct router *router = ctx;
+
+    if (member->info.role == MEMBER_AGENT) {
+        peer_open(
+            peers_get(router->peers, member->info.name, member->info.address));
+    }
+}
+
+struct drain_change {
+    struct router *router;
+    const struct conf *conf;
+};
+
+static void
+apply_drained(void *ctx, const struct member *member)
+{
+    const struct drain_change *change = ctx;
+
+    members_set_drained(membership_members(change->router->membership),
+                        member->info.name,
+                        conf_is_drained(change->conf, member->info.name));
+}
+
+static void
+on_conf(void *ctx, const struct conf *conf, int64_t version)
+{
+    struct router *router = ctx;
+    struct drain_change change = {router, conf};
+    const struct retry_options retry = {
+        .clock = router->options.clock,
+        .window_ms = conf->retry.window_ms,
+        .budget_percent = conf->retry.budget_percent,
+    };
+
+    (void)version;
+    retry_set_options(&router->retry_budget, &retry);
+    quarantine_set_options(router->quarantine,
+                           (uint32_t)conf->quarantine.strikes,
+                           conf->quarantine.hold_ms);
+    members_each(membership_members(router->membership), apply_drained,
+                 &change);
+}
+
+/// Tells agents that have not heard lately how many requests this router has
+/// in flight, so that their bound follows.
+static void
+tell_in_flight(struct router *router)
+{
+    int64_t now = clock_ms(router->options.clock);
+    struct pool *pool;
+
+    for (pool = router->pools; pool != NULL; pool = pool->hh.next) {
+        struct message message = {.type = MESSAGE_IN_FLIGHT};
+        size_t told = 0;
+
+        message.in_flight.in_flight = route_in_flight(pool->route);
+        for (size_t i = 0;
+             i < route_count(pool->route) && told < IN_FLIGHT_NEWS_PER_TICK;
+             i++) {
+            struct peer *peer =
+                peers_find(router->peers, route_name_after(pool->route, i));
+
+            if (peer == NULL || peer_state(peer) != PEER_READY ||
+                now - peer_noted_ms(peer) < IN_FLIGHT_NEWS_MS ||
+                peer_noted_in_flight(peer) == message.in_flight.in_flight) {
+                continue;
+            }
+            peer_note_in_flight(peer, message.in_flight.in_flight);
+            peer_send(peer, &message);
+            told++;
+        }
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    struct router *router = ctx;
+
+    (void)fd;
+    (void)events;
+    tell_in_flight(router);
+    counter_set(&router->counters, COUNTER_IN_FLIGHT, router_requests(router));
+    log_flush();
+    finish_drain(router);
+}
+
+static void
+on_request(struct evhttp_request *http, void *ctx)
+{
+    request_start(ctx, http);
+}
+
+bool
+router_is_ready(const struct router *router)
+{
+    return configuration_conf(router->configuration) != NULL &&
+           membership_is_known(router->membership);
+}
+
+static bool
+is_ready(void *ctx, const char **why)
+{
+    const struct router *router = ctx;
+
+    if (router->draining) {
+        *why = "draining\n";
+        return false;
+    }
+    if (!router_is_ready(router)) {
+        *why = "no configuration or no members yet\n";
+        return false;
+    }
+    return true;
+}
+
+static char *
+status_text(void *ctx)
+{
+    const struct router *router = ctx;
+    const struct settings_common *common = &router->options.settings->common;
+    json_t *json = json_pack(
+        "{s:s%, s:s, s:I, s:b, s:i, s:i}", "name", common->name.data,
+        common->name.len, "role", "router", "version",
+        (json_int_t)configuration_version(router->configuration), "log_down",
+        configuration_log_is_down(router->configuration), "members",
+        (int)members_count(membership_members(router->membership)),
+        "in_flight", (int)router_requests(router));
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    json_decref(json);
+    return text;
+}
+
+static void
+create_peers(struct router *router)
+{
+    const struct router_options *options = &router->options;
+    const struct peers_options peers = {
+        .link =
+            {
+                .base = options->base,
+                .clock = options->clock,
+                .random = options->random,
+                .counters = &router->counters,
+                .name = options->settings->common.name.data,
+                .role = "router",
+                .peer_role = "agent",
+                .incarnation = options->incarnation,
+                .keys = &options->settings->common.keys,
+                .heartbeat_ms = LINK_HEARTBEAT_MS,
+                .silence_ms = LINK_SILENCE_MS,
+                .check_ms = LINK_CHECK_MS,
+                .handshake_ms = LINK_HANDSHAKE_MS,
+                .output_bytes_max = LINK_OUTPUT_BYTES_MAX,
+            },
+        .reopen_ms = REOPEN_MS,
+        .reopen_interval_ms = REOPEN_INTERVAL_MS,
+        .ready = on_peer_ready,
+        .message = on_message,
+        .broken = on_peer_broken,
+        .unreachable = on_peer_unreachable,
+        .ctx = router,
+    };
+
+    router->peers = peers_new(&peers);
+}
+
+static void
+create_controllers(struct router *router)
+{
+    const struct router_options *options = &router->options;
+    const struct settings_common *common = &options->settings->common;
+    const struct platform_options platform = {
+        .base = options->base,
+        .address = common->platform,
+        .counters = &router->counters,
+        .timeout_ms = PLATFORM_TIMEOUT_MS,
+    };
+    struct configuration_options configuration = {
+        .base = options->base,
+        .clock = options->clock,
+        .random = options->random,
+        .counters = &router->counters,
+        .environment = common->environment,
+        .name = common->name.data,
+        .changed = on_conf,
+        .ctx = router,
+    };
+    struct membership_options membership = {
+        .base = options->base,
+        .clock = options->clock,
+        .counters = &router->counters,
+        .changed = on_member,
+        .removed = on_member_removed,
+        .probe = on_member_probe,
+        .ctx = router,
+    };
+
+    router->platform = platform_new(&platform);
+    configuration.platform = router->platform;
+    membership.platform = router->platform;
+    router->configuration = configuration_new(&configuration);
+    router->membership = membership_new(&membership);
+}
+
+static void
+create_policies(struct router *router)
+{
+    const struct quarantine_options quarantine = {
+        .clock = router->options.clock,
+        .strikes_max = 2,
+        .hold_ms = 600000,
+        .requests_max = STRUCK_REQUESTS_MAX,
+    };
+    const struct retry_options retry = {
+        .clock = router->options.clock,
+        .window_ms = 10000,
+        .budget_percent = 10,
+    };
+
+    router->quarantine = quarantine_new(&quarantine);
+    retry_init(&router->retry_budget, &retry);
+}
+
+static bool
+listen_callers(struct router *router, struct err *err)
+{
+    const struct settings_router *settings = router->options.settings;
+
+    router->http = evhttp_new(router->options.base);
+    if (router->http == NULL) {
+        BUG("out of memory");
+    }
+    evhttp_set_max_headers_size(router->http,
+                                (ev_ssize_t)settings->header_bytes_max);
+    evhttp_set_max_body_size(router->http,
+                             (ev_ssize_t)settings->body_bytes_max);
+    evhttp_set_timeout(router->http, (int)settings->caller_timeout_s);
+    evhttp_set_allowed_methods(
+        router->http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                          EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+    evhttp_set_gencb(router->http, on_request, router);
+    router->socket = evhttp_bind_socket_with_handle(
+        router->http, settings->callers.ip, settings->callers.port);
+    if (router->socket == NULL) {
+        return err_set(err, ERR_IO, "bind", settings->callers.ip,
+                       "cannot listen for callers on %s port %d",
+                       settings->callers.ip, settings->callers.port);
+    }
+    return address_of_socket(evhttp_bound_socket_get_fd(router->socket),
+                             &router->callers_address);
+}
+
+static void
+start_tick(struct router *router)
+{
+    static const struct timeval interval = {.tv_usec = TICK_MS * 1000};
+
+    router->tick =
+        event_new(router->options.base, -1, EV_PERSIST, on_tick, router);
+    if (router->tick == NULL) {
+        BUG("out of memory");
+    }
+    event_add(router->tick, &interval);
+}
+
+struct router *
+router_new(const struct router_options *options, struct err *err)
+{
+    struct router *router = xcalloc(1, sizeof(*router));
+    const struct admin_options admin = {
+        .base = options->base,
+        .address = options->settings->common.admin,
+        .counters = &router->counters,
+        .is_ready = is_ready,
+        .status = status_text,
+        .ctx = router,
+    };
+
+    router->options = *options;
+    create_policies(router);
+    create_peers(router);
+    create_controllers(router);
+    start_tick(router);
+    router->admin = admin_new(&admin, err);
+    if (router->admin == NULL || !listen_callers(router, err)) {
+        router_free(router);
+        return NULL;
+    }
+    return router;
+}
+
+void
+router_free(struct router *router)
+{
+    struct request *request, *next_request;
+    struct pool *pool, *next_pool;
+    struct account *account, *next_account;
+
+    if (router == NULL) {
+        return;
+    }
+    HASH_ITER(hh, router->requests, request, next_request)
+    {
+        request_forget(request);
+    }
+    if (router->http != NULL) {
+        evhttp_free(router->http);
+    }
+    admin_free(router->admin);
+    event_free(router->tick);
+    if (router->drain_timer != NULL) {
+        event_free(router->drain_timer);
+    }
+    membership_free(router->membership);
+    configuration_free(router->configuration);
+    platform_free(router->platform);
+    peers_free(router->peers);
+    quarantine_free(router->quarantine);
+    HASH_ITER(hh, router->pools, pool, next_pool)
+    {
+        HASH_DEL(router->pools, pool);
+        route_free(pool->route);
+        free(pool->name);
+        free(pool);
+    }
+    HASH_ITER(hh, router->accounts, account, next_account)
+    {
+        account_free(router, account);
+    }
+    free(router);
+}
+
+static void
+on_drain_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct router *router = ctx;
+
+    (void)fd;
+    (void)events;
+    evhttp_del_accept_socket(router->http, router->socket);
+    router->closed = true;
+    LOG_INFO("event=listener-closed in_flight=%zu", router_requests(router));
+}
+
+void
+router_drain(struct router *router)
+{
+    int64_t wait_ms = router->options.settings->drain_wait_ms;
+    const struct timeval wait = {
+        .tv_sec = wait_ms / 1000,
+        .tv_usec = wait_ms % 1000 * 1000,
+    };
+
+    if (router->draining) {
+        return;
+    }
+    router->draining = true;
+    LOG_INFO("event=draining in_flight=%zu", router_requests(router));
+    router->drain_timer =
+        event_new(router->options.base, -1, 0, on_drain_timer, router);
+    if (router->drain_timer == NULL) {
+        BUG("out of memory");
+    }
+    event_add(router->drain_timer, &wait);
+}
+
+struct address
+router_callers_address(const struct router *router)
+{
+    return router->callers_address;
+}
+
+struct address
+router_admin_address(const struct router *router)
+{
+    return admin_address(router->admin);
+}
--- /dev/null
+++ b/daemon/run.c
@@ -0,0 +1,1055 @@
+#include "run.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+#include "claimlog.h"
+#include "core/xmalloc.h"
+#include "dandelionvalve/claim.h"
+#include "dandelionvalve/gate.h"
+#include "dandelionvalve/quarantine.h"
+#include "net/endpoint.h"
+#include "net/link.h"
+#include "net/log.h"
+
+#define LOG_MODULE "run"
+#define PART_BYTES_MAX 32768
+#define KEPT_ANSWER_BYTES_MAX 8192
+#define TOMBSTONE_MS 60000
+#define REPLAYED_HEADER "Dandelionvalve-Replayed"
+
+enum run_state {
+    RUN_QUEUED,
+    RUN_BODY,    ///< admitted, its body is still coming
+    RUN_CLAIM,   ///< waits for its claim
+    RUN_RUNNING, ///< the endpoint has it
+    RUN_ENDED,   ///< the answer waits to be acknowledged
+    RUN_GONE,    ///< remembered, so that a resume gets a true answer
+};
+
+struct run {
+    struct runs *runs;
+    struct attempt_id id;
+    enum run_state state;
+    struct link *link;
+    struct str router;
+    struct message_offer offer;
+    char *block;
+    struct str key;
+    char *body;
+    uint64_t body_received;
+    bool struck;
+    struct endpoint_call *call;
+    struct event *timer;
+    int64_t deadline_ms;
+    int64_t activity_ms;
+    int64_t lost_ms; ///< when its link was lost, or 0
+    int64_t forget_ms;
+    bool has_head;
+    struct message_header *headers;
+    size_t header_count;
+    char *header_block;
+    int status;
+    struct evbuffer *kept; ///< the answer from kept_offset on
+    uint64_t kept_offset;
+    uint64_t end_offset;
+    XXH64_state_t *hash;
+    struct evbuffer *claim_body;
+    bool failed;
+    enum fail_reason fail_reason;
+    UT_hash_handle hh;
+};
+
+struct runs {
+    struct runs_options options;
+    struct run *by_id;
+    size_t active;
+    size_t struck;
+};
+
+struct runs *
+runs_new(const struct runs_options *options)
+{
+    struct runs *runs = xcalloc(1, sizeof(*runs));
+
+    runs->options = *options;
+    return runs;
+}
+
+static void
+free_answer(struct run *run)
+{
+    if (run->kept != NULL) {
+        evbuffer_free(run->kept);
+        run->kept = NULL;
+    }
+    if (run->claim_body != NULL) {
+        evbuffer_free(run->claim_body);
+        run->claim_body = NULL;
+    }
+    XXH64_freeState(run->hash);
+    run->hash = NULL;
+    free(run->headers);
+    free(run->header_block);
+    run->headers = NULL;
+    run->header_block = NULL;
+}
+
+static void
+free_request(struct run *run)
+{
+    free(run->block);
+    free(run->body);
+    free((char *)run->key.data);
+    run->block = NULL;
+    run->body = NULL;
+    run->key = (struct str){0};
+}
+
+/// The run no longer counts as a struck one.
+static void
+release_struck(struct run *run)
+{
+    if (run->struck) {
+        run->runs->struck--;
+        run->struck = false;
+    }
+}
+
+static void
+run_free(struct run *run)
+{
+    release_struck(run);
+    HASH_DEL(run->runs->by_id, run);
+    if (run->timer != NULL) {
+        event_free(run->timer);
+    }
+    free_answer(run);
+    free_request(run);
+    free((char *)run->router.data);
+    free(run);
+}
+
+void
+runs_free(struct runs *runs)
+{
+    struct run *run, *next;
+
+    if (runs == NULL) {
+        return;
+    }
+    HASH_ITER(hh, runs->by_id, run, next)
+    {
+        if (run->call != NULL) {
+            endpoint_cancel(run->call);
+        }
+        run_free(run);
+    }
+    free(runs);
+}
+
+static struct run *
+find(const struct runs *runs, const struct attempt_id *id)
+{
+    struct run *run;
+
+    HASH_FIND(hh, runs->by_id, id, sizeof(*id), run);
+    return run;
+}
+
+static void
+send_to(struct link *link, const struct message *message)
+{
+    if (link != NULL) {
+        link_send(link, message);
+    }
+}
+
+static void
+send_refuse(struct runs *runs, struct link *link, const struct attempt_id *id,
+            enum refuse_reason reason, uint32_t retry_after_ms)
+{
+    const struct message message = {
+        .type = MESSAGE_REFUSE,
+        .refuse =
+            {
+                .id = *id,
+                .reason = reason,
+                .retry_after_ms = retry_after_ms,
+                .load = gate_load(runs->options.gate),
+            },
+    };
+
+    counter_add(runs->options.counters, COUNTER_REFUSALS, 1);
+    send_to(link, &message);
+}
+
+static void
+log_decision(const struct run *run, const char *decision, const char *reason)
+{
+    char id[33];
+
+    if (!log_enabled(LOG_LEVEL_INFO)) {
+        return;
+    }
+    hex_encode(run->id.request.bytes, sizeof(run->id.request.bytes), id);
+    LOG_INFO("event=%s request=%s attempt=%u account=" STR_FMT
+             " route=" STR_FMT " router=" STR_FMT
+             " reason=%s running=%u bound=%u",
+             decision, id, run->id.attempt, STR_ARG(run->offer.account),
+             STR_ARG(run->offer.route), STR_ARG(run->router), reason,
+             gate_load(run->runs->options.gate).running,
+             gate_load(run->runs->options.gate).bound);
+}
+
+/// Ends a run that held a place in the gate.
+static void
+leave_gate(struct run *run)
+{
+    struct runs *runs = run->runs;
+
+    runs->active--;
+    release_struck(run);
+    gate_end(runs->options.gate);
+}
+
+/// Keeps only what a late resume needs to get a true answer.
+static void
+bury(struct run *run)
+{
+    run->state = RUN_GONE;
+    run->forget_ms = run->deadline_ms + TOMBSTONE_MS;
+    if (run->timer != NULL) {
+        event_free(run->timer);
+        run->timer = NULL;
+    }
+    free_answer(run);
+    free_request(run);
+}
+
+/// Refuses an admitted run that certainly did not reach the endpoint.
+static void
+refuse_admitted(struct run *run, enum refuse_reason reason)
+{
+    log_decision(run, "refuse", refuse_reason_name(reason));
+    leave_gate(run);
+    send_refuse(run->runs, run->link, &run->id, reason, 0);
+    run_free(run);
+}
+
+/// Nobody will ask for the answer of this run.
+static bool
+is_abandoned(const struct run *run)
+{
+    return run->link == NULL && run->lost_ms == 0;
+}
+
+static void
+send_end(struct run *run)
+{
+    struct message message = {.type = MESSAGE_END};
+
+    if (run->failed) {
+        message.type = MESSAGE_FAIL;
+        message.fail.id = run->id;
+        message.fail.reason = run->fail_reason;
+        message.fail.load = gate_load(run->runs->options.gate);
+    }
+    else {
+        message.end.id = run->id;
+        message.end.total_bytes = run->end_offset;
+        message.end.hash = XXH64_digest(run->hash);
+        message.end.load = gate_load(run->runs->options.gate);
+    }
+    send_to(run->link, &message);
+}
+
+/// The run is over; its answer stays until the router acknowledges it.
+static void
+end_run(struct run *run)
+{
+    run->state = RUN_ENDED;
+    run->call = NULL;
+    event_del(run->timer);
+    leave_gate(run);
+    send_end(run);
+    if (is_abandoned(run)) {
+        bury(run);
+    }
+}
+
+static void
+finish_claim(struct run *run, int status)
+{
+    struct runs *runs = run->runs;
+    struct claim_answer answer = {.status = status};
+
+    if (run->key.len == 0) {
+        return;
+    }
+    if (status != 0) {
+        answer.body_kept = run->end_offset <= KEPT_ANSWER_BYTES_MAX;
+        answer.body.len = evbuffer_get_length(run->claim_body);
+        answer.body.data = (char *)evbuffer_pullup(run->claim_body, -1);
+        for (size_t i = 0; i < run->header_count; i++) {
+            if (run->headers[i].name.len == 12 &&
+                !strncasecmp(run->headers[i].name.data, "Content-Type", 12)) {
+                answer.content_type = run->headers[i].value;
+            }
+        }
+    }
+    claimlog_finish(runs->options.claimlog, run->key, run, &answer);
+}
+
+static void
+fail_run(struct run *run, enum fail_reason reason)
+{
+    log_decision(run, "fail", fail_reason_name(reason));
+    finish_claim(run, 0);
+    run->failed = true;
+    run->fail_reason = reason;
+    end_run(run);
+}
+
+static void
+send_head(struct run *run)
+{
+    struct message message = {.type = MESSAGE_HEAD};
+
+    message.head.id = run->id;
+    message.head.status = (uint32_t)run->status;
+    message.head.header_count = run->header_count;
+    memcpy(message.head.headers, run->headers,
+           run->header_count * sizeof(*run->headers));
+    send_to(run->link, &message);
+}
+
+static void
+keep_head(struct run *run, int status, const struct message_header *headers,
+          size_t count)
+{
+    size_t bytes = 0;
+    char *next;
+
+    for (size_t i = 0; i < count; i++) {
+        bytes += headers[i].name.len + headers[i].value.len;
+    }
+    run->headers = xcalloc(count, sizeof(*headers));
+    run->header_block = xmalloc(bytes);
+    run->header_count = count;
+    run->status = status;
+    run->has_head = true;
+    next = run->header_block;
+    for (size_t i = 0; i < count; i++) {
+        run->headers[i].name = (struct str){next, headers[i].name.len};
+        memcpy(next, headers[i].name.data, headers[i].name.len);
+        next += headers[i].name.len;
+        run->headers[i].value = (struct str){next, headers[i].value.len};
+        memcpy(next, headers[i].value.data, headers[i].value.len);
+        next += headers[i].value.len;
+    }
+}
+
+static void
+set_timer(struct run *run)
+{
+    int64_t limit =
+        run->has_head ? run->offer.idle_ms : run->offer.first_byte_ms;
+    int64_t due = run->deadline_ms;
+    int64_t wait;
+    struct timeval delay;
+
+    if (run->state == RUN_RUNNING && run->activity_ms + limit < due) {
+        due = run->activity_ms + limit;
+    }
+    wait = due - clock_ms(run->runs->options.clock);
+    wait = wait > 0 ? wait : 0;
+    delay.tv_sec = wait / 1000;
+    delay.tv_usec = wait % 1000 * 1000;
+    event_add(run->timer, &delay);
+}
+
+static void
+on_head(void *ctx, int status, const struct message_header *headers,
+        size_t count)
+{
+    struct run *run = ctx;
+
+    run->activity_ms = clock_ms(run->runs->options.clock);
+    keep_head(run, status, headers, count);
+    send_head(run);
+}
+
+static void
+send_part(struct run *run, uint64_t offset, struct str bytes)
+{
+    const struct message message = {
+        .type = MESSAGE_DATA,
+        .part = {.id = run->id, .offset = offset, .bytes = bytes},
+    };
+
+    send_to(run->link, &message);
+}
+
+/// Takes bytes of the answer: sends them on and keeps them until they are
+/// acknowledged.
+static void
+take_answer(struct run *run, struct str bytes)
+{
+    XXH64_update(run->hash, bytes.data, bytes.len);
+    if (run->claim_body != NULL &&
+        run->end_offset + bytes.len <= KEPT_ANSWER_BYTES_MAX) {
+        evbuffer_add(run->claim_body, bytes.data, bytes.len);
+    }
+    send_part(run, run->end_offset, bytes);
+    run->end_offset += bytes.len;
+    if (is_abandoned(run)) {
+        run->kept_offset = run->end_offset;
+        return;
+    }
+    evbuffer_add(run->kept, bytes.data, bytes.len);
+}
+
+static void
+on_data(void *ctx, struct evbuffer *data)
+{
+    struct run *run = ctx;
+    size_t left = evbuffer_get_length(data);
+
+    run->activity_ms = clock_ms(run->runs->options.clock);
+    while (left > 0) {
+        size_t len = left < PART_BYTES_MAX ? left : PART_BYTES_MAX;
+        struct str bytes = {(char *)evbuffer_pullup(data, (ev_ssize_t)len),
+                            len};
+
+        take_answer(run, bytes);
+        evbuffer_drain(data, len);
+        left -= len;
+    }
+    if (run->end_offset - run->kept_offset > run->runs->options.window_bytes) {
+        endpoint_pause(run->call, true);
+    }
+}
+
+/// A run that lost its endpoint may be the one that crashed it.
+static void
+strike(struct run *run)
+{
+    struct runs *runs = run->runs;
+    uint32_t strikes =
+        quarantine_strike(runs->options.quarantine, run->offer.fingerprint);
+
+    counter_add(runs->options.counters, COUNTER_ENDPOINT_LOST, 1);
+    counter_add(runs->options.counters, COUNTER_STRIKES, 1);
+    LOG_WARNING("event=strike fingerprint=%016llx strikes=%u account=" STR_FMT
+                " route=" STR_FMT,
+                (unsigned long long)run->offer.fingerprint, strikes,
+                STR_ARG(run->offer.account), STR_ARG(run->offer.route));
+}
+
+static void
+on_end(void *ctx, enum endpoint_end end)
+{
+    struct run *run = ctx;
+    struct runs *runs = run->runs;
+
+    run->call = NULL;
+    if (end == ENDPOINT_UNSENT) {
+        if (run->key.len > 0) {
+            claimlog_release(runs->options.claimlog, run->key, run);
+        }
+        refuse_admitted(run, REFUSE_ENDPOINT_DOWN);
+        runs->options.endpoint_failed(runs->options.ctx);
+        return;
+    }
+    if (end != ENDPOINT_WHOLE) {
+        strike(run);
+        fail_run(run,
+                 end == ENDPOINT_LOST ? FAIL_ENDPOINT_LOST : FAIL_INCOMPLETE);
+        runs->options.endpoint_failed(runs->options.ctx);
+        return;
+    }
+    if (run->struck) {
+        quarantine_clear(runs->options.quarantine, run->offer.fingerprint);
+    }
+    finish_claim(run, run->status);
+    end_run(run);
+}
+
+static void
+cancel_call(struct run *run)
+{
+    if (run->call != NULL) {
+        endpoint_cancel(run->call);
+        run->call = NULL;
+        counter_add(run->runs->options.counters, COUNTER_CANCELLED, 1);
+    }
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct run *run = ctx;
+    int64_t now = clock_ms(run->runs->options.clock);
+    enum fail_reason reason;
+
+    (void)fd;
+    (void)events;
+    if (run->state == RUN_BODY) {
+        refuse_admitted(run, REFUSE_DEADLINE);
+        return;
+    }
+    if (run->state == RUN_CLAIM) {
+        claimlog_withdraw(run->runs->options.claimlog, run->key, run);
+        refuse_admitted(run, REFUSE_DEADLINE);
+        return;
+    }
+    if (run->state != RUN_RUNNING) {
+        return;
+    }
+    reason = run->has_head ? FAIL_IDLE_TIMEOUT : FAIL_FIRST_BYTE_TIMEOUT;
+    if (now >= run->deadline_ms) {
+        reason = FAIL_DEADLINE;
+    }
+    else if (now - run->activity_ms <
+             (run->has_head ? run->offer.idle_ms : run->offer.first_byte_ms)) {
+        set_timer(run);
+        return;
+    }
+    counter_add(run->runs->options.counters, COUNTER_TIMED_OUT, 1);
+    cancel_call(run);
+    fail_run(run, reason);
+    if (reason != FAIL_DEADLINE) {
+        run->runs->options.endpoint_failed(run->runs->options.ctx);
+    }
+}
+
+static void
+start_call(struct run *run)
+{
+    struct runs *runs = run->runs;
+    const struct endpoint_call_options call = {
+        .method = run->offer.method,
+        .uri = run->offer.uri,
+        .headers = run->offer.headers,
+        .header_count = run->offer.header_count,
+        .body = {run->body, run->offer.body_bytes},
+        .fresh_connection = !run->offer.repeatable,
+        .head = on_head,
+        .data = on_data,
+        .end = on_end,
+        .ctx = run,
+    };
+
+    run->state = RUN_RUNNING;
+    run->activity_ms = clock_ms(runs->options.clock);
+    run->kept = evbuffer_new();
+    run->hash = XXH64_createState();
+    if (run->kept == NULL || run->hash == NULL) {
+        BUG("out of memory");
+    }
+    XXH64_reset(run->hash, 0);
+    if (run->key.len > 0) {
+        run->claim_body = evbuffer_new();
+    }
+    counter_add(runs->options.counters, COUNTER_RUNS, 1);
+    run->call = endpoint_call(runs->options.endpoint, &call);
+    if (run->call == NULL) {
+        on_end(run, ENDPOINT_UNSENT);
+        return;
+    }
+    set_timer(run);
+}
+
+/// The body is complete and the run is admitted.
+static void
+claim_or_start(struct run *run)
+{
+    struct claim_request request = {
+        .key = run->key,
+        .run_limit_ms = run->offer.deadline_ms,
+        .request = run,
+    };
+
+    if (run->key.len == 0) {
+        start_call(run);
+        return;
+    }
+    run->state = RUN_CLAIM;
+    request.hash = run->offer.fingerprint;
+    set_timer(run);
+    claimlog_begin(run->runs->options.claimlog, &request);
+}
+
+static void
+answer_replay(struct run *run, const struct claim_answer *answer)
+{
+    char length[24];
+    const struct message_header headers[] = {
+        {STR_LITERAL(REPLAYED_HEADER), STR_LITERAL("true")},
+        {STR_LITERAL("Content-Type"), answer->content_type},
+        {STR_LITERAL("Content-Length"), {length, 0}},
+    };
+    struct message_header copy[3];
+
+    counter_add(run->runs->options.counters, COUNTER_CLAIM_REPLAYED, 1);
+    snprintf(length, sizeof(length), "%zu", answer->body.len);
+    memcpy(copy, headers, sizeof(copy));
+    copy[2].value.len = strlen(length);
+    run->kept = evbuffer_new();
+    run->hash = XXH64_createState();
+    XXH64_reset(run->hash, 0);
+    keep_head(run, answer->status, copy, 3);
+    send_head(run);
+    if (answer->body.len > 0) {
+        take_answer(run, answer->body);
+    }
+    end_run(run);
+}
+
+void
+runs_claimed(void *ctx, void *request, const struct claim_decision *decision)
+{
+    static const enum refuse_reason reasons[] = {
+        [CLAIM_IN_PROGRESS] = REFUSE_KEY_IN_PROGRESS,
+        [CLAIM_CONFLICT] = REFUSE_KEY_CONFLICT,
+        [CLAIM_EXPIRED] = REFUSE_KEY_EXPIRED,
+        [CLAIM_LOG_DOWN] = REFUSE_LOG_DOWN,
+    };
+    struct run *run = request;
+
+    (void)ctx;
+    log_decision(run, "claim", claim_verdict_name(decision->verdict));
+    switch (decision->verdict) {
+    case CLAIM_RUN:
+        start_call(run);
+        return;
+    case CLAIM_REPLAY:
+        if (decision->answer.body_kept) {
+            answer_replay(run, &decision->answer);
+            return;
+        }
+        run->failed = true;
+        run->fail_reason = FAIL_ANSWER_NOT_KEPT;
+        end_run(run);
+        return;
+    case CLAIM_UNKNOWN:
+        run->failed = true;
+        run->fail_reason = FAIL_UNKNOWN_OUTCOME;
+        end_run(run);
+        return;
+    default:
+        refuse_admitted(run, reasons[decision->verdict]);
+    }
+}
+
+static void
+accept_run(struct run *run)
+{
+    struct message message = {.type = MESSAGE_ACCEPT};
+
+    counter_add(run->runs->options.counters, COUNTER_ADMITTED, 1);
+    log_decision(run, "admit", "room");
+    run->runs->active++;
+    message.accept.id = run->id;
+    message.accept.load = gate_load(run->runs->options.gate);
+    send_to(run->link, &message);
+    if (run->body_received == run->offer.body_bytes) {
+        claim_or_start(run);
+        return;
+    }
+    run->state = RUN_BODY;
+    set_timer(run);
+}
+
+void
+runs_admitted(void *ctx, void *request)
+{
+    (void)ctx;
+    accept_run(request);
+}
+
+void
+runs_dropped(void *ctx, void *request, enum refuse_reason reason,
+             uint32_t retry_after_ms)
+{
+    struct run *run = request;
+
+    (void)ctx;
+    log_decision(run, "refuse", refuse_reason_name(reason));
+    send_refuse(run->runs, run->link, &run->id, reason, retry_after_ms);
+    run_free(run);
+}
+
+static struct str
+copy_into(char **next, struct str s)
+{
+    struct str copy = {*next, s.len};
+
+    if (s.len > 0) {
+        memcpy(*next, s.data, s.len);
+    }
+    *next += s.len;
+    return copy;
+}
+
+/// Copies the offer's strings into one block of the run.
+static void
+copy_offer(struct run *run, const struct message_offer *offer)
+{
+    struct message_offer *copy = &run->offer;
+    size_t bytes = offer->account.len + offer->route.len + offer->key.len +
+                   offer->method.len + offer->uri.len;
+    char *next;
+
+    for (size_t i = 0; i < offer->header_count; i++) {
+        bytes += offer->headers[i].name.len + offer->headers[i].value.len;
+    }
+    run->block = xmalloc(bytes);
+    next = run->block;
+    *copy = *offer;
+    copy->account = copy_into(&next, offer->account);
+    copy->route = copy_into(&next, offer->route);
+    copy->key = copy_into(&next, offer->key);
+    copy->method = copy_into(&next, offer->method);
+    copy->uri = copy_into(&next, offer->uri);
+    for (size_t i = 0; i < offer->header_count; i++) {
+        copy->headers[i].name = copy_into(&next, offer->headers[i].name);
+        copy->headers[i].value = copy_into(&next, offer->headers[i].value);
+    }
+    run->body = xmalloc(offer->body_bytes);
+    memcpy(run->body, offer->body.data, offer->body.len);
+    run->body_received = offer->body.len;
+    copy->body = (struct str){0};
+}
+
+static struct run *
+run_new(struct runs *runs, struct link *link,
+        const struct message_offer *offer)
+{
+    struct run *run = xcalloc(1, sizeof(*run));
+
+    run->runs = runs;
+    run->id = offer->id;
+    run->link = link;
+    run->router = str_copy(link_peer_name(link));
+    copy_offer(run, offer);
+    if (offer->key.len > 0) {
+        run->key =
+            str_from(xasprintf(STR_FMT "/" STR_FMT, STR_ARG(offer->account),
+                               STR_ARG(offer->key)));
+    }
+    run->deadline_ms = clock_ms(runs->options.clock) + offer->deadline_ms;
+    run->timer = event_new(runs->options.base, -1, 0, on_timer, run);
+    if (run->timer == NULL) {
+        BUG("out of memory");
+    }
+    HASH_ADD(hh, runs->by_id, id, sizeof(run->id), run);
+    return run;
+}
+
+static bool
+is_quarantined(struct run *run)
+{
+    struct runs *runs = run->runs;
+    enum quarantine_verdict verdict =
+        quarantine_check(runs->options.quarantine, run->offer.fingerprint);
+
+    if (verdict == QUARANTINE_CLEAR) {
+        return false;
+    }
+    if (verdict == QUARANTINE_REFUSE || runs->struck > 0) {
+        counter_add(runs->options.counters, COUNTER_QUARANTINED, 1);
+        return true;
+    }
+    run->struck = true;
+    runs->struck++;
+    return false;
+}
+
+void
+runs_offer(struct runs *runs, struct link *link,
+           const struct message_offer *offer)
+{
+    struct gate_request request = {
+        .account = offer->account,
+        .account_weight = offer->account_weight,
+        .priority = offer->priority,
+        .bytes = offer->body_bytes,
+        .deadline_ms = clock_ms(runs->options.clock) + offer->deadline_ms,
+        .may_wait = offer->may_wait,
+    };
+    struct gate_decision decision;
+    struct run *run;
+
+    gate_router_count(runs->options.gate, link_peer_name(link),
+                      offer->in_flight);
+    if (find(runs, &offer->id) != NULL) {
+        counter_add(runs->options.counters, COUNTER_ANSWER_DROPPED, 1);
+        return;
+    }
+    if (offer->body_bytes > runs->options.body_bytes_max) {
+        send_refuse(runs, link, &offer->id, REFUSE_BAD_REQUEST, 0);
+        return;
+    }
+    run = run_new(runs, link, offer);
+    if (is_quarantined(run)) {
+        runs_dropped(runs, run, REFUSE_QUARANTINED, 0);
+        return;
+    }
+    request.request = run;
+    decision = gate_offer(runs->options.gate, &request);
+    if (decision.verdict == GATE_REFUSED) {
+        runs_dropped(runs, run, decision.reason, decision.retry_after_ms);
+        return;
+    }
+    if (decision.verdict == GATE_QUEUED) {
+        counter_add(runs->options.counters, COUNTER_QUEUED, 1);
+        log_decision(run, "queue", "no-room");
+        return;
+    }
+    accept_run(run);
+}
+
+void
+runs_body(struct runs *runs, const struct attempt_id *id, uint64_t offset,
+          struct str bytes)
+{
+    struct run *run = find(runs, id);
+
+    if (run == NULL || run->state != RUN_BODY ||
+        offset != run->body_received ||
+        bytes.len > run->offer.body_bytes - offset) {
+        counter_add(runs->options.counters, COUNTER_ANSWER_DROPPED, 1);
+        return;
+    }
+    memcpy(run->body + offset, bytes.data, bytes.len);
+    run->body_received += bytes.len;
+    if (run->body_received == run->offer.body_bytes) {
+        claim_or_start(run);
+    }
+}
+
+void
+runs_ack(struct runs *runs, const struct attempt_id *id, uint64_t offset,
+         bool finished)
+{
+    struct run *run = find(runs, id);
+
+    if (run == NULL || run->kept == NULL || offset < run->kept_offset ||
+        offset > run->end_offset) {
+        if (run != NULL && run->state == RUN_ENDED && finished) {
+            run_free(run);
+        }
+        return;
+    }
+    evbuffer_drain(run->kept, offset - run->kept_offset);
+    run->kept_offset = offset;
+    if (finished && run->state == RUN_ENDED) {
+        run_free(run);
+        return;
+    }
+    if (run->call != NULL &&
+        run->end_offset - offset <= runs->options.window_bytes / 2) {
+        endpoint_pause(run->call, false);
+    }
+}
+
+/// The caller has gone. What may be cut is cut; the rest runs to its end.
+static void
+abandon(struct run *run)
+{
+    struct runs *runs = run->runs;
+
+    run->link = NULL;
+    run->lost_ms = 0;
+    switch (run->state) {
+    case RUN_QUEUED:
+        gate_withdraw(runs->options.gate, run);
+        run_free(run);
+        return;
+    case RUN_CLAIM:
+        claimlog_withdraw(runs->options.claimlog, run->key, run);
+        leave_gate(run);
+        bury(run);
+        return;
+    case RUN_BODY:
+        leave_gate(run);
+        bury(run);
+        return;
+    case RUN_RUNNING:
+        if (run->offer.cut_on_disconnect && run->key.len == 0) {
+            cancel_call(run);
+            leave_gate(run);
+            bury(run);
+        }
+        else {
+            endpoint_pause(run->call, false);
+        }
+        return;
+    case RUN_ENDED:
+        bury(run);
+        return;
+    case RUN_GONE:
+        return;
+    }
+}
+
+void
+runs_cancel(struct runs *runs, const struct attempt_id *id)
+{
+    struct run *run = find(runs, id);
+
+    if (run != NULL) {
+        abandon(run);
+    }
+}
+
+static void
+send_kept(struct run *run, uint64_t offset)
+{
+    size_t skip = offset - run->kept_offset;
+    size_t left = evbuffer_get_length(run->kept) - skip;
+    char *copy = xmalloc(PART_BYTES_MAX);
+    struct evbuffer_ptr position;
+
+    while (left > 0) {
+        size_t len = left < PART_BYTES_MAX ? left : PART_BYTES_MAX;
+
+        evbuffer_ptr_set(run->kept, &position, skip, EVBUFFER_PTR_SET);
+        evbuffer_copyout_from(run->kept, &position, copy, len);
+        send_part(run, offset, (struct str){copy, len});
+        offset += len;
+        skip += len;
+        left -= len;
+    }
+    free(copy);
+}
+
+static void
+send_unknown(struct runs *runs, struct link *link, const struct attempt_id *id)
+{
+    const struct message message = {
+        .type = MESSAGE_FAIL,
+        .fail =
+            {
+                .id = *id,
+                .reason = FAIL_UNKNOWN_OUTCOME,
+                .load = gate_load(runs->options.gate),
+            },
+    };
+
+    link_send(link, &message);
+}
+
+void
+runs_resume(struct runs *runs, struct link *link, const struct attempt_id *id,
+            uint64_t offset, bool need_head)
+{
+    struct run *run = find(runs, id);
+    struct message accept = {.type = MESSAGE_ACCEPT};
+
+    counter_add(runs->options.counters, COUNTER_RESUMED, 1);
+    if (run == NULL) {
+        send_refuse(runs, link, id, REFUSE_NOT_RECEIVED, 0);
+        return;
+    }
+    if (run->state == RUN_GONE) {
+        send_unknown(runs, link, id);
+        return;
+    }
+    run->link = link;
+    run->lost_ms = 0;
+    if (run->state == RUN_QUEUED) {
+        return;
+    }
+    if (run->state == RUN_BODY) {
+        // Parts of the body may be lost with the old link; nothing has run.
+        refuse_admitted(run, REFUSE_NOT_RECEIVED);
+        return;
+    }
+    accept.accept.id = run->id;
+    accept.accept.load = gate_load(runs->options.gate);
+    link_send(link, &accept);
+    if (run->has_head && need_head) {
+        send_head(run);
+    }
+    if (run->kept != NULL && offset >= run->kept_offset &&
+        offset <= run->end_offset) {
+        send_kept(run, offset);
+    }
+    if (run->state == RUN_ENDED) {
+        send_end(run);
+    }
+}
+
+void
+runs_link_lost(struct runs *runs, const struct link *link)
+{
+    int64_t now = clock_ms(runs->options.clock);
+    struct run *run, *next;
+
+    HASH_ITER(hh, runs->by_id, run, next)
+    {
+        if (run->link == link) {
+            run->link = NULL;
+            run->lost_ms = now;
+        }
+    }
+}
+
+void
+runs_tick(struct runs *runs)
+{
+    int64_t now = clock_ms(runs->options.clock);
+    struct run *run, *next;
+
+    HASH_ITER(hh, runs->by_id, run, next)
+    {
+        if (run->state == RUN_GONE && now >= run->forget_ms) {
+            run_free(run);
+        }
+        else if (run->lost_ms > 0 &&
+                 now - run->lost_ms >= runs->options.hold_ms) {
+            abandon(run);
+        }
+    }
+}
+
+size_t
+runs_active(const struct runs *runs)
+{
+    return runs->active;
+}
+
+bool
+runs_use_link(const struct runs *runs, const struct link *link)
+{
+    const struct run *run;
+
+    for (run = runs->by_id; run != NULL; run = run->hh.next) {
+        if (run->link == link && run->state != RUN_GONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+runs_unacknowledged(const struct runs *runs)
+{
+    const struct run *run;
+    size_t count = 0;
+
+    for (run = runs->by_id; run != NULL; run = run->hh.next) {
+        count +=
+            run->state == RUN_ENDED && run->lost_ms == 0 && run->link != NULL;
+    }
+    return count;
+}
--- /dev/null
+++ b/daemon/run.h
@@ -0,0 +1,73 @@
+/// The runs of one agent: each offer's way through gate, claim, endpoint and
+/// answer, and the answers that routers have not acknowledged yet.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/counter.h"
+#include "dandelionvalve/message.h"
+
+struct claimlog;
+struct endpoint;
+struct event_base;
+struct gate;
+struct link;
+struct quarantine;
+struct runs;
+
+struct runs_options {
+    struct event_base *base;
+    const struct clock *clock;
+    struct counters *counters;
+    struct gate *gate;
+    struct endpoint *endpoint;
+    struct claimlog *claimlog;
+    struct quarantine *quarantine;
+    size_t window_bytes; ///< unacknowledged bytes of an answer before a pause
+    size_t body_bytes_max;
+    int64_t hold_ms; ///< how long an answer waits for a lost router
+    /// The endpoint was lost or cannot be reached.
+    void (*endpoint_failed)(void *ctx);
+    void *ctx;
+};
+
+/// The caller frees with runs_free(), which cancels all runs.
+struct runs *runs_new(const struct runs_options *options);
+void runs_free(struct runs *runs);
+
+/// Messages from routers.
+void runs_offer(struct runs *runs, struct link *link,
+                const struct message_offer *offer);
+void runs_body(struct runs *runs, const struct attempt_id *id, uint64_t offset,
+               struct str bytes);
+void runs_ack(struct runs *runs, const struct attempt_id *id, uint64_t offset,
+              bool finished);
+void runs_cancel(struct runs *runs, const struct attempt_id *id);
+void runs_resume(struct runs *runs, struct link *link,
+                 const struct attempt_id *id, uint64_t offset, bool need_head);
+
+/// The link has ended; its runs wait for the router to come back.
+void runs_link_lost(struct runs *runs, const struct link *link);
+
+/// Callbacks for the gate and the claim log; `request` is the run.
+void runs_admitted(void *ctx, void *request);
+void runs_dropped(void *ctx, void *request, enum refuse_reason reason,
+                  uint32_t retry_after_ms);
+struct claim_decision;
+void runs_claimed(void *ctx, void *request,
+                  const struct claim_decision *decision);
+
+/// Forgets what nobody asked for any more.
+void runs_tick(struct runs *runs);
+
+/// Runs that have not ended yet.
+size_t runs_active(const struct runs *runs);
+
+/// True if a run or its answer still depends on this link.
+bool runs_use_link(const struct runs *runs, const struct link *link);
+
+/// Ended runs whose answer is not acknowledged yet.
+size_t runs_unacknowledged(const struct runs *runs);
--- /dev/null
+++ b/include/dandelionvalve/counter.h
@@ -0,0 +1,107 @@
+/// Counters of a process, shown as Prometheus text.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+/// X(identifier, metric name, label text, help)
+#define COUNTER_TABLE(X)                                                      \
+    X(REQUESTS, "requests_total", "", "requests taken from callers")          \
+    X(DONE, "outcomes_total", "{outcome=\"done\"}", "answers by outcome")     \
+    X(NOT_RUN, "outcomes_total", "{outcome=\"not-run\"}", "")                 \
+    X(UNKNOWN, "outcomes_total", "{outcome=\"unknown\"}", "")                 \
+    X(BROKEN, "answers_broken_total", "",                                     \
+      "answers broken off after their first byte")                            \
+    X(GONE, "callers_gone_total", "", "callers that left before the end")     \
+    X(REJECTED, "requests_rejected_total", "",                                \
+      "requests with bad input, a wrong key or no route")                     \
+    X(OFFERS, "offers_total", "", "offers sent to agents")                    \
+    X(REFUSALS, "refusals_total", "", "offers refused by agents")             \
+    X(RETRIES, "retries_total", "", "retries paid from the budget")           \
+    X(RETRY_DENIED, "retries_denied_total", "",                               \
+      "retries that the budget did not allow")                                \
+    X(HOME, "placements_total", "{place=\"home\"}",                           \
+      "accepted requests by place")                                           \
+    X(HINTED, "placements_total", "{place=\"hint\"}", "")                     \
+    X(PLACED, "placements_total", "{place=\"placed\"}", "")                   \
+    X(OVERFLOWED, "placements_total", "{place=\"overflow\"}", "")             \
+    X(WAITED, "placements_total", "{place=\"wait\"}", "")                     \
+    X(ANSWER_DROPPED, "answer_parts_dropped_total", "",                       \
+      "late, doubled or unknown parts of answers")                            \
+    X(RESUMED, "resumes_total", "", "requests resumed on a new link")         \
+    X(ADMITTED, "admitted_total", "", "requests admitted by the gate")        \
+    X(QUEUED, "queued_total", "", "requests that waited at the gate")         \
+    X(RUNS, "runs_total", "", "requests sent to the endpoint")                \
+    X(CANCELLED, "cancelled_total", "", "runs cancelled on the endpoint")     \
+    X(ENDPOINT_LOST, "endpoint_lost_total", "",                               \
+      "runs that lost their endpoint")                                        \
+    X(TIMED_OUT, "run_timeouts_total", "", "runs past a time limit")          \
+    X(CLAIM_APPENDS, "claim_appends_total", "", "appends of claims")          \
+    X(CLAIMS, "claims_total", "", "claims written")                           \
+    X(CLAIM_REPLAYED, "claim_replays_total", "",                              \
+      "re-sends answered from the claims stream")                             \
+    X(STRIKES, "strikes_total", "", "strikes given to requests")              \
+    X(QUARANTINED, "quarantined_total", "", "requests refused as struck")     \
+    X(LINKS_OPENED, "links_opened_total", "", "links proved by both ends")    \
+    X(LINKS_CLOSED, "links_closed_total", "", "links closed")                 \
+    X(LINKS_SILENT, "links_silent_total", "", "links that went silent")       \
+    X(LINK_AUTH_FAILED, "link_auth_failures_total", "",                       \
+      "peers without the shared key")                                         \
+    X(LINK_BAD_FRAMES, "link_bad_frames_total", "",                           \
+      "frames too long, unknown or malformed")                                \
+    X(LINK_BYTES_IN, "link_bytes_total", "{direction=\"in\"}",                \
+      "bytes on links")                                                       \
+    X(LINK_BYTES_OUT, "link_bytes_total", "{direction=\"out\"}", "")          \
+    X(CONTROL_BYTES_IN, "control_bytes_total", "{direction=\"in\"}",          \
+      "control bytes with headers")                                           \
+    X(CONTROL_BYTES_OUT, "control_bytes_total", "{direction=\"out\"}", "")    \
+    X(CONTROL_HELD, "control_messages_held_total", "",                        \
+      "control messages held back by the budget")                             \
+    X(CONTROL_BAD, "control_bad_total", "",                                   \
+      "control datagrams that were not authentic or well formed")             \
+    X(LOG_READS, "log_reads_total", "", "reads of the platform's log")        \
+    X(LOG_APPENDS, "log_appends_total", "", "appends to the platform's log")  \
+    X(LOG_FAILURES, "log_failures_total", "", "failed calls of the log")      \
+    X(CONF_ACCEPTED, "configuration_accepted_total", "",                      \
+      "configuration versions taken")                                         \
+    X(CONF_REJECTED, "configuration_rejected_total", "",                      \
+      "configuration records rejected")                                       \
+    X(CONF_VERSION, "configuration_version", "", "version in force")          \
+    X(ORDERS, "orders_total", "", "orders given to the endpoint")             \
+    X(ORDERS_STALE, "orders_stale_total", "", "orders withheld as stale")     \
+    X(MEMBERS, "members", "", "live members known")                           \
+    X(IN_FLIGHT, "in_flight", "", "requests in flight")                       \
+    X(CONNECTIONS, "connections", "", "open caller connections")
+
+enum counter_id {
+#define X(id, name, label, help) COUNTER_##id,
+    COUNTER_TABLE(X)
+#undef X
+    COUNTER_END,
+};
+
+/// Zero-initialise before use.
+struct counters {
+    uint64_t values[COUNTER_END];
+};
+
+static inline void
+counter_add(struct counters *counters, enum counter_id id, uint64_t amount)
+{
+    counters->values[id] += amount;
+}
+
+static inline void
+counter_set(struct counters *counters, enum counter_id id, uint64_t value)
+{
+    counters->values[id] = value;
+}
+
+static inline uint64_t
+counter_get(const struct counters *counters, enum counter_id id)
+{
+    return counters->values[id];
+}
+
+/// Prometheus text of all counters; the caller frees with free().
+char *counter_text(const struct counters *counters);
--- /dev/null
+++ b/include/dandelionvalve/gate.h
@@ -0,0 +1,95 @@
+/// Admission at one endpoint: the load bound, the queue and the shares of the
+/// client accounts. The agent owns one gate.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/message.h"
+#include "dandelionvalve/str.h"
+
+struct gate;
+
+struct gate_options {
+    const struct clock *clock;
+    const struct random_source *random;
+    uint32_t slots; ///< requests that the endpoint runs at once
+    uint64_t incarnation;
+    double bound_multiple;
+    /// Share of the bound that is given up for each 100 ms that the routers'
+    /// numbers are old, since the true mean may have fallen since.
+    double margin_per_100ms;
+    int64_t router_silent_ms; ///< age at which a router's number is dropped
+    size_t queue_requests_max;
+    size_t queue_bytes_max;
+    /// Called when a waiting request is admitted; it counts as running.
+    void (*admitted)(void *ctx, void *request);
+    /// Called when a waiting request is dropped: its deadline has passed, or
+    /// the queue is full and its account holds more of it than its share.
+    void (*dropped)(void *ctx, void *request, enum refuse_reason reason,
+                    uint32_t retry_after_ms);
+    void *ctx;
+};
+
+struct gate_request {
+    struct str account;
+    uint32_t account_weight;
+    uint32_t priority; ///< 0 to 9, higher first within an account
+    size_t bytes;
+    int64_t deadline_ms; ///< on the gate's clock
+    bool may_wait;
+    void *request; ///< the caller's; handed to the callbacks
+};
+
+enum gate_verdict {
+    GATE_ADMITTED,
+    GATE_QUEUED,
+    GATE_REFUSED,
+};
+
+struct gate_decision {
+    enum gate_verdict verdict;
+    enum refuse_reason reason;
+    uint32_t retry_after_ms;
+};
+
+/// The caller frees with gate_free(); waiting requests are dropped silently.
+struct gate *gate_new(const struct gate_options *options);
+void gate_free(struct gate *gate);
+
+void gate_set_options(struct gate *gate, double bound_multiple,
+                      size_t queue_requests_max, size_t queue_bytes_max);
+
+/// The sum of the pool's weights and this endpoint's own weight.
+void gate_set_pool(struct gate *gate, uint64_t total_weight,
+                   uint32_t own_weight);
+
+void gate_set_state(struct gate *gate, enum agent_state state);
+enum agent_state gate_state(const struct gate *gate);
+
+/// Notes how many requests a router has in flight in the pool.
+void gate_router_count(struct gate *gate, struct str router,
+                       uint32_t in_flight);
+void gate_router_gone(struct gate *gate, struct str router);
+
+struct gate_decision gate_offer(struct gate *gate,
+                                const struct gate_request *request);
+
+/// A running request has ended; may call `admitted` for waiting ones.
+void gate_end(struct gate *gate);
+
+/// Takes a request out of the queue; false if it does not wait.
+bool gate_withdraw(struct gate *gate, const void *request);
+
+/// Drops what has expired and admits what has room.
+void gate_tick(struct gate *gate);
+
+struct load_report gate_load(const struct gate *gate);
+
+/// Requests in flight in the pool by the routers' numbers.
+uint64_t gate_pool_in_flight(const struct gate *gate);
+
+/// The load that the bound allows at this moment, at least 1.
+uint32_t gate_bound(const struct gate *gate);
--- /dev/null
+++ b/include/dandelionvalve/message.h
@@ -0,0 +1,215 @@
+/// Typed messages between routers and agents and their MessagePack encoding.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dandelionvalve/err.h"
+#include "dandelionvalve/str.h"
+
+#define MESSAGE_VERSION 1
+#define MESSAGE_BYTES_MAX (512 * 1024)
+#define MESSAGE_HEADERS_MAX 64
+#define MESSAGE_NONCE_BYTES 32
+#define MESSAGE_MAC_BYTES 32
+
+enum message_type {
+    MESSAGE_HELLO = 1,
+    MESSAGE_PROOF,
+    MESSAGE_OFFER,
+    MESSAGE_BODY,
+    MESSAGE_ACCEPT,
+    MESSAGE_REFUSE,
+    MESSAGE_HEAD,
+    MESSAGE_DATA,
+    MESSAGE_END,
+    MESSAGE_FAIL,
+    MESSAGE_ACK,
+    MESSAGE_CANCEL,
+    MESSAGE_RESUME,
+    MESSAGE_PING,
+    MESSAGE_PONG,
+    MESSAGE_IN_FLIGHT,
+    MESSAGE_STATE,
+    MESSAGE_TYPE_END,
+};
+
+/// 128-bit identifier of one caller's request.
+struct request_id {
+    uint8_t bytes[16];
+};
+
+/// Identifies one attempt of a request on one agent.
+struct attempt_id {
+    struct request_id request;
+    uint32_t attempt;
+};
+
+struct message_header {
+    struct str name;
+    struct str value;
+};
+
+enum agent_state {
+    AGENT_READY,
+    AGENT_LEAVING,
+    AGENT_ENDPOINT_DOWN,
+};
+
+/// Exact load of an endpoint at the moment its agent sent the message.
+struct load_report {
+    uint64_t incarnation;
+    enum agent_state state;
+    uint32_t running;
+    uint32_t queued;
+    uint32_t slots;
+    uint32_t bound;
+};
+
+enum refuse_reason {
+    REFUSE_OVER_BOUND,
+    REFUSE_FULL,
+    REFUSE_QUEUE_FULL,
+    REFUSE_LEAVING,
+    REFUSE_DEADLINE,
+    REFUSE_QUARANTINED,
+    REFUSE_ENDPOINT_DOWN,
+    REFUSE_LOG_DOWN,
+    REFUSE_KEY_CONFLICT,
+    REFUSE_KEY_IN_PROGRESS,
+    REFUSE_KEY_EXPIRED,
+    REFUSE_BAD_REQUEST,
+    REFUSE_NOT_RECEIVED,
+    REFUSE_REASON_END,
+};
+
+enum fail_reason {
+    FAIL_ENDPOINT_LOST,
+    FAIL_FIRST_BYTE_TIMEOUT,
+    FAIL_IDLE_TIMEOUT,
+    FAIL_DEADLINE,
+    FAIL_INCOMPLETE,
+    FAIL_UNKNOWN_OUTCOME,
+    FAIL_ANSWER_NOT_KEPT, ///< it has run, but its answer was too long to keep
+    FAIL_REASON_END,
+};
+
+struct message_hello {
+    uint32_t version;
+    struct str name;
+    struct str role;
+    uint64_t incarnation;
+    struct str nonce;
+};
+
+struct message_offer {
+    struct attempt_id id;
+    uint32_t in_flight;
+    struct str account;
+    uint32_t account_weight;
+    uint32_t priority;
+    struct str route;
+    struct str key;
+    bool repeatable;
+    bool may_wait;
+    bool cut_on_disconnect;
+    uint64_t fingerprint;
+    uint32_t deadline_ms;
+    uint32_t first_byte_ms;
+    uint32_t idle_ms;
+    struct str method;
+    struct str uri;
+    struct message_header headers[MESSAGE_HEADERS_MAX];
+    size_t header_count;
+    uint64_t body_bytes;
+    /// The whole body, or empty if it follows in MESSAGE_BODY.
+    struct str body;
+};
+
+struct message_head {
+    struct attempt_id id;
+    uint32_t status;
+    struct message_header headers[MESSAGE_HEADERS_MAX];
+    size_t header_count;
+};
+
+struct message {
+    enum message_type type;
+    union {
+        struct message_hello hello;
+        struct {
+            struct str mac;
+        } proof;
+        struct message_offer offer;
+        struct {
+            struct attempt_id id;
+            uint64_t offset;
+            struct str bytes;
+        } part; ///< MESSAGE_BODY and MESSAGE_DATA
+        struct {
+            struct attempt_id id;
+            struct load_report load;
+        } accept;
+        struct {
+            struct attempt_id id;
+            enum refuse_reason reason;
+            uint32_t retry_after_ms;
+            struct load_report load;
+        } refuse;
+        struct message_head head;
+        struct {
+            struct attempt_id id;
+            uint64_t total_bytes;
+            uint64_t hash;
+            struct load_report load;
+        } end;
+        struct {
+            struct attempt_id id;
+            enum fail_reason reason;
+            struct load_report load;
+        } fail;
+        struct {
+            struct attempt_id id;
+            uint64_t offset;
+            bool finished;
+            uint32_t in_flight;
+        } ack;
+        struct {
+            struct attempt_id id;
+            uint32_t in_flight;
+        } cancel;
+        struct {
+            struct attempt_id id;
+            uint64_t offset;
+            bool need_head;
+        } resume;
+        struct {
+            uint32_t in_flight;
+        } in_flight;
+        struct {
+            struct load_report load;
+        } state;
+    };
+};
+
+/// Reusable encoder and decoder; not thread safe.
+struct message_codec;
+
+struct message_codec *message_codec_new(void);
+void message_codec_free(struct message_codec *codec);
+
+/// Encodes a message; the returned bytes live until the next call.
+struct str message_encode(struct message_codec *codec,
+                          const struct message *message);
+
+/// Decodes one message; its strings are views into `bytes`. False with `err`
+/// set on anything but exactly one well-formed message.
+bool message_decode(struct message_codec *codec, struct str bytes,
+                    struct message *message, struct err *err);
+
+const char *message_type_name(enum message_type type);
+const char *refuse_reason_name(enum refuse_reason reason);
+const char *fail_reason_name(enum fail_reason reason);
+
+bool request_id_equal(const struct request_id *a, const struct request_id *b);
--- /dev/null
+++ b/include/dandelionvalve/str.h
@@ -0,0 +1,38 @@
+/// Length-counted strings: views that own nothing.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/// A view of bytes that somebody else owns; not NUL-terminated.
+struct str {
+    const char *data;
+    size_t len;
+};
+
+#define STR_FMT "%.*s"
+#define STR_ARG(s) (int)(s).len, (s).data
+#define STR_LITERAL(text) ((struct str){(text), sizeof(text) - 1})
+
+/// A view of a NUL-terminated string; NULL gives the empty string.
+struct str str_from(const char *text);
+
+bool str_equal(struct str a, struct str b);
+bool str_equal_c(struct str a, const char *text);
+bool str_starts_with(struct str s, const char *prefix);
+
+/// A NUL-terminated copy that the caller frees with free().
+char *str_dup(struct str s);
+
+/// A view of a fresh copy; the caller frees .data with free().
+struct str str_copy(struct str s);
+
+/// 64-bit hash of the bytes; the same on every machine.
+uint64_t str_hash(struct str s, uint64_t seed);
+
+/// Writes 2*len hex digits and a NUL to out.
+void hex_encode(const void *data, size_t len, char *out);
+
+/// Reads exactly 2*len hex digits; false on anything else.
+bool hex_decode(struct str hex, void *out, size_t len);
--- /dev/null
+++ b/load/fetch.c
@@ -0,0 +1,80 @@
+#include "fetch.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "core/xmalloc.h"
+#include "net/endpoint.h"
+
+#define HEADER_BYTES_MAX 16384
+
+struct fetch {
+    struct event_base *base;
+    struct evbuffer *body;
+    bool whole;
+};
+
+static void
+on_head(void *ctx, int status, const struct message_header *headers,
+        size_t count)
+{
+    (void)ctx;
+    (void)status;
+    (void)headers;
+    (void)count;
+}
+
+static void
+on_data(void *ctx, struct evbuffer *data)
+{
+    struct fetch *fetch = ctx;
+
+    evbuffer_add_buffer(fetch->body, data);
+}
+
+static void
+on_end(void *ctx, enum endpoint_end end)
+{
+    struct fetch *fetch = ctx;
+
+    fetch->whole = end == ENDPOINT_WHOLE;
+    event_base_loopbreak(fetch->base);
+}
+
+bool
+fetch_get(struct event_base *base, struct str address, const char *path,
+          struct str *body)
+{
+    struct fetch fetch = {.base = base, .body = evbuffer_new()};
+    struct endpoint_options options = {
+        .base = base,
+        .header_bytes_max = HEADER_BYTES_MAX,
+    };
+    const struct endpoint_call_options call = {
+        .method = STR_LITERAL("GET"),
+        .uri = str_from(path),
+        .body = STR_LITERAL(""),
+        .head = on_head,
+        .data = on_data,
+        .end = on_end,
+        .ctx = &fetch,
+    };
+    struct endpoint *endpoint;
+    struct err err = {0};
+
+    if (address_parse(address, &options.address, &err)) {
+        endpoint = endpoint_new(&options);
+        if (endpoint_call(endpoint, &call) != NULL) {
+            event_base_dispatch(base);
+        }
+        endpoint_free(endpoint);
+    }
+    if (fetch.whole) {
+        *body = str_copy((struct str){
+            (char *)evbuffer_pullup(fetch.body, -1),
+            evbuffer_get_length(fetch.body),
+        });
+    }
+    evbuffer_free(fetch.body);
+    return fetch.whole;
+}
--- /dev/null
+++ b/load/report.h
@@ -0,0 +1,45 @@
+/// What a load run has measured.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "dandelionvalve/str.h"
+
+struct event_base;
+struct settings_load;
+
+struct report {
+    uint64_t requests;
+    uint64_t done;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t broken;
+    uint64_t wrong; ///< answers that were not whole or not the caller's own
+    uint64_t bookings;
+    uint64_t resends;
+    uint64_t resends_same;
+    uint64_t prompt_tokens;
+    uint64_t cached_tokens;
+    double *latencies_ms;
+    double *first_ms;
+    size_t latency_count;
+    double seconds;
+    uint64_t keys_run_twice;
+    double skew; ///< largest share of an engine over the mean share
+    double control_bytes_per_s;
+};
+
+void report_add_latency(struct report *report, double first_ms,
+                        double total_ms);
+
+/// Reads ledgers and metrics of the deployment.
+void report_collect(struct report *report, struct event_base *base,
+                    const struct settings_load *settings);
+
+void report_print(struct report *report, FILE *out);
+
+/// Writes the figures as name,value lines.
+void report_write_csv(const struct report *report, FILE *out);
+void report_destroy(struct report *report);
--- /dev/null
+++ b/net/address.c
@@ -0,0 +1,79 @@
+#include "address.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <event2/util.h>
+
+static bool
+fill_text(struct address *address)
+{
+    const struct sockaddr_in *v4 = (void *)&address->storage;
+    const struct sockaddr_in6 *v6 = (void *)&address->storage;
+
+    if (address->storage.ss_family == AF_INET) {
+        address->port = ntohs(v4->sin_port);
+        return inet_ntop(AF_INET, &v4->sin_addr, address->ip,
+                         sizeof(address->ip)) != NULL;
+    }
+    address->port = ntohs(v6->sin6_port);
+    return inet_ntop(AF_INET6, &v6->sin6_addr, address->ip,
+                     sizeof(address->ip)) != NULL;
+}
+
+bool
+address_parse(struct str text, struct address *address, struct err *err)
+{
+    char buffer[ADDRESS_TEXT_BYTES];
+    int len = sizeof(address->storage);
+    const char *port = NULL;
+
+    if (text.len < sizeof(buffer)) {
+        memcpy(buffer, text.data, text.len);
+        buffer[text.len] = '\0';
+        port = strrchr(buffer, ':');
+    }
+    if (port == NULL || port[1] == '\0' ||
+        evutil_parse_sockaddr_port(
+            buffer, (struct sockaddr *)&address->storage, &len) != 0) {
+        return err_set(err, ERR_INPUT, "address", NULL,
+                       "'" STR_FMT "' is not an IP number with a port",
+                       STR_ARG(text));
+    }
+    address->len = (socklen_t)len;
+    return fill_text(address);
+}
+
+void
+address_format(const struct sockaddr *sockaddr, char *out)
+{
+    char ip[INET6_ADDRSTRLEN] = "?";
+
+    if (sockaddr->sa_family == AF_INET) {
+        const struct sockaddr_in *v4 = (const void *)sockaddr;
+
+        inet_ntop(AF_INET, &v4->sin_addr, ip, sizeof(ip));
+        snprintf(out, ADDRESS_TEXT_BYTES, "%s:%d", ip, ntohs(v4->sin_port));
+    }
+    else if (sockaddr->sa_family == AF_INET6) {
+        const struct sockaddr_in6 *v6 = (const void *)sockaddr;
+
+        inet_ntop(AF_INET6, &v6->sin6_addr, ip, sizeof(ip));
+        snprintf(out, ADDRESS_TEXT_BYTES, "[%s]:%d", ip, ntohs(v6->sin6_port));
+    }
+    else {
+        snprintf(out, ADDRESS_TEXT_BYTES, "?");
+    }
+}
+
+bool
+address_of_socket(int fd, struct address *address)
+{
+    address->len = sizeof(address->storage);
+    if (getsockname(fd, (struct sockaddr *)&address->storage, &address->len) !=
+        0) {
+        return false;
+    }
+    return fill_text(address);
+}
--- /dev/null
+++ b/net/link.c
@@ -0,0 +1,544 @@
+#include "link.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sodium.h>
+
+#include "core/xmalloc.h"
+#include "log.h"
+
+#define LOG_MODULE "link"
+#define LENGTH_BYTES 4
+#define HANDSHAKE_FRAME_BYTES_MAX 512
+#define NAME_BYTES_MAX 64
+#define HEARD_JUST_NOW_MS 1000
+
+enum link_state {
+    LINK_CONNECTING,
+    LINK_HANDSHAKE,
+    LINK_READY,
+    LINK_CLOSED,
+};
+
+struct link {
+    const struct link_options *options;
+    struct bufferevent *bev;
+    struct event *timer;
+    struct message_codec *codec;
+    enum link_state state;
+    bool in_callback;
+    bool busy;
+    bool hello_seen;
+    char peer_address[ADDRESS_TEXT_BYTES];
+    struct str peer_name;
+    uint64_t peer_incarnation;
+    unsigned char nonce[MESSAGE_NONCE_BYTES];
+    unsigned char peer_nonce[MESSAGE_NONCE_BYTES];
+    int64_t opened_ms;
+    int64_t heard_ms;
+    int64_t sent_ms;
+    int64_t check_until_ms;
+    void *user;
+};
+
+static void
+link_free(struct link *link)
+{
+    if (link->bev != NULL) {
+        bufferevent_free(link->bev);
+    }
+    event_free(link->timer);
+    message_codec_free(link->codec);
+    free((char *)link->peer_name.data);
+    free(link);
+}
+
+/// Stops all events; the memory goes when no callback is on the stack.
+static void
+detach(struct link *link)
+{
+    if (link->state == LINK_CLOSED) {
+        return;
+    }
+    link->state = LINK_CLOSED;
+    counter_add(link->options->counters, COUNTER_LINKS_CLOSED, 1);
+    event_del(link->timer);
+    bufferevent_disable(link->bev, EV_READ | EV_WRITE);
+    bufferevent_setcb(link->bev, NULL, NULL, NULL, NULL);
+}
+
+void
+link_close(struct link *link)
+{
+    bool closed = link->state == LINK_CLOSED;
+
+    detach(link);
+    if (!link->in_callback && !closed) {
+        link_free(link);
+    }
+}
+
+static void
+fail(struct link *link, const struct err *err)
+{
+    if (link->state == LINK_CLOSED) {
+        return;
+    }
+    LOG_INFO("event=link-closed peer=%s name=" STR_FMT
+             " code=%s step=%s reason=\"%s\"",
+             link->peer_address, STR_ARG(link->peer_name),
+             err_code_name(err->code), err->step, err->message);
+    detach(link);
+    link->in_callback = true;
+    link->options->closed(link->options->ctx, link, err);
+    link->in_callback = false;
+}
+
+/// Ends the link from a libevent callback and frees it.
+static void
+fail_and_free(struct link *link, enum err_code code, const char *step,
+              const char *what)
+{
+    struct err err = {0};
+
+    err_set(&err, code, step, link->peer_address, "%s", what);
+    fail(link, &err);
+    link_free(link);
+}
+
+static void
+write_frame(struct link *link, const struct message *message)
+{
+    struct str bytes = message_encode(link->codec, message);
+    struct evbuffer *output = bufferevent_get_output(link->bev);
+    uint32_t length = htonl((uint32_t)bytes.len);
+
+    evbuffer_add(output, &length, sizeof(length));
+    evbuffer_add(output, bytes.data, bytes.len);
+    counter_add(link->options->counters, COUNTER_LINK_BYTES_OUT,
+                bytes.len + LENGTH_BYTES);
+    link->sent_ms = clock_ms(link->options->clock);
+}
+
+static void
+send_hello(struct link *link)
+{
+    const struct message hello = {
+        .type = MESSAGE_HELLO,
+        .hello =
+            {
+                .version = MESSAGE_VERSION,
+                .name = str_from(link->options->name),
+                .role = str_from(link->options->role),
+                .incarnation = link->options->incarnation,
+                .nonce = {(char *)link->nonce, sizeof(link->nonce)},
+            },
+    };
+
+    link->state = LINK_HANDSHAKE;
+    write_frame(link, &hello);
+}
+
+// The proof covers the prover's role, name and both nonces, so that it can be
+// neither replayed nor reflected.
+static void
+compute_mac(const unsigned char *key, const char *role, struct str name,
+            const unsigned char *own_nonce, const unsigned char *peer_nonce,
+            unsigned char mac[MESSAGE_MAC_BYTES])
+{
+    crypto_auth_hmacsha512256_state state;
+
+    crypto_auth_hmacsha512256_init(&state, key, LINK_KEY_BYTES);
+    crypto_auth_hmacsha512256_update(&state, (const unsigned char *)role,
+                                     strlen(role) + 1);
+    crypto_auth_hmacsha512256_update(&state, own_nonce, MESSAGE_NONCE_BYTES);
+    crypto_auth_hmacsha512256_update(&state, peer_nonce, MESSAGE_NONCE_BYTES);
+    crypto_auth_hmacsha512256_update(&state, (const unsigned char *)name.data,
+                                     name.len);
+    crypto_auth_hmacsha512256_final(&state, mac);
+}
+
+static bool
+take_hello(struct link *link, const struct message_hello *hello,
+           struct err *err)
+{
+    unsigned char mac[MESSAGE_MAC_BYTES];
+    struct message proof = {.type = MESSAGE_PROOF};
+
+    if (hello->version != MESSAGE_VERSION) {
+        return err_set(err, ERR_PROTOCOL, "hello", link->peer_address,
+                       "version %u instead of %u", hello->version,
+                       MESSAGE_VERSION);
+    }
+    if (!str_equal_c(hello->role, link->options->peer_role) ||
+        hello->nonce.len != MESSAGE_NONCE_BYTES || hello->name.len == 0 ||
+        hello->name.len > NAME_BYTES_MAX || link->hello_seen) {
+        return err_set(err, ERR_PROTOCOL, "hello", link->peer_address,
+                       "unexpected role, name or nonce");
+    }
+    link->hello_seen = true;
+    link->peer_name = str_copy(hello->name);
+    link->peer_incarnation = hello->incarnation;
+    memcpy(link->peer_nonce, hello->nonce.data, MESSAGE_NONCE_BYTES);
+    compute_mac(link->options->keys->keys[0], link->options->role,
+                str_from(link->options->name), link->nonce, link->peer_nonce,
+                mac);
+    proof.proof.mac = (struct str){(char *)mac, sizeof(mac)};
+    write_frame(link, &proof);
+    return true;
+}
+
+static bool
+take_proof(struct link *link, struct str mac, struct err *err)
+{
+    const struct link_keys *keys = link->options->keys;
+    bool proved = false;
+
+    for (size_t i = 0; i < keys->count && mac.len == MESSAGE_MAC_BYTES; i++) {
+        unsigned char expected[MESSAGE_MAC_BYTES];
+
+        compute_mac(keys->keys[i], link->options->peer_role, link->peer_name,
+                    link->peer_nonce, link->nonce, expected);
+        if (!sodium_memcmp(expected, mac.data, sizeof(expected))) {
+            proved = true;
+        }
+    }
+    if (!proved || !link->hello_seen) {
+        counter_add(link->options->counters, COUNTER_LINK_AUTH_FAILED, 1);
+        return err_set(err, ERR_AUTH, "proof", link->peer_address,
+                       "peer does not hold a shared key");
+    }
+    link->state = LINK_READY;
+    counter_add(link->options->counters, COUNTER_LINKS_OPENED, 1);
+    LOG_INFO("event=link-ready peer=%s name=" STR_FMT, link->peer_address,
+             STR_ARG(link->peer_name));
+    link->options->ready(link->options->ctx, link);
+    return true;
+}
+
+static bool
+handle(struct link *link, const struct message *message, struct err *err)
+{
+    const struct message pong = {.type = MESSAGE_PONG};
+
+    if (link->state == LINK_HANDSHAKE) {
+        if (message->type == MESSAGE_HELLO) {
+            return take_hello(link, &message->hello, err);
+        }
+        if (message->type == MESSAGE_PROOF) {
+            return take_proof(link, message->proof.mac, err);
+        }
+    }
+    else if (message->type == MESSAGE_PING) {
+        link_send(link, &pong);
+        return true;
+    }
+    else if (message->type == MESSAGE_PONG) {
+        return true;
+    }
+    else if (message->type > MESSAGE_PROOF) {
+        link->options->message(link->options->ctx, link, message);
+        return true;
+    }
+    return err_set(err, ERR_PROTOCOL, "frame", link->peer_address,
+                   "frame %s out of place", message_type_name(message->type));
+}
+
+static size_t
+frame_bytes_max(const struct link *link)
+{
+    return link->state == LINK_READY ? MESSAGE_BYTES_MAX
+                                     : HANDSHAKE_FRAME_BYTES_MAX;
+}
+
+/// Handles one frame if it is complete; false if no more can be done now.
+static bool
+read_frame(struct link *link, struct evbuffer *input, struct err *err)
+{
+    struct message message;
+    struct str bytes;
+    uint32_t length;
+
+    if (evbuffer_copyout(input, &length, sizeof(length)) < LENGTH_BYTES) {
+        return false;
+    }
+    length = ntohl(length);
+    if (length > frame_bytes_max(link)) {
+        counter_add(link->options->counters, COUNTER_LINK_BAD_FRAMES, 1);
+        return err_set(err, ERR_PROTOCOL, "frame", link->peer_address,
+                       "frame of %u bytes is too long", length);
+    }
+    if (evbuffer_get_length(input) < LENGTH_BYTES + length) {
+        return false;
+    }
+    bytes.data =
+        (char *)evbuffer_pullup(input, (ev_ssize_t)(LENGTH_BYTES + length)) +
+        LENGTH_BYTES;
+    bytes.len = length;
+    counter_add(link->options->counters, COUNTER_LINK_BYTES_IN,
+                length + LENGTH_BYTES);
+    if (!message_decode(link->codec, bytes, &message, err)) {
+        counter_add(link->options->counters, COUNTER_LINK_BAD_FRAMES, 1);
+        return false;
+    }
+    if (!handle(link, &message, err)) {
+        return false;
+    }
+    if (link->state != LINK_CLOSED) {
+        evbuffer_drain(input, LENGTH_BYTES + length);
+    }
+    return link->state != LINK_CLOSED;
+}
+
+static void
+on_read(struct bufferevent *bev, void *ctx)
+{
+    struct link *link = ctx;
+    struct evbuffer *input = bufferevent_get_input(bev);
+    struct err err = {0};
+
+    link->heard_ms = clock_ms(link->options->clock);
+    link->check_until_ms = 0;
+    link->in_callback = true;
+    while (read_frame(link, input, &err)) {
+    }
+    link->in_callback = false;
+    if (err.code != ERR_NONE) {
+        fail(link, &err);
+    }
+    if (link->state == LINK_CLOSED) {
+        link_free(link);
+    }
+}
+
+static void
+on_write(struct bufferevent *bev, void *ctx)
+{
+    struct link *link = ctx;
+
+    (void)bev;
+    if (link->options->drained == NULL || link->state != LINK_READY) {
+        return;
+    }
+    link->in_callback = true;
+    link->options->drained(link->options->ctx, link);
+    link->in_callback = false;
+    if (link->state == LINK_CLOSED) {
+        link_free(link);
+    }
+}
+
+static void
+on_event(struct bufferevent *bev, short events, void *ctx)
+{
+    struct link *link = ctx;
+    int one = 1;
+
+    if (events & BEV_EVENT_CONNECTED) {
+        setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &one,
+                   sizeof(one));
+        send_hello(link);
+        return;
+    }
+    if (link->state == LINK_CONNECTING) {
+        fail_and_free(link, ERR_IO, "connect", "no connection");
+        return;
+    }
+    fail_and_free(link, ERR_IO, "read",
+                  events & BEV_EVENT_EOF ? "closed by the peer"
+                                         : "connection broke");
+}
+
+static void
+check_silence(struct link *link, int64_t now)
+{
+    const struct message ping = {.type = MESSAGE_PING};
+
+    if ((link->busy && now - link->heard_ms >= link->options->silence_ms) ||
+        (link->check_until_ms > 0 && now >= link->check_until_ms)) {
+        counter_add(link->options->counters, COUNTER_LINKS_SILENT, 1);
+        fail_and_free(link, ERR_TIMEOUT, "heartbeat",
+                      "nothing heard on a link in use");
+        return;
+    }
+    if (link->busy &&
+        now - (link->sent_ms > link->heard_ms ? link->sent_ms
+                                              : link->heard_ms) >=
+            link->options->heartbeat_ms) {
+        write_frame(link, &ping);
+    }
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct link *link = ctx;
+    int64_t now = clock_ms(link->options->clock);
+
+    (void)fd;
+    (void)events;
+    if (link->state != LINK_READY) {
+        if (now - link->opened_ms >= link->options->handshake_ms) {
+            fail_and_free(link, ERR_TIMEOUT, "handshake",
+                          "no proof within the time limit");
+        }
+        return;
+    }
+    if (evbuffer_get_length(bufferevent_get_output(link->bev)) >
+        link->options->output_bytes_max) {
+        fail_and_free(link, ERR_LIMIT, "write", "output backlog too long");
+        return;
+    }
+    check_silence(link, now);
+}
+
+static struct link *
+link_new(const struct link_options *options, int fd)
+{
+    static const struct timeval tick = {.tv_usec = 100000};
+    struct link *link = xcalloc(1, sizeof(*link));
+
+    link->options = options;
+    link->codec = message_codec_new();
+    link->opened_ms = clock_ms(options->clock);
+    link->heard_ms = link->opened_ms;
+    link->sent_ms = link->opened_ms;
+    for (size_t i = 0; i < sizeof(link->nonce); i += sizeof(uint64_t)) {
+        uint64_t random = random_next(options->random);
+
+        memcpy(link->nonce + i, &random, sizeof(random));
+    }
+    link->bev =
+        bufferevent_socket_new(options->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    link->timer = event_new(options->base, -1, EV_PERSIST, on_timer, link);
+    if (link->bev == NULL || link->timer == NULL) {
+        BUG("out of memory");
+    }
+    event_add(link->timer, &tick);
+    return link;
+}
+
+static void
+start(struct link *link)
+{
+    bufferevent_setcb(link->bev, on_read, on_write, on_event, link);
+    bufferevent_enable(link->bev, EV_READ | EV_WRITE);
+}
+
+struct link *
+link_connect(const struct link_options *options, const struct address *address)
+{
+    struct link *link = link_new(options, -1);
+
+    address_format((const struct sockaddr *)&address->storage,
+                   link->peer_address);
+    // The callbacks are set afterwards: a connect that fails at once is
+    // reported by on_timer, never from here.
+    if (bufferevent_socket_connect(link->bev,
+                                   (struct sockaddr *)&address->storage,
+                                   (int)address->len) != 0) {
+        link->opened_ms -= options->handshake_ms;
+    }
+    start(link);
+    return link;
+}
+
+struct link *
+link_accept(const struct link_options *options, int fd,
+            const struct sockaddr *peer)
+{
+    struct link *link = link_new(options, fd);
+    int one = 1;
+
+    address_format(peer, link->peer_address);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    start(link);
+    send_hello(link);
+    return link;
+}
+
+void
+link_send(struct link *link, const struct message *message)
+{
+    if (link->state == LINK_READY) {
+        write_frame(link, message);
+    }
+}
+
+bool
+link_is_ready(const struct link *link)
+{
+    return link->state == LINK_READY;
+}
+
+bool
+link_is_closing(const struct link *link)
+{
+    return link->state == LINK_CLOSED;
+}
+
+void
+link_set_busy(struct link *link, bool busy)
+{
+    if (busy && !link->busy) {
+        link->heard_ms = clock_ms(link->options->clock);
+    }
+    link->busy = busy;
+}
+
+void
+link_check(struct link *link)
+{
+    const struct message ping = {.type = MESSAGE_PING};
+    int64_t now = clock_ms(link->options->clock);
+
+    if (link->state != LINK_READY || link->check_until_ms > 0 ||
+        now - link->heard_ms < HEARD_JUST_NOW_MS) {
+        return;
+    }
+    write_frame(link, &ping);
+    link->check_until_ms = now + link->options->check_ms;
+}
+
+size_t
+link_output_bytes(const struct link *link)
+{
+    return evbuffer_get_length(bufferevent_get_output(link->bev));
+}
+
+struct str
+link_peer_name(const struct link *link)
+{
+    return link->peer_name;
+}
+
+uint64_t
+link_peer_incarnation(const struct link *link)
+{
+    return link->peer_incarnation;
+}
+
+const char *
+link_peer_address(const struct link *link)
+{
+    return link->peer_address;
+}
+
+void
+link_set_user(struct link *link, void *user)
+{
+    link->user = user;
+}
+
+void *
+link_user(const struct link *link)
+{
+    return link->user;
+}
--- /dev/null
+++ b/net/log.c
@@ -0,0 +1,147 @@
+#include "log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <log4c.h>
+
+#define LINE_BYTES 1024
+#define BUFFER_BYTES 65536
+
+static struct {
+    log4c_category_t *category;
+    enum log_level level;
+    FILE *out;
+} state;
+
+static const int priorities[] = {
+    [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+    [LOG_LEVEL_WARNING] = LOG4C_PRIORITY_WARN,
+    [LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+    [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+};
+
+static const char *
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+    static char line[LINE_BYTES + 64];
+
+    (void)layout;
+    snprintf(line, sizeof(line), "ts=%lld.%03d level=%s %s\n",
+             (long long)event->evt_timestamp.tv_sec,
+             (int)(event->evt_timestamp.tv_usec / 1000),
+             log4c_priority_to_string(event->evt_priority), event->evt_msg);
+    return line;
+}
+
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    return fputs(event->evt_rendered_msg, state.out) >= 0 ? 0 : -1;
+}
+
+static const log4c_layout_type_t layout_type = {
+    .name = "key-value",
+    .format = format_line,
+};
+
+static const log4c_appender_type_t appender_type = {
+    .name = "buffered-stderr",
+    .append = append_line,
+};
+
+void
+log_start(enum log_level level)
+{
+    static char buffer[BUFFER_BYTES];
+    log4c_appender_t *appender;
+    log4c_layout_t *layout;
+
+    log4c_init();
+    log4c_layout_type_set(&layout_type);
+    log4c_appender_type_set(&appender_type);
+    layout = log4c_layout_get("dandelionvalve");
+    log4c_layout_set_type(layout, &layout_type);
+    appender = log4c_appender_get("dandelionvalve");
+    log4c_appender_set_type(appender, &appender_type);
+    log4c_appender_set_layout(appender, layout);
+    state.category = log4c_category_get("dandelionvalve");
+    log4c_category_set_appender(state.category, appender);
+    log4c_category_set_additivity(state.category, 0);
+    log4c_category_set_priority(state.category, priorities[level]);
+    state.level = level;
+    state.out = stderr;
+    setvbuf(stderr, buffer, _IOFBF, sizeof(buffer));
+}
+
+void
+log_stop(void)
+{
+    if (state.category == NULL) {
+        return;
+    }
+    log_flush();
+    log4c_fini();
+    state.category = NULL;
+}
+
+void
+log_flush(void)
+{
+    if (state.out != NULL) {
+        fflush(state.out);
+    }
+}
+
+bool
+log_parse_level(const char *name, enum log_level *level)
+{
+    static const char *const names[] = {
+        [LOG_LEVEL_ERROR] = "error",
+        [LOG_LEVEL_WARNING] = "warning",
+        [LOG_LEVEL_INFO] = "info",
+        [LOG_LEVEL_DEBUG] = "debug",
+    };
+
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (!strcmp(name, names[i])) {
+            *level = (enum log_level)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+log_enabled(enum log_level level)
+{
+    return state.category != NULL && level <= state.level;
+}
+
+void
+log_line(enum log_level level, const char *module, const char *fmt, ...)
+{
+    char line[LINE_BYTES];
+    va_list ap;
+    int len;
+
+    if (!log_enabled(level)) {
+        return;
+    }
+    len = snprintf(line, sizeof(line), "module=%s ", module);
+    va_start(ap, fmt);
+    vsnprintf(line + len, sizeof(line) - (size_t)len, fmt, ap);
+    va_end(ap);
+    // Text of callers and peers must not start a line of its own.
+    for (char *c = line; *c != '\0'; c++) {
+        if (*c == '\n' || *c == '\r') {
+            *c = ' ';
+        }
+    }
+    log4c_category_log(state.category, priorities[level], "%s", line);
+    if (level <= LOG_LEVEL_WARNING) {
+        log_flush();
+    }
+}
--- /dev/null
+++ b/net/platform.c
@@ -0,0 +1,345 @@
+#include "platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <jansson.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+#include "endpoint.h"
+#include "log.h"
+
+#define LOG_MODULE "platform"
+#define ANSWER_BYTES_MAX (64 * 1024 * 1024)
+#define RECORDS_MAX 10000
+#define HEADER_BYTES_MAX 16384
+#define IDLE_CONNECTIONS_MAX 4
+#define CONNECT_TIMEOUT_S 3
+
+struct platform {
+    struct platform_options options;
+    struct endpoint *endpoint;
+    struct call *calls;
+};
+
+/// One call in flight; `kind` tells which of the callbacks is set.
+struct call {
+    struct platform *platform;
+    struct endpoint_call *http;
+    struct event *timeout;
+    struct evbuffer *body;
+    int status;
+    platform_append_cb *on_append;
+    platform_read_cb *on_read;
+    platform_vms_cb *on_vms;
+    void *ctx;
+    struct call *prev;
+    struct call *next;
+};
+
+struct platform *
+platform_new(const struct platform_options *options)
+{
+    struct platform *platform = xcalloc(1, sizeof(*platform));
+    const struct endpoint_options endpoint = {
+        .base = options->base,
+        .address = options->address,
+        .idle_connections_max = IDLE_CONNECTIONS_MAX,
+        .header_bytes_max = HEADER_BYTES_MAX,
+        .connect_timeout_s = CONNECT_TIMEOUT_S,
+    };
+
+    platform->options = *options;
+    platform->endpoint = endpoint_new(&endpoint);
+    return platform;
+}
+
+static void
+call_free(struct call *call)
+{
+    DL_DELETE(call->platform->calls, call);
+    event_free(call->timeout);
+    evbuffer_free(call->body);
+    free(call);
+}
+
+void
+platform_free(struct platform *platform)
+{
+    if (platform == NULL) {
+        return;
+    }
+    while (platform->calls != NULL) {
+        struct call *call = platform->calls;
+
+        if (call->http != NULL) {
+            endpoint_cancel(call->http);
+        }
+        call_free(call);
+    }
+    endpoint_free(platform->endpoint);
+    free(platform);
+}
+
+static void
+finish_append(const struct call *call, enum platform_status status,
+              const json_t *json)
+{
+    const json_t *offset = json_object_get(json, "offset");
+
+    if (status == PLATFORM_OK && !json_is_integer(offset)) {
+        status = PLATFORM_UNKNOWN;
+    }
+    call->on_append(call->ctx, status, json_integer_value(offset));
+}
+
+static struct str
+json_str(const json_t *object, const char *key)
+{
+    const json_t *value = json_object_get(object, key);
+
+    return (struct str){json_string_value(value), json_string_length(value)};
+}
+
+static void
+finish_read(const struct call *call, const json_t *json)
+{
+    const json_t *list = json_object_get(json, "records");
+    size_t count = json_array_size(list);
+    struct platform_record *records = xcalloc(count, sizeof(*records));
+    struct platform_page page = {
+        .first = json_integer_value(json_object_get(json, "first")),
+        .end = json_integer_value(json_object_get(json, "end")),
+        .retention_ms =
+            json_integer_value(json_object_get(json, "retention_ms")),
+        .now_ms = json_integer_value(json_object_get(json, "now_ms")),
+        .records = records,
+        .count = count,
+    };
+
+    for (size_t i = 0; i < count; i++) {
+        const json_t *item = json_array_get(list, i);
+
+        records[i].offset =
+            json_integer_value(json_object_get(item, "offset"));
+        records[i].time_ms =
+            json_integer_value(json_object_get(item, "time_ms"));
+        records[i].data = json_str(item, "data");
+    }
+    call->on_read(call->ctx, json_is_array(list) ? &page : NULL);
+    free(records);
+}
+
+static bool
+read_vm(const json_t *item, struct platform_vm *vm)
+{
+    struct str role = json_str(item, "role");
+
+    *vm = (struct platform_vm){
+        .name = json_str(item, "name"),
+        .role = str_equal_c(role, "agent") ? PLATFORM_ROLE_AGENT
+                                           : PLATFORM_ROLE_ROUTER,
+        .zone = json_str(item, "zone"),
+        .pool = json_str(item, "pool"),
+        .address = json_str(item, "address"),
+        .control = json_str(item, "control"),
+        .admin = json_str(item, "admin"),
+        .weight =
+            (uint32_t)json_integer_value(json_object_get(item, "weight")),
+        .leaving = str_equal_c(json_str(item, "state"), "leaving"),
+    };
+    return vm->name.len > 0 &&
+           (str_equal_c(role, "agent") || str_equal_c(role, "router"));
+}
+
+static void
+finish_vms(const struct call *call, const json_t *json)
+{
+    const json_t *list = json_object_get(json, "vms");
+    int64_t version = json_integer_value(json_object_get(json, "version"));
+    struct platform_vm *vms = xcalloc(json_array_size(list), sizeof(*vms));
+    size_t count = 0;
+
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        if (read_vm(json_array_get(list, i), &vms[count])) {
+            count++;
+        }
+    }
+    call->on_vms(call->ctx, json_is_object(json), version,
+                 json_is_array(list) ? vms : NULL, count);
+    free(vms);
+}
+
+static void
+finish(struct call *call, enum platform_status status)
+{
+    struct str body = {
+        (char *)evbuffer_pullup(call->body, -1),
+        evbuffer_get_length(call->body),
+    };
+    json_t *json = NULL;
+
+    if (status == PLATFORM_OK) {
+        json = json_loadb(body.data != NULL ? body.data : "", body.len,
+                          JSON_ALLOW_NUL, NULL);
+    }
+    if (!json_is_object(json)) {
+        counter_add(call->platform->options.counters, COUNTER_LOG_FAILURES, 1);
+        LOG_WARNING("event=platform-call-failed status=%d body_bytes=%zu",
+                    call->status, body.len);
+    }
+    // The callback may start new calls, but this one is out of the list.
+    DL_DELETE(call->platform->calls, call);
+    if (call->on_append != NULL) {
+        finish_append(call, status, json);
+    }
+    else if (call->on_read != NULL) {
+        finish_read(call, json);
+    }
+    else {
+        finish_vms(call, json);
+    }
+    json_decref(json);
+    event_free(call->timeout);
+    evbuffer_free(call->body);
+    free(call);
+}
+
+static void
+on_head(void *ctx, int status, const struct message_header *headers,
+        size_t header_count)
+{
+    struct call *call = ctx;
+
+    (void)headers;
+    (void)header_count;
+    call->status = status;
+}
+
+static void
+on_data(void *ctx, struct evbuffer *data)
+{
+    struct call *call = ctx;
+
+    if (evbuffer_get_length(call->body) < ANSWER_BYTES_MAX) {
+        evbuffer_add_buffer(call->body, data);
+    }
+}
+
+static void
+on_end(void *ctx, enum endpoint_end end)
+{
+    struct call *call = ctx;
+
+    call->http = NULL;
+    if (end == ENDPOINT_UNSENT ||
+        (end == ENDPOINT_WHOLE && call->status >= 400)) {
+        finish(call, PLATFORM_REFUSED);
+        return;
+    }
+    finish(call, end == ENDPOINT_WHOLE ? PLATFORM_OK : PLATFORM_UNKNOWN);
+}
+
+static void
+on_timeout(evutil_socket_t fd, short events, void *ctx)
+{
+    struct call *call = ctx;
+
+    (void)fd;
+    (void)events;
+    if (call->http != NULL) {
+        endpoint_cancel(call->http);
+        call->http = NULL;
+        finish(call, PLATFORM_UNKNOWN);
+        return;
+    }
+    finish(call, PLATFORM_REFUSED);
+}
+
+static struct call *
+call_new(struct platform *platform, void *ctx)
+{
+    struct call *call = xcalloc(1, sizeof(*call));
+
+    call->platform = platform;
+    call->ctx = ctx;
+    call->body = evbuffer_new();
+    call->timeout = event_new(platform->options.base, -1, 0, on_timeout, call);
+    if (call->body == NULL || call->timeout == NULL) {
+        BUG("out of memory");
+    }
+    DL_APPEND(platform->calls, call);
+    return call;
+}
+
+static void
+call_start(struct call *call, const char *method, char *uri, struct str body,
+           int64_t wait_ms)
+{
+    int64_t limit_ms = call->platform->options.timeout_ms + wait_ms;
+    const struct timeval limit = {
+        .tv_sec = limit_ms / 1000,
+        .tv_usec = limit_ms % 1000 * 1000,
+    };
+    const struct timeval at_once = {0};
+    const struct endpoint_call_options options = {
+        .method = str_from(method),
+        .uri = str_from(uri),
+        .body = body,
+        .head = on_head,
+        .data = on_data,
+        .end = on_end,
+        .ctx = call,
+    };
+
+    call->http = endpoint_call(call->platform->endpoint, &options);
+    event_add(call->timeout, call->http != NULL ? &limit : &at_once);
+    free(uri);
+}
+
+void
+platform_append(struct platform *platform, struct str stream, struct str data,
+                platform_append_cb *done, void *ctx)
+{
+    struct call *call = call_new(platform, ctx);
+
+    call->on_append = done;
+    counter_add(platform->options.counters, COUNTER_LOG_APPENDS, 1);
+    call_start(call, "POST",
+               xasprintf("/log/" STR_FMT "/append", STR_ARG(stream)), data, 0);
+}
+
+void
+platform_read(struct platform *platform, struct str stream, int64_t from,
+              size_t count_max, int64_t wait_ms, platform_read_cb *done,
+              void *ctx)
+{
+    struct call *call = call_new(platform, ctx);
+
+    call->on_read = done;
+    counter_add(platform->options.counters, COUNTER_LOG_READS, 1);
+    if (count_max > RECORDS_MAX) {
+        count_max = RECORDS_MAX;
+    }
+    call_start(call, "GET",
+               xasprintf("/log/" STR_FMT
+                         "/read?from=%lld&limit=%zu&wait_ms=%lld",
+                         STR_ARG(stream), (long long)from, count_max,
+                         (long long)wait_ms),
+               STR_LITERAL(""), wait_ms);
+}
+
+void
+platform_vms(struct platform *platform, int64_t known_version,
+             platform_vms_cb *done, void *ctx)
+{
+    struct call *call = call_new(platform, ctx);
+
+    call->on_vms = done;
+    call_start(call, "GET",
+               xasprintf("/vms?known=%lld", (long long)known_version),
+               STR_LITERAL(""), 0);
+}
