gate: bound by the routers' running numbers, less their drift

Cause: with the numbers counted at dispatch and rounded down, the pool locked at one request an engine (scripts/demo: 5277 least-loaded, 2839 waiting, first byte p50 100.8 ms); two links in three broke at their start, since the peer's hello could come before the end of the connect; a re-send right after its answer was told 'in progress'. Change: routers count what agents have accepted; the bound is rounded up after 1.75 * sqrt(requests * age) is taken off; routers skip endpoints whose fresh report says full; queues look again when a number rises; reading starts after the connect; a re-send waits for the outcome of the first. Conclusion: numbers at accept, rounding up and a drift margin are kept.

--- a/core/claim.c
+++ b/core/claim.c
@@ -47,6 +47,7 @@
     WAITING_BATCH,
     WAITING_APPEND,
     WAITING_FOLD,
+    WAITING_OUTCOME, ///< another request of its key may be running
 };
 
 /// A request of this process that waits for its claim.
@@ -316,15 +317,26 @@
     DL_APPEND(claims->notices, notice);
 }
 
+/// Makes sure that the claim of a request never counts, if there is one.
+static void
+release_claim(struct claims *claims, const struct waiting *waiting)
+{
+    if (waiting->maybe_landed || waiting->state == WAITING_APPEND ||
+        waiting->state == WAITING_FOLD) {
+        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
+    }
+}
+
 /// Ends the wait of a request that has no claim; its nonce never runs.
 static void
 give_up(struct claims *claims, struct waiting *waiting)
 {
-    const struct claim_decision decision = {.verdict = CLAIM_LOG_DOWN};
+    struct claim_decision decision = {.verdict = CLAIM_LOG_DOWN};
 
-    if (waiting->maybe_landed || waiting->state != WAITING_BATCH) {
-        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
+    if (waiting->state == WAITING_OUTCOME) {
+        decision.verdict = CLAIM_IN_PROGRESS;
     }
+    release_claim(claims, waiting);
     decide(claims, waiting, &decision);
 }
 
@@ -353,6 +365,10 @@
     }
     if (strcmp(entry->nonce.hex, waiting->nonce.hex) != 0) {
         decision = decision_of_entry(claims, entry, waiting->hash);
+        if (decision.verdict == CLAIM_IN_PROGRESS) {
+            waiting->state = WAITING_OUTCOME;
+            return;
+        }
     }
     else if (now_ms(claims) >= waiting->give_up_ms) {
         // A process that was paused must not run on an old decision.
@@ -365,6 +381,30 @@
     decide(claims, waiting, &decision);
 }
 
+/// The request that stood before this one was released. Its own claim lost,
+/// so it needs another one.
+static void
+claim_anew(struct claims *claims, struct waiting *waiting)
+{
+    if (waiting->maybe_landed) {
+        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
+    }
+    waiting->nonce = new_nonce(claims);
+    waiting->state = WAITING_BATCH;
+    waiting->maybe_landed = false;
+}
+
+static bool
+is_folded(const struct claims *claims, const struct waiting *waiting,
+          const struct entry *entry)
+{
+    bool own = entry != NULL && !strcmp(entry->nonce.hex, waiting->nonce.hex);
+
+    return own || waiting->state == WAITING_OUTCOME ||
+           (waiting->state == WAITING_FOLD &&
+            waiting->offset < claims->next_offset);
+}
+
 static void
 decide_waiting(struct claims *claims)
 {
@@ -373,11 +413,11 @@
     DL_FOREACH_SAFE(claims->waiting, waiting, next)
     {
         const struct entry *entry = find_entry(claims, waiting->key);
-        bool is_own =
-            entry != NULL && !strcmp(entry->nonce.hex, waiting->nonce.hex);
 
-        if (is_own || (waiting->state == WAITING_FOLD &&
-                       waiting->offset < claims->next_offset)) {
+        if (waiting->state == WAITING_OUTCOME && entry == NULL) {
+            claim_anew(claims, waiting);
+        }
+        else if (is_folded(claims, waiting, entry)) {
             decide_folded(claims, waiting);
         }
     }
@@ -551,6 +591,10 @@
     // Another's entry settles it without an append.
     if (entry != NULL && !is_expired(entry, platform_now_ms(claims))) {
         decision = decision_of_entry(claims, entry, request->hash);
+        if (decision.verdict == CLAIM_IN_PROGRESS) {
+            waiting->state = WAITING_OUTCOME;
+            return;
+        }
         decide(claims, waiting, &decision);
         return;
     }
@@ -579,9 +623,7 @@
     if (waiting == NULL) {
         return;
     }
-    if (waiting->maybe_landed || waiting->state != WAITING_BATCH) {
-        add_notice(claims, true, waiting->key, &waiting->nonce, NULL);
-    }
+    release_claim(claims, waiting);
     waiting_free(claims, waiting);
     append_if_due(claims);
 }
@@ -862,6 +904,7 @@
             give_up(claims, waiting);
         }
     }
+    decide_waiting(claims);
     append_if_due(claims);
 }
 
--- a/core/gate.c
+++ b/core/gate.c
@@ -177,27 +177,6 @@
     return router;
 }
 
-void
-gate_router_count(struct gate *gate, struct str name, uint32_t in_flight)
-{
-    struct router *router = find_router(gate, name);
-
-    if (router == NULL) {
-        router = xcalloc(1, sizeof(*router));
-        router->name = str_copy(name);
-        HASH_ADD_KEYPTR(hh, gate->routers, router->name.data, router->name.len,
-                        router);
-    }
-    gate->in_flight_sum -= router->in_flight;
-    gate->in_flight_time_sum -=
-        (double)router->in_flight * (double)router->at_ms;
-    router->in_flight = in_flight;
-    router->at_ms = now_ms(gate);
-    gate->in_flight_sum += router->in_flight;
-    gate->in_flight_time_sum +=
-        (double)router->in_flight * (double)router->at_ms;
-}
-
 void
 gate_router_gone(struct gate *gate, struct str name)
 {
@@ -233,13 +212,11 @@
 gate_bound(const struct gate *gate)
 {
     double share = (double)gate->own_weight / (double)gate->total_weight;
-    double margin =
-        1 - gate->options.margin_per_100ms * mean_age_ms(gate) / 100;
-    double bound =
-        gate->options.bound_multiple * (margin > 0.5 ? margin : 0.5);
+    double sum = (double)gate_pool_in_flight(gate);
+    double drift =
+        gate->options.drift_margin * sqrt(sum * mean_age_ms(gate) / 1000);
+    double bound = ceil(gate->options.bound_multiple * (sum - drift) * share);
 
-    // Rounded down: the routers' numbers may be ahead of the true load.
-    bound = floor(bound * (double)gate_pool_in_flight(gate) * share);
     if (bound < 1) {
         return 1;
     }
@@ -489,6 +466,29 @@
     }
 }
 
+void
+gate_router_count(struct gate *gate, struct str name, uint32_t in_flight)
+{
+    struct router *router = find_router(gate, name);
+
+    if (router == NULL) {
+        router = xcalloc(1, sizeof(*router));
+        router->name = str_copy(name);
+        HASH_ADD_KEYPTR(hh, gate->routers, router->name.data, router->name.len,
+                        router);
+    }
+    gate->in_flight_sum -= router->in_flight;
+    gate->in_flight_time_sum -=
+        (double)router->in_flight * (double)router->at_ms;
+    router->in_flight = in_flight;
+    router->at_ms = now_ms(gate);
+    gate->in_flight_sum += router->in_flight;
+    gate->in_flight_time_sum +=
+        (double)router->in_flight * (double)router->at_ms;
+    // A higher number lifts the bound for those that wait.
+    admit_waiting(gate);
+}
+
 void
 gate_end(struct gate *gate)
 {
--- a/core/route.c
+++ b/core/route.c
@@ -16,6 +16,8 @@
     enum member_use use;
     bool reported;
     struct load_report load;
+    int64_t reported_ms;
+    uint32_t reported_in_flight;
     int64_t refused_until_ms;
     double score;
 };
@@ -36,7 +38,7 @@
     struct placement *placements;
     struct placement *by_use;
     size_t placement_count;
-    uint32_t in_flight;
+    uint32_t accepted;
     size_t walk;
     struct endpoint **order;
 };
@@ -187,6 +189,8 @@
     }
     endpoint->load = *load;
     endpoint->reported = true;
+    endpoint->reported_ms = clock_ms(route->options.clock);
+    endpoint->reported_in_flight = route->accepted;
     if (load->running < load->bound && load->running < load->slots &&
         load->queued == 0) {
         endpoint->refused_until_ms = 0;
@@ -284,9 +288,33 @@
            !was_tried(request, endpoint->name);
 }
 
+/// True if the last report says that the endpoint is at its bound. The bound
+/// is taken to have grown as this router's own requests have.
 static bool
-has_room(const struct endpoint *endpoint, int64_t now_ms)
+is_known_full(const struct route *route, const struct endpoint *endpoint,
+              int64_t now_ms)
 {
+    double growth;
+
+    if (!endpoint->reported ||
+        now_ms - endpoint->reported_ms >= route->options.report_fresh_ms) {
+        return false;
+    }
+    growth = (double)(route->accepted + 1) /
+             (double)(endpoint->reported_in_flight + 1);
+    if (growth < 1) {
+        growth = 1;
+    }
+    return endpoint->load.running >= growth * endpoint->load.bound;
+}
+
+static bool
+has_room(const struct route *route, const struct endpoint *endpoint,
+         int64_t now_ms)
+{
+    if (is_known_full(route, endpoint, now_ms)) {
+        return false;
+    }
     return endpoint->refused_until_ms <= now_ms;
 }
 
@@ -346,7 +374,7 @@
     for (size_t i = 0; i < count; i++) {
         struct endpoint *endpoint = route->order[i];
 
-        if (!has_room(endpoint, now_ms)) {
+        if (!has_room(route, endpoint, now_ms)) {
             continue;
         }
         if (best == NULL || known_fill(endpoint) < known_fill(best)) {
@@ -404,11 +432,11 @@
 }
 
 static bool
-can_take(const struct route_request *request, const struct endpoint *endpoint,
-         int64_t now_ms)
+can_take(const struct route *route, const struct route_request *request,
+         const struct endpoint *endpoint, int64_t now_ms)
 {
     return endpoint != NULL && is_candidate(request, endpoint) &&
-           has_room(endpoint, now_ms);
+           has_room(route, endpoint, now_ms);
 }
 
 bool
@@ -424,16 +452,16 @@
     }
     if (request->hint.len > 0) {
         endpoint = find(route, request->hint);
-        if (can_take(request, endpoint, now_ms)) {
+        if (can_take(route, request, endpoint, now_ms)) {
             return choose(choice, endpoint, ROUTE_HINT, count);
         }
     }
     endpoint = placed_endpoint(route, request);
-    if (can_take(request, endpoint, now_ms)) {
+    if (can_take(route, request, endpoint, now_ms)) {
         return choose(choice, endpoint, ROUTE_PLACED, count);
     }
     for (size_t i = 0; i < count && i < route->options.order_places; i++) {
-        if (has_room(route->order[i], now_ms) &&
+        if (has_room(route, route->order[i], now_ms) &&
             route->order[i]->use == MEMBER_USABLE) {
             bool home = i == 0 && request->tried_count == 0;
 
@@ -451,20 +479,20 @@
 void
 route_begin(struct route *route)
 {
-    route->in_flight++;
+    route->accepted++;
 }
 
 void
 route_end(struct route *route)
 {
-    INVARIANT(route->in_flight > 0);
-    route->in_flight--;
+    INVARIANT(route->accepted > 0);
+    route->accepted--;
 }
 
 uint32_t
 route_in_flight(const struct route *route)
 {
-    return route->in_flight;
+    return route->accepted;
 }
 
 struct str
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -25,8 +25,6 @@
 #define TICK_MS 20
 #define BUSY_INTERVAL_MS 500
 #define PLATFORM_TIMEOUT_MS 3000
-#define ROUTER_SILENT_MS 3000
-#define MARGIN_PER_100MS 0.01
 #define WINDOW_BYTES (256 * 1024)
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
 #define HOLD_MS 15000
@@ -370,8 +368,8 @@
         .slots = (uint32_t)options->settings->slots,
         .incarnation = options->incarnation,
         .bound_multiple = 1.25,
-        .margin_per_100ms = MARGIN_PER_100MS,
-        .router_silent_ms = ROUTER_SILENT_MS,
+        .drift_margin = GATE_DRIFT_MARGIN,
+        .router_silent_ms = GATE_ROUTER_SILENT_MS,
         .queue_requests_max = 256,
         .queue_bytes_max = 32 * 1024 * 1024,
         .admitted = runs_admitted,
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -479,7 +479,7 @@
     request->state = REQUEST_OFFERED;
     request->peer_incarnation = peer_incarnation(request->peer);
     offer->id = attempt_id(request);
-    offer->in_flight = route_in_flight(pool_of(request)) + 1;
+    offer->in_flight = route_in_flight(pool_of(request));
     offer->account = str_from(policy->account_name);
     offer->account_weight = policy->account_weight;
     offer->priority = policy->priority;
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -25,10 +25,6 @@
 #define LOG_MODULE "router"
 #define TICK_MS 50
 #define PLATFORM_TIMEOUT_MS 3000
-#define REFUSAL_MEMORY_MS 50
-#define PLACEMENTS_MAX 20000
-#define ORDER_PLACES 2
-#define REFUSALS_MAX 3
 #define REOPEN_MS 3000
 #define REOPEN_INTERVAL_MS 200
 #define STRUCK_REQUESTS_MAX 10000
@@ -125,10 +121,11 @@
     const struct route_options options = {
         .clock = router->options.clock,
         .random = router->options.random,
-        .refusal_memory_ms = REFUSAL_MEMORY_MS,
-        .placements_max = PLACEMENTS_MAX,
-        .order_places = ORDER_PLACES,
-        .refusals_max = REFUSALS_MAX,
+        .refusal_memory_ms = ROUTE_REFUSAL_MEMORY_MS,
+        .report_fresh_ms = ROUTE_REPORT_FRESH_MS,
+        .placements_max = ROUTE_PLACEMENTS_MAX,
+        .order_places = ROUTE_ORDER_PLACES,
+        .refusals_max = ROUTE_REFUSALS_MAX,
     };
     struct pool *pool;
 
--- a/include/dandelionvalve/gate.h
+++ b/include/dandelionvalve/gate.h
@@ -10,6 +10,9 @@
 #include "dandelionvalve/message.h"
 #include "dandelionvalve/str.h"
 
+#define GATE_DRIFT_MARGIN 1.75
+#define GATE_ROUTER_SILENT_MS 3000
+
 struct gate;
 
 struct gate_options {
@@ -18,9 +21,9 @@
     uint32_t slots; ///< requests that the endpoint runs at once
     uint64_t incarnation;
     double bound_multiple;
-    /// Share of the bound that is given up for each 100 ms that the routers'
-    /// numbers are old, since the true mean may have fallen since.
-    double margin_per_100ms;
+    /// The true mean may have fallen since the routers told their numbers:
+    /// this many times sqrt(requests * age in seconds) are taken off.
+    double drift_margin;
     int64_t router_silent_ms; ///< age at which a router's number is dropped
     size_t queue_requests_max;
     size_t queue_bytes_max;
--- a/include/dandelionvalve/route.h
+++ b/include/dandelionvalve/route.h
@@ -12,6 +12,12 @@
 
 #define ROUTE_TRIED_MAX 16
 
+#define ROUTE_REFUSAL_MEMORY_MS 50
+#define ROUTE_REPORT_FRESH_MS 400
+#define ROUTE_PLACEMENTS_MAX 20000
+#define ROUTE_ORDER_PLACES 2
+#define ROUTE_REFUSALS_MAX 3
+
 struct route;
 
 enum route_reason {
@@ -28,6 +34,8 @@
     const struct random_source *random;
     /// How long a refusal keeps an endpoint out of the choice.
     int64_t refusal_memory_ms;
+    /// How long a report that an endpoint is at its bound is believed.
+    int64_t report_fresh_ms;
     /// Entries of the table of overflow placements.
     size_t placements_max;
     /// Places of the rendezvous order to try before the least loaded.
@@ -93,7 +101,7 @@
 bool route_pick(struct route *route, const struct route_request *request,
                 struct route_choice *choice);
 
-/// Counts a request that this router has in flight in the pool.
+/// Counts a request from its accept to its end.
 void route_begin(struct route *route);
 void route_end(struct route *route);
 uint32_t route_in_flight(const struct route *route);
--- /dev/null
+++ b/measure/fleet.c
@@ -0,0 +1,984 @@
+#include "fleet.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/gate.h"
+#include "dandelionvalve/members.h"
+#include "dandelionvalve/route.h"
+#include "events.h"
+#include "key_cache.h"
+
+#define SERVICE_MEAN_US 2000000.0
+#define DELAY_MIN_US 300
+#define DELAY_SPREAD_US 1200
+#define ZIPF_EXPONENT 0.9
+#define SLOTS 100000
+#define QUEUE_MAX 100000
+#define TICK_US 50000
+#define NEWS_PER_TICK 2
+#define NEWS_AGE_US 100000
+#define STALE_MEAN_US 5000000
+#define DEADLINE_MS 60000
+#define HERD_PER_ENGINE 1000
+#define CHURN_US 60000000.0
+#define AWAY_US 15000000
+#define DOWN_US 2000000
+#define LIST_US 10000000
+#define SHUFFLED_CHURN 3
+#define ENGINES_MAX 256
+
+enum event_type {
+    EVENT_ARRIVE,
+    EVENT_OFFER,
+    EVENT_REPLY,
+    EVENT_END,
+    EVENT_ENDED,
+    EVENT_LOST,
+    EVENT_NEWS,
+    EVENT_STATE,
+    EVENT_TICK,
+    EVENT_CHURN,
+    EVENT_RETURN,
+    EVENT_MEAN,
+    EVENT_LISTS,
+};
+
+struct request {
+    struct fleet *fleet;
+    size_t router;
+    size_t key;
+    size_t engine;
+    char *tried[ROUTE_TRIED_MAX];
+    size_t tried_count;
+    struct route_choice choice;
+    int64_t arrived_us;
+    bool running;   ///< counted by its router
+    bool at_engine; ///< the engine runs it
+    uint64_t epoch; ///< of the engine, when it was admitted
+    struct request *prev;
+    struct request *next;
+    int64_t reply_us; ///< when the last reply arrives; its end comes later
+    // The reply that is on its way.
+    bool accepted;
+    enum refuse_reason reason;
+    struct load_report load;
+};
+
+struct engine {
+    struct fleet *fleet;
+    size_t index;
+    char name[16];
+    uint64_t seed;
+    struct gate *gate;
+    struct key_cache *cache;
+    uint64_t incarnation;
+    uint32_t running;
+    uint64_t admissions;
+    uint64_t epoch; ///< rises with each crash
+};
+
+struct router {
+    struct fleet *fleet;
+    size_t index;
+    char name[16];
+    struct route *route;
+    struct members *members;
+    int64_t noted_us[ENGINES_MAX];
+    uint32_t noted[ENGINES_MAX];
+    size_t walk;
+};
+
+struct fleet {
+    struct fleet_options options;
+    struct fleet_result result;
+    struct manual_clock manual;
+    struct clock clock;
+    struct random_seeded seeded;
+    struct random_source random;
+    gsl_rng *rng;
+    gsl_ran_discrete_t *zipf;
+    struct events *events;
+    struct engine *engines;
+    struct router *routers;
+    uint64_t running;
+    double stale_mean;
+    int64_t *hints; ///< by key: the engine of its last answer, or -1
+    uint64_t warm_requests;
+    uint64_t warm_hits;
+    uint64_t offers;
+    uint64_t churns;
+    double wait_us;
+    struct request *requests;
+};
+
+static void
+add_event(struct fleet *fleet, int64_t delay_us, enum event_type type, int a,
+          int b, void *data)
+{
+    events_add(fleet->events, (struct timed_event){
+                                  .at_us = fleet->manual.now_us + delay_us,
+                                  .type = (int)type,
+                                  .a = a,
+                                  .b = b,
+                                  .data = data,
+                              });
+}
+
+static int64_t
+network_delay(struct fleet *fleet)
+{
+    return DELAY_MIN_US +
+           (int64_t)random_below(&fleet->random, DELAY_SPREAD_US);
+}
+
+static bool
+uses_gate(const struct fleet *fleet)
+{
+    return fleet->options.policy == FLEET_OURS;
+}
+
+/// Engines that take new work.
+static size_t
+live_engines(const struct fleet *fleet)
+{
+    size_t live = 0;
+
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        live += gate_state(fleet->engines[i].gate) == AGENT_READY;
+    }
+    return live;
+}
+
+static void
+check_bound(struct fleet *fleet, const struct engine *engine)
+{
+    double mean = (double)fleet->running / (double)fleet->options.engines;
+    double bound = ceil(fleet->options.multiple * mean);
+
+    fleet->result.admissions++;
+    if ((double)engine->running <= (bound < 1 ? 1 : bound)) {
+        return;
+    }
+    fleet->result.over_bound++;
+    if ((double)engine->running / mean > fleet->result.worst_ratio) {
+        fleet->result.worst_ratio = (double)engine->running / mean;
+    }
+}
+
+static void
+admit(struct fleet *fleet, struct request *request)
+{
+    struct engine *engine = &fleet->engines[request->engine];
+    bool hit = key_cache_use(engine->cache, request->key);
+    double service = -SERVICE_MEAN_US * log(1 - random_unit(&fleet->random));
+    bool warm = fleet->manual.now_us >= fleet->options.duration_us / 3 ||
+                fleet->options.scenario == FLEET_HERD;
+
+    request->at_engine = true;
+    request->epoch = engine->epoch;
+    engine->running++;
+    engine->admissions++;
+    fleet->running++;
+    check_bound(fleet, engine);
+    fleet->warm_requests += warm;
+    fleet->warm_hits += warm && hit;
+    fleet->wait_us += (double)(fleet->manual.now_us - request->arrived_us);
+    add_event(fleet, (int64_t)service, EVENT_END, (int)request->engine,
+              (int)engine->epoch, request);
+}
+
+static void
+reply(struct fleet *fleet, struct request *request, bool accepted,
+      enum refuse_reason reason)
+{
+    request->accepted = accepted;
+    request->reason = reason;
+    request->load = gate_load(fleet->engines[request->engine].gate);
+    request->reply_us = fleet->manual.now_us + network_delay(fleet);
+    add_event(fleet, request->reply_us - fleet->manual.now_us, EVENT_REPLY, 0,
+              0, request);
+}
+
+static void
+on_admitted(void *ctx, void *data)
+{
+    struct engine *engine = ctx;
+
+    admit(engine->fleet, data);
+    reply(engine->fleet, data, true, 0);
+}
+
+static void
+on_dropped(void *ctx, void *data, enum refuse_reason reason,
+           uint32_t retry_after_ms)
+{
+    struct engine *engine = ctx;
+
+    (void)retry_after_ms;
+    reply(engine->fleet, data, false, reason);
+}
+
+static void
+at_engine(struct fleet *fleet, struct request *request, uint32_t in_flight)
+{
+    struct engine *engine = &fleet->engines[request->engine];
+    const struct gate_request offer = {
+        .account = STR_LITERAL("account"),
+        .account_weight = 1,
+        .deadline_ms = clock_ms(&fleet->clock) + DEADLINE_MS,
+        .may_wait = request->choice.may_wait,
+        .request = request,
+    };
+    struct gate_decision decision;
+
+    gate_router_count(engine->gate,
+                      str_from(fleet->routers[request->router].name),
+                      in_flight);
+    decision = gate_offer(engine->gate, &offer);
+    if (decision.verdict == GATE_QUEUED) {
+        fleet->result.waited++;
+        return;
+    }
+    if (decision.verdict == GATE_ADMITTED) {
+        admit(fleet, request);
+    }
+    reply(fleet, request, decision.verdict == GATE_ADMITTED, decision.reason);
+}
+
+/// Requests stay until the end of the run, since late events name them.
+static void
+request_free(struct request *request)
+{
+    for (size_t i = 0; i < request->tried_count; i++) {
+        free(request->tried[i]);
+    }
+    DL_DELETE(request->fleet->requests, request);
+    free(request);
+}
+
+static size_t
+engine_index(const struct fleet *fleet, struct str name)
+{
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        if (str_equal_c(name, fleet->engines[i].name)) {
+            return i;
+        }
+    }
+    BUG("unknown engine");
+}
+
+static void
+fill_route_request(const struct fleet *fleet, const struct request *request,
+                   struct route_request *out)
+{
+    int64_t hint = fleet->hints[request->key];
+
+    *out = (struct route_request){
+        .key_hash = str_hash(
+            (struct str){(const char *)&request->key, sizeof(request->key)},
+            0),
+        .has_key = true,
+        .tried_count = request->tried_count,
+    };
+    if (fleet->options.hints && hint >= 0) {
+        out->hint = str_from(fleet->engines[hint].name);
+    }
+    for (size_t i = 0; i < request->tried_count; i++) {
+        out->tried[i] = str_from(request->tried[i]);
+    }
+}
+
+/// The request runs, or no longer does.
+static void
+set_running(struct fleet *fleet, struct request *request, bool running)
+{
+    struct route *route = fleet->routers[request->router].route;
+
+    if (request->running == running) {
+        return;
+    }
+    request->running = running;
+    if (running) {
+        route_begin(route);
+    }
+    else {
+        route_end(route);
+    }
+}
+
+static void
+dispatch(struct fleet *fleet, struct request *request)
+{
+    struct router *router = &fleet->routers[request->router];
+    struct route_request wanted;
+    size_t engine;
+
+    fill_route_request(fleet, request, &wanted);
+    if (request->tried_count == ROUTE_TRIED_MAX ||
+        !route_pick(router->route, &wanted, &request->choice)) {
+        fleet->result.refused++;
+        set_running(fleet, request, false);
+        return;
+    }
+    engine = engine_index(fleet, request->choice.endpoint);
+    request->engine = engine;
+    fleet->offers++;
+    router->noted_us[engine] = fleet->manual.now_us;
+    router->noted[engine] = route_in_flight(router->route);
+    add_event(fleet, network_delay(fleet), EVENT_OFFER,
+              (int)route_in_flight(router->route), 0, request);
+}
+
+static uint64_t
+rendezvous(const struct engine *engine, size_t key)
+{
+    return str_hash((struct str){(const char *)&key, sizeof(key)},
+                    engine->seed);
+}
+
+static bool
+is_live(const struct engine *engine)
+{
+    return gate_state(engine->gate) == AGENT_READY;
+}
+
+/// The first engine of the key's order that a bound allows.
+static size_t
+first_below(const struct fleet *fleet, size_t key, double bound)
+{
+    size_t best = SIZE_MAX;
+    size_t home = SIZE_MAX;
+
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        const struct engine *engine = &fleet->engines[i];
+        uint64_t score = rendezvous(engine, key);
+
+        if (!is_live(engine)) {
+            continue;
+        }
+        if (home == SIZE_MAX ||
+            score > rendezvous(&fleet->engines[home], key)) {
+            home = i;
+        }
+        if ((double)engine->running + 1 <= bound &&
+            (best == SIZE_MAX ||
+             score > rendezvous(&fleet->engines[best], key))) {
+            best = i;
+        }
+    }
+    return best != SIZE_MAX ? best : home;
+}
+
+static size_t
+two_choices(struct fleet *fleet)
+{
+    size_t a = random_below(&fleet->random, fleet->options.engines);
+    size_t b = random_below(&fleet->random, fleet->options.engines);
+
+    while (!is_live(&fleet->engines[a])) {
+        a = (a + 1) % fleet->options.engines;
+    }
+    if (!is_live(&fleet->engines[b])) {
+        b = a;
+    }
+    return fleet->engines[a].running <= fleet->engines[b].running ? a : b;
+}
+
+/// The baselines see loads without delay, but for the mean that is 5 s old.
+static size_t
+choose_baseline(struct fleet *fleet, size_t key)
+{
+    double mean = (double)(fleet->running + 1) / (double)live_engines(fleet);
+
+    switch (fleet->options.policy) {
+    case FLEET_OMNISCIENT:
+        return first_below(fleet, key,
+                           fmax(1, ceil(fleet->options.multiple * mean)));
+    case FLEET_STALE_MEAN:
+        return first_below(
+            fleet, key,
+            fmax(1, ceil(fleet->options.multiple * fleet->stale_mean)));
+    case FLEET_TWO_CHOICES:
+        return two_choices(fleet);
+    default:
+        return first_below(fleet, key, INFINITY);
+    }
+}
+
+static void
+on_arrive(struct fleet *fleet, size_t key)
+{
+    struct request *request = xcalloc(1, sizeof(*request));
+
+    request->fleet = fleet;
+    DL_APPEND(fleet->requests, request);
+    request->key = key;
+    request->router = random_below(&fleet->random, fleet->options.routers);
+    request->arrived_us = fleet->manual.now_us;
+    fleet->result.requests++;
+    if (uses_gate(fleet)) {
+        dispatch(fleet, request);
+        return;
+    }
+    if (live_engines(fleet) == 0) {
+        fleet->result.refused++;
+        return;
+    }
+    fleet->offers++;
+    request->engine = choose_baseline(fleet, key);
+    admit(fleet, request);
+}
+
+static void
+note_word(struct router *router, const struct engine *engine,
+          const struct load_report *load)
+{
+    struct str name = str_from(engine->name);
+
+    members_word(router->members, name, load->incarnation, load->state);
+    members_heard(router->members, name);
+    route_report(router->route, name, load);
+}
+
+static void
+on_reply(struct fleet *fleet, struct request *request)
+{
+    struct router *router = &fleet->routers[request->router];
+    struct engine *engine = &fleet->engines[request->engine];
+    struct route_request wanted;
+
+    note_word(router, engine, &request->load);
+    if (request->accepted) {
+        set_running(fleet, request, true);
+        fill_route_request(fleet, request, &wanted);
+        route_placed(router->route, &wanted, str_from(engine->name),
+                     request->choice.reason);
+        fleet->hints[request->key] = (int64_t)request->engine;
+        return;
+    }
+    if (request->reason == REFUSE_OVER_BOUND ||
+        request->reason == REFUSE_FULL ||
+        request->reason == REFUSE_QUEUE_FULL) {
+        route_refused(router->route, str_from(engine->name));
+    }
+    if (request->tried_count < ROUTE_TRIED_MAX) {
+        request->tried[request->tried_count++] = xstrdup(engine->name);
+    }
+    dispatch(fleet, request);
+}
+
+static void
+on_end(struct fleet *fleet, struct request *request, size_t index,
+       uint64_t epoch)
+{
+    struct engine *engine = &fleet->engines[index];
+
+    if (!request->at_engine || epoch != request->epoch ||
+        index != request->engine) {
+        return;
+    }
+    if (fleet->manual.now_us < request->reply_us) {
+        add_event(fleet, request->reply_us - fleet->manual.now_us + 1,
+                  EVENT_END, (int)index, (int)epoch, request);
+        return;
+    }
+    request->at_engine = false;
+    engine->running--;
+    fleet->running--;
+    if (!uses_gate(fleet)) {
+        return;
+    }
+    gate_end(engine->gate);
+    request->load = gate_load(engine->gate);
+    add_event(fleet, network_delay(fleet), EVENT_ENDED, 0, 0, request);
+}
+
+/// The agent has told that the engine died; the request goes elsewhere.
+static void
+on_lost(struct fleet *fleet, struct request *request)
+{
+    set_running(fleet, request, false);
+    dispatch(fleet, request);
+}
+
+/// Ends all that an engine runs; the agent beside it tells the routers.
+static void
+lose_running(struct fleet *fleet, struct engine *engine)
+{
+    struct request *request;
+
+    DL_FOREACH(fleet->requests, request)
+    {
+        int64_t delay = network_delay(fleet);
+
+        if (!request->at_engine || request->engine != engine->index) {
+            continue;
+        }
+        request->at_engine = false;
+        engine->running--;
+        fleet->running--;
+        if (!uses_gate(fleet)) {
+            continue;
+        }
+        gate_end(engine->gate);
+        if (fleet->manual.now_us + delay <= request->reply_us) {
+            delay = request->reply_us - fleet->manual.now_us + 1;
+        }
+        add_event(fleet, delay, EVENT_LOST, 0, 0, request);
+    }
+}
+
+static void
+on_ended(struct fleet *fleet, struct request *request)
+{
+    struct router *router = &fleet->routers[request->router];
+    size_t engine = request->engine;
+
+    note_word(router, &fleet->engines[engine], &request->load);
+    set_running(fleet, request, false);
+    router->noted_us[engine] = fleet->manual.now_us;
+    router->noted[engine] = route_in_flight(router->route);
+    add_event(fleet, network_delay(fleet), EVENT_NEWS, (int)router->index,
+              (int)engine, (void *)(uintptr_t)router->noted[engine]);
+}
+
+/// Spare control budget tells the number to engines that have not heard.
+static void
+tell_in_flight(struct fleet *fleet, struct router *router)
+{
+    uint32_t in_flight = route_in_flight(router->route);
+    size_t told = 0;
+
+    router->walk++;
+    for (size_t i = 0; i < fleet->options.engines && told < NEWS_PER_TICK;
+         i++) {
+        size_t engine = (router->walk + i) % fleet->options.engines;
+
+        if (fleet->manual.now_us - router->noted_us[engine] < NEWS_AGE_US ||
+            router->noted[engine] == in_flight) {
+            continue;
+        }
+        router->noted_us[engine] = fleet->manual.now_us;
+        router->noted[engine] = in_flight;
+        fleet->result.news++;
+        told++;
+        add_event(fleet, network_delay(fleet), EVENT_NEWS, (int)router->index,
+                  (int)engine, (void *)(uintptr_t)in_flight);
+    }
+}
+
+static void
+on_tick(struct fleet *fleet)
+{
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        gate_tick(fleet->engines[i].gate);
+    }
+    for (size_t i = 0; i < fleet->options.routers; i++) {
+        members_tick(fleet->routers[i].members);
+        tell_in_flight(fleet, &fleet->routers[i]);
+    }
+    if (fleet->manual.now_us < fleet->options.duration_us) {
+        add_event(fleet, TICK_US, EVENT_TICK, 0, 0, NULL);
+    }
+}
+
+static void
+tell_state(struct fleet *fleet, const struct engine *engine)
+{
+    for (size_t i = 0; i < fleet->options.routers; i++) {
+        add_event(fleet, network_delay(fleet), EVENT_STATE, (int)i,
+                  (int)engine->index, NULL);
+    }
+}
+
+/// One endpoint leaves in order, dies, or flaps twice.
+static void
+on_churn(struct fleet *fleet)
+{
+    struct engine *engine =
+        &fleet->engines[random_below(&fleet->random, fleet->options.engines)];
+    bool leaves = fleet->churns++ % SHUFFLED_CHURN == 0;
+
+    add_event(fleet, (int64_t)(CHURN_US * 10 / (double)fleet->options.engines),
+              EVENT_CHURN, 0, 0, NULL);
+    if (!is_live(engine)) {
+        return;
+    }
+    if (leaves) {
+        gate_set_state(engine->gate, AGENT_LEAVING);
+    }
+    else {
+        gate_set_state(engine->gate, AGENT_ENDPOINT_DOWN);
+        lose_running(fleet, engine);
+        engine->epoch++;
+        key_cache_clear(engine->cache);
+    }
+    tell_state(fleet, engine);
+    add_event(fleet, leaves ? AWAY_US : DOWN_US, EVENT_RETURN,
+              (int)engine->index, leaves, NULL);
+}
+
+static void engine_start(struct engine *engine);
+
+static void
+on_return(struct fleet *fleet, struct engine *engine, bool left)
+{
+    if (left) {
+        // The drain has ended, and a new process takes the place.
+        lose_running(fleet, engine);
+        engine->epoch++;
+        gate_free(engine->gate);
+        key_cache_clear(engine->cache);
+        engine_start(engine);
+    }
+    else {
+        gate_set_state(engine->gate, AGENT_READY);
+    }
+    tell_state(fleet, engine);
+}
+
+static void
+engine_start(struct engine *engine)
+{
+    struct fleet *fleet = engine->fleet;
+    const struct gate_options gate = {
+        .clock = &fleet->clock,
+        .random = &fleet->random,
+        .slots = SLOTS,
+        .incarnation = ++engine->incarnation,
+        .bound_multiple = fleet->options.multiple,
+        .drift_margin = GATE_DRIFT_MARGIN,
+        .router_silent_ms = GATE_ROUTER_SILENT_MS,
+        .queue_requests_max = QUEUE_MAX,
+        .queue_bytes_max = SIZE_MAX / 2,
+        .admitted = on_admitted,
+        .dropped = on_dropped,
+        .ctx = engine,
+    };
+
+    engine->gate = gate_new(&gate);
+    gate_set_pool(engine->gate, fleet->options.engines, 1);
+}
+
+static void
+on_changed(void *ctx, const struct member *member)
+{
+    struct router *router = ctx;
+
+    route_set_use(router->route, member->info.name, member->use);
+}
+
+static void
+on_removed(void *ctx, const struct member *member)
+{
+    struct router *router = ctx;
+
+    route_remove(router->route, member->info.name);
+}
+
+static void
+on_probe(void *ctx, const struct member *member)
+{
+    (void)ctx;
+    (void)member;
+}
+
+static void
+list_engines(struct fleet *fleet, struct router *router)
+{
+    struct member_info infos[ENGINES_MAX];
+
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        infos[i] = (struct member_info){
+            .name = str_from(fleet->engines[i].name),
+            .role = MEMBER_AGENT,
+            .pool = STR_LITERAL("pool"),
+            .weight = 1,
+        };
+    }
+    members_list(router->members, infos, fleet->options.engines);
+}
+
+static void
+router_start(struct fleet *fleet, struct router *router, size_t index)
+{
+    const struct route_options route = {
+        .clock = &fleet->clock,
+        .random = &fleet->random,
+        .refusal_memory_ms = ROUTE_REFUSAL_MEMORY_MS,
+        .report_fresh_ms = ROUTE_REPORT_FRESH_MS,
+        .placements_max = ROUTE_PLACEMENTS_MAX,
+        .order_places = ROUTE_ORDER_PLACES,
+        .refusals_max = ROUTE_REFUSALS_MAX,
+    };
+    const struct members_options members = {
+        .clock = &fleet->clock,
+        .silent_ms = 30000,
+        .hold_ms = 60000,
+        .probe_ms = 1000,
+        .changed = on_changed,
+        .removed = on_removed,
+        .probe = on_probe,
+        .ctx = router,
+    };
+
+    router->fleet = fleet;
+    router->index = index;
+    snprintf(router->name, sizeof(router->name), "router-%zu", index);
+    router->route = route_new(&route);
+    router->members = members_new(&members);
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        const struct route_endpoint_options endpoint = {
+            .name = str_from(fleet->engines[i].name),
+            .weight = 1,
+        };
+
+        route_add(router->route, &endpoint);
+    }
+    list_engines(fleet, router);
+}
+
+/// Each router misses another tenth of the engines.
+static void
+on_lists(struct fleet *fleet)
+{
+    for (size_t i = 0; i < fleet->options.routers; i++) {
+        struct route *route = fleet->routers[i].route;
+
+        for (size_t j = 0; j < fleet->options.engines; j++) {
+            bool missing = random_below(&fleet->random, 10) == 0;
+
+            route_set_use(route, str_from(fleet->engines[j].name),
+                          missing ? MEMBER_UNUSABLE : MEMBER_USABLE);
+        }
+    }
+    add_event(fleet, LIST_US, EVENT_LISTS, 0, 0, NULL);
+}
+
+static size_t
+draw_key(struct fleet *fleet)
+{
+    if (fleet->options.scenario == FLEET_HOT_KEY &&
+        random_below(&fleet->random, 2) == 0) {
+        return 0;
+    }
+    return gsl_ran_discrete(fleet->rng, fleet->zipf);
+}
+
+static void
+schedule_arrival(struct fleet *fleet)
+{
+    double rate = fleet->options.mean_load * (double)fleet->options.engines /
+                  SERVICE_MEAN_US;
+    double wait = -log(1 - random_unit(&fleet->random)) / rate;
+
+    if (fleet->options.scenario == FLEET_HERD ||
+        fleet->manual.now_us >= fleet->options.duration_us) {
+        return;
+    }
+    add_event(fleet, (int64_t)wait, EVENT_ARRIVE, (int)draw_key(fleet), 1,
+              NULL);
+}
+
+static void
+schedule_herd(struct fleet *fleet)
+{
+    size_t count = HERD_PER_ENGINE * fleet->options.engines;
+
+    for (size_t i = 0; i < count; i++) {
+        add_event(fleet, (int64_t)random_below(&fleet->random, 1000000),
+                  EVENT_ARRIVE, (int)draw_key(fleet), 0, NULL);
+    }
+}
+
+static void
+handle(struct fleet *fleet, const struct timed_event *event)
+{
+    struct router *router;
+
+    switch ((enum event_type)event->type) {
+    case EVENT_ARRIVE:
+        on_arrive(fleet, (size_t)event->a);
+        if (event->b) {
+            schedule_arrival(fleet);
+        }
+        return;
+    case EVENT_OFFER:
+        at_engine(fleet, event->data, (uint32_t)event->a);
+        return;
+    case EVENT_REPLY:
+        on_reply(fleet, event->data);
+        return;
+    case EVENT_END:
+        on_end(fleet, event->data, (size_t)event->a, (uint64_t)event->b);
+        return;
+    case EVENT_ENDED:
+        on_ended(fleet, event->data);
+        return;
+    case EVENT_LOST:
+        on_lost(fleet, event->data);
+        return;
+    case EVENT_NEWS:
+        gate_router_count(fleet->engines[event->b].gate,
+                          str_from(fleet->routers[event->a].name),
+                          (uint32_t)(uintptr_t)event->data);
+        return;
+    case EVENT_STATE: {
+        struct load_report load = gate_load(fleet->engines[event->b].gate);
+
+        router = &fleet->routers[event->a];
+        note_word(router, &fleet->engines[event->b], &load);
+        return;
+    }
+    case EVENT_TICK:
+        on_tick(fleet);
+        return;
+    case EVENT_CHURN:
+        on_churn(fleet);
+        return;
+    case EVENT_RETURN:
+        on_return(fleet, &fleet->engines[event->a], event->b != 0);
+        return;
+    case EVENT_MEAN:
+        fleet->stale_mean =
+            (double)fleet->running / (double)fleet->options.engines;
+        add_event(fleet, STALE_MEAN_US, EVENT_MEAN, 0, 0, NULL);
+        return;
+    case EVENT_LISTS:
+        on_lists(fleet);
+        return;
+    }
+}
+
+static void
+fleet_start(struct fleet *fleet)
+{
+    const struct fleet_options *options = &fleet->options;
+    double *weights = xcalloc(options->keys, sizeof(*weights));
+
+    fleet->clock = manual_clock_interface(&fleet->manual);
+    fleet->seeded.state = options->seed;
+    fleet->random = random_seeded_interface(&fleet->seeded);
+    fleet->rng = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(fleet->rng, options->seed);
+    for (size_t i = 0; i < options->keys; i++) {
+        weights[i] = pow((double)i + 1, -ZIPF_EXPONENT);
+    }
+    fleet->zipf = gsl_ran_discrete_preproc(options->keys, weights);
+    free(weights);
+    fleet->events = events_new();
+    fleet->hints = xcalloc(options->keys, sizeof(*fleet->hints));
+    for (size_t i = 0; i < options->keys; i++) {
+        fleet->hints[i] = -1;
+    }
+    fleet->engines = xcalloc(options->engines, sizeof(*fleet->engines));
+    for (size_t i = 0; i < options->engines; i++) {
+        struct engine *engine = &fleet->engines[i];
+
+        engine->fleet = fleet;
+        engine->index = i;
+        engine->seed = options->seed * 1000 + i;
+        snprintf(engine->name, sizeof(engine->name), "engine-%zu", i);
+        engine->cache = key_cache_new(options->cache_keys);
+        engine_start(engine);
+    }
+    fleet->routers = xcalloc(options->routers, sizeof(*fleet->routers));
+    for (size_t i = 0; i < options->routers; i++) {
+        router_start(fleet, &fleet->routers[i], i);
+    }
+}
+
+static void
+fleet_schedule(struct fleet *fleet)
+{
+    add_event(fleet, TICK_US, EVENT_TICK, 0, 0, NULL);
+    add_event(fleet, STALE_MEAN_US, EVENT_MEAN, 0, 0, NULL);
+    if (fleet->options.scenario == FLEET_HERD) {
+        schedule_herd(fleet);
+    }
+    else {
+        schedule_arrival(fleet);
+    }
+    if (fleet->options.scenario == FLEET_CHURN) {
+        add_event(fleet, 5000000, EVENT_CHURN, 0, 0, NULL);
+    }
+    if (fleet->options.scenario == FLEET_DISAGREE && uses_gate(fleet)) {
+        add_event(fleet, 0, EVENT_LISTS, 0, 0, NULL);
+    }
+}
+
+static void
+fleet_stop(struct fleet *fleet)
+{
+    while (fleet->requests != NULL) {
+        request_free(fleet->requests);
+    }
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        gate_free(fleet->engines[i].gate);
+        key_cache_free(fleet->engines[i].cache);
+    }
+    for (size_t i = 0; i < fleet->options.routers; i++) {
+        members_free(fleet->routers[i].members);
+        route_free(fleet->routers[i].route);
+    }
+    events_free(fleet->events);
+    gsl_ran_discrete_free(fleet->zipf);
+    gsl_rng_free(fleet->rng);
+    free(fleet->hints);
+    free(fleet->engines);
+    free(fleet->routers);
+}
+
+static void
+finish_result(struct fleet *fleet)
+{
+    struct fleet_result *result = &fleet->result;
+    double busiest = 0;
+
+    for (size_t i = 0; i < fleet->options.engines; i++) {
+        double admissions = (double)fleet->engines[i].admissions;
+
+        busiest = admissions > busiest ? admissions : busiest;
+    }
+    result->skew = busiest * (double)fleet->options.engines /
+                   (double)(result->admissions > 0 ? result->admissions : 1);
+    result->hops = (double)fleet->offers / (double)result->requests;
+    result->waited /= (double)result->requests;
+    result->mean_wait_ms = fleet->wait_us / 1000 / (double)result->admissions;
+    result->reuse = fleet->warm_requests > 0 ? (double)fleet->warm_hits /
+                                                   (double)fleet->warm_requests
+                                             : 0;
+}
+
+struct fleet_result
+fleet_run(const struct fleet_options *options)
+{
+    struct fleet fleet = {.options = *options};
+    struct timed_event event;
+
+    INVARIANT(options->engines <= ENGINES_MAX);
+    fleet_start(&fleet);
+    fleet_schedule(&fleet);
+    while (events_next(fleet.events, &event)) {
+        // Admissions are counted while callers come, not while the last
+        // answers run out.
+        if (event.at_us > options->duration_us) {
+            events_add(fleet.events, event);
+            break;
+        }
+        fleet.manual.now_us = event.at_us;
+        handle(&fleet, &event);
+    }
+    finish_result(&fleet);
+    fleet_stop(&fleet);
+    return fleet.result;
+}
--- /dev/null
+++ b/measure/routing.c
@@ -0,0 +1,145 @@
+/// Load bound, hops and cache reuse against the baselines.
+#include "measure.h"
+
+#include <inttypes.h>
+
+#include "fleet.h"
+
+#define CHURN_TARGET 0.8
+#define STEADY_TARGET 0.9
+#define HOPS_TARGET 1.5
+
+static const char *const policy_names[] = {
+    [FLEET_OURS] = "ours",
+    [FLEET_OMNISCIENT] = "omniscient",
+    [FLEET_HASH] = "hash-only",
+    [FLEET_TWO_CHOICES] = "two-choices",
+    [FLEET_STALE_MEAN] = "mean-5s-old",
+};
+
+static const char *const scenario_names[] = {
+    [FLEET_STEADY] = "steady",     [FLEET_HERD] = "herd",
+    [FLEET_HOT_KEY] = "hot-key",   [FLEET_CHURN] = "churn",
+    [FLEET_DISAGREE] = "disagree",
+};
+
+static struct fleet_options
+base_options(const struct measure_options *options, size_t engines,
+             enum fleet_scenario scenario)
+{
+    return (struct fleet_options){
+        .scenario = scenario,
+        .seed = options->seed,
+        .multiple = 1.25,
+        .engines = engines,
+        .routers = 6,
+        .mean_load = 6,
+        .keys = 400 * engines,
+        .cache_keys = 600,
+        .hints = true,
+        .duration_us = scenario == FLEET_HERD ? 3000000 : 180 * 1000000LL,
+    };
+}
+
+static void
+print_row(const struct measure_options *options,
+          const struct fleet_options *run, const struct fleet_result *result,
+          double omniscient_reuse)
+{
+    double over = 100 * (double)result->over_bound /
+                  (double)(result->admissions > 0 ? result->admissions : 1);
+    double relative =
+        omniscient_reuse > 0 ? 100 * result->reuse / omniscient_reuse : 100;
+
+    printf("%-9s %3zu %3zu %5.2f %-12s %8" PRIu64
+           " %8.3f %7.2f %6.2f %7.1f %7.1f %6.2f %8.1f\n",
+           scenario_names[run->scenario], run->engines, run->routers,
+           run->multiple, policy_names[run->policy], result->admissions, over,
+           result->worst_ratio, result->hops, 100 * result->reuse, relative,
+           result->skew, result->mean_wait_ms);
+    if (options->csv != NULL) {
+        fprintf(options->csv,
+                "%s,%zu,%zu,%.2f,%s,%" PRIu64 ",%.5f,%.3f,%.3f,%.4f,%.4f,"
+                "%.3f,%.2f\n",
+                scenario_names[run->scenario], run->engines, run->routers,
+                run->multiple, policy_names[run->policy], result->admissions,
+                over, result->worst_ratio, result->hops, result->reuse,
+                relative, result->skew, result->mean_wait_ms);
+    }
+}
+
+static void
+print_head(const struct measure_options *options)
+{
+    printf("seed %" PRIu64 "\n", options->seed);
+    printf("%-9s %3s %3s %5s %-12s %8s %8s %7s %6s %7s %7s %6s %8s\n",
+           "scenario", "eng", "rtr", "mult", "policy", "admitted", "over%",
+           "worst", "hops", "reuse%", "of-omn%", "skew", "wait-ms");
+    if (options->csv != NULL) {
+        fprintf(options->csv,
+                "scenario,engines,routers,multiple,policy,admissions,"
+                "over_percent,worst_ratio,hops,reuse,of_omniscient,skew,"
+                "wait_ms\n");
+    }
+}
+
+/// Runs ours and all baselines; returns how many targets were missed.
+static int
+compare(const struct measure_options *options, struct fleet_options run)
+{
+    struct fleet_result results[FLEET_STALE_MEAN + 1];
+    double relative;
+    double wanted = run.scenario == FLEET_CHURN ? CHURN_TARGET : STEADY_TARGET;
+    int missed = 0;
+
+    for (int policy = 0; policy <= FLEET_STALE_MEAN; policy++) {
+        run.policy = (enum fleet_policy)policy;
+        results[policy] = fleet_run(&run);
+    }
+    for (int policy = 0; policy <= FLEET_STALE_MEAN; policy++) {
+        run.policy = (enum fleet_policy)policy;
+        print_row(options, &run, &results[policy],
+                  results[FLEET_OMNISCIENT].reuse);
+    }
+    relative = results[FLEET_OURS].reuse / results[FLEET_OMNISCIENT].reuse;
+    if (run.scenario != FLEET_HERD && relative < wanted) {
+        printf("  missed: reuse %.1f%% of omniscient, wanted %.0f%%\n",
+               100 * relative, 100 * wanted);
+        missed++;
+    }
+    if (results[FLEET_OURS].over_bound * 1000 >
+        results[FLEET_OURS].admissions) {
+        printf("  missed: more than 0.1%% of admissions over the bound\n");
+        missed++;
+    }
+    if (run.scenario != FLEET_HOT_KEY &&
+        results[FLEET_OURS].hops > HOPS_TARGET) {
+        printf("  missed: %.2f hops, wanted %.1f\n", results[FLEET_OURS].hops,
+               HOPS_TARGET);
+        missed++;
+    }
+    return missed;
+}
+
+int
+measure_routing(const struct measure_options *options)
+{
+    static const double multiples[] = {1.25, 1.5, 2};
+    static const size_t sizes[] = {20, 10};
+    int missed = 0;
+
+    print_head(options);
+    for (size_t s = 0; s < 2; s++) {
+        for (int scenario = 0; scenario <= FLEET_DISAGREE; scenario++) {
+            for (size_t m = 0; m < 3; m++) {
+                struct fleet_options run = base_options(
+                    options, sizes[s], (enum fleet_scenario)scenario);
+
+                run.multiple = multiples[m];
+                missed += compare(options, run);
+            }
+        }
+    }
+    printf("targets missed: %d\n", missed);
+    return missed;
+}
--- a/net/link.c
+++ b/net/link.c
@@ -345,6 +345,7 @@
         setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &one,
                    sizeof(one));
         send_hello(link);
+        bufferevent_enable(bev, EV_READ);
         return;
     }
     if (link->state == LINK_CONNECTING) {
@@ -429,7 +430,6 @@
 start(struct link *link)
 {
     bufferevent_setcb(link->bev, on_read, on_write, on_event, link);
-    bufferevent_enable(link->bev, EV_READ | EV_WRITE);
 }
 
 struct link *
@@ -440,7 +440,8 @@
     address_format((const struct sockaddr *)&address->storage,
                    link->peer_address);
     // The callbacks are set afterwards: a connect that fails at once is
-    // reported by on_timer, never from here.
+    // reported by on_timer, never from here. Reading starts with the hello,
+    // since the peer's may come together with the end of the connect.
     if (bufferevent_socket_connect(link->bev,
                                    (struct sockaddr *)&address->storage,
                                    (int)address->len) != 0) {
@@ -461,6 +462,7 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     start(link);
     send_hello(link);
+    bufferevent_enable(link->bev, EV_READ);
     return link;
 }
 
--- a/standin/main.c
+++ b/standin/main.c
@@ -135,6 +135,16 @@
     event_base_free(standin->base);
 }
 
+static int64_t
+wall_offset_ms(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000 -
+           clock_ms(&clock_monotonic);
+}
+
 static int
 run(const struct program *program, const struct settings_standin *settings)
 {
@@ -144,6 +154,7 @@
         .base = standin.base,
         .clock = &clock_monotonic,
         .address = settings->platform,
+        .wall_offset_ms = wall_offset_ms(),
         .retention_ms = settings->retention_ms,
         .append_delay_ms = settings->append_delay_ms,
         .appends_per_s = settings->appends_per_s,
--- a/standin/platform_log.c
+++ b/standin/platform_log.c
@@ -15,7 +15,6 @@
 #include "net/http.h"
 
 #define BODY_BYTES_MAX (64 * 1024 * 1024)
-#define WALL_CLOCK_START_MS 1700000000000LL
 #define JSON_TYPE "application/json"
 #define STREAM_BYTES_MAX 128
 
@@ -76,7 +75,7 @@
 static int64_t
 now_ms(const struct platform_log *log)
 {
-    return WALL_CLOCK_START_MS + clock_ms(log->options.clock);
+    return log->options.wall_offset_ms + clock_ms(log->options.clock);
 }
 
 static void
--- a/standin/platform_log.h
+++ b/standin/platform_log.h
@@ -23,6 +23,7 @@
     struct event_base *base;
     const struct clock *clock;
     struct address address;
+    int64_t wall_offset_ms; ///< added to the clock for times since 1970
     int64_t retention_ms;
     int64_t append_delay_ms;
     int64_t appends_per_s;
