tests: unit and end-to-end suites; faults that they found

Cause: the first run of the suites failed in five places: waiting requests stayed in one engine's queue while others were idle (200 streams took more than 15 s to start), a link that was swallowed in its handshake made its request fail, a slow caller's answer was cut as idle and held up to 2.6 MB in the kernel, and a crashing request killed more than three engines. Change: a pool that is loaded evenly can always grow, whatever the drift margin; a gate whose bound stands still for 100 ms sends waiting requests back to their router; a swallowed handshake is tried once more; a run that is held back is not idle; caller sockets get a send buffer of 128 KB.

--- a/core/gate.c
+++ b/core/gate.c
@@ -12,10 +12,15 @@
 #define RATE_WINDOW_MS 10000.0
 #define RETRY_AFTER_MIN_MS 1000.0
 #define RETRY_AFTER_MAX_MS 300000.0
-#define EXPIRY_SCAN_INTERVAL_MS 20
+#define SCAN_INTERVAL_MS 20
+#define BOUND_WAIT_MS 100
+
+// Share of the room between mean and bound that the drift margin may take.
+#define GROWTH_SHARE 0.9
 
 struct waiting {
     struct gate_request request;
+    int64_t since_ms;
     struct waiting *prev;
     struct waiting *next;
 };
@@ -60,7 +65,8 @@
     size_t queued_bytes;
     struct decayed ended;
     struct decayed refused;
-    int64_t next_expiry_scan_ms;
+    int64_t next_scan_ms;
+    int64_t woken_ms; ///< when a waiting request was last admitted
 };
 
 struct gate *
@@ -215,8 +221,16 @@
     double sum = (double)gate_pool_in_flight(gate);
     double drift =
         gate->options.drift_margin * sqrt(sum * mean_age_ms(gate) / 1000);
-    double bound = ceil(gate->options.bound_multiple * (sum - drift) * share);
+    double drift_max =
+        GROWTH_SHARE * (1 - 1 / gate->options.bound_multiple) * sum;
+    double bound;
 
+    // A pool that is loaded evenly must be able to grow, or it would stand
+    // still at whatever load it has while requests wait.
+    if (drift > drift_max) {
+        drift = drift_max;
+    }
+    bound = ceil(gate->options.bound_multiple * (sum - drift) * share);
     if (bound < 1) {
         return 1;
     }
@@ -387,6 +401,7 @@
     account = add_account(gate, request);
     waiting = xcalloc(1, sizeof(*waiting));
     waiting->request = *request;
+    waiting->since_ms = now_ms(gate);
     waiting->request.account = account->name;
     if (waiting->request.priority >= PRIORITIES) {
         waiting->request.priority = PRIORITIES - 1;
@@ -454,6 +469,7 @@
         DL_APPEND(gate->round, account);
     }
     gate->running++;
+    gate->woken_ms = now_ms(gate);
     gate->options.admitted(gate->options.ctx, request);
 }
 
@@ -533,15 +549,35 @@
     return false;
 }
 
+/// Why a waiting request should go, or REFUSE_REASON_END if it should not.
+static enum refuse_reason
+drop_reason(const struct gate *gate, const struct waiting *waiting,
+            int64_t now)
+{
+    if (waiting->request.deadline_ms <= now) {
+        return REFUSE_DEADLINE;
+    }
+    // The endpoint has slots, but its bound stands still: another endpoint
+    // may be idle, so the router should choose again.
+    if (gate->running < gate->options.slots &&
+        now - waiting->since_ms >= BOUND_WAIT_MS &&
+        now - gate->woken_ms >= BOUND_WAIT_MS) {
+        return REFUSE_OVER_BOUND;
+    }
+    return REFUSE_REASON_END;
+}
+
 static struct waiting *
-first_expired(const struct account *account, int64_t now)
+first_to_drop(const struct gate *gate, const struct account *account,
+              int64_t now, enum refuse_reason *reason)
 {
     for (size_t p = 0; p < PRIORITIES; p++) {
         struct waiting *waiting;
 
         DL_FOREACH(account->queues[p], waiting)
         {
-            if (waiting->request.deadline_ms <= now) {
+            *reason = drop_reason(gate, waiting, now);
+            if (*reason != REFUSE_REASON_END) {
                 return waiting;
             }
         }
@@ -550,26 +586,26 @@
 }
 
 static void
-drop_expired(struct gate *gate)
+drop_waiting(struct gate *gate)
 {
     int64_t now = now_ms(gate);
     struct account *account, *next;
 
-    if (now < gate->next_expiry_scan_ms) {
+    if (now < gate->next_scan_ms) {
         return;
     }
-    gate->next_expiry_scan_ms = now + EXPIRY_SCAN_INTERVAL_MS;
+    gate->next_scan_ms = now + SCAN_INTERVAL_MS;
     DL_FOREACH_SAFE(gate->round, account, next)
     {
-        struct waiting *waiting = first_expired(account, now);
+        enum refuse_reason reason;
+        struct waiting *waiting = first_to_drop(gate, account, now, &reason);
 
         while (waiting != NULL) {
             void *request = waiting->request.request;
 
             unlink_waiting(gate, account, waiting);
-            gate->options.dropped(gate->options.ctx, request, REFUSE_DEADLINE,
-                                  0);
-            waiting = first_expired(account, now);
+            gate->options.dropped(gate->options.ctx, request, reason, 0);
+            waiting = first_to_drop(gate, account, now, &reason);
         }
         if (account->count == 0) {
             account_remove(gate, account);
@@ -589,8 +625,8 @@
             router_remove(gate, router);
         }
     }
-    drop_expired(gate);
     admit_waiting(gate);
+    drop_waiting(gate);
 }
 
 struct load_report
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -17,6 +17,7 @@
     struct link *link;
     struct event *reopen;
     bool was_ready;
+    bool tried_twice;
     int64_t broken_ms; ///< when the ready link broke, or 0
     size_t holds;
     uint64_t incarnation;
@@ -44,6 +45,7 @@
     struct peer *peer = peer_of(link);
 
     peer->was_ready = true;
+    peer->tried_twice = false;
     peer->broken_ms = 0;
     peer->incarnation = link_peer_incarnation(link);
     link_set_busy(link, peer->holds > 0);
@@ -62,6 +64,7 @@
 give_up(struct peer *peer)
 {
     peer->broken_ms = 0;
+    peer->tried_twice = false;
     peer->peers->options.unreachable(peer->peers->options.ctx, peer);
 }
 
@@ -87,6 +90,13 @@
         }
         return;
     }
+    // The first connection may have been swallowed; a second one tells.
+    if (err->code == ERR_TIMEOUT && peer->broken_ms == 0 &&
+        !peer->tried_twice && peer->holds > 0) {
+        peer->tried_twice = true;
+        event_add(peer->reopen, &at_once);
+        return;
+    }
     if (peer->broken_ms == 0 ||
         now - peer->broken_ms >= peers->options.reopen_ms ||
         peer->holds == 0) {
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -76,6 +76,15 @@
     }
 }
 
+static void
+forget_tried(struct request *request)
+{
+    for (size_t i = 0; i < request->tried_count; i++) {
+        free(request->tried[i]);
+    }
+    request->tried_count = 0;
+}
+
 static void
 request_free(struct request *request)
 {
@@ -87,9 +96,7 @@
     if (request->gone != NULL) {
         event_free(request->gone);
     }
-    for (size_t i = 0; i < request->tried_count; i++) {
-        free(request->tried[i]);
-    }
+    forget_tried(request);
     free(request->policy.route_name);
     free(request->policy.pool_name);
     free(request->policy.account_name);
@@ -685,6 +692,16 @@
     }
 }
 
+/// It has waited in vain; by now the loads have changed.
+static void
+choose_again(struct request *request)
+{
+    forget_tried(request);
+    leave_peer(request);
+    request->state = REQUEST_NEW;
+    request_dispatch(request);
+}
+
 static void
 take_refuse(struct request *request, enum refuse_reason reason,
             uint32_t retry_after_ms)
@@ -702,7 +719,12 @@
         reason == REFUSE_QUEUE_FULL) {
         route_refused(pool_of(request), peer_name(request->peer));
     }
-    if (!outcome_refusal_is_local(reason) || request->choice.may_wait) {
+    if (reason == REFUSE_OVER_BOUND && request->choice.may_wait) {
+        choose_again(request);
+        return;
+    }
+    if (!outcome_refusal_is_local(reason) ||
+        (request->choice.may_wait && reason == REFUSE_QUEUE_FULL)) {
         leave_peer(request);
         request_refuse(request, outcome_refusal_status(reason),
                        outcome_of_refusal(reason), "the agent refused: %s",
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -24,11 +24,13 @@
 
 #define LOG_MODULE "router"
 #define TICK_MS 50
+#define CALLER_SEND_BUFFER_BYTES (128 * 1024)
 #define PLATFORM_TIMEOUT_MS 3000
 #define REOPEN_MS 3000
 #define REOPEN_INTERVAL_MS 200
 #define STRUCK_REQUESTS_MAX 10000
 #define IN_FLIGHT_NEWS_MS 100
+#define IN_FLIGHT_REPEAT_MS 1000
 #define IN_FLIGHT_NEWS_PER_TICK 2
 
 struct pool {
@@ -473,6 +475,18 @@
                  &change);
 }
 
+static bool
+needs_news(const struct peer *peer, uint32_t in_flight, int64_t now)
+{
+    int64_t age = now - peer_noted_ms(peer);
+
+    if (peer_state(peer) != PEER_READY || age < IN_FLIGHT_NEWS_MS) {
+        return false;
+    }
+    return peer_noted_in_flight(peer) != in_flight ||
+           (in_flight > 0 && age >= IN_FLIGHT_REPEAT_MS);
+}
+
 /// Tells agents that have not heard lately how many requests this router has
 /// in flight, so that their bound follows.
 static void
@@ -492,9 +506,8 @@
             struct peer *peer =
                 peers_find(router->peers, route_name_after(pool->route, i));
 
-            if (peer == NULL || peer_state(peer) != PEER_READY ||
-                now - peer_noted_ms(peer) < IN_FLIGHT_NEWS_MS ||
-                peer_noted_in_flight(peer) == message.in_flight.in_flight) {
+            if (peer == NULL ||
+                !needs_news(peer, message.in_flight.in_flight, now)) {
                 continue;
             }
             peer_note_in_flight(peer, message.in_flight.in_flight);
@@ -659,6 +672,8 @@
 listen_callers(struct router *router, struct err *err)
 {
     const struct settings_router *settings = router->options.settings;
+    const int send_buffer = CALLER_SEND_BUFFER_BYTES;
+    int fd;
 
     router->http = evhttp_new(router->options.base);
     if (router->http == NULL) {
@@ -681,8 +696,11 @@
                        "cannot listen for callers on %s port %d",
                        settings->callers.ip, settings->callers.port);
     }
-    return address_of_socket(evhttp_bound_socket_get_fd(router->socket),
-                             &router->callers_address);
+    fd = evhttp_bound_socket_get_fd(router->socket);
+    // Accepted sockets inherit it: a slow caller holds no more than this in
+    // the kernel.
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof(send_buffer));
+    return address_of_socket(fd, &router->callers_address);
 }
 
 static void
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -45,6 +45,7 @@
     char *body;
     uint64_t body_received;
     bool struck;
+    bool paused; ///< the router takes no more for now
     struct endpoint_call *call;
     struct event *timer;
     int64_t deadline_ms;
@@ -365,7 +366,9 @@
     int64_t wait;
     struct timeval delay;
 
-    if (run->state == RUN_RUNNING && run->activity_ms + limit < due) {
+    // An endpoint that is held back is not idle.
+    if (run->state == RUN_RUNNING && !run->paused &&
+        run->activity_ms + limit < due) {
         due = run->activity_ms + limit;
     }
     wait = due - clock_ms(run->runs->options.clock);
@@ -375,6 +378,19 @@
     event_add(run->timer, &delay);
 }
 
+/// Holds the endpoint back, or lets it go on.
+static void
+set_paused(struct run *run, bool paused)
+{
+    if (run->call == NULL || run->paused == paused) {
+        return;
+    }
+    run->paused = paused;
+    run->activity_ms = clock_ms(run->runs->options.clock);
+    endpoint_pause(run->call, paused);
+    set_timer(run);
+}
+
 static void
 on_head(void *ctx, int status, const struct message_header *headers,
         size_t count)
@@ -433,7 +449,7 @@
         left -= len;
     }
     if (run->end_offset - run->kept_offset > run->runs->options.window_bytes) {
-        endpoint_pause(run->call, true);
+        set_paused(run, true);
     }
 }
 
@@ -855,9 +871,8 @@
         run_free(run);
         return;
     }
-    if (run->call != NULL &&
-        run->end_offset - offset <= runs->options.window_bytes / 2) {
-        endpoint_pause(run->call, false);
+    if (run->end_offset - offset <= runs->options.window_bytes / 2) {
+        set_paused(run, false);
     }
 }
 
@@ -890,7 +905,7 @@
             bury(run);
         }
         else {
-            endpoint_pause(run->call, false);
+            set_paused(run, false);
         }
         return;
     case RUN_ENDED:
--- a/include/dandelionvalve/gate.h
+++ b/include/dandelionvalve/gate.h
@@ -29,8 +29,9 @@
     size_t queue_bytes_max;
     /// Called when a waiting request is admitted; it counts as running.
     void (*admitted)(void *ctx, void *request);
-    /// Called when a waiting request is dropped: its deadline has passed, or
-    /// the queue is full and its account holds more of it than its share.
+    /// Called when a waiting request is dropped: its deadline has passed, the
+    /// queue is full and its account holds more of it than its share, or the
+    /// bound holds it back so long that another endpoint should be tried.
     void (*dropped)(void *ctx, void *request, enum refuse_reason reason,
                     uint32_t retry_after_ms);
     void *ctx;
--- a/measure/fleet.c
+++ b/measure/fleet.c
@@ -26,6 +26,7 @@
 #define TICK_US 50000
 #define NEWS_PER_TICK 2
 #define NEWS_AGE_US 100000
+#define NEWS_REPEAT_US 1000000
 #define STALE_MEAN_US 5000000
 #define DEADLINE_MS 60000
 #define HERD_PER_ENGINE 1000
@@ -254,13 +255,20 @@
     reply(fleet, request, decision.verdict == GATE_ADMITTED, decision.reason);
 }
 
-/// Requests stay until the end of the run, since late events name them.
 static void
-request_free(struct request *request)
+forget_tried(struct request *request)
 {
     for (size_t i = 0; i < request->tried_count; i++) {
         free(request->tried[i]);
     }
+    request->tried_count = 0;
+}
+
+/// Requests stay until the end of the run, since late events name them.
+static void
+request_free(struct request *request)
+{
+    forget_tried(request);
     DL_DELETE(request->fleet->requests, request);
     free(request);
 }
@@ -470,7 +478,10 @@
         request->reason == REFUSE_QUEUE_FULL) {
         route_refused(router->route, str_from(engine->name));
     }
-    if (request->tried_count < ROUTE_TRIED_MAX) {
+    if (request->reason == REFUSE_OVER_BOUND && request->choice.may_wait) {
+        forget_tried(request);
+    }
+    else if (request->tried_count < ROUTE_TRIED_MAX) {
         request->tried[request->tried_count++] = xstrdup(engine->name);
     }
     dispatch(fleet, request);
@@ -563,8 +574,11 @@
          i++) {
         size_t engine = (router->walk + i) % fleet->options.engines;
 
-        if (fleet->manual.now_us - router->noted_us[engine] < NEWS_AGE_US ||
-            router->noted[engine] == in_flight) {
+        int64_t age_us = fleet->manual.now_us - router->noted_us[engine];
+
+        if (age_us < NEWS_AGE_US ||
+            (router->noted[engine] == in_flight &&
+             (in_flight == 0 || age_us < NEWS_REPEAT_US))) {
             continue;
         }
         router->noted_us[engine] = fleet->manual.now_us;
--- a/net/address.c
+++ b/net/address.c
@@ -22,18 +22,38 @@
                      sizeof(address->ip)) != NULL;
 }
 
+static void
+clear_port(struct address *address)
+{
+    struct sockaddr_in *v4 = (void *)&address->storage;
+    struct sockaddr_in6 *v6 = (void *)&address->storage;
+
+    if (address->storage.ss_family == AF_INET) {
+        v4->sin_port = 0;
+    }
+    else {
+        v6->sin6_port = 0;
+    }
+}
+
 bool
 address_parse(struct str text, struct address *address, struct err *err)
 {
     char buffer[ADDRESS_TEXT_BYTES];
     int len = sizeof(address->storage);
-    const char *port = NULL;
+    char *port = NULL;
+    bool ephemeral;
 
     if (text.len < sizeof(buffer)) {
         memcpy(buffer, text.data, text.len);
         buffer[text.len] = '\0';
         port = strrchr(buffer, ':');
     }
+    // libevent takes port 0, the system's choice, for an error.
+    ephemeral = port != NULL && !strcmp(port, ":0");
+    if (ephemeral) {
+        port[1] = '1';
+    }
     if (port == NULL || port[1] == '\0' ||
         evutil_parse_sockaddr_port(
             buffer, (struct sockaddr *)&address->storage, &len) != 0) {
@@ -41,6 +61,9 @@
                        "'" STR_FMT "' is not an IP number with a port",
                        STR_ARG(text));
     }
+    if (ephemeral) {
+        clear_port(address);
+    }
     address->len = (socklen_t)len;
     return fill_text(address);
 }
--- a/standin/platform_log.c
+++ b/standin/platform_log.c
@@ -566,6 +566,13 @@
     return true;
 }
 
+int64_t
+platform_log_append(struct platform_log *log, const char *stream,
+                    struct str data)
+{
+    return append(log, stream, data);
+}
+
 uint64_t
 platform_log_appends(const struct platform_log *log)
 {
--- a/standin/platform_log.h
+++ b/standin/platform_log.h
@@ -42,4 +42,8 @@
 /// Replaces the VM list; readers see it after the lag. False if not JSON.
 bool platform_log_set_vms(struct platform_log *log, struct str json);
 
+/// Appends as an operator's command does; returns the offset.
+int64_t platform_log_append(struct platform_log *log, const char *stream,
+                            struct str data);
+
 uint64_t platform_log_appends(const struct platform_log *log);
--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,114 @@
+/// A whole deployment in one process on ephemeral ports, for tests.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "daemon/agent.h"
+#include "daemon/router.h"
+#include "net/endpoint.h"
+#include "relay.h"
+#include "standin/engine.h"
+#include "standin/platform_log.h"
+#include "standin/service.h"
+
+#define HARNESS_MAX 8
+#define HARNESS_KEY "test-key"
+
+struct event_base;
+struct evbuffer;
+
+struct harness_options {
+    size_t engines;
+    size_t services;
+    size_t routers;
+    int64_t slots;
+    int64_t decode_us;
+    int64_t work_us;
+    int64_t append_delay_ms;
+    bool relays;          ///< links go through a relay for each agent
+    const char *document; ///< NULL for the usual one
+};
+
+struct harness {
+    struct harness_options options;
+    struct event_base *base;
+    struct platform_log *log;
+    struct engine *engines[HARNESS_MAX];
+    struct service *services[HARNESS_MAX];
+    size_t agent_count;
+    struct settings_agent agent_settings[2 * HARNESS_MAX];
+    char agent_names[2 * HARNESS_MAX][16];
+    struct agent *agents[2 * HARNESS_MAX];
+    bool agent_drained[2 * HARNESS_MAX];
+    struct relay *relays[2 * HARNESS_MAX];
+    struct settings_router router_settings[HARNESS_MAX];
+    char router_names[HARNESS_MAX][16];
+    struct router *routers[HARNESS_MAX];
+    bool router_drained[HARNESS_MAX];
+    uint64_t incarnation;
+};
+
+/// One call of a caller.
+struct harness_call {
+    struct endpoint *endpoint;
+    struct endpoint_call *call;
+    int status;
+    char outcome[16];
+    char hint[64];
+    char replayed[8];
+    char retry_after[16];
+    struct evbuffer *body;
+    bool ended;
+    enum endpoint_end end;
+};
+
+/// Starts everything and waits until the routers are ready.
+void harness_start(struct harness *harness,
+                   const struct harness_options *options);
+void harness_stop(struct harness *harness);
+
+/// Runs the loop until the condition holds; false after `limit_ms`.
+bool harness_wait(struct harness *harness, bool (*condition)(void *ctx),
+                  void *ctx, int64_t limit_ms);
+void harness_run(struct harness *harness, int64_t ms);
+
+/// Agent `index` stops without a word, and starts anew with its settings.
+void harness_kill_agent(struct harness *harness, size_t index);
+void harness_start_agent(struct harness *harness, size_t index);
+
+/// Publishes the VM list as it is now; `leaving` names an agent or is NULL.
+void harness_publish_vms(struct harness *harness, const char *leaving);
+void harness_publish_document(struct harness *harness, const char *document,
+                              int64_t base);
+
+/// Starts a call; `key` is an idempotency key or NULL. The headers array may
+/// be NULL. Free with harness_call_free().
+void harness_call(struct harness *harness, size_t router,
+                  struct harness_call *call, const char *method,
+                  const char *path, const char *key, const char *body);
+void harness_call_free(struct harness_call *call);
+
+/// A condition: the call has ended.
+bool harness_call_ended(void *call);
+
+/// Starts a call and waits for its end; fails the test if it does not come.
+void harness_do(struct harness *harness, size_t router,
+                struct harness_call *call, const char *method,
+                const char *path, const char *key, const char *body);
+
+/// The body as a NUL-terminated text that lives as long as the call.
+const char *harness_body(struct harness_call *call);
+
+/// True if the answer is the whole stand-in answer to this request body.
+bool harness_is_answer(struct harness_call *call, const char *request_body,
+                       size_t tokens, bool stream);
+
+/// A model call's body; the caller frees.
+char *harness_chat(const char *chat, size_t tokens, bool stream);
+
+uint64_t harness_router_counter(const struct harness *harness,
+                                enum counter_id id);
+uint64_t harness_agent_counter(const struct harness *harness,
+                               enum counter_id id);
--- /dev/null
+++ b/tests/relay.c
@@ -0,0 +1,170 @@
+#include "relay.h"
+
+#include <stdlib.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+
+struct pair {
+    struct relay *relay;
+    struct bufferevent *source;
+    struct bufferevent *target;
+    bool silent;
+    size_t left[2]; ///< bytes before silence: to the target, from it
+    struct pair *prev;
+    struct pair *next;
+};
+
+struct relay {
+    struct event_base *base;
+    struct address target;
+    struct address address;
+    struct evconnlistener *listener;
+    struct pair *pairs;
+    size_t connections;
+    size_t next_left[2];
+};
+
+static void
+pair_free(struct pair *pair)
+{
+    DL_DELETE(pair->relay->pairs, pair);
+    bufferevent_free(pair->source);
+    bufferevent_free(pair->target);
+    free(pair);
+}
+
+static void
+on_read(struct bufferevent *from, void *ctx)
+{
+    struct pair *pair = ctx;
+    struct evbuffer *input = bufferevent_get_input(from);
+    size_t len = evbuffer_get_length(input);
+    int direction = from == pair->source ? 0 : 1;
+    struct bufferevent *to = direction == 0 ? pair->target : pair->source;
+
+    if (!pair->silent && len >= pair->left[direction]) {
+        len = pair->left[direction];
+        evbuffer_remove_buffer(input, bufferevent_get_output(to), len);
+        pair->silent = true;
+    }
+    if (pair->silent) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    pair->left[direction] -= len;
+    bufferevent_write_buffer(to, input);
+}
+
+static void
+on_event(struct bufferevent *bev, short events, void *ctx)
+{
+    struct pair *pair = ctx;
+
+    (void)bev;
+    // A silent connection is closed by neither end's leaving.
+    if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR) && !pair->silent) {
+        pair_free(pair);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int len, void *ctx)
+{
+    struct relay *relay = ctx;
+    struct pair *pair = xcalloc(1, sizeof(*pair));
+
+    (void)listener;
+    (void)address;
+    (void)len;
+    pair->relay = relay;
+    pair->left[0] = relay->next_left[0];
+    pair->left[1] = relay->next_left[1];
+    relay->next_left[0] = SIZE_MAX;
+    relay->next_left[1] = SIZE_MAX;
+    relay->connections++;
+    pair->source =
+        bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    pair->target =
+        bufferevent_socket_new(relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(pair->source, on_read, NULL, on_event, pair);
+    bufferevent_setcb(pair->target, on_read, NULL, on_event, pair);
+    DL_APPEND(relay->pairs, pair);
+    bufferevent_socket_connect(pair->target,
+                               (struct sockaddr *)&relay->target.storage,
+                               (int)relay->target.len);
+    bufferevent_enable(pair->source, EV_READ | EV_WRITE);
+    bufferevent_enable(pair->target, EV_READ | EV_WRITE);
+}
+
+struct relay *
+relay_new(struct event_base *base, const struct address *target)
+{
+    struct relay *relay = xcalloc(1, sizeof(*relay));
+    struct address any;
+    struct err err = {0};
+
+    relay->base = base;
+    relay->target = *target;
+    relay->next_left[0] = SIZE_MAX;
+    relay->next_left[1] = SIZE_MAX;
+    if (!address_parse(STR_LITERAL("127.0.0.1:0"), &any, &err)) {
+        BUG("%s", err.message);
+    }
+    relay->listener = evconnlistener_new_bind(
+        base, on_accept, relay, LEV_OPT_CLOSE_ON_FREE, -1,
+        (struct sockaddr *)&any.storage, (int)any.len);
+    if (relay->listener == NULL) {
+        BUG("relay cannot listen");
+    }
+    address_of_socket(evconnlistener_get_fd(relay->listener), &relay->address);
+    return relay;
+}
+
+void
+relay_free(struct relay *relay)
+{
+    if (relay == NULL) {
+        return;
+    }
+    while (relay->pairs != NULL) {
+        pair_free(relay->pairs);
+    }
+    evconnlistener_free(relay->listener);
+    free(relay);
+}
+
+struct address
+relay_address(const struct relay *relay)
+{
+    return relay->address;
+}
+
+void
+relay_swallow(struct relay *relay)
+{
+    struct pair *pair;
+
+    DL_FOREACH(relay->pairs, pair)
+    {
+        pair->silent = true;
+    }
+}
+
+void
+relay_swallow_after(struct relay *relay, size_t bytes, bool from_target)
+{
+    relay->next_left[from_target ? 1 : 0] = bytes;
+}
+
+size_t
+relay_connections(const struct relay *relay)
+{
+    return relay->connections;
+}
--- /dev/null
+++ b/tests/test_policies.c
@@ -0,0 +1,91 @@
+#include <CUnit/CUnit.h>
+
+#include "dandelionvalve/outcome.h"
+#include "dandelionvalve/quarantine.h"
+#include "dandelionvalve/retry.h"
+#include "suites.h"
+
+static void
+test_retry_budget_is_a_share(void)
+{
+    struct manual_clock manual = {.now_us = 1000000000};
+    struct clock clock = manual_clock_interface(&manual);
+    const struct retry_options options = {
+        .clock = &clock, .window_ms = 10000, .budget_percent = 10};
+    struct retry_budget budget;
+    int taken = 0;
+
+    retry_init(&budget, &options);
+    CU_ASSERT(!retry_take(&budget));
+    for (int i = 0; i < 1000; i++) {
+        retry_count_request(&budget);
+        taken += retry_take(&budget);
+        manual.now_us += 1000;
+    }
+    CU_ASSERT(taken == 100);
+    // The window passes; nothing is left to take a share of.
+    manual.now_us += 11000000;
+    CU_ASSERT(!retry_take(&budget));
+}
+
+static void
+test_outcomes(void)
+{
+    CU_ASSERT(outcome_of_attempt(ATTEMPT_UNSENT) == OUTCOME_NOT_RUN);
+    CU_ASSERT(outcome_of_attempt(ATTEMPT_LOST) == OUTCOME_UNKNOWN);
+    CU_ASSERT(outcome_allows_retry(ATTEMPT_REFUSED, false));
+    CU_ASSERT(!outcome_allows_retry(ATTEMPT_LOST, false));
+    CU_ASSERT(outcome_allows_retry(ATTEMPT_LOST, true));
+    CU_ASSERT(!outcome_allows_retry(ATTEMPT_CUT, true));
+    CU_ASSERT(!outcome_costs_budget(ATTEMPT_REFUSED));
+    CU_ASSERT(outcome_of_refusal(REFUSE_KEY_IN_PROGRESS) == OUTCOME_UNKNOWN);
+    CU_ASSERT(outcome_of_refusal(REFUSE_LOG_DOWN) == OUTCOME_NOT_RUN);
+    CU_ASSERT(outcome_refusal_is_local(REFUSE_LEAVING));
+    CU_ASSERT(!outcome_refusal_is_local(REFUSE_KEY_CONFLICT));
+}
+
+static void
+test_quarantine(void)
+{
+    struct manual_clock manual = {.now_us = 1000000};
+    struct clock clock = manual_clock_interface(&manual);
+    const struct quarantine_options options = {
+        .clock = &clock, .strikes_max = 2, .hold_ms = 1000, .requests_max = 3};
+    struct quarantine *quarantine = quarantine_new(&options);
+    struct quarantine_news news[4];
+
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_CLEAR);
+    quarantine_strike(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_ALONE);
+    quarantine_clear(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_CLEAR);
+    quarantine_strike(quarantine, 1);
+    quarantine_strike(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_REFUSE);
+    // A success that was late does not clear a quarantined request.
+    quarantine_clear(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_REFUSE);
+    quarantine_learn(quarantine, 2, 2);
+    quarantine_learn(quarantine, 2, 1);
+    CU_ASSERT(quarantine_check(quarantine, 2) == QUARANTINE_REFUSE);
+    CU_ASSERT(quarantine_newest(quarantine, news, 4) == 2);
+    CU_ASSERT(news[0].fingerprint == 2 && news[0].strikes == 2);
+    for (uint64_t i = 10; i < 20; i++) {
+        quarantine_strike(quarantine, i);
+    }
+    CU_ASSERT(quarantine_count(quarantine) == 3);
+    manual.now_us += 1000000;
+    CU_ASSERT(quarantine_check(quarantine, 19) == QUARANTINE_CLEAR);
+    quarantine_free(quarantine);
+}
+
+void
+suite_policies(void)
+{
+    CU_pSuite suite = CU_add_suite("policies", NULL, NULL);
+
+    CU_add_test(suite, "retry budget is a share",
+                test_retry_budget_is_a_share);
+    CU_add_test(suite, "outcomes", test_outcomes);
+    CU_add_test(suite, "quarantine", test_quarantine);
+}
--- /dev/null
+++ b/tests/test_requests.c
@@ -0,0 +1,401 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CUnit/CUnit.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "core/xmalloc.h"
+#include "harness.h"
+#include "suites.h"
+
+#define MANY 40
+
+static const struct harness_options usual = {
+    .engines = 3,
+    .services = 2,
+    .routers = 2,
+    .slots = 16,
+    .decode_us = 2000,
+    .work_us = 1000,
+};
+
+static void
+test_streamed_and_whole_answers(void)
+{
+    struct harness harness;
+    struct harness_call call;
+
+    harness_start(&harness, &usual);
+    for (int stream = 0; stream < 2; stream++) {
+        char *body = harness_chat("one", 10, stream);
+
+        harness_do(&harness, (size_t)stream, &call, "POST",
+                   "/v1/chat/completions", NULL, body);
+        CU_ASSERT(call.status == 200);
+        CU_ASSERT(call.end == ENDPOINT_WHOLE);
+        CU_ASSERT(!strcmp(call.outcome, "done"));
+        CU_ASSERT(call.hint[0] != '\0');
+        CU_ASSERT(harness_is_answer(&call, body, 10, stream));
+        harness_call_free(&call);
+        free(body);
+    }
+    CU_ASSERT(harness_router_counter(&harness, COUNTER_DONE) == 2);
+    harness_stop(&harness);
+}
+
+static bool
+all_ended(void *ctx)
+{
+    struct harness_call *calls = ctx;
+
+    for (size_t i = 0; i < MANY; i++) {
+        if (!calls[i].ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+test_many_at_once_get_their_own(void)
+{
+    static struct harness_call calls[MANY];
+    struct harness harness;
+    char *bodies[MANY];
+    char name[16];
+
+    harness_start(&harness, &usual);
+    for (size_t i = 0; i < MANY; i++) {
+        snprintf(name, sizeof(name), "chat-%zu", i % 7);
+        bodies[i] = harness_chat(name, 5 + i, i % 2 == 0);
+        harness_call(&harness, i % 2, &calls[i], "POST",
+                     "/v1/chat/completions", NULL, bodies[i]);
+    }
+    CU_ASSERT(harness_wait(&harness, all_ended, calls, 20000));
+    for (size_t i = 0; i < MANY; i++) {
+        CU_ASSERT(calls[i].status == 200);
+        CU_ASSERT(harness_is_answer(&calls[i], bodies[i], 5 + i, i % 2 == 0));
+        harness_call_free(&calls[i]);
+        free(bodies[i]);
+    }
+    harness_stop(&harness);
+}
+
+static void
+test_bad_input(void)
+{
+    static const struct {
+        const char *method, *path, *key, *body;
+        int status;
+    } cases[] = {
+        {"POST", "/v1/chat/completions", NULL, "{", 400},
+        {"POST", "/v1/chat/completions", NULL, "{}", 400},
+        {"POST", "/v1/chat/completions", NULL, "{\"model\":\"none\"}", 404},
+        {"POST", "/nowhere", NULL, "", 404},
+        {"GET", "/orders", NULL, NULL, 405},
+        {"POST", "/keyed", NULL, "{}", 400},
+        {"POST", "/keyed", "k",
+         "0123456789012345678901234567890123456789012345678901234567890123456"
+         "7890123456789012345678901234567890123456789012345678901234567890123"
+         "4567890123456789012345678901234567890123456789012345678901234567890"
+         "1234567890123456789012345678901234567890123456789012345678901234567"
+         "8901234567890123456789012345678901234567890123456789012345678901234"
+         "5678901234567890123456789012345678901234567890123456789012345678901"
+         "2345678901234567890123456789012345678901234567890123456789012345678"
+         "9012345678901234567890123456789012345678901234567890123456789012345"
+         "6789012345678901234567890123456789012345678901234567890123456789012"
+         "3456789012345678901234567890123456789012345678901234567890123456789"
+         "0123456789012345678901234567890123456789012345678901234567890123456"
+         "7890123456789012345678901234567890123456789012345678901234567890123"
+         "4567890123456789012345678901234567890123456789012345678901234567890"
+         "1234567890123456789012345678901234567890123456789012345678901234567"
+         "8901234567890123456789012345678901234567890123456789012345678901234",
+         413},
+    };
+    struct harness harness;
+    struct harness_call call;
+
+    harness_start(&harness, &usual);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        harness_do(&harness, 0, &call, cases[i].method, cases[i].path,
+                   cases[i].key, cases[i].body);
+        CU_ASSERT(call.status == cases[i].status);
+        CU_ASSERT(!strcmp(call.outcome, "not-run"));
+        CU_ASSERT(strstr(harness_body(&call), "\"detail\"") != NULL);
+        harness_call_free(&call);
+    }
+    CU_ASSERT(harness_agent_counter(&harness, COUNTER_RUNS) == 0);
+    harness_stop(&harness);
+}
+
+/// Sends raw bytes to the router and returns what comes back.
+static void
+raw_exchange(struct harness *harness, const char *text, char *out, size_t size)
+{
+    struct address address = router_callers_address(harness->routers[0]);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ssize_t len;
+
+    memset(out, 0, size);
+    CU_ASSERT(connect(fd, (struct sockaddr *)&address.storage, address.len) ==
+              0);
+    CU_ASSERT(send(fd, text, strlen(text), 0) == (ssize_t)strlen(text));
+    harness_run(harness, 200);
+    len = recv(fd, out, size - 1, MSG_DONTWAIT);
+    (void)len;
+    close(fd);
+    harness_run(harness, 50);
+}
+
+static void
+test_raw_bad_input(void)
+{
+    struct harness harness;
+    struct harness_call call;
+    char answer[2000];
+    char *long_header = xmalloc(8192);
+    char *text;
+    char *body = harness_chat("after", 3, false);
+
+    harness_start(&harness, &usual);
+    raw_exchange(&harness, "GET /status/1 HTTP/1.1\r\nHost: x\r\n\r\n", answer,
+                 sizeof(answer));
+    CU_ASSERT(strstr(answer, "401") != NULL);
+    raw_exchange(&harness,
+                 "GET /status/1 HTTP/1.1\r\nHost: x\r\n"
+                 "Authorization: Bearer wrong\r\n\r\n",
+                 answer, sizeof(answer));
+    CU_ASSERT(strstr(answer, "401") != NULL);
+    CU_ASSERT(strstr(answer, "not known") != NULL);
+    memset(long_header, 'x', 8191);
+    long_header[8191] = '\0';
+    text = xasprintf("GET / HTTP/1.1\r\nX: %s\r\n\r\n", long_header);
+    raw_exchange(&harness, text, answer, sizeof(answer));
+    CU_ASSERT(strstr(answer, "HTTP/1.1 4") != NULL || answer[0] == '\0');
+    free(text);
+    raw_exchange(&harness, "nonsense\r\n\r\n", answer, sizeof(answer));
+    raw_exchange(&harness, "POST /orders HTTP/1.1\r\nContent-Length: 99\r\n",
+                 answer, sizeof(answer));
+    CU_ASSERT(answer[0] == '\0');
+    // None of it has disturbed anybody else.
+    harness_do(&harness, 0, &call, "POST", "/v1/chat/completions", NULL, body);
+    CU_ASSERT(call.status == 200);
+    harness_call_free(&call);
+    free(body);
+    free(long_header);
+    harness_stop(&harness);
+}
+
+static bool
+has_running(void *ctx)
+{
+    struct harness *harness = ctx;
+
+    return engine_ledger(harness->engines[0])->running > 0;
+}
+
+static bool
+has_cancelled(void *ctx)
+{
+    struct harness *harness = ctx;
+
+    return engine_ledger(harness->engines[0])->cancelled == 1;
+}
+
+static void
+test_caller_that_leaves_cancels(void)
+{
+    struct harness harness;
+    struct harness_call call;
+    struct harness_options options = usual;
+    char *body = harness_chat("gone", 100000, true);
+
+    options.engines = 1;
+    harness_start(&harness, &options);
+    harness_call(&harness, 0, &call, "POST", "/v1/chat/completions", NULL,
+                 body);
+    CU_ASSERT(harness_wait(&harness, has_running, &harness, 5000));
+    endpoint_cancel(call.call);
+    CU_ASSERT(harness_wait(&harness, has_cancelled, &harness, 5000));
+    harness_call_free(&call);
+    free(body);
+    harness_stop(&harness);
+}
+
+/// A caller that asks for a long answer and does not read it.
+static int
+start_slow_caller(struct harness *harness, const char *body)
+{
+    struct address address = router_callers_address(harness->routers[0]);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int small = 65536;
+    char *text = xasprintf("POST /v1/chat/completions HTTP/1.1\r\n"
+                           "Host: x\r\nAuthorization: Bearer " HARNESS_KEY
+                           "\r\nContent-Length: %zu\r\n\r\n%s",
+                           strlen(body), body);
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    CU_ASSERT(connect(fd, (struct sockaddr *)&address.storage, address.len) ==
+              0);
+    CU_ASSERT(send(fd, text, strlen(text), 0) == (ssize_t)strlen(text));
+    free(text);
+    return fd;
+}
+
+/// Reads until the end of the chunked answer; its length, or 0 if it broke.
+static size_t
+read_to_end(struct harness *harness, int fd)
+{
+    static const char end[] = "0\r\n\r\n";
+    static char buffer[65536];
+    size_t total = 0;
+    size_t matched = 0;
+
+    for (int idle = 0; idle < 200;) {
+        ssize_t len = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+        for (ssize_t i = 0; i < len; i++) {
+            matched =
+                buffer[i] == end[matched] ? matched + 1 : buffer[i] == end[0];
+            if (matched == sizeof(end) - 1) {
+                return total + (size_t)len;
+            }
+        }
+        total += len > 0 ? (size_t)len : 0;
+        idle = len > 0 ? 0 : idle + 1;
+        harness_run(harness, len > 0 ? 0 : 10);
+    }
+    return 0;
+}
+
+static void
+test_slow_caller_stalls_only_itself(void)
+{
+    struct harness harness;
+    struct harness_call fast;
+    struct harness_options options = usual;
+    char *long_body = harness_chat("slow", 100000, true);
+    char *short_body = harness_chat("fast", 5, true);
+    uint64_t before;
+    int fd;
+
+    options.engines = 1;
+    options.decode_us = 0;
+    harness_start(&harness, &options);
+    fd = start_slow_caller(&harness, long_body);
+    harness_run(&harness, 4000);
+    before = harness_router_counter(&harness, COUNTER_LINK_BYTES_IN);
+    harness_run(&harness, 500);
+    // The agent is held back: it has sent what the window and the sockets
+    // hold, less than half of the answer.
+    CU_ASSERT(harness_router_counter(&harness, COUNTER_LINK_BYTES_IN) ==
+              before);
+    CU_ASSERT(before < 1500000);
+    harness_do(&harness, 0, &fast, "POST", "/v1/chat/completions", NULL,
+               short_body);
+    CU_ASSERT(fast.status == 200);
+    CU_ASSERT(read_to_end(&harness, fd) > 5000000);
+    close(fd);
+    harness_call_free(&fast);
+    free(long_body);
+    free(short_body);
+    harness_stop(&harness);
+}
+
+static void
+test_large_body_follows_the_offer(void)
+{
+    struct harness harness;
+    struct harness_call call;
+    char *content = xmalloc(300001);
+    char *body;
+
+    memset(content, 'a', 300000);
+    content[300000] = '\0';
+    body = xasprintf("{\"model\":\"test-model\",\"max_tokens\":3,"
+                     "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+                     content);
+    harness_start(&harness, &usual);
+    harness_do(&harness, 0, &call, "POST", "/v1/chat/completions", NULL, body);
+    CU_ASSERT(call.status == 200);
+    CU_ASSERT(harness_is_answer(&call, body, 3, false));
+    harness_call_free(&call);
+    free(body);
+    free(content);
+    harness_stop(&harness);
+}
+
+static void
+test_key_runs_once_through_two_routers(void)
+{
+    struct harness harness;
+    struct harness_call first, again, other;
+
+    harness_start(&harness, &usual);
+    harness_do(&harness, 0, &first, "POST", "/keyed", "key-1", "{\"a\":1}");
+    CU_ASSERT(first.status == 200);
+    harness_do(&harness, 1, &again, "POST", "/keyed", "key-1", "{\"a\":1}");
+    CU_ASSERT(again.status == 200);
+    CU_ASSERT(!strcmp(again.replayed, "true"));
+    CU_ASSERT(!strcmp(harness_body(&first), harness_body(&again)));
+    harness_do(&harness, 1, &other, "POST", "/keyed", "key-1", "{\"a\":2}");
+    CU_ASSERT(other.status == 422);
+    CU_ASSERT(!strcmp(other.outcome, "not-run"));
+    CU_ASSERT(service_runs(harness.services[0]) +
+                  service_runs(harness.services[1]) ==
+              1);
+    harness_call_free(&first);
+    harness_call_free(&again);
+    harness_call_free(&other);
+    harness_stop(&harness);
+}
+
+static void
+test_new_configuration_takes_force(void)
+{
+    struct harness harness;
+    struct harness_call call;
+
+    harness_start(&harness, &usual);
+    harness_publish_document(
+        &harness,
+        "[[pool]]\nname = \"plain\"\nkind = \"service\"\n"
+        "[[route]]\nname = \"new\"\npath = \"/new\"\npool = \"plain\"\n"
+        "repeatable = true\n",
+        0);
+    harness_run(&harness, 300);
+    harness_do(&harness, 1, &call, "GET", "/new", NULL, NULL);
+    CU_ASSERT(call.status == 200);
+    harness_call_free(&call);
+    harness_do(&harness, 0, &call, "POST", "/orders", NULL, "{}");
+    CU_ASSERT(call.status == 404);
+    harness_call_free(&call);
+    harness_stop(&harness);
+}
+
+void
+suite_requests(void)
+{
+    CU_pSuite suite = CU_add_suite("requests", NULL, NULL);
+
+    CU_add_test(suite, "streamed and whole answers",
+                test_streamed_and_whole_answers);
+    CU_add_test(suite, "many at once get their own",
+                test_many_at_once_get_their_own);
+    CU_add_test(suite, "bad input", test_bad_input);
+    CU_add_test(suite, "raw bad input", test_raw_bad_input);
+    CU_add_test(suite, "caller that leaves cancels",
+                test_caller_that_leaves_cancels);
+    CU_add_test(suite, "slow caller stalls only itself",
+                test_slow_caller_stalls_only_itself);
+    CU_add_test(suite, "large body follows the offer",
+                test_large_body_follows_the_offer);
+    CU_add_test(suite, "key runs once through two routers",
+                test_key_runs_once_through_two_routers);
+    CU_add_test(suite, "new configuration takes force",
+                test_new_configuration_takes_force);
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,84 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <CUnit/CUnit.h>
+
+#include "core/toml.h"
+#include "daemon/settings.h"
+#include "suites.h"
+
+#define COMMON                                                                \
+    "name = \"a\"\nzone = \"z\"\nenvironment = \"production\"\n"              \
+    "platform = \"127.0.0.1:1\"\nadmin = \"127.0.0.1:0\"\n"
+#define CONTROL                                                               \
+    "[control]\nkeys = [\"00000000000000000000000000000000"                   \
+    "00000000000000000000000000000000\"]\n"
+#define CALLERS "[callers]\naddress = \"127.0.0.1:0\"\n"
+
+static bool
+read_text(const char *text, struct err *err)
+{
+    char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
+    int fd = mkstemp(name);
+    struct settings_router settings;
+    struct toml_doc *doc = NULL;
+    bool ok;
+
+    CU_ASSERT_FATAL(fd >= 0);
+    CU_ASSERT(write(fd, text, strlen(text)) == (ssize_t)strlen(text));
+    close(fd);
+    ok = settings_read_router(name, &settings, &doc, err);
+    if (ok) {
+        toml_free(doc);
+    }
+    unlink(name);
+    return ok;
+}
+
+static void
+expect_error(const char *text, const char *wanted)
+{
+    struct err err = {0};
+
+    CU_ASSERT(!read_text(text, &err));
+    CU_ASSERT(strstr(err.message, wanted) != NULL);
+}
+
+static void
+test_good_settings(void)
+{
+    struct err err = {0};
+
+    CU_ASSERT(read_text(COMMON CONTROL CALLERS, &err));
+}
+
+static void
+test_bad_settings(void)
+{
+    struct settings_router settings;
+    struct toml_doc *doc;
+    struct err err = {0};
+
+    expect_error(COMMON CALLERS, "control: is missing");
+    expect_error(COMMON CONTROL CALLERS "typo = 1\n", "callers.typo: unknown");
+    expect_error(COMMON CONTROL "[callers]\naddress = \"router:80\"\n",
+                 "'router:80' is not an IP number with a port");
+    expect_error(COMMON CONTROL CALLERS "timeout_s = 0\n",
+                 ":10: callers.timeout_s: must be from 1");
+    expect_error(COMMON "log_level = \"loud\"\n" CONTROL CALLERS, "log_level");
+    expect_error(COMMON "[control]\nkeys = [\"12\"]\n" CALLERS,
+                 "key 1 must be 64 hex digits");
+    CU_ASSERT(!settings_read_router("/does/not/exist", &settings, &doc, &err));
+    CU_ASSERT(strstr(err.message, "No such file") != NULL);
+}
+
+void
+suite_settings(void)
+{
+    CU_pSuite suite = CU_add_suite("settings", NULL, NULL);
+
+    CU_add_test(suite, "good settings", test_good_settings);
+    CU_add_test(suite, "bad settings", test_bad_settings);
+}
--- /dev/null
+++ b/tests/test_shutdown.c
@@ -0,0 +1,158 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <CUnit/CUnit.h>
+
+#include "harness.h"
+#include "suites.h"
+
+#define STREAMS 200
+#define TOKENS 100
+
+static struct harness_call calls[STREAMS];
+static char *bodies[STREAMS];
+
+static bool
+all_ended(void *ctx)
+{
+    (void)ctx;
+    for (size_t i = 0; i < STREAMS; i++) {
+        if (!calls[i].ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+all_started(void *ctx)
+{
+    (void)ctx;
+    for (size_t i = 0; i < STREAMS; i++) {
+        if (calls[i].status == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+start_streams(struct harness *harness)
+{
+    char name[16];
+
+    for (size_t i = 0; i < STREAMS; i++) {
+        snprintf(name, sizeof(name), "chat-%zu", i);
+        bodies[i] = harness_chat(name, TOKENS, true);
+        harness_call(harness, 0, &calls[i], "POST", "/v1/chat/completions",
+                     NULL, bodies[i]);
+    }
+    CU_ASSERT(harness_wait(harness, all_started, NULL, 15000));
+}
+
+static void
+check_streams(void)
+{
+    for (size_t i = 0; i < STREAMS; i++) {
+        CU_ASSERT(calls[i].status == 200);
+        CU_ASSERT(calls[i].end == ENDPOINT_WHOLE);
+        CU_ASSERT(harness_is_answer(&calls[i], bodies[i], TOKENS, true));
+        harness_call_free(&calls[i]);
+        free(bodies[i]);
+    }
+}
+
+static const struct harness_options usual = {
+    .engines = 4,
+    .routers = 2,
+    .slots = 64,
+    .decode_us = 20000,
+};
+
+static bool
+router_is_drained(void *ctx)
+{
+    return ((struct harness *)ctx)->router_drained[0];
+}
+
+static bool
+agent_is_drained(void *ctx)
+{
+    return ((struct harness *)ctx)->agent_drained[0];
+}
+
+static void
+test_router_drains_without_cutting(void)
+{
+    struct harness harness;
+
+    harness_start(&harness, &usual);
+    start_streams(&harness);
+    router_drain(harness.routers[0]);
+    CU_ASSERT(!harness.router_drained[0]);
+    CU_ASSERT(harness_wait(&harness, all_ended, NULL, 20000));
+    CU_ASSERT(harness_wait(&harness, router_is_drained, &harness, 5000));
+    check_streams();
+    harness_stop(&harness);
+}
+
+static void
+test_agent_drains_without_cutting(void)
+{
+    struct harness harness;
+    struct harness_call call;
+    char *body = harness_chat("new", 3, false);
+    uint64_t runs;
+
+    harness_start(&harness, &usual);
+    start_streams(&harness);
+    agent_drain(harness.agents[0]);
+    runs = counter_get(agent_counters(harness.agents[0]), COUNTER_RUNS);
+    for (int i = 0; i < 10; i++) {
+        harness_do(&harness, 1, &call, "POST", "/v1/chat/completions", NULL,
+                   body);
+        CU_ASSERT(call.status == 200);
+        CU_ASSERT(strcmp(call.hint, "models-0") != 0);
+        harness_call_free(&call);
+    }
+    CU_ASSERT(harness_wait(&harness, all_ended, NULL, 20000));
+    CU_ASSERT(harness_wait(&harness, agent_is_drained, &harness, 5000));
+    CU_ASSERT(counter_get(agent_counters(harness.agents[0]), COUNTER_RUNS) ==
+              runs);
+    check_streams();
+    free(body);
+    harness_stop(&harness);
+}
+
+static void
+test_leaving_by_the_list(void)
+{
+    struct harness harness;
+    struct harness_call call;
+    char *body = harness_chat("one", 2, false);
+
+    harness_start(&harness, &usual);
+    harness_publish_vms(&harness, "models-1");
+    harness_run(&harness, 3000);
+    for (int i = 0; i < 20; i++) {
+        harness_do(&harness, i % 2, &call, "POST", "/v1/chat/completions",
+                   NULL, body);
+        CU_ASSERT(call.status == 200);
+        CU_ASSERT(strcmp(call.hint, "models-1") != 0);
+        harness_call_free(&call);
+    }
+    free(body);
+    harness_stop(&harness);
+}
+
+void
+suite_shutdown(void)
+{
+    CU_pSuite suite = CU_add_suite("shutdown", NULL, NULL);
+
+    CU_add_test(suite, "router drains without cutting",
+                test_router_drains_without_cutting);
+    CU_add_test(suite, "agent drains without cutting",
+                test_agent_drains_without_cutting);
+    CU_add_test(suite, "leaving by the list", test_leaving_by_the_list);
+}
