gossip: strikes, words and versions between daemons; property tests

Change: control datagrams (authenticated, at most 1200 bytes, one a second to a random peer, a token bucket for all control bytes), documents handed on in parts while the log is down; frames' shape is checked before they are decoded; property tests of answers, configuration, claims and members.

--- a/core/claim.c
+++ b/core/claim.c
@@ -909,7 +909,7 @@
 }
 
 struct claim_counts
-claim_counts(const struct claims *claims)
+claim_totals(const struct claims *claims)
 {
     struct claim_counts counts = claims->counts;
     const struct waiting *waiting;
--- a/core/message.c
+++ b/core/message.c
@@ -7,6 +7,23 @@
 
 #include "xmalloc.h"
 
+#define NESTING_MAX 2
+#define ELEMENTS_MAX (2 * MESSAGE_HEADERS_MAX)
+
+#define TAG_FIXINT_MAX 0x7f
+#define TAG_FIXARRAY 0x90
+#define TAG_FALSE 0xc2
+#define TAG_TRUE 0xc3
+#define TAG_BIN8 0xc4
+#define TAG_BIN16 0xc5
+#define TAG_BIN32 0xc6
+#define TAG_UINT8 0xcc
+#define TAG_UINT16 0xcd
+#define TAG_UINT32 0xce
+#define TAG_UINT64 0xcf
+#define TAG_ARRAY16 0xdc
+#define TAG_ARRAY32 0xdd
+
 struct message_codec {
     msgpack_sbuffer out;
     msgpack_packer packer;
@@ -434,6 +451,90 @@
     }
 }
 
+/// Reads a big-endian number of `width` bytes; false past the end.
+static bool
+read_number(const unsigned char **at, const unsigned char *end, size_t width,
+            uint64_t *number)
+{
+    if ((size_t)(end - *at) < width) {
+        return false;
+    }
+    *number = 0;
+    for (size_t i = 0; i < width; i++) {
+        *number = *number << 8 | *(*at)++;
+    }
+    return true;
+}
+
+static bool check_shape(const unsigned char **at, const unsigned char *end,
+                        size_t depth);
+
+static bool
+check_array(const unsigned char **at, const unsigned char *end, size_t depth,
+            uint64_t count)
+{
+    if (depth == NESTING_MAX || count > ELEMENTS_MAX) {
+        return false;
+    }
+    for (uint64_t i = 0; i < count; i++) {
+        if (!check_shape(at, end, depth + 1)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+check_bytes(const unsigned char **at, const unsigned char *end, size_t width)
+{
+    uint64_t len;
+
+    if (!read_number(at, end, width, &len) || len > (uint64_t)(end - *at)) {
+        return false;
+    }
+    *at += len;
+    return true;
+}
+
+/// The library allocates for the length that an array claims before it looks
+/// at its elements, so the shape is checked first. Only what messages are
+/// made of is let through.
+static bool
+check_shape(const unsigned char **at, const unsigned char *end, size_t depth)
+{
+    uint64_t number = 0;
+    unsigned char tag;
+
+    if (*at == end) {
+        return false;
+    }
+    tag = *(*at)++;
+    if (tag <= TAG_FIXINT_MAX || tag == TAG_FALSE || tag == TAG_TRUE) {
+        return true;
+    }
+    if (tag >= TAG_FIXARRAY && tag < TAG_FIXARRAY + 16) {
+        return check_array(at, end, depth, tag - TAG_FIXARRAY);
+    }
+    switch (tag) {
+    case TAG_UINT8:
+    case TAG_UINT16:
+    case TAG_UINT32:
+    case TAG_UINT64:
+        return read_number(at, end, (size_t)1 << (tag - TAG_UINT8), &number);
+    case TAG_BIN8:
+    case TAG_BIN16:
+    case TAG_BIN32:
+        return check_bytes(at, end, (size_t)1 << (tag - TAG_BIN8));
+    case TAG_ARRAY16:
+    case TAG_ARRAY32:
+        return read_number(at, end, (size_t)2 << (tag - TAG_ARRAY16),
+                           &number) &&
+               check_array(at, end, depth, number);
+    default:
+        return false;
+    }
+}
+
 bool
 message_decode(struct message_codec *codec, struct str bytes,
                struct message *message, struct err *err)
@@ -441,9 +542,11 @@
     msgpack_object object;
     struct cursor cursor = {0};
     size_t offset = 0;
+    const unsigned char *at = (const unsigned char *)bytes.data;
 
     msgpack_zone_clear(&codec->zone);
-    if (msgpack_unpack(bytes.data, bytes.len, &offset, &codec->zone,
+    if (!check_shape(&at, at + bytes.len, 0) ||
+        msgpack_unpack(bytes.data, bytes.len, &offset, &codec->zone,
                        &object) != MSGPACK_UNPACK_SUCCESS ||
         offset != bytes.len) {
         return err_set(err, ERR_PROTOCOL, "decode", NULL,
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -115,7 +115,7 @@
     return strikes;
 }
 
-void
+bool
 quarantine_learn(struct quarantine *quarantine, uint64_t fingerprint,
                  uint32_t strikes)
 {
@@ -123,9 +123,11 @@
 
     drop_old(quarantine);
     struck = find(quarantine, fingerprint);
-    if (struck == NULL || struck->strikes < strikes) {
-        set(quarantine, fingerprint, strikes);
+    if (struck != NULL && struck->strikes >= strikes) {
+        return false;
     }
+    set(quarantine, fingerprint, strikes);
+    return true;
 }
 
 void
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -10,6 +10,7 @@
 #include "admin.h"
 #include "claimlog.h"
 #include "configuration.h"
+#include "control.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/gate.h"
 #include "dandelionvalve/quarantine.h"
@@ -55,6 +56,8 @@
     struct claimlog *claimlog;
     struct runs *runs;
     struct platform *platform;
+    struct platform *claims_platform;
+    struct control *control;
     struct configuration *configuration;
     struct membership *membership;
     struct admin *admin;
@@ -81,6 +84,15 @@
     }
 }
 
+static void
+tell_state(struct agent *agent)
+{
+    if (agent->control != NULL) {
+        control_tell_word(agent->control, agent->options.settings->common.name,
+                          agent->options.incarnation, gate_state(agent->gate));
+    }
+}
+
 static void
 set_state(struct agent *agent, enum agent_state state)
 {
@@ -92,6 +104,7 @@
              (int)state);
     gate_set_state(agent->gate, state);
     broadcast_state(agent);
+    tell_state(agent);
 }
 
 static void
@@ -108,6 +121,14 @@
     probe_now(agent->probe);
 }
 
+static void
+on_struck(void *ctx, uint64_t fingerprint, uint32_t strikes)
+{
+    struct agent *agent = ctx;
+
+    control_tell_strikes(agent->control, fingerprint, strikes);
+}
+
 static void
 on_ready(void *ctx, struct link *link)
 {
@@ -314,6 +335,7 @@
     runs_tick(agent->runs);
     update_pool(agent);
     update_busy(agent);
+    control_tick(agent->control);
     counter_set(&agent->counters, COUNTER_IN_FLIGHT, runs_active(agent->runs));
     log_flush();
     finish_drain(agent);
@@ -412,10 +434,11 @@
 {
     const struct agent_options *options = &agent->options;
     const struct settings_common *common = &options->settings->common;
-    const struct platform_options platform = {
+    struct platform_options platform = {
         .base = options->base,
         .address = common->platform,
         .counters = &agent->counters,
+        .counts_as_control = true,
         .timeout_ms = PLATFORM_TIMEOUT_MS,
     };
     struct claimlog_options claimlog = {
@@ -449,7 +472,10 @@
     };
 
     agent->platform = platform_new(&platform);
-    claimlog.platform = agent->platform;
+    // Claims are the callers' traffic, not control.
+    platform.counts_as_control = false;
+    agent->claims_platform = platform_new(&platform);
+    claimlog.platform = agent->claims_platform;
     configuration.platform = agent->platform;
     membership.platform = agent->platform;
     agent->claimlog = claimlog_new(&claimlog);
@@ -471,6 +497,7 @@
         .window_bytes = WINDOW_BYTES,
         .body_bytes_max = BODY_BYTES_MAX,
         .hold_ms = HOLD_MS,
+        .struck = on_struck,
         .endpoint_failed = on_endpoint_failed,
         .ctx = agent,
     };
@@ -478,6 +505,29 @@
     agent->runs = runs_new(&runs);
 }
 
+static bool
+create_control(struct agent *agent, struct err *err)
+{
+    const struct control_options control = {
+        .base = agent->options.base,
+        .clock = agent->options.clock,
+        .random = agent->options.random,
+        .counters = &agent->counters,
+        .settings = &agent->options.settings->common,
+        .incarnation = agent->options.incarnation,
+        .members = membership_members(agent->membership),
+        .configuration = agent->configuration,
+        .quarantine = agent->quarantine,
+    };
+
+    agent->control = control_new(&control, err);
+    if (agent->control == NULL) {
+        return false;
+    }
+    tell_state(agent);
+    return true;
+}
+
 static bool
 listen_links(struct agent *agent, struct err *err)
 {
@@ -549,7 +599,8 @@
     create_runs(agent);
     start_tick(agent);
     agent->admin = admin_new(&admin, err);
-    if (agent->admin == NULL || !listen_links(agent, err)) {
+    if (agent->admin == NULL || !create_control(agent, err) ||
+        !listen_links(agent, err)) {
         agent_free(agent);
         return NULL;
     }
@@ -575,9 +626,11 @@
     admin_free(agent->admin);
     event_free(agent->tick);
     runs_free(agent->runs);
+    control_free(agent->control);
     membership_free(agent->membership);
     configuration_free(agent->configuration);
     claimlog_free(agent->claimlog);
+    platform_free(agent->claims_platform);
     platform_free(agent->platform);
     probe_free(agent->probe);
     endpoint_free(agent->endpoint);
@@ -606,6 +659,12 @@
     return admin_address(agent->admin);
 }
 
+struct address
+agent_control_address(const struct agent *agent)
+{
+    return control_address(agent->control);
+}
+
 const struct counters *
 agent_counters(const struct agent *agent)
 {
--- a/daemon/agent.h
+++ b/daemon/agent.h
@@ -30,5 +30,6 @@
 void agent_drain(struct agent *agent);
 
 struct address agent_links_address(const struct agent *agent);
+struct address agent_control_address(const struct agent *agent);
 struct address agent_admin_address(const struct agent *agent);
 const struct counters *agent_counters(const struct agent *agent);
--- /dev/null
+++ b/daemon/control.h
@@ -0,0 +1,48 @@
+/// Controller of the control messages: the datagram socket and what the news
+/// change in this daemon.
+#pragma once
+
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/counter.h"
+#include "dandelionvalve/members.h"
+#include "net/address.h"
+#include "settings.h"
+
+struct configuration;
+struct control;
+struct event_base;
+struct quarantine;
+
+struct control_options {
+    struct event_base *base;
+    const struct clock *clock;
+    const struct random_source *random;
+    struct counters *counters;
+    const struct settings_common *settings;
+    uint64_t incarnation;
+    struct members *members;
+    struct configuration *configuration;
+    struct quarantine *quarantine;
+};
+
+/// NULL with `err` set if the address cannot be bound. Without a control
+/// address in the settings it sends and hears nothing.
+struct control *control_new(const struct control_options *options,
+                            struct err *err);
+void control_free(struct control *control);
+struct address control_address(const struct control *control);
+
+/// News that this daemon has seen itself.
+void control_tell_word(struct control *control, struct str name,
+                       uint64_t incarnation, enum agent_state state);
+void control_tell_strikes(struct control *control, uint64_t fingerprint,
+                          uint32_t strikes);
+
+/// Takes bytes for another control message from the budget.
+bool control_take(struct control *control, size_t bytes);
+
+/// Routers that have been heard of since the start.
+size_t control_heard_routers(const struct control *control);
+
+/// Sends what is due.
+void control_tick(struct control *control);
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -10,6 +10,7 @@
 
 #include "admin.h"
 #include "configuration.h"
+#include "control.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
@@ -30,6 +31,7 @@
 #define REOPEN_INTERVAL_MS 200
 #define STRUCK_REQUESTS_MAX 10000
 #define IN_FLIGHT_NEWS_MS 100
+#define IN_FLIGHT_NEWS_BYTES 70
 #define IN_FLIGHT_REPEAT_MS 1000
 #define IN_FLIGHT_NEWS_PER_TICK 2
 
@@ -55,6 +57,7 @@
     struct platform *platform;
     struct configuration *configuration;
     struct membership *membership;
+    struct control *control;
     struct peers *peers;
     struct quarantine *quarantine;
     struct retry_budget retry_budget;
@@ -238,6 +241,7 @@
     counter_add(&router->counters, COUNTER_STRIKES, 1);
     LOG_WARNING("event=strike fingerprint=%016llx strikes=%u",
                 (unsigned long long)fingerprint, strikes);
+    control_tell_strikes(router->control, fingerprint, strikes);
 }
 
 size_t
@@ -510,6 +514,9 @@
                 !needs_news(peer, message.in_flight.in_flight, now)) {
                 continue;
             }
+            if (!control_take(router->control, IN_FLIGHT_NEWS_BYTES)) {
+                return;
+            }
             peer_note_in_flight(peer, message.in_flight.in_flight);
             peer_send(peer, &message);
             told++;
@@ -525,6 +532,7 @@
     (void)fd;
     (void)events;
     tell_in_flight(router);
+    control_tick(router->control);
     counter_set(&router->counters, COUNTER_IN_FLIGHT, router_requests(router));
     log_flush();
     finish_drain(router);
@@ -536,11 +544,34 @@
     request_start(ctx, http);
 }
 
+static void
+count_router(void *ctx, const struct member *member)
+{
+    size_t *count = ctx;
+
+    *count += member->info.role == MEMBER_ROUTER;
+}
+
+/// While the log cannot be read, the highest version that most of the listed
+/// routers have is as good as the log's.
+static bool
+has_heard_most(const struct router *router)
+{
+    size_t listed = 0;
+
+    members_each(membership_members(router->membership), count_router,
+                 &listed);
+    return listed > 1 &&
+           2 * (control_heard_routers(router->control) + 1) > listed;
+}
+
 bool
 router_is_ready(const struct router *router)
 {
     return configuration_conf(router->configuration) != NULL &&
-           membership_is_known(router->membership);
+           membership_is_known(router->membership) &&
+           (configuration_is_current(router->configuration) ||
+            has_heard_most(router));
 }
 
 static bool
@@ -620,6 +651,7 @@
         .base = options->base,
         .address = common->platform,
         .counters = &router->counters,
+        .counts_as_control = true,
         .timeout_ms = PLATFORM_TIMEOUT_MS,
     };
     struct configuration_options configuration = {
@@ -649,6 +681,25 @@
     router->membership = membership_new(&membership);
 }
 
+static bool
+create_control(struct router *router, struct err *err)
+{
+    const struct control_options control = {
+        .base = router->options.base,
+        .clock = router->options.clock,
+        .random = router->options.random,
+        .counters = &router->counters,
+        .settings = &router->options.settings->common,
+        .incarnation = router->options.incarnation,
+        .members = membership_members(router->membership),
+        .configuration = router->configuration,
+        .quarantine = router->quarantine,
+    };
+
+    router->control = control_new(&control, err);
+    return router->control != NULL;
+}
+
 static void
 create_policies(struct router *router)
 {
@@ -735,7 +786,8 @@
     create_controllers(router);
     start_tick(router);
     router->admin = admin_new(&admin, err);
-    if (router->admin == NULL || !listen_callers(router, err)) {
+    if (router->admin == NULL || !create_control(router, err) ||
+        !listen_callers(router, err)) {
         router_free(router);
         return NULL;
     }
@@ -764,6 +816,7 @@
     if (router->drain_timer != NULL) {
         event_free(router->drain_timer);
     }
+    control_free(router->control);
     membership_free(router->membership);
     configuration_free(router->configuration);
     platform_free(router->platform);
@@ -823,6 +876,12 @@
     return router->callers_address;
 }
 
+struct address
+router_control_address(const struct router *router)
+{
+    return control_address(router->control);
+}
+
 struct address
 router_admin_address(const struct router *router)
 {
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -29,6 +29,7 @@
 void router_drain(struct router *router);
 
 struct address router_callers_address(const struct router *router);
+struct address router_control_address(const struct router *router);
 struct address router_admin_address(const struct router *router);
 
 /// Requests in flight, in any state.
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -467,6 +467,7 @@
                 " route=" STR_FMT,
                 (unsigned long long)run->offer.fingerprint, strikes,
                 STR_ARG(run->offer.account), STR_ARG(run->offer.route));
+    runs->options.struck(runs->options.ctx, run->offer.fingerprint, strikes);
 }
 
 static void
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -29,6 +29,8 @@
     size_t window_bytes; ///< unacknowledged bytes of an answer before a pause
     size_t body_bytes_max;
     int64_t hold_ms; ///< how long an answer waits for a lost router
+    /// A request got a strike, since the endpoint died while it ran it.
+    void (*struck)(void *ctx, uint64_t fingerprint, uint32_t strikes);
     /// The endpoint was lost or cannot be reached.
     void (*endpoint_failed)(void *ctx);
     void *ctx;
--- a/include/dandelionvalve/claim.h
+++ b/include/dandelionvalve/claim.h
@@ -121,7 +121,7 @@
 
 void claim_tick(struct claims *claims);
 
-struct claim_counts claim_counts(const struct claims *claims);
+struct claim_counts claim_totals(const struct claims *claims);
 
 /// Milliseconds since 1970 of a key that is a version 7 UUID, else -1.
 int64_t claim_key_time_ms(struct str key);
--- a/include/dandelionvalve/quarantine.h
+++ b/include/dandelionvalve/quarantine.h
@@ -43,8 +43,9 @@
 uint32_t quarantine_strike(struct quarantine *quarantine,
                            uint64_t fingerprint);
 
-/// Another daemon knows of this many strikes; the higher number wins.
-void quarantine_learn(struct quarantine *quarantine, uint64_t fingerprint,
+/// Another daemon knows of this many strikes; the higher number wins. True
+/// if that was news.
+bool quarantine_learn(struct quarantine *quarantine, uint64_t fingerprint,
                       uint32_t strikes);
 
 /// The request has ended well.
--- a/net/link.c
+++ b/net/link.c
@@ -113,6 +113,13 @@
     link_free(link);
 }
 
+static bool
+is_control(enum message_type type)
+{
+    return type == MESSAGE_PING || type == MESSAGE_PONG ||
+           type == MESSAGE_IN_FLIGHT || type == MESSAGE_STATE;
+}
+
 static void
 write_frame(struct link *link, const struct message *message)
 {
@@ -124,6 +131,10 @@
     evbuffer_add(output, bytes.data, bytes.len);
     counter_add(link->options->counters, COUNTER_LINK_BYTES_OUT,
                 bytes.len + LENGTH_BYTES);
+    if (is_control(message->type)) {
+        counter_add(link->options->counters, COUNTER_CONTROL_BYTES_OUT,
+                    bytes.len + LENGTH_BYTES + LINK_HEADER_BYTES);
+    }
     link->sent_ms = clock_ms(link->options->clock);
 }
 
@@ -288,6 +299,10 @@
         counter_add(link->options->counters, COUNTER_LINK_BAD_FRAMES, 1);
         return false;
     }
+    if (is_control(message.type)) {
+        counter_add(link->options->counters, COUNTER_CONTROL_BYTES_IN,
+                    length + LENGTH_BYTES + LINK_HEADER_BYTES);
+    }
     if (!handle(link, &message, err)) {
         return false;
     }
--- a/net/link.h
+++ b/net/link.h
@@ -18,6 +18,8 @@
 #define LINK_SILENCE_MS 3000
 #define LINK_CHECK_MS 500
 #define LINK_HANDSHAKE_MS 1500
+/// TCP and IP headers, counted for each control frame.
+#define LINK_HEADER_BYTES 52
 #define LINK_OUTPUT_BYTES_MAX (64 * 1024 * 1024)
 
 struct event_base;
--- a/net/platform.c
+++ b/net/platform.c
@@ -18,6 +18,7 @@
 #define HEADER_BYTES_MAX 16384
 #define IDLE_CONNECTIONS_MAX 4
 #define CONNECT_TIMEOUT_S 3
+#define CALL_HEADER_BYTES 200
 
 struct platform {
     struct platform_options options;
@@ -173,6 +174,16 @@
     free(vms);
 }
 
+/// Headers of HTTP, TCP and IP of one call and its answer, about.
+static void
+count_bytes(const struct call *call, enum counter_id direction, size_t bytes)
+{
+    if (call->platform->options.counts_as_control) {
+        counter_add(call->platform->options.counters, direction,
+                    bytes + CALL_HEADER_BYTES);
+    }
+}
+
 static void
 finish(struct call *call, enum platform_status status)
 {
@@ -182,6 +193,7 @@
     };
     json_t *json = NULL;
 
+    count_bytes(call, COUNTER_CONTROL_BYTES_IN, body.len);
     if (status == PLATFORM_OK) {
         json = json_loadb(body.data != NULL ? body.data : "", body.len,
                           JSON_ALLOW_NUL, NULL);
@@ -295,6 +307,7 @@
         .ctx = call,
     };
 
+    count_bytes(call, COUNTER_CONTROL_BYTES_OUT, strlen(uri) + body.len);
     call->http = endpoint_call(call->platform->endpoint, &options);
     event_add(call->timeout, call->http != NULL ? &limit : &at_once);
     free(uri);
--- a/net/platform.h
+++ b/net/platform.h
@@ -17,7 +17,8 @@
     struct event_base *base;
     struct address address;
     struct counters *counters;
-    int64_t timeout_ms; ///< time limit of a call, the wait not included
+    bool counts_as_control; ///< its bytes are control traffic
+    int64_t timeout_ms;     ///< time limit of a call, the wait not included
 };
 
 enum platform_status {
--- /dev/null
+++ b/tests/command_line.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# The programs' command lines: exit codes and errors.
+set -u
+BUILD=$1
+DIR=$(mktemp -d "${TMPDIR:-/tmp}/dandelionvalve-test.XXXXXX")
+trap 'rm -rf "$DIR"' EXIT
+failed=0
+
+# expect CODE TEXT COMMAND...: the exit code, and a text in the output.
+expect() {
+  local code=$1 text=$2 out
+  shift 2
+  out=$("$@" 2>&1)
+  local got=$?
+  if [ $got -ne "$code" ] || [[ "$out" != *"$text"* ]]; then
+    echo "expected $code '$text' from: $*"
+    echo "got $got: $out"
+    failed=1
+  fi
+}
+
+for program in dvrouter dvagent dvstandin dvload; do
+  expect 0 "$program 0" "$BUILD/$program" --version
+  expect 0 "Usage" "$BUILD/$program" --help
+  expect 2 "--config FILE is needed" "$BUILD/$program"
+  expect 2 "No such file" "$BUILD/$program" --config "$DIR/none.toml"
+  expect 2 "unexpected argument" "$BUILD/$program" more
+  echo 'name = 1' >"$DIR/bad.toml"
+  expect 2 "bad.toml:1: name: must be a string" \
+    "$BUILD/$program" --check --config "$DIR/bad.toml"
+done
+expect 2 "a command is needed" "$BUILD/dvctl"
+expect 2 "unknown command 'dance'" "$BUILD/dvctl" dance
+expect 2 "--platform ADDRESS is needed" "$BUILD/dvctl" history
+expect 2 "needs a document file" "$BUILD/dvctl" check
+printf '[[pool]]\nname = "a"\nkind = "b"\n' >"$DIR/document.toml"
+expect 2 "document.toml:3: pool[0].kind: must be one of model, service" \
+  "$BUILD/dvctl" check "$DIR/document.toml"
+expect 1 "cannot be read" \
+  "$BUILD/dvctl" --platform 127.0.0.1:9 history
+expect 0 "" bash -c "echo secret | '$BUILD/dvctl' hash-key"
+expect 2 "an API key of 1 to" bash -c "'$BUILD/dvctl' hash-key </dev/null"
+exit $failed
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -57,6 +57,9 @@
         .environment = STR_LITERAL("production"),
         .platform = platform_log_address(harness->log),
         .admin = any_address(),
+        .has_control = true,
+        .control = any_address(),
+        .control_bytes_per_s = 3000,
         .keys = {.count = 1},
     };
     memset(common->keys.keys[0], 7, LINK_KEY_BYTES);
@@ -91,6 +94,7 @@
     // A second start takes the same ports.
     settings->links = agent_links_address(harness->agents[index]);
     settings->common.admin = agent_admin_address(harness->agents[index]);
+    settings->common.control = agent_control_address(harness->agents[index]);
 }
 
 void
@@ -192,6 +196,25 @@
     }
 }
 
+static void
+add_routers(const struct harness *harness, json_t *list)
+{
+    for (size_t i = 0; i < HARNESS_MAX; i++) {
+        struct address address;
+        char control[ADDRESS_TEXT_BYTES];
+
+        if (harness->routers[i] == NULL) {
+            continue;
+        }
+        address = router_control_address(harness->routers[i]);
+        address_format((struct sockaddr *)&address.storage, control);
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:s, s:s}", "name",
+                            harness->router_names[i], "role", "router", "zone",
+                            "zone-a", "control", control, "state", "live"));
+    }
+}
+
 void
 harness_publish_vms(struct harness *harness, const char *leaving)
 {
@@ -204,18 +227,24 @@
                                    ? relay_address(harness->relays[i])
                                    : harness->agent_settings[i].links;
         char address[ADDRESS_TEXT_BYTES];
+        char control[ADDRESS_TEXT_BYTES];
 
         address_format((struct sockaddr *)&links.storage, address);
+        address_format((struct sockaddr *)&harness->agent_settings[i]
+                           .common.control.storage,
+                       control);
         json_array_append_new(
             list,
-            json_pack("{s:s, s:s, s:s, s:s%, s:s, s:i, s:s}", "name", name,
-                      "role", "agent", "zone", "zone-a", "pool",
+            json_pack("{s:s, s:s, s:s, s:s%, s:s, s:s, s:i, s:s}", "name",
+                      name, "role", "agent", "zone", "zone-a", "pool",
                       harness->agent_settings[i].pool.data,
                       harness->agent_settings[i].pool.len, "address", address,
-                      "weight", (int)harness->options.slots, "state",
+                      "control", control, "weight",
+                      (int)harness->options.slots, "state",
                       leaving != NULL && !strcmp(leaving, name) ? "leaving"
                                                                 : "live"));
     }
+    add_routers(harness, list);
     text = json_dumps(list, JSON_COMPACT);
     platform_log_set_vms(harness->log, str_from(text));
     free(text);
@@ -248,6 +277,18 @@
     free(text);
 }
 
+static bool
+agents_know_all(void *ctx)
+{
+    struct harness *harness = ctx;
+    size_t members = harness->agent_count + harness->options.routers;
+
+    return harness_agent_counter(harness, COUNTER_MEMBERS) ==
+               harness->agent_count * members &&
+           harness_router_counter(harness, COUNTER_MEMBERS) ==
+               harness->options.routers * members;
+}
+
 static bool
 routers_ready(void *ctx)
 {
@@ -286,10 +327,11 @@
                                                        : usual_document,
                              HISTORY_NO_VERSION);
     add_endpoints(harness);
-    harness_publish_vms(harness, NULL);
     for (size_t i = 0; i < options->routers; i++) {
         add_router(harness, i);
     }
+    harness_publish_vms(harness, NULL);
+    CU_ASSERT(harness_wait(harness, agents_know_all, harness, START_MS));
     CU_ASSERT(harness_wait(harness, routers_ready, harness, START_MS));
 }
 
--- /dev/null
+++ b/tests/properties.cpp
@@ -0,0 +1,632 @@
+// Property tests of the decisions, with rapidcheck.
+#include <cstdio>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include <sodium.h>
+#include <xxhash.h>
+
+#include "dandelionvalve/answer.h"
+#include "dandelionvalve/claim.h"
+#include "dandelionvalve/history.h"
+#include "dandelionvalve/members.h"
+#include "documents.h"
+}
+
+static int passed;
+static int failed;
+
+template <typename Property>
+static void
+check(const char *name, Property property)
+{
+    if (rc::check(name, property)) {
+        passed++;
+    }
+    else {
+        failed++;
+    }
+}
+
+static struct str
+view(const std::string &text)
+{
+    return {text.data(), text.size()};
+}
+
+// A frame of some answer, as it may arrive late, twice or out of order.
+struct Frame {
+    int type; // 0 head, 1 data, 2 end
+    struct attempt_id id;
+    uint64_t offset;
+    std::string bytes;
+    uint64_t hash;
+};
+
+static std::vector<Frame>
+frames_of(const struct attempt_id &id, const std::string &text,
+          size_t part_bytes)
+{
+    std::vector<Frame> frames;
+
+    frames.push_back({0, id, 0, "", 0});
+    for (size_t i = 0; i < text.size(); i += part_bytes) {
+        frames.push_back({1, id, i, text.substr(i, part_bytes), 0});
+    }
+    frames.push_back(
+        {2, id, text.size(), "", XXH64(text.data(), text.size(), 0)});
+    return frames;
+}
+
+static void
+answers_are_whole_and_own()
+{
+    const auto own =
+        *rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'm'));
+    const auto other =
+        *rc::gen::container<std::string>(rc::gen::inRange<char>('n', 'z'));
+    const auto part = *rc::gen::inRange<size_t>(1, 8);
+    struct attempt_id id = {};
+    struct attempt_id old_attempt = {};
+    struct attempt_id stranger = {};
+
+    id.attempt = 2;
+    old_attempt.attempt = 1;
+    stranger.attempt = 2;
+    stranger.request.bytes[0] = 1;
+    std::vector<Frame> pool = frames_of(id, own, part);
+    const size_t own_frames = pool.size();
+    for (const auto &frame : frames_of(old_attempt, other, part)) {
+        pool.push_back(frame);
+    }
+    for (const auto &frame : frames_of(stranger, other, part)) {
+        pool.push_back(frame);
+    }
+    // Own frames in order, others and doubles anywhere between, and at times
+    // own frames too early.
+    const auto noise = *rc::gen::container<std::vector<size_t>>(
+        rc::gen::inRange<size_t>(0, pool.size()));
+    struct answer answer;
+    std::string delivered;
+    bool ended = false;
+    size_t next = 0;
+    size_t gaps = 0;
+    auto feed = [&](const Frame &frame) {
+        enum answer_verdict verdict;
+
+        if (frame.type == 0) {
+            verdict = answer_head(&answer, &frame.id);
+        }
+        else if (frame.type == 1) {
+            verdict = answer_data(&answer, &frame.id, frame.offset,
+                                  view(frame.bytes));
+            if (verdict == ANSWER_TAKE) {
+                RC_ASSERT(!ended);
+                delivered += frame.bytes;
+            }
+        }
+        else {
+            verdict = answer_end(&answer, &frame.id, frame.offset, frame.hash);
+            if (verdict == ANSWER_TAKE) {
+                // A clean end is said only of the whole answer.
+                RC_ASSERT(delivered == own);
+                ended = true;
+            }
+        }
+        gaps += verdict == ANSWER_GAP;
+        RC_ASSERT(verdict != ANSWER_BROKEN);
+    };
+
+    answer_init(&answer, &id);
+    for (size_t i = 0; i < noise.size() || next < own_frames; i++) {
+        if (i < noise.size()) {
+            feed(pool[noise[i]]);
+        }
+        if (next < own_frames) {
+            feed(pool[next++]);
+        }
+        RC_ASSERT(own.compare(0, delivered.size(), delivered) == 0);
+    }
+    RC_ASSERT(ended);
+    answer_destroy(&answer);
+}
+
+static void
+corrupt_answers_never_end()
+{
+    const auto text = *rc::gen::nonEmpty(
+        rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'z')));
+    const auto at = *rc::gen::inRange<size_t>(0, text.size());
+    std::string changed = text;
+    struct attempt_id id = {};
+    struct answer answer;
+
+    changed[at] = 'A';
+    answer_init(&answer, &id);
+    answer_head(&answer, &id);
+    answer_data(&answer, &id, 0, view(changed));
+    RC_ASSERT(answer_end(&answer, &id, text.size(),
+                         XXH64(text.data(), text.size(), 0)) == ANSWER_BROKEN);
+    answer_destroy(&answer);
+}
+
+// A log stream with retention, and readers and writers with all their faults.
+struct ConfigurationLog {
+    std::vector<std::string> records;
+    int64_t first = 0;
+
+    int64_t
+    append(struct str record)
+    {
+        records.emplace_back(record.data, record.len);
+        free(const_cast<char *>(record.data));
+        return static_cast<int64_t>(records.size()) - 1;
+    }
+};
+
+static void
+read_to(struct history *history, const ConfigurationLog &log, int64_t end)
+{
+    history_start(history, log.first);
+    for (int64_t i = history_last_offset(history) + 1; i < end; i++) {
+        struct err err = {};
+
+        history_apply(history, i, view(log.records[i]), &err);
+    }
+}
+
+static void
+versions_never_revert_or_diverge()
+{
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+    ConfigurationLog log;
+    std::vector<struct history *> readers(4);
+    std::vector<int64_t> versions(4, -1);
+    std::vector<int64_t> bases(4, -1);
+    struct history *truth = history_new(STR_LITERAL("production"));
+    int number = 0;
+
+    for (auto &reader : readers) {
+        reader = history_new(STR_LITERAL("production"));
+    }
+    for (const auto &step : steps) {
+        struct history *&reader = readers[step.second];
+        const auto end = static_cast<int64_t>(log.records.size());
+        char name[32];
+
+        snprintf(name, sizeof(name), "v%d", number++);
+        switch (step.first) {
+        case 0: // an operator notes the base of a change
+            bases[step.second] = history_version(reader);
+            break;
+        case 1: // and publishes it, maybe after others
+            log.append(document_change(name, bases[step.second], name));
+            break;
+        case 2:
+        case 3:
+            read_to(reader, log, end);
+            break;
+        case 4: // a reader reads half of what is there
+            read_to(reader, log,
+                    (history_last_offset(reader) + 1 + end + 1) / 2);
+            break;
+        case 5: // a carry, perhaps on old knowledge
+            if (history_may_carry(reader)) {
+                log.append(history_carry_format(reader, STR_LITERAL("n"),
+                                                STR_LITERAL("d")));
+            }
+            break;
+        case 6: // a reader is started anew
+            history_free(reader);
+            reader = history_new(STR_LITERAL("production"));
+            versions[step.second] = -1;
+            break;
+        case 7: { // retention, which leaves the anchor of the fold alone
+            read_to(truth, log, end);
+            const int64_t anchor = history_anchor_offset(truth);
+
+            if (anchor < end && log.first < anchor) {
+                log.first = anchor;
+            }
+            break;
+        }
+        }
+        const int64_t version = history_version(reader);
+
+        RC_ASSERT(version >= versions[step.second]);
+        versions[step.second] = version;
+    }
+    const auto end = static_cast<int64_t>(log.records.size());
+
+    read_to(truth, log, end);
+    for (auto *reader : readers) {
+        read_to(reader, log, end);
+        // Whoever has an anchor agrees; nobody is ahead of the truth.
+        RC_ASSERT(history_version(reader) <= history_version(truth));
+        if (history_may_carry(reader)) {
+            RC_ASSERT(history_version(reader) == history_version(truth));
+            RC_ASSERT(
+                str_equal(history_document(reader), history_document(truth)));
+        }
+        history_free(reader);
+    }
+    history_free(truth);
+}
+
+// Agents, a log with every fault, and an endpoint whose ledger judges.
+struct ClaimWorld {
+    struct manual_clock manual = {};
+    struct clock clock;
+    struct random_seeded seeded;
+    struct random_source random;
+    std::vector<std::pair<int64_t, std::string>> log; // time, record
+    int64_t first = 0;
+    std::map<std::string, int> ledger; // runs by key
+    std::map<std::string, std::set<std::string>> answers;
+    std::deque<std::string> late; // appends that may still land
+    int64_t retention_ms = 100000;
+    int64_t window_ms = 40000;
+    std::map<std::string, int64_t> first_use_ms;
+
+    int64_t
+    now_ms() const
+    {
+        return manual.now_us / 1000;
+    }
+};
+
+struct ClaimRequest {
+    struct ClaimAgent *agent;
+    std::string key;
+    int64_t begun_ms;
+    bool decided = false;
+    bool may_run = false;
+    bool said_not_run = false;
+    bool ran = false;
+};
+
+struct ClaimAgent {
+    ClaimWorld *world;
+    struct claims *claims = nullptr;
+    std::string pending;
+    bool appending = false;
+    std::deque<ClaimRequest> requests;
+};
+
+static void
+claim_agent_append(void *ctx, struct str record)
+{
+    auto *agent = static_cast<ClaimAgent *>(ctx);
+
+    agent->pending.assign(record.data, record.len);
+    agent->appending = true;
+}
+
+static void
+claim_agent_decided(void *ctx, void *data,
+                    const struct claim_decision *decision)
+{
+    auto *agent = static_cast<ClaimAgent *>(ctx);
+    auto *request = static_cast<ClaimRequest *>(data);
+    ClaimWorld *world = agent->world;
+
+    RC_ASSERT(!request->decided);
+    request->decided = true;
+    if (decision->verdict == CLAIM_RUN) {
+        request->may_run = true;
+    }
+    if (decision->verdict == CLAIM_LOG_DOWN) {
+        request->said_not_run = true;
+    }
+    if (decision->verdict == CLAIM_REPLAY) {
+        world->answers[request->key].insert(std::string(
+            decision->answer.body.data, decision->answer.body.len));
+    }
+}
+
+static void
+claim_agent_start(ClaimAgent *agent)
+{
+    struct claim_options options = {};
+
+    options.clock = &agent->world->clock;
+    options.random = &agent->world->random;
+    options.window_ms = agent->world->window_ms;
+    options.wait_ms = 3000;
+    options.append_interval_ms = 10;
+    options.batch_max = 4;
+    options.answer_bytes_max = 100;
+    options.append = claim_agent_append;
+    options.decided = claim_agent_decided;
+    options.ctx = agent;
+    agent->claims = claims_new(&options);
+    agent->appending = false;
+}
+
+static void
+claim_agent_read(ClaimAgent *agent, bool whole)
+{
+    ClaimWorld *world = agent->world;
+    int64_t end = static_cast<int64_t>(world->log.size());
+
+    claim_start(agent->claims, world->first, world->retention_ms);
+    if (!whole) {
+        end = (claim_next_offset(agent->claims) + end + 1) / 2;
+    }
+    while (claim_next_offset(agent->claims) < end) {
+        const int64_t offset = claim_next_offset(agent->claims);
+        const auto &record = world->log[offset];
+
+        claim_record(agent->claims, offset, record.first, view(record.second));
+    }
+    if (whole) {
+        claim_caught_up(agent->claims, world->now_ms());
+    }
+}
+
+static void
+claim_agent_run(ClaimAgent *agent, bool finishes)
+{
+    ClaimWorld *world = agent->world;
+
+    for (auto &request : agent->requests) {
+        if (!request.may_run || request.ran) {
+            continue;
+        }
+        request.ran = true;
+        // The promise holds for a window from the first use of a key; after
+        // it, a key without a time of its own counts as new.
+        const auto first_use = world->first_use_ms.find(request.key);
+
+        if (first_use != world->first_use_ms.end()) {
+            RC_ASSERT(world->now_ms() > first_use->second + world->window_ms);
+        }
+        world->first_use_ms[request.key] = request.begun_ms;
+        world->ledger[request.key]++;
+        if (finishes) {
+            const std::string body =
+                request.key + "#" + std::to_string(world->ledger[request.key]);
+            struct claim_answer answer = {};
+
+            answer.status = 200;
+            answer.content_type = STR_LITERAL("text/plain");
+            answer.body = view(body);
+            answer.body_kept = true;
+            world->answers[request.key].insert(body);
+            claim_finish(agent->claims, &request, &answer);
+        }
+        return;
+    }
+}
+
+// How the append that is under way ends.
+static void
+claim_agent_end_append(ClaimAgent *agent, int how)
+{
+    ClaimWorld *world = agent->world;
+    const std::string record = agent->pending;
+
+    if (!agent->appending) {
+        return;
+    }
+    agent->appending = false;
+    switch (how) {
+    case 0:
+    case 1: {
+        world->log.emplace_back(world->now_ms(), record);
+        const auto offset = static_cast<int64_t>(world->log.size()) - 1;
+
+        claim_appended(agent->claims, CLAIM_APPEND_OK, offset);
+        break;
+    }
+    case 2: // refused
+        claim_appended(agent->claims, CLAIM_APPEND_REFUSED, 0);
+        break;
+    case 3: // landed, but unanswered
+        world->log.emplace_back(world->now_ms(), record);
+        claim_appended(agent->claims, CLAIM_APPEND_UNKNOWN, 0);
+        break;
+    default: // unanswered; lands later or never
+        world->late.push_back(record);
+        claim_appended(agent->claims, CLAIM_APPEND_UNKNOWN, 0);
+        break;
+    }
+}
+
+static void
+keys_run_at_most_once()
+{
+    using Step = std::tuple<int, int, int>;
+    const auto steps = *rc::gen::scale(
+        4.0, rc::gen::container<std::vector<Step>>(rc::gen::tuple(
+                 rc::gen::inRange(0, 12), rc::gen::inRange(0, 3),
+                 rc::gen::inRange(0, 5))));
+    ClaimWorld world;
+    std::vector<ClaimAgent> agents(3);
+
+    world.manual.now_us = 1000000;
+    world.clock = manual_clock_interface(&world.manual);
+    world.seeded.state = *rc::gen::arbitrary<uint32_t>();
+    world.random = random_seeded_interface(&world.seeded);
+    for (auto &agent : agents) {
+        agent.world = &world;
+        claim_agent_start(&agent);
+        claim_agent_read(&agent, true);
+    }
+    for (const auto &step : steps) {
+        ClaimAgent &agent = agents[std::get<1>(step)];
+        const int detail = std::get<2>(step);
+
+        switch (std::get<0>(step)) {
+        case 0:
+        case 1: { // a caller sends a key, maybe again
+            const std::string key = "account/key" + std::to_string(detail % 2);
+
+            agent.requests.push_back({&agent, key, world.now_ms()});
+            struct claim_request request = {};
+
+            request.key = view(agent.requests.back().key);
+            request.hash = 1;
+            request.run_limit_ms = 2000;
+            request.request = &agent.requests.back();
+            claim_begin(agent.claims, &request);
+            break;
+        }
+        case 2:
+        case 3:
+            claim_agent_end_append(&agent, detail);
+            break;
+        case 4:
+        case 5:
+            claim_agent_read(&agent, detail > 0);
+            break;
+        case 6:
+            claim_agent_run(&agent, detail > 0);
+            break;
+        case 7: // time passes; everybody's timers run
+            world.manual.now_us += detail * 700000 + 20000;
+            for (auto &other : agents) {
+                claim_tick(other.claims);
+            }
+            break;
+        case 8: // this agent alone was paused while time passed
+            world.manual.now_us += detail * 1500000;
+            break;
+        case 9: // an old append lands at last
+            if (!world.late.empty()) {
+                world.log.emplace_back(world.now_ms(), world.late.front());
+                world.late.pop_front();
+            }
+            break;
+        case 10: // the agent dies and is replaced
+            if (agent.appending && detail > 2) {
+                world.late.push_back(agent.pending);
+            }
+            claims_free(agent.claims);
+            for (auto &request : agent.requests) {
+                request.decided = true;
+                request.may_run = false;
+            }
+            claim_agent_start(&agent);
+            claim_agent_read(&agent, true);
+            break;
+        case 11: // the caller goes away
+            for (auto &request : agent.requests) {
+                if (!request.decided) {
+                    request.decided = true;
+                    claim_withdraw(agent.claims, &request);
+                    break;
+                }
+            }
+            break;
+        }
+    }
+    for (const auto &answers : world.answers) {
+        RC_ASSERT(static_cast<int>(answers.second.size()) <=
+                  world.ledger[answers.first]);
+    }
+    for (auto &agent : agents) {
+        for (const auto &request : agent.requests) {
+            RC_ASSERT(!(request.said_not_run && request.ran));
+        }
+        claims_free(agent.claims);
+    }
+}
+
+struct MemberSeen {
+    enum member_use use = MEMBER_UNUSABLE;
+};
+
+static void
+on_member_changed(void *ctx, const struct member *member)
+{
+    static_cast<MemberSeen *>(ctx)->use = member->use;
+}
+
+static void
+on_member_ignored(void *ctx, const struct member *member)
+{
+    (void)ctx;
+    (void)member;
+}
+
+static void
+members_converge()
+{
+    const auto words = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(1, 5), rc::gen::inRange(0, 3)));
+    struct manual_clock manual = {};
+    struct clock clock = manual_clock_interface(&manual);
+    MemberSeen seen[2];
+    struct members *views[2];
+    struct member_info info = {};
+    uint64_t highest = 0;
+
+    manual.now_us = 1000000000;
+    info.name = STR_LITERAL("agent");
+    info.role = MEMBER_AGENT;
+    info.weight = 1;
+    for (int i = 0; i < 2; i++) {
+        struct members_options options = {};
+
+        options.clock = &clock;
+        options.silent_ms = 30000;
+        options.hold_ms = 60000;
+        options.probe_ms = 1000;
+        options.changed = on_member_changed;
+        options.removed = on_member_ignored;
+        options.probe = on_member_ignored;
+        options.ctx = &seen[i];
+        views[i] = members_new(&options);
+        members_list(views[i], &info, 1);
+    }
+    // Both hear the same words of readiness and leaving in another order.
+    for (size_t i = 0; i < words.size(); i++) {
+        const auto &forward = words[i];
+        const auto &backward = words[words.size() - 1 - i];
+
+        members_word(views[0], info.name, forward.first,
+                     forward.second == 0 ? AGENT_LEAVING : AGENT_READY);
+        members_word(views[1], info.name, backward.first,
+                     backward.second == 0 ? AGENT_LEAVING : AGENT_READY);
+        highest = std::max<uint64_t>(highest, forward.first);
+    }
+    manual.now_us += 120000000;
+    for (auto *view_of : views) {
+        members_heard(view_of, info.name);
+        members_tick(view_of);
+    }
+    const struct member *a = members_find(views[0], info.name);
+    const struct member *b = members_find(views[1], info.name);
+
+    RC_ASSERT(a->incarnation == highest);
+    RC_ASSERT(b->incarnation == highest);
+    RC_ASSERT(a->state == b->state);
+    RC_ASSERT(seen[0].use == seen[1].use);
+    members_free(views[0]);
+    members_free(views[1]);
+}
+
+int
+main()
+{
+    if (sodium_init() < 0) {
+        return 1;
+    }
+    check("answers are whole and own", answers_are_whole_and_own);
+    check("corrupt answers never end", corrupt_answers_never_end);
+    check("versions never revert or diverge",
+          versions_never_revert_or_diverge);
+    check("keys run at most once", keys_run_at_most_once);
+    check("members converge", members_converge);
+    printf("properties: %d passed, %d failed\n", passed, failed);
+    return failed == 0 ? 0 : 1;
+}
