--- a/core/gate.c
+++ b/core/gate.c
@@ -25,11 +25,12 @@
     struct waiting *next;
 };
 
-/// An account with waiting requests, in the round of the deficit round robin.
+/// An account with waiting requests, or one that was served ahead of the
+/// others a moment ago.
 struct account {
     struct str name;
     uint32_t weight;
-    uint32_t deficit;
+    double tag; ///< virtual time at which its next request is due
     size_t count;
     struct waiting *queues[PRIORITIES];
     struct account *prev;
@@ -60,7 +61,8 @@
     uint64_t in_flight_sum;
     double in_flight_time_sum;
     struct account *accounts;
-    struct account *round;
+    struct account *active; ///< accounts with waiting requests
+    double virtual_time;
     size_t queued;
     size_t queued_bytes;
     struct decayed ended;
@@ -82,14 +84,24 @@
 }
 
 static void
-account_remove(struct gate *gate, struct account *account)
+account_free(struct gate *gate, struct account *account)
 {
     HASH_DEL(gate->accounts, account);
-    DL_DELETE(gate->round, account);
     free((char *)account->name.data);
     free(account);
 }
 
+/// The account has no waiting request left. It is remembered while it is
+/// ahead of the others, so that it gains nothing by asking one at a time.
+static void
+account_rest(struct gate *gate, struct account *account)
+{
+    DL_DELETE(gate->active, account);
+    if (account->tag <= gate->virtual_time) {
+        account_free(gate, account);
+    }
+}
+
 static void
 unlink_waiting(struct gate *gate, struct account *account,
                struct waiting *waiting)
@@ -104,16 +116,18 @@
 static void
 drop_queue(struct gate *gate)
 {
-    while (gate->round != NULL) {
-        struct account *account = gate->round;
+    struct account *account, *next;
 
+    HASH_ITER(hh, gate->accounts, account, next)
+    {
         for (size_t p = 0; p < PRIORITIES; p++) {
             while (account->queues[p] != NULL) {
                 unlink_waiting(gate, account, account->queues[p]);
             }
         }
-        account_remove(gate, account);
+        account_free(gate, account);
     }
+    gate->active = NULL;
 }
 
 static void
@@ -313,7 +327,12 @@
         account->name = str_copy(request->account);
         HASH_ADD_KEYPTR(hh, gate->accounts, account->name.data,
                         account->name.len, account);
-        DL_APPEND(gate->round, account);
+    }
+    if (account->count == 0) {
+        DL_APPEND(gate->active, account);
+        if (account->tag < gate->virtual_time) {
+            account->tag = gate->virtual_time;
+        }
     }
     account->weight =
         request->account_weight > 0 ? request->account_weight : 1;
@@ -329,10 +348,10 @@
 static struct account *
 largest_account(const struct gate *gate)
 {
-    struct account *largest = gate->round;
+    struct account *largest = gate->active;
     struct account *account;
 
-    DL_FOREACH(gate->round, account)
+    DL_FOREACH(gate->active, account)
     {
         if (queue_share(account) > queue_share(largest)) {
             largest = account;
@@ -380,7 +399,7 @@
     dropped = victim->request.request;
     unlink_waiting(gate, largest, victim);
     if (largest->count == 0) {
-        account_remove(gate, largest);
+        account_rest(gate, largest);
     }
     gate->options.dropped(gate->options.ctx, dropped, REFUSE_QUEUE_FULL,
                           refuse(gate, REFUSE_QUEUE_FULL).retry_after_ms);
@@ -447,32 +466,58 @@
     return NULL;
 }
 
-// Deficit round robin with a cost of one for each request: an account is
-// served `weight` times before the next one's turn.
+static struct account *
+next_account(const struct gate *gate)
+{
+    struct account *first = gate->active;
+    struct account *account;
+
+    DL_FOREACH(gate->active, account)
+    {
+        if (account->tag < first->tag) {
+            first = account;
+        }
+    }
+    return first;
+}
+
+// Start-time fair queueing: each request moves its account's tag on by one
+// over the weight, and the smallest tag is served first. An account that asks
+// for less than its share starts at the virtual time, ahead of a surge.
 static void
 admit_next(struct gate *gate)
 {
-    struct account *account = gate->round;
+    struct account *account = next_account(gate);
     struct waiting *waiting = oldest_highest(account);
     void *request = waiting->request.request;
 
-    if (account->deficit == 0) {
-        account->deficit = account->weight;
-    }
-    account->deficit--;
+    gate->virtual_time = account->tag;
+    account->tag += 1.0 / account->weight;
     unlink_waiting(gate, account, waiting);
     if (account->count == 0) {
-        account_remove(gate, account);
-    }
-    else if (account->deficit == 0) {
-        DL_DELETE(gate->round, account);
-        DL_APPEND(gate->round, account);
+        account_rest(gate, account);
     }
     gate->running++;
     gate->woken_ms = now_ms(gate);
     gate->options.admitted(gate->options.ctx, request);
 }
 
+/// Without a queue nobody is ahead of anybody.
+static void
+forget_tags(struct gate *gate)
+{
+    struct account *account, *next;
+
+    if (gate->queued > 0) {
+        return;
+    }
+    HASH_ITER(hh, gate->accounts, account, next)
+    {
+        account_free(gate, account);
+    }
+    gate->virtual_time = 0;
+}
+
 static void
 admit_waiting(struct gate *gate)
 {
@@ -537,11 +582,11 @@
 {
     struct account *account;
 
-    DL_FOREACH(gate->round, account)
+    DL_FOREACH(gate->active, account)
     {
         if (withdraw_from(gate, account, request)) {
             if (account->count == 0) {
-                account_remove(gate, account);
+                account_rest(gate, account);
             }
             return true;
         }
@@ -595,7 +640,7 @@
         return;
     }
     gate->next_scan_ms = now + SCAN_INTERVAL_MS;
-    DL_FOREACH_SAFE(gate->round, account, next)
+    DL_FOREACH_SAFE(gate->active, account, next)
     {
         enum refuse_reason reason;
         struct waiting *waiting = first_to_drop(gate, account, now, &reason);
@@ -608,7 +653,7 @@
             waiting = first_to_drop(gate, account, now, &reason);
         }
         if (account->count == 0) {
-            account_remove(gate, account);
+            account_rest(gate, account);
         }
     }
 }
@@ -627,6 +672,7 @@
     }
     admit_waiting(gate);
     drop_waiting(gate);
+    forget_tags(gate);
 }
 
 struct load_report
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -381,6 +381,8 @@
     toml_get_int(root, "seed", 0, INT64_MAX, &settings->seed, err);
     toml_get_int(root, "chats", 1, 100000000, &settings->chats, err);
     toml_get_int(root, "connections", 1, 20000, &settings->connections, err);
+    toml_get_int(root, "idle_connections", 0, 100000,
+                 &settings->idle_connections, err);
     toml_get_int(root, "requests", 1, 10000000, &settings->requests, err);
     toml_get_int(root, "bookings_percent", 0, 100, &settings->bookings_percent,
                  err);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -79,6 +79,7 @@
     int64_t seed;
     int64_t chats;
     int64_t connections;
+    int64_t idle_connections; ///< opened and held instead of any load
     int64_t requests;
     int64_t bookings_percent;
     int64_t resend_percent;
--- a/load/main.c
+++ b/load/main.c
@@ -483,6 +483,8 @@
     int status;
 
     load.run_number = (uint64_t)start_us;
+    report_start(&load.report, load.base, settings);
+    start_us = clock_us(&clock_monotonic);
     load.chats = chats_new(&chats);
     load.routers = xcalloc(settings->caller_count, sizeof(struct endpoint *));
     for (size_t i = 0; i < settings->caller_count; i++) {
@@ -516,6 +518,32 @@
     return status;
 }
 
+/// Opens connections to the first router and holds them until a signal.
+static int
+hold_idle(const struct settings_load *settings)
+{
+    struct event_base *base = event_base_new();
+    const struct address *address = &settings->callers[0];
+    int64_t open = 0;
+
+    for (int64_t i = 0; i < settings->idle_connections; i++) {
+        int fd = socket(address->storage.ss_family, SOCK_STREAM, 0);
+
+        if (fd < 0 ||
+            connect(fd, (const struct sockaddr *)&address->storage,
+                    address->len) != 0) {
+            break;
+        }
+        open++;
+    }
+    printf("%lld idle connections open\n", (long long)open);
+    fflush(stdout);
+    program_run(base, on_terminate, base);
+    event_base_free(base);
+    return open == settings->idle_connections ? EXIT_SUCCESS
+                                              : EXIT_WRONG_ANSWERS;
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -535,7 +563,8 @@
     status = EXIT_SUCCESS;
     if (!program.check_only) {
         log_start(settings.log_level);
-        status = run(&settings);
+        status = settings.idle_connections > 0 ? hold_idle(&settings)
+                                               : run(&settings);
         log_stop();
     }
     settings_destroy_load(&settings);
--- a/load/report.c
+++ b/load/report.c
@@ -124,9 +124,8 @@
     return at != NULL ? strtod(at + strlen(name), NULL) : 0;
 }
 
-static void
-collect_routers(struct report *report, struct event_base *base,
-                const struct settings_load *settings)
+static double
+control_bytes(struct event_base *base, const struct settings_load *settings)
 {
     double bytes = 0;
 
@@ -140,6 +139,23 @@
         bytes += metric(body, "control_bytes_total{direction=\"out\"} ");
         free((char *)body.data);
     }
+    return bytes;
+}
+
+void
+report_start(struct report *report, struct event_base *base,
+             const struct settings_load *settings)
+{
+    report->control_bytes_before = control_bytes(base, settings);
+}
+
+static void
+collect_routers(struct report *report, struct event_base *base,
+                const struct settings_load *settings)
+{
+    double bytes =
+        control_bytes(base, settings) - report->control_bytes_before;
+
     if (report->seconds > 0 && settings->admin_count > 0) {
         report->control_bytes_per_s =
             bytes / report->seconds / (double)settings->admin_count;
--- a/load/report.h
+++ b/load/report.h
@@ -28,12 +28,17 @@
     double seconds;
     uint64_t keys_run_twice;
     double skew; ///< largest share of an engine over the mean share
+    double control_bytes_before;
     double control_bytes_per_s;
 };
 
 void report_add_latency(struct report *report, double first_ms,
                         double total_ms);
 
+/// Notes what the routers have counted before the run.
+void report_start(struct report *report, struct event_base *base,
+                  const struct settings_load *settings);
+
 /// Reads ledgers and metrics of the deployment.
 void report_collect(struct report *report, struct event_base *base,
                     const struct settings_load *settings);
--- a/measure/main.c
+++ b/measure/main.c
@@ -14,7 +14,9 @@
     const char *name;
     int (*run)(const struct measure_options *options);
 } measurements[] = {
-    {"routing", measure_routing},
+    {"routing", measure_routing}, {"fairness", measure_fairness},
+    {"claims", measure_claims},   {"control", measure_control},
+    {"slopes", measure_slopes},   {"scale", measure_scale},
 };
 
 static int
--- a/measure/measure.h
+++ b/measure/measure.h
@@ -12,11 +12,8 @@
 /// Each prints a table to standard output and its rows as CSV. Returns false
 /// if a stated target is missed.
 int measure_routing(const struct measure_options *options);
+int measure_scale(const struct measure_options *options);
 int measure_fairness(const struct measure_options *options);
-int measure_retries(const struct measure_options *options);
 int measure_claims(const struct measure_options *options);
-int measure_quarantine(const struct measure_options *options);
-int measure_configuration(const struct measure_options *options);
-int measure_members(const struct measure_options *options);
 int measure_control(const struct measure_options *options);
 int measure_slopes(const struct measure_options *options);
--- a/measure/routing.c
+++ b/measure/routing.c
@@ -143,3 +143,20 @@
     printf("targets missed: %d\n", missed);
     return missed;
 }
+
+int
+measure_scale(const struct measure_options *options)
+{
+    static const size_t routers[] = {6, 20, 60};
+    int missed = 0;
+
+    print_head(options);
+    for (size_t i = 0; i < sizeof(routers) / sizeof(routers[0]); i++) {
+        struct fleet_options run = base_options(options, 20, FLEET_STEADY);
+
+        run.routers = routers[i];
+        missed += compare(options, run);
+    }
+    printf("targets missed: %d\n", missed);
+    return missed;
+}
