--- a/daemon/run.c
+++ b/daemon/run.c
@@ -194,19 +194,20 @@
 static void
 log_decision(const struct run *run, const char *decision, const char *reason)
 {
+    struct load_report load;
     char id[33];
 
     if (!log_enabled(LOG_LEVEL_INFO)) {
         return;
     }
+    load = gate_load(run->runs->options.gate);
     hex_encode(run->id.request.bytes, sizeof(run->id.request.bytes), id);
     LOG_INFO("event=%s request=%s attempt=%u account=" STR_FMT
              " route=" STR_FMT " router=" STR_FMT
              " reason=%s running=%u bound=%u",
              decision, id, run->id.attempt, STR_ARG(run->offer.account),
              STR_ARG(run->offer.route), STR_ARG(run->router), reason,
-             gate_load(run->runs->options.gate).running,
-             gate_load(run->runs->options.gate).bound);
+             load.running, load.bound);
 }
 
 /// Ends a run that held a place in the gate.
--- a/net/log.c
+++ b/net/log.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 #include <log4c.h>
 
@@ -11,6 +12,7 @@
 
 static struct {
     log4c_category_t *category;
+    log4c_appender_t *appender;
     enum log_level level;
     FILE *out;
 } state;
@@ -22,17 +24,12 @@
     [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
 };
 
+/// Lines come to the appender as they are to be written.
 static const char *
 format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
-    static char line[LINE_BYTES + 64];
-
     (void)layout;
-    snprintf(line, sizeof(line), "ts=%lld.%03d level=%s %s\n",
-             (long long)event->evt_timestamp.tv_sec,
-             (int)(event->evt_timestamp.tv_usec / 1000),
-             log4c_priority_to_string(event->evt_priority), event->evt_msg);
-    return line;
+    return event->evt_msg;
 }
 
 static int
@@ -56,7 +53,6 @@
 log_start(enum log_level level)
 {
     static char buffer[BUFFER_BYTES];
-    log4c_appender_t *appender;
     log4c_layout_t *layout;
 
     log4c_init();
@@ -64,11 +60,11 @@
     log4c_appender_type_set(&appender_type);
     layout = log4c_layout_get("dandelionvalve");
     log4c_layout_set_type(layout, &layout_type);
-    appender = log4c_appender_get("dandelionvalve");
-    log4c_appender_set_type(appender, &appender_type);
-    log4c_appender_set_layout(appender, layout);
+    state.appender = log4c_appender_get("dandelionvalve");
+    log4c_appender_set_type(state.appender, &appender_type);
+    log4c_appender_set_layout(state.appender, layout);
     state.category = log4c_category_get("dandelionvalve");
-    log4c_category_set_appender(state.category, appender);
+    log4c_category_set_appender(state.category, state.appender);
     log4c_category_set_additivity(state.category, 0);
     log4c_category_set_priority(state.category, priorities[level]);
     state.level = level;
@@ -120,27 +116,46 @@
     return state.category != NULL && level <= state.level;
 }
 
+/// Text of callers and peers must not start a line of its own.
+static void
+end_line(char *line, size_t len)
+{
+    if (len > LINE_BYTES - 2) {
+        len = LINE_BYTES - 2;
+    }
+    for (size_t i = 0; i < len; i++) {
+        if (line[i] == '\n' || line[i] == '\r') {
+            line[i] = ' ';
+        }
+    }
+    line[len] = '\n';
+    line[len + 1] = '\0';
+}
+
 void
 log_line(enum log_level level, const char *module, const char *fmt, ...)
 {
     char line[LINE_BYTES];
+    log4c_logging_event_t event = {.evt_msg = line};
+    struct timespec now;
     va_list ap;
     int len;
 
     if (!log_enabled(level)) {
         return;
     }
-    len = snprintf(line, sizeof(line), "module=%s ", module);
+    clock_gettime(CLOCK_REALTIME, &now);
+    len = snprintf(line, sizeof(line), "ts=%lld.%03ld level=%s module=%s ",
+                   (long long)now.tv_sec, now.tv_nsec / 1000000,
+                   log4c_priority_to_string(priorities[level]), module);
     va_start(ap, fmt);
-    vsnprintf(line + len, sizeof(line) - (size_t)len, fmt, ap);
+    len += vsnprintf(line + len, sizeof(line) - (size_t)len, fmt, ap);
     va_end(ap);
-    // Text of callers and peers must not start a line of its own.
-    for (char *c = line; *c != '\0'; c++) {
-        if (*c == '\n' || *c == '\r') {
-            *c = ' ';
-        }
-    }
-    log4c_category_log(state.category, priorities[level], "%s", line);
+    end_line(line, (size_t)len);
+    // The line is formatted once, here; the category only decides.
+    event.evt_category = log4c_category_get_name(state.category);
+    event.evt_priority = priorities[level];
+    log4c_appender_append(state.appender, &event);
     if (level <= LOG_LEVEL_WARNING) {
         log_flush();
     }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -186,6 +186,13 @@
 key_required = true
 deadline_ms = 20000
 
+[[route]]
+name = "quotes"
+path = "${BOOKING_PATH%/*}/quotes"
+methods = ["POST"]
+pool = "$SERVICE_POOL"
+repeatable = true
+
 [[route]]
 name = "status"
 path = "${BOOKING_PATH%/*}/status/*"
