--- a/load/main.c
+++ b/load/main.c
@@ -529,9 +529,8 @@
     for (int64_t i = 0; i < settings->idle_connections; i++) {
         int fd = socket(address->storage.ss_family, SOCK_STREAM, 0);
 
-        if (fd < 0 ||
-            connect(fd, (const struct sockaddr *)&address->storage,
-                    address->len) != 0) {
+        if (fd < 0 || connect(fd, (const struct sockaddr *)&address->storage,
+                              address->len) != 0) {
             break;
         }
         open++;
