orders: models, adapters and roles by the document

Cause: placement was read and checked, but nothing gave orders; four files had a JSON reply of their own and four a callback that did nothing. Change: core/orders decides what is due (fencing by version, turns by rank, backoff), daemon/placement gives it only upon a read of the log's end begun within the last second; the stand-in engine has a weight store's limit; http_reply_json() for all stand-ins, head and data callbacks may be left out.

--- a/ctl/fleet.c
+++ b/ctl/fleet.c
@@ -33,16 +33,6 @@
     bool listed;
 };
 
-static void
-on_head(void *ctx, int status, const struct message_header *headers,
-        size_t count)
-{
-    (void)ctx;
-    (void)status;
-    (void)headers;
-    (void)count;
-}
-
 static void
 on_data(void *ctx, struct evbuffer *data)
 {
@@ -75,7 +65,6 @@
         .method = STR_LITERAL("GET"),
         .uri = STR_LITERAL("/status"),
         .body = STR_LITERAL(""),
-        .head = on_head,
         .data = on_data,
         .end = on_end,
         .ctx = member,
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -19,6 +19,7 @@
 #include "net/link.h"
 #include "net/log.h"
 #include "net/platform.h"
+#include "placement.h"
 #include "probe.h"
 #include "run.h"
 
@@ -58,6 +59,10 @@
     struct platform *platform;
     struct platform *claims_platform;
     struct control *control;
+    struct placement *placement;
+    int64_t placed_version;
+    size_t rank;
+    size_t pool_size;
     struct configuration *configuration;
     struct membership *membership;
     struct admin *admin;
@@ -110,7 +115,13 @@
 static void
 on_probed(void *ctx, bool alive)
 {
-    set_state(ctx, alive ? AGENT_READY : AGENT_ENDPOINT_DOWN);
+    struct agent *agent = ctx;
+
+    // An endpoint that was down may have been started anew with nothing.
+    if (!alive) {
+        placement_forget_loaded(agent->placement);
+    }
+    set_state(agent, alive ? AGENT_READY : AGENT_ENDPOINT_DOWN);
 }
 
 static void
@@ -244,6 +255,53 @@
     claimlog_set_window(agent->claimlog, conf->claims.window_ms);
 }
 
+static void
+count_rank(void *ctx, const struct member *member)
+{
+    struct agent *agent = ctx;
+    const struct settings_agent *settings = agent->options.settings;
+
+    if (member->info.role != MEMBER_AGENT ||
+        !str_equal(member->info.pool, settings->pool)) {
+        return;
+    }
+    agent->pool_size++;
+    agent->rank +=
+        str_hash(member->info.name, 0) < str_hash(settings->common.name, 0);
+}
+
+/// Ranks by the names' hashes are the same on all agents of the pool.
+static void
+want_placement(struct agent *agent, const struct conf *conf, int64_t version)
+{
+    const struct conf_pool *pool =
+        conf_find_pool(conf, agent->options.settings->pool);
+
+    if (pool == NULL || pool->kind != CONF_POOL_MODEL) {
+        return;
+    }
+    agent->rank = 0;
+    agent->pool_size = 0;
+    members_each(membership_members(agent->membership), count_rank, agent);
+    placement_want(agent->placement, version, &pool->placement, agent->rank,
+                   agent->pool_size);
+}
+
+/// The turn of this endpoint depends on the list, so that comes first.
+static void
+update_placement(struct agent *agent)
+{
+    int64_t version = configuration_version(agent->configuration);
+
+    if (version > agent->placed_version &&
+        membership_is_known(agent->membership)) {
+        agent->placed_version = version;
+        want_placement(agent, configuration_conf(agent->configuration),
+                       version);
+    }
+    placement_tick(agent->placement);
+}
+
 static void
 on_conf(void *ctx, const struct conf *conf, int64_t version)
 {
@@ -336,6 +394,7 @@
     update_pool(agent);
     update_busy(agent);
     control_tick(agent->control);
+    update_placement(agent);
     counter_set(&agent->counters, COUNTER_IN_FLIGHT, runs_active(agent->runs));
     log_flush();
     finish_drain(agent);
@@ -429,6 +488,21 @@
     agent->probe = probe_new(&probe);
 }
 
+static void
+create_placement(struct agent *agent)
+{
+    const struct placement_options placement = {
+        .base = agent->options.base,
+        .clock = agent->options.clock,
+        .random = agent->options.random,
+        .counters = &agent->counters,
+        .configuration = agent->configuration,
+        .endpoint = agent->options.settings->endpoint,
+    };
+
+    agent->placement = placement_new(&placement);
+}
+
 static void
 create_controllers(struct agent *agent)
 {
@@ -481,6 +555,7 @@
     agent->claimlog = claimlog_new(&claimlog);
     agent->configuration = configuration_new(&configuration);
     agent->membership = membership_new(&membership);
+    create_placement(agent);
 }
 
 static void
@@ -593,6 +668,7 @@
     };
 
     agent->options = *options;
+    agent->placed_version = HISTORY_NO_VERSION;
     create_gate(agent);
     create_endpoint(agent);
     create_controllers(agent);
@@ -627,6 +703,7 @@
     event_free(agent->tick);
     runs_free(agent->runs);
     control_free(agent->control);
+    placement_free(agent->placement);
     membership_free(agent->membership);
     configuration_free(agent->configuration);
     claimlog_free(agent->claimlog);
--- a/daemon/configuration.c
+++ b/daemon/configuration.c
@@ -25,6 +25,10 @@
     struct str stream;
     struct event *timer;
     bool current;
+    bool checking;
+    int64_t read_ms; ///< when the read that last met the end was begun
+    int64_t begun_ms;
+    int64_t check_begun_ms;
     bool log_down;
     int64_t retry_ms;
     double carry_share;
@@ -143,11 +147,32 @@
     free((char *)record.data);
 }
 
+/// Folds a page; the age of what is known counts from the read's begin.
+static void
+take_page(struct configuration *configuration,
+          const struct platform_page *page, int64_t begun_ms)
+{
+    int64_t before = history_version(configuration->history);
+
+    history_start(configuration->history, page->first);
+    for (size_t i = 0; i < page->count; i++) {
+        apply(configuration, &page->records[i]);
+    }
+    note_anchor(configuration, page);
+    if (history_version(configuration->history) != before) {
+        announce(configuration, "log");
+    }
+    if (history_last_offset(configuration->history) + 1 >= page->end) {
+        configuration->current = true;
+        configuration->read_ms = begun_ms;
+    }
+    carry_if_due(configuration, page->retention_ms);
+}
+
 static void
 on_page(void *ctx, const struct platform_page *page)
 {
     struct configuration *configuration = ctx;
-    int64_t before = history_version(configuration->history);
 
     configuration->log_down = page == NULL;
     if (page == NULL) {
@@ -162,19 +187,41 @@
         return;
     }
     configuration->retry_ms = RETRY_MIN_MS;
-    history_start(configuration->history, page->first);
-    for (size_t i = 0; i < page->count; i++) {
-        apply(configuration, &page->records[i]);
+    take_page(configuration, page, configuration->begun_ms);
+    schedule(configuration, 0);
+}
+
+static void
+on_check(void *ctx, const struct platform_page *page)
+{
+    struct configuration *configuration = ctx;
+
+    configuration->checking = false;
+    if (page != NULL) {
+        take_page(configuration, page, configuration->check_begun_ms);
     }
-    note_anchor(configuration, page);
-    if (history_version(configuration->history) != before) {
-        announce(configuration, "log");
+}
+
+int64_t
+configuration_read_age_ms(const struct configuration *configuration)
+{
+    if (!configuration->current) {
+        return INT64_MAX;
     }
-    if (history_last_offset(configuration->history) + 1 >= page->end) {
-        configuration->current = true;
+    return clock_ms(configuration->options.clock) - configuration->read_ms;
+}
+
+void
+configuration_read_now(struct configuration *configuration)
+{
+    if (configuration->checking) {
+        return;
     }
-    carry_if_due(configuration, page->retention_ms);
-    schedule(configuration, 0);
+    configuration->checking = true;
+    configuration->check_begun_ms = clock_ms(configuration->options.clock);
+    platform_read(configuration->options.platform, configuration->stream,
+                  history_last_offset(configuration->history) + 1,
+                  PAGE_RECORDS, 0, on_check, configuration);
 }
 
 static void
@@ -183,6 +230,7 @@
     int64_t from = history_last_offset(configuration->history) + 1;
     int64_t wait_ms = configuration->current ? POLL_WAIT_MS : 0;
 
+    configuration->begun_ms = clock_ms(configuration->options.clock);
     platform_read(configuration->options.platform, configuration->stream, from,
                   PAGE_RECORDS, wait_ms, on_page, configuration);
 }
--- a/daemon/configuration.h
+++ b/daemon/configuration.h
@@ -43,6 +43,13 @@
 /// True if the last call of the log failed.
 bool configuration_log_is_down(const struct configuration *configuration);
 
+/// Time since the stream was last known to be read to its end, in
+/// milliseconds; INT64_MAX if it never was.
+int64_t configuration_read_age_ms(const struct configuration *configuration);
+
+/// Asks for the stream's end at once, beside the read that waits.
+void configuration_read_now(struct configuration *configuration);
+
 /// Takes over a version that a peer handed on; false if it is bad.
 bool configuration_adopt(struct configuration *configuration, int64_t version,
                          struct str document);
--- /dev/null
+++ b/daemon/placement.h
@@ -0,0 +1,40 @@
+/// Controller that gives the endpoint its orders. Each order follows upon a
+/// fresh read of the configuration stream, so that a process that was paused
+/// gives no stale one, whether the endpoint checks fencing numbers or not.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/conf.h"
+#include "dandelionvalve/counter.h"
+#include "net/address.h"
+
+struct configuration;
+struct event_base;
+struct placement;
+
+struct placement_options {
+    struct event_base *base;
+    const struct clock *clock;
+    const struct random_source *random;
+    struct counters *counters;
+    struct configuration *configuration;
+    struct address endpoint;
+};
+
+/// The caller frees with placement_free().
+struct placement *placement_new(const struct placement_options *options);
+void placement_free(struct placement *placement);
+
+/// See orders_want().
+void placement_want(struct placement *placement, int64_t version,
+                    const struct conf_placement *wanted, size_t rank,
+                    size_t pool_size);
+
+/// The endpoint was started anew.
+void placement_forget_loaded(struct placement *placement);
+
+/// Gives what is due.
+void placement_tick(struct placement *placement);
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -54,13 +54,6 @@
     probe->answered = status != 503;
 }
 
-static void
-on_data(void *ctx, struct evbuffer *data)
-{
-    (void)ctx;
-    (void)data;
-}
-
 static void
 on_end(void *ctx, enum endpoint_end end)
 {
@@ -124,7 +117,6 @@
         .body = STR_LITERAL(""),
         .fresh_connection = true,
         .head = on_head,
-        .data = on_data,
         .end = on_end,
         .ctx = probe,
     };
--- a/load/fetch.c
+++ b/load/fetch.c
@@ -14,16 +14,6 @@
     bool whole;
 };
 
-static void
-on_head(void *ctx, int status, const struct message_header *headers,
-        size_t count)
-{
-    (void)ctx;
-    (void)status;
-    (void)headers;
-    (void)count;
-}
-
 static void
 on_data(void *ctx, struct evbuffer *data)
 {
@@ -54,7 +44,6 @@
         .method = STR_LITERAL("GET"),
         .uri = str_from(path),
         .body = STR_LITERAL(""),
-        .head = on_head,
         .data = on_data,
         .end = on_end,
         .ctx = &fetch,
--- a/net/endpoint.c
+++ b/net/endpoint.c
@@ -204,7 +204,9 @@
     call->framed = evhttp_find_header(input, "Transfer-Encoding") != NULL ||
                    evhttp_find_header(input, "Content-Length") != NULL ||
                    status == 204 || status == 304;
-    call->head(call->ctx, status, headers, count);
+    if (call->head != NULL) {
+        call->head(call->ctx, status, headers, count);
+    }
     return true;
 }
 
@@ -234,7 +236,9 @@
 {
     struct endpoint_call *call = ctx;
 
-    call->data(call->ctx, evhttp_request_get_input_buffer(request));
+    if (call->data != NULL) {
+        call->data(call->ctx, evhttp_request_get_input_buffer(request));
+    }
     // evhttp enables reading again after this callback.
     if (call->paused) {
         event_active(call->pause_event, EV_TIMEOUT, 1);
--- a/net/endpoint.h
+++ b/net/endpoint.h
@@ -28,7 +28,8 @@
     int connect_timeout_s;
 };
 
-/// Callbacks of one call. `end` is the last one; the call is freed after it.
+/// Callbacks of one call. `head` and `data` may be NULL; `end` is the last
+/// one, and the call is freed after it.
 struct endpoint_call_options {
     struct str method;
     struct str uri;
--- a/net/http.c
+++ b/net/http.c
@@ -1,6 +1,7 @@
 #include "http.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -9,6 +10,7 @@
 #include <event2/buffer.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <jansson.h>
 
 static const struct {
     const char *name;
@@ -130,6 +132,17 @@
     evhttp_send_reply(request, status, http_reason(status), NULL);
 }
 
+void
+http_reply_json(struct evhttp_request *request, int status,
+                struct json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    http_reply(request, status, "application/json", str_from(text));
+    free(text);
+    json_decref(json);
+}
+
 const char *
 http_reason(int status)
 {
--- a/net/http.h
+++ b/net/http.h
@@ -10,6 +10,7 @@
 #include "dandelionvalve/message.h"
 
 struct evkeyvalq;
+struct json_t;
 
 /// Views of end-to-end headers, hop-by-hop ones left out; at most `max`.
 size_t http_copy_headers(const struct evkeyvalq *from,
@@ -33,5 +34,9 @@
 void http_reply(struct evhttp_request *request, int status,
                 const char *content_type, struct str body);
 
+/// Sends a JSON answer and ends the request; takes over the reference.
+void http_reply_json(struct evhttp_request *request, int status,
+                     struct json_t *json);
+
 /// The standard phrase of a status.
 const char *http_reason(int status);
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -22,7 +22,7 @@
 #define CRASH_WORD "please-crash"
 #define SLOW_FACTOR 10
 #define LOAD_LAG_MS 1000
-#define MODELS_MAX 16
+#define ORDERS_MAX 64
 
 struct job {
     struct engine *engine;
@@ -55,22 +55,14 @@
     uint32_t reported_running;
     uint32_t reported_waiting;
     int64_t fence;
-    char *models[MODELS_MAX];
-    size_t model_count;
+    char *orders[ORDERS_MAX];
+    size_t order_count;
+    int64_t load_second;
+    int64_t loads;
 };
 
 static bool listen_again(struct engine *engine, struct err *err);
 
-static void
-reply_json(struct evhttp_request *http, int status, json_t *json)
-{
-    char *text = json_dumps(json, JSON_COMPACT);
-
-    http_reply(http, status, JSON_TYPE, str_from(text));
-    free(text);
-    json_decref(json);
-}
-
 static void
 job_free(struct job *job)
 {
@@ -171,10 +163,10 @@
     else {
         evbuffer_add(job->text, "", 1);
         content = (char *)evbuffer_pullup(job->text, -1);
-        reply_json(http, 200,
-                   json_pack("{s:[{s:{s:s, s:s}}], s:o}", "choices", "message",
-                             "role", "assistant", "content", content, "usage",
-                             usage_json(job)));
+        http_reply_json(http, 200,
+                        json_pack("{s:[{s:{s:s, s:s}}], s:o}", "choices",
+                                  "message", "role", "assistant", "content",
+                                  content, "usage", usage_json(job)));
     }
     job_free(job);
     start_waiting(engine);
@@ -276,7 +268,7 @@
     struct job *job;
 
     if (!json_is_object(json)) {
-        reply_json(http, 400, json_pack("{s:s}", "error", "not JSON"));
+        http_reply_json(http, 400, json_pack("{s:s}", "error", "not JSON"));
         evbuffer_free(buffer);
         return;
     }
@@ -328,11 +320,11 @@
 static void
 reply_load(const struct engine *engine, struct evhttp_request *http)
 {
-    reply_json(http, 200,
-               json_pack("{s:i, s:i, s:i}", "running",
-                         (int)engine->reported_running, "waiting",
-                         (int)engine->reported_waiting, "slots",
-                         (int)engine->options.slots));
+    http_reply_json(http, 200,
+                    json_pack("{s:i, s:i, s:i}", "running",
+                              (int)engine->reported_running, "waiting",
+                              (int)engine->reported_waiting, "slots",
+                              (int)engine->options.slots));
 }
 
 static void
@@ -340,53 +332,76 @@
 {
     const struct engine_ledger *ledger = &engine->ledger;
 
-    reply_json(http, 200,
-               json_pack("{s:s%, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i}",
-                         "name", engine->options.name.data,
-                         engine->options.name.len, "started",
-                         (json_int_t)ledger->started, "finished",
-                         (json_int_t)ledger->finished, "cancelled",
-                         (json_int_t)ledger->cancelled, "crashes",
-                         (json_int_t)ledger->crashes, "prompt_tokens",
-                         (json_int_t)ledger->prompt_tokens, "cached_tokens",
-                         (json_int_t)ledger->cached_tokens, "running",
-                         (int)ledger->running, "running_max",
-                         (int)ledger->running_max));
+    http_reply_json(
+        http, 200,
+        json_pack("{s:s%, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:i}", "name",
+                  engine->options.name.data, engine->options.name.len,
+                  "started", (json_int_t)ledger->started, "finished",
+                  (json_int_t)ledger->finished, "cancelled",
+                  (json_int_t)ledger->cancelled, "crashes",
+                  (json_int_t)ledger->crashes, "prompt_tokens",
+                  (json_int_t)ledger->prompt_tokens, "cached_tokens",
+                  (json_int_t)ledger->cached_tokens, "running",
+                  (int)ledger->running, "running_max",
+                  (int)ledger->running_max));
 }
 
 static bool
-has_model(const struct engine *engine, const char *model)
+has_order(const struct engine *engine, const char *name)
 {
-    for (size_t i = 0; i < engine->model_count; i++) {
-        if (!strcmp(engine->models[i], model)) {
+    for (size_t i = 0; i < engine->order_count; i++) {
+        if (!strcmp(engine->orders[i], name)) {
             return true;
         }
     }
     return false;
 }
 
+static bool
+over_weight_rate(struct engine *engine)
+{
+    int64_t second = clock_ms(engine->options.clock) / 1000;
+
+    if (engine->options.loads_per_s == 0) {
+        return false;
+    }
+    if (second != engine->load_second) {
+        engine->load_second = second;
+        engine->loads = 0;
+    }
+    return ++engine->loads > engine->options.loads_per_s;
+}
+
 static void
 on_order(struct engine *engine, struct evhttp_request *http)
 {
     struct str body = http_body(http);
     json_t *json = json_loadb(body.data, body.len, 0, NULL);
     int64_t fence = json_integer_value(json_object_get(json, "fence"));
-    const char *model = json_string_value(json_object_get(json, "model"));
+    const char *name = json_string_value(json_object_get(json, "name"));
 
-    if (model == NULL || engine->model_count == MODELS_MAX) {
-        reply_json(http, 400, json_pack("{s:s}", "error", "needs a model"));
+    if (name == NULL || engine->order_count == ORDERS_MAX) {
+        http_reply_json(http, 400,
+                        json_pack("{s:s}", "error", "needs a name"));
     }
     else if (engine->options.checks_fencing && fence < engine->fence) {
         engine->ledger.orders_refused++;
-        reply_json(http, 409, json_pack("{s:s}", "error", "old fence"));
+        http_reply_json(http, 409, json_pack("{s:s}", "error", "old fence"));
+    }
+    else if (over_weight_rate(engine)) {
+        evhttp_add_header(evhttp_request_get_output_headers(http),
+                          "Retry-After", "1");
+        http_reply_json(http, 429,
+                        json_pack("{s:s}", "error", "weight store"));
     }
     else {
+        engine->ledger.orders_below += fence < engine->fence;
         engine->fence = fence > engine->fence ? fence : engine->fence;
         engine->ledger.orders++;
-        if (!has_model(engine, model)) {
-            engine->models[engine->model_count++] = xstrdup(model);
+        if (!has_order(engine, name)) {
+            engine->orders[engine->order_count++] = xstrdup(name);
         }
-        reply_json(http, 200, json_pack("{s:b}", "ok", 1));
+        http_reply_json(http, 200, json_pack("{s:b}", "ok", 1));
     }
     json_decref(json);
 }
@@ -441,7 +456,8 @@
         http_reply(http, 200, JSON_TYPE, STR_LITERAL("{}"));
     }
     else {
-        reply_json(http, 404, json_pack("{s:s}", "error", "no such path"));
+        http_reply_json(http, 404,
+                        json_pack("{s:s}", "error", "no such path"));
     }
 }
 
@@ -534,8 +550,8 @@
     event_free(engine->crash);
     event_free(engine->load_timer);
     prefix_cache_free(engine->cache);
-    for (size_t i = 0; i < engine->model_count; i++) {
-        free(engine->models[i]);
+    for (size_t i = 0; i < engine->order_count; i++) {
+        free(engine->orders[i]);
     }
     free(engine);
 }
--- a/standin/platform_log.c
+++ b/standin/platform_log.c
@@ -15,7 +15,6 @@
 #include "net/http.h"
 
 #define BODY_BYTES_MAX (64 * 1024 * 1024)
-#define JSON_TYPE "application/json"
 #define STREAM_BYTES_MAX 128
 
 struct record {
@@ -78,20 +77,10 @@
     return log->options.wall_offset_ms + clock_ms(log->options.clock);
 }
 
-static void
-reply_json(struct evhttp_request *http, int status, json_t *json)
-{
-    char *text = json_dumps(json, JSON_COMPACT);
-
-    http_reply(http, status, JSON_TYPE, str_from(text));
-    free(text);
-    json_decref(json);
-}
-
 static void
 reply_error(struct evhttp_request *http, int status, const char *detail)
 {
-    reply_json(http, status, json_pack("{s:s}", "error", detail));
+    http_reply_json(http, status, json_pack("{s:s}", "error", detail));
 }
 
 static struct stream *
@@ -157,8 +146,8 @@
     drop_old(log, stream);
     evhttp_connection_set_closecb(evhttp_request_get_connection(reader->http),
                                   NULL, NULL);
-    reply_json(reader->http, 200,
-               page_json(log, stream, reader->from, reader->limit));
+    http_reply_json(reader->http, 200,
+                    page_json(log, stream, reader->from, reader->limit));
     DL_DELETE(log->readers, reader);
     event_free(reader->timeout);
     free(reader->stream);
@@ -242,8 +231,8 @@
     if (delayed->http != NULL) {
         evhttp_connection_set_closecb(
             evhttp_request_get_connection(delayed->http), NULL, NULL);
-        reply_json(delayed->http, 200,
-                   json_pack("{s:I}", "offset", (json_int_t)offset));
+        http_reply_json(delayed->http, 200,
+                        json_pack("{s:I}", "offset", (json_int_t)offset));
     }
     delayed_free(delayed);
 }
@@ -305,7 +294,7 @@
         delay_append(log, http, stream, data);
         return;
     }
-    reply_json(
+    http_reply_json(
         http, 200,
         json_pack("{s:I}", "offset", (json_int_t)append(log, stream, data)));
 }
@@ -362,7 +351,7 @@
     }
     drop_old(log, stream);
     if (from < stream->end || wait_ms <= 0) {
-        reply_json(http, 200, page_json(log, stream, from, limit));
+        http_reply_json(http, 200, page_json(log, stream, from, limit));
         return;
     }
     reader = xcalloc(1, sizeof(*reader));
@@ -440,14 +429,14 @@
     evhttp_clear_headers(&query);
     settle_vms(log);
     if (known == log->vms_version) {
-        reply_json(
+        http_reply_json(
             http, 200,
             json_pack("{s:I}", "version", (json_int_t)log->vms_version));
         return;
     }
-    reply_json(http, 200,
-               json_pack("{s:I, s:O}", "version", (json_int_t)log->vms_version,
-                         "vms", log->vms));
+    http_reply_json(http, 200,
+                    json_pack("{s:I, s:O}", "version",
+                              (json_int_t)log->vms_version, "vms", log->vms));
 }
 
 static void
--- a/standin/service.c
+++ b/standin/service.c
@@ -41,16 +41,6 @@
     bool lose_answers;
 };
 
-static void
-reply_json(struct evhttp_request *http, int status, json_t *json)
-{
-    char *text = json_dumps(json, JSON_COMPACT);
-
-    http_reply(http, status, JSON_TYPE, str_from(text));
-    free(text);
-    json_decref(json);
-}
-
 static void
 count_run(struct service *service, const char *key)
 {
@@ -106,11 +96,12 @@
     }
     evhttp_connection_set_closecb(evhttp_request_get_connection(http), NULL,
                                   NULL);
-    reply_json(http, 200,
-               json_pack("{s:I, s:s, s:s%}", "number", (json_int_t)job->number,
-                         "key", key != NULL ? key : "", "service",
-                         job->service->options.name.data,
-                         job->service->options.name.len));
+    http_reply_json(http, 200,
+                    json_pack("{s:I, s:s, s:s%}", "number",
+                              (json_int_t)job->number, "key",
+                              key != NULL ? key : "", "service",
+                              job->service->options.name.data,
+                              job->service->options.name.len));
     job_free(job);
 }
 
@@ -145,12 +136,13 @@
     for (count = service->counts; count != NULL; count = count->hh.next) {
         repeated += count->runs > 1 ? 1 : 0;
     }
-    reply_json(http, 200,
-               json_pack("{s:s%, s:I, s:I, s:I}", "name",
-                         service->options.name.data, service->options.name.len,
-                         "started", (json_int_t)service->runs, "keys",
-                         (json_int_t)HASH_COUNT(service->counts),
-                         "keys_run_twice", (json_int_t)repeated));
+    http_reply_json(http, 200,
+                    json_pack("{s:s%, s:I, s:I, s:I}", "name",
+                              service->options.name.data,
+                              service->options.name.len, "started",
+                              (json_int_t)service->runs, "keys",
+                              (json_int_t)HASH_COUNT(service->counts),
+                              "keys_run_twice", (json_int_t)repeated));
 }
 
 /// The keys that this service has run, a line each.
@@ -164,7 +156,7 @@
         json_object_set_new(list, count->key,
                             json_integer((json_int_t)count->runs));
     }
-    reply_json(http, 200, list);
+    http_reply_json(http, 200, list);
 }
 
 static void
@@ -184,7 +176,7 @@
         reply_keys(service, http);
     }
     else if (evhttp_request_get_command(http) == EVHTTP_REQ_GET) {
-        reply_json(http, 200, json_pack("{s:s}", "status", "open"));
+        http_reply_json(http, 200, json_pack("{s:s}", "status", "open"));
     }
     else {
         run(service, http);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -143,6 +143,8 @@
             .decode_us_per_token = options->decode_us,
             .cache_tokens = 100000,
             .restart_ms = 300,
+            .checks_fencing = options->checks_fencing,
+            .loads_per_s = options->loads_per_s,
         };
 
         harness->engines[i] = engine_new(&engine, &err);
@@ -196,6 +198,12 @@
     }
 }
 
+void
+harness_add_router(struct harness *harness)
+{
+    add_router(harness, harness->options.routers++);
+}
+
 static void
 add_routers(const struct harness *harness, json_t *list)
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -27,6 +27,8 @@
     int64_t decode_us;
     int64_t work_us;
     int64_t append_delay_ms;
+    bool checks_fencing;  ///< engines refuse old fencing numbers
+    int64_t loads_per_s;  ///< of each engine's weight store; 0: no limit
     bool relays;          ///< links go through a relay for each agent
     const char *document; ///< NULL for the usual one
 };
@@ -78,6 +80,9 @@
 void harness_kill_agent(struct harness *harness, size_t index);
 void harness_start_agent(struct harness *harness, size_t index);
 
+/// Adds a router to those that were started.
+void harness_add_router(struct harness *harness);
+
 /// Publishes the VM list as it is now; `leaving` names an agent or is NULL.
 void harness_publish_vms(struct harness *harness, const char *leaving);
 void harness_publish_document(struct harness *harness, const char *document,
--- a/tests/main.c
+++ b/tests/main.c
@@ -18,8 +18,9 @@
     {"history", suite_history},   {"members", suite_members},
     {"gate", suite_gate},         {"route", suite_route},
     {"policies", suite_policies}, {"claim", suite_claim},
-    {"settings", suite_settings}, {"requests", suite_requests},
-    {"failures", suite_failures}, {"shutdown", suite_shutdown},
+    {"orders", suite_orders},     {"settings", suite_settings},
+    {"requests", suite_requests}, {"failures", suite_failures},
+    {"shutdown", suite_shutdown},
 };
 
 static bool
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -9,6 +9,7 @@
 void suite_route(void);
 void suite_policies(void);
 void suite_claim(void);
+void suite_orders(void);
 void suite_settings(void);
 void suite_requests(void);
 void suite_failures(void);
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -193,6 +193,32 @@
     harness_stop(&harness);
 }
 
+static bool
+third_router_is_ready(void *ctx)
+{
+    return router_is_ready(((struct harness *)ctx)->routers[2]);
+}
+
+static void
+test_new_router_while_the_log_is_down(void)
+{
+    struct harness harness;
+    struct harness_call call;
+
+    harness_start(&harness, &usual);
+    platform_log_set_fault(harness.log, PLATFORM_LOG_REFUSE);
+    harness_run(&harness, 500);
+    harness_add_router(&harness);
+    CU_ASSERT(!third_router_is_ready(&harness));
+    harness_publish_vms(&harness, NULL);
+    // The stated limit for a version to be in force without the log.
+    CU_ASSERT(harness_wait(&harness, third_router_is_ready, &harness, 13000));
+    harness_do(&harness, 2, &call, "POST", "/orders", NULL, "{}");
+    CU_ASSERT(call.status == 200);
+    harness_call_free(&call);
+    harness_stop(&harness);
+}
+
 static void
 test_lost_append_answers_run_once(void)
 {
@@ -317,6 +343,8 @@
     CU_add_test(suite, "lost answer of a booking",
                 test_lost_answer_of_a_booking);
     CU_add_test(suite, "log down refuses keys", test_log_down_refuses_keys);
+    CU_add_test(suite, "new router while the log is down",
+                test_new_router_while_the_log_is_down);
     CU_add_test(suite, "lost append answers run once",
                 test_lost_append_answers_run_once);
     CU_add_test(suite, "crashing request is stopped",
