router: members that come after the document are drained too

Cause: drains were applied when a document took force, so a member that was listed later got work in spite of it; the operator's command was tested only offline. Figures: of 20 calls to a pool with three of four endpoints drained before, some went to drained ones; now 20 of 20 to the fourth.

--- a/daemon/router.c
+++ b/daemon/router.c
@@ -393,6 +393,19 @@
     }
 }
 
+/// A member may come into the list after the document that drains it.
+static void
+apply_drain(struct router *router, const struct member *member)
+{
+    const struct conf *conf = configuration_conf(router->configuration);
+
+    if (router->membership != NULL && conf != NULL && !member->drained &&
+        conf_is_drained(conf, member->info.name)) {
+        members_set_drained(membership_members(router->membership),
+                            member->info.name, true);
+    }
+}
+
 static void
 on_member(void *ctx, const struct member *member)
 {
@@ -416,6 +429,7 @@
     }
     pool = str_dup(member->info.pool);
     route = router_pool(router, pool);
+    apply_drain(router, member);
     route_add(route, &endpoint);
     route_set_use(route, member->info.name, member->use);
     peers_get(router->peers, member->info.name, member->info.address);
--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -145,6 +145,35 @@
     harness_stop(&harness);
 }
 
+static void
+test_drained_by_the_document(void)
+{
+    struct harness_options options = usual;
+    struct harness harness;
+    struct harness_call call;
+    char *body = harness_chat("one", 2, false);
+
+    // The document comes first, the members later.
+    options.document =
+        "[[pool]]\nname = \"models\"\nkind = \"model\"\n"
+        "[pool.placement]\nmodels = [\"test-model\"]\n"
+        "[[route]]\nname = \"chat\"\npath = \"/v1/chat/completions\"\n"
+        "pool = \"models\"\nrepeatable = true\n"
+        "[drain]\nendpoints = [\"models-0\", \"models-2\", \"models-3\"]\n";
+    options.decode_us = 1000;
+    harness_start(&harness, &options);
+    for (int i = 0; i < 20; i++) {
+        harness_do(&harness, i % 2, &call, "POST", "/v1/chat/completions",
+                   NULL, body);
+        CU_ASSERT(call.status == 200);
+        harness_call_free(&call);
+    }
+    CU_ASSERT(counter_get(agent_counters(harness.agents[1]), COUNTER_RUNS) ==
+              20);
+    free(body);
+    harness_stop(&harness);
+}
+
 void
 suite_shutdown(void)
 {
@@ -155,4 +184,6 @@
     CU_add_test(suite, "agent drains without cutting",
                 test_agent_drains_without_cutting);
     CU_add_test(suite, "leaving by the list", test_leaving_by_the_list);
+    CU_add_test(suite, "drained by the document",
+                test_drained_by_the_document);
 }
