--- a/tests/harness.c
+++ b/tests/harness.c
@@ -285,6 +285,15 @@
     free(text);
 }
 
+static bool
+routers_configured(void *ctx)
+{
+    struct harness *harness = ctx;
+
+    return harness_router_counter(harness, COUNTER_CONF_ACCEPTED) ==
+           harness->options.routers;
+}
+
 static bool
 agents_know_all(void *ctx)
 {
@@ -338,6 +347,10 @@
     for (size_t i = 0; i < options->routers; i++) {
         add_router(harness, i);
     }
+    if (options->late_list) {
+        CU_ASSERT(
+            harness_wait(harness, routers_configured, harness, START_MS));
+    }
     harness_publish_vms(harness, NULL);
     CU_ASSERT(harness_wait(harness, agents_know_all, harness, START_MS));
     CU_ASSERT(harness_wait(harness, routers_ready, harness, START_MS));
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -29,6 +29,7 @@
     int64_t append_delay_ms;
     bool checks_fencing;  ///< engines refuse old fencing numbers
     int64_t loads_per_s;  ///< of each engine's weight store; 0: no limit
+    bool late_list;       ///< the list comes after the configuration
     bool relays;          ///< links go through a relay for each agent
     const char *document; ///< NULL for the usual one
 };
--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -153,7 +153,7 @@
     struct harness_call call;
     char *body = harness_chat("one", 2, false);
 
-    // The document comes first, the members later.
+    options.late_list = true;
     options.document =
         "[[pool]]\nname = \"models\"\nkind = \"model\"\n"
         "[pool.placement]\nmodels = [\"test-model\"]\n"
