gate: the account that was served least of late goes first

Cause: with start-time fair queueing a surge of 20x doubled the waits of the others at 90% load; the measurement ended exactly one request a round, which no engine does, and so saw hardly any wait without the surge. Change: decaying counts of what each account was served decide who is next; in the measurement every running request ends by itself with the same chance.

--- a/core/gate.c
+++ b/core/gate.c
@@ -14,6 +14,8 @@
 #define RETRY_AFTER_MAX_MS 300000.0
 #define SCAN_INTERVAL_MS 20
 #define BOUND_WAIT_MS 100
+#define PURGE_INTERVAL_MS 1000
+#define SERVED_FORGOTTEN 0.05
 
 // Share of the room between mean and bound that the drift margin may take.
 #define GROWTH_SHARE 0.9
@@ -25,12 +27,18 @@
     struct waiting *next;
 };
 
-/// An account with waiting requests, or one that was served ahead of the
-/// others a moment ago.
+/// A count that decays with a time constant, so that count / constant is a
+/// rate.
+struct decayed {
+    double value;
+    int64_t at_ms;
+};
+
+/// An account that has waiting requests or was served a while ago.
 struct account {
     struct str name;
     uint32_t weight;
-    double tag; ///< virtual time at which its next request is due
+    struct decayed served;
     size_t count;
     struct waiting *queues[PRIORITIES];
     struct account *prev;
@@ -45,12 +53,6 @@
     UT_hash_handle hh;
 };
 
-/// A count that decays with RATE_WINDOW_MS, so that count / window is a rate.
-struct decayed {
-    double value;
-    int64_t at_ms;
-};
-
 struct gate {
     struct gate_options options;
     enum agent_state state;
@@ -62,7 +64,7 @@
     double in_flight_time_sum;
     struct account *accounts;
     struct account *active; ///< accounts with waiting requests
-    double virtual_time;
+    int64_t next_purge_ms;
     size_t queued;
     size_t queued_bytes;
     struct decayed ended;
@@ -91,15 +93,11 @@
     free(account);
 }
 
-/// The account has no waiting request left. It is remembered while it is
-/// ahead of the others, so that it gains nothing by asking one at a time.
+/// The account has no waiting request left; what it was served is remembered.
 static void
 account_rest(struct gate *gate, struct account *account)
 {
     DL_DELETE(gate->active, account);
-    if (account->tag <= gate->virtual_time) {
-        account_free(gate, account);
-    }
 }
 
 static void
@@ -318,7 +316,7 @@
 }
 
 static struct account *
-add_account(struct gate *gate, const struct gate_request *request)
+get_account(struct gate *gate, const struct gate_request *request)
 {
     struct account *account = find_account(gate, request->account);
 
@@ -328,12 +326,6 @@
         HASH_ADD_KEYPTR(hh, gate->accounts, account->name.data,
                         account->name.len, account);
     }
-    if (account->count == 0) {
-        DL_APPEND(gate->active, account);
-        if (account->tag < gate->virtual_time) {
-            account->tag = gate->virtual_time;
-        }
-    }
     account->weight =
         request->account_weight > 0 ? request->account_weight : 1;
     return account;
@@ -417,7 +409,10 @@
             return refuse(gate, REFUSE_QUEUE_FULL);
         }
     }
-    account = add_account(gate, request);
+    account = get_account(gate, request);
+    if (account->count == 0) {
+        DL_APPEND(gate->active, account);
+    }
     waiting = xcalloc(1, sizeof(*waiting));
     waiting->request = *request;
     waiting->since_ms = now_ms(gate);
@@ -432,6 +427,13 @@
     return (struct gate_decision){.verdict = GATE_QUEUED};
 }
 
+static void
+count_served(struct gate *gate, struct account *account)
+{
+    decay(gate, &account->served);
+    account->served.value += 1;
+}
+
 struct gate_decision
 gate_offer(struct gate *gate, const struct gate_request *request)
 {
@@ -445,6 +447,7 @@
         return refuse(gate, REFUSE_DEADLINE);
     }
     if (gate->queued == 0 && gate->running < limit(gate)) {
+        count_served(gate, get_account(gate, request));
         gate->running++;
         return (struct gate_decision){.verdict = GATE_ADMITTED};
     }
@@ -466,6 +469,16 @@
     return NULL;
 }
 
+/// What an account was served of late, for its weight.
+static double
+served_share(const struct gate *gate, const struct account *account)
+{
+    double age_ms = (double)(now_ms(gate) - account->served.at_ms);
+
+    return account->served.value * exp(-age_ms / RATE_WINDOW_MS) /
+           account->weight;
+}
+
 static struct account *
 next_account(const struct gate *gate)
 {
@@ -474,16 +487,16 @@
 
     DL_FOREACH(gate->active, account)
     {
-        if (account->tag < first->tag) {
+        if (served_share(gate, account) < served_share(gate, first)) {
             first = account;
         }
     }
     return first;
 }
 
-// Start-time fair queueing: each request moves its account's tag on by one
-// over the weight, and the smallest tag is served first. An account that asks
-// for less than its share starts at the virtual time, ahead of a surge.
+// The account that was served least of late goes first, by weight. One that
+// asks for less than its share hardly waits behind a surge; over the window
+// all that wait get their shares.
 static void
 admit_next(struct gate *gate)
 {
@@ -491,8 +504,7 @@
     struct waiting *waiting = oldest_highest(account);
     void *request = waiting->request.request;
 
-    gate->virtual_time = account->tag;
-    account->tag += 1.0 / account->weight;
+    count_served(gate, account);
     unlink_waiting(gate, account, waiting);
     if (account->count == 0) {
         account_rest(gate, account);
@@ -502,20 +514,23 @@
     gate->options.admitted(gate->options.ctx, request);
 }
 
-/// Without a queue nobody is ahead of anybody.
+/// Forgets accounts that have not been served for long.
 static void
-forget_tags(struct gate *gate)
+purge_accounts(struct gate *gate)
 {
     struct account *account, *next;
 
-    if (gate->queued > 0) {
+    if (now_ms(gate) < gate->next_purge_ms) {
         return;
     }
+    gate->next_purge_ms = now_ms(gate) + PURGE_INTERVAL_MS;
     HASH_ITER(hh, gate->accounts, account, next)
     {
-        account_free(gate, account);
+        if (account->count == 0 &&
+            served_share(gate, account) * account->weight < SERVED_FORGOTTEN) {
+            account_free(gate, account);
+        }
     }
-    gate->virtual_time = 0;
 }
 
 static void
@@ -672,7 +687,7 @@
     }
     admit_waiting(gate);
     drop_waiting(gate);
-    forget_tags(gate);
+    purge_accounts(gate);
 }
 
 struct load_report
--- a/measure/fairness.c
+++ b/measure/fairness.c
@@ -86,9 +86,25 @@
     }
 }
 
+/// Each running request ends in a round with the same probability, so that
+/// the slots end one request a round on average when all are busy.
+static void
+end_some(struct bench *bench)
+{
+    uint32_t running = gate_load(bench->gate).running;
+
+    for (uint32_t i = 0; i < running; i++) {
+        if (random_unit(&bench->random) < 1.0 / SLOTS) {
+            bench->ends++;
+            gate_end(bench->gate);
+        }
+    }
+}
+
 /// Mean wait of the quiet accounts, in ends of other requests.
 static double
-run(const struct measure_options *options, int surge, double *shed_quiet)
+run(const struct measure_options *options, double load, int surge,
+    double *shed_quiet)
 {
     struct bench bench = {.seeded = {options->seed}};
     const struct gate_options gate = {
@@ -111,21 +127,18 @@
     bench.random = random_seeded_interface(&bench.seeded);
     bench.gate = gate_new(&gate);
     gate_router_count(bench.gate, STR_LITERAL("r"), 1000000);
-    // Nine in ten slots are asked for without the surge.
     for (int round = 0; round < ROUNDS; round++) {
         for (int account = 0; account < ACCOUNTS; account++) {
             int times = account == 0 ? surge : 1;
 
             for (int i = 0; i < times; i++) {
-                if (random_unit(&bench.random) < 0.09) {
+                if (random_unit(&bench.random) < load / ACCOUNTS) {
                     offer(&bench, account);
                 }
             }
         }
-        if (gate_load(bench.gate).running > 0) {
-            bench.ends++;
-            gate_end(bench.gate);
-        }
+        end_some(&bench);
+        bench.manual.now_us += 1000;
     }
     for (int account = 1; account < ACCOUNTS; account++) {
         waited += bench.waited[account];
@@ -140,23 +153,31 @@
 int
 measure_fairness(const struct measure_options *options)
 {
-    double shed_before, shed_after;
-    double before = run(options, 1, &shed_before);
-    double after = run(options, SURGE, &shed_after);
-    double ratio = after / before;
-
-    printf("ten accounts on %d slots, seed %llu\n", SLOTS,
-           (unsigned long long)options->seed);
-    printf("quiet accounts wait %.2f slots without a surge, %.2f with one "
-           "account at %dx: ratio %.2f (wanted: at most %.1f)\n",
-           before, after, SURGE, ratio, RATIO_TARGET);
-    printf("quiet accounts shed: %.2f%% without, %.2f%% with\n",
-           100 * shed_before, 100 * shed_after);
+    static const double loads[] = {0.6, 0.9, 0.95};
+    int missed = 0;
+
+    printf("ten accounts on %d slots, one at %dx its rate; waits in ends of "
+           "other requests; seed %llu\n",
+           SLOTS, SURGE, (unsigned long long)options->seed);
+    printf("%6s %10s %10s %8s %8s\n", "load", "wait", "with-surge", "ratio",
+           "shed%");
     if (options->csv != NULL) {
-        fprintf(options->csv,
-                "wait_before,wait_after,ratio,shed_before,shed_after\n"
-                "%.3f,%.3f,%.3f,%.4f,%.4f\n",
-                before, after, ratio, shed_before, shed_after);
+        fprintf(options->csv, "load,wait,wait_with_surge,ratio,shed\n");
+    }
+    for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+        double shed;
+        double before = run(options, loads[i], 1, &shed);
+        double after = run(options, loads[i], SURGE, &shed);
+        double ratio = after / before;
+
+        printf("%6.2f %10.2f %10.2f %8.2f %8.2f\n", loads[i], before, after,
+               ratio, 100 * shed);
+        if (options->csv != NULL) {
+            fprintf(options->csv, "%.2f,%.3f,%.3f,%.3f,%.4f\n", loads[i],
+                    before, after, ratio, shed);
+        }
+        missed += ratio > RATIO_TARGET;
     }
-    return ratio > RATIO_TARGET;
+    printf("targets missed (ratio at most %.1f): %d\n", RATIO_TARGET, missed);
+    return missed;
 }
