members: breaker, deaths named in strikes, news pushed at once, pool weight

Cause: an endpoint that fails fast passed its health check, looked idle and drew 92% of the requests; with it out of use the bound by the list's weight throttled the rest of the pool (442 offers a request); strikes counted by daemons that had not heard of each other did not add up (4 to 6 crashes); a leave took 5 s to reach 950 daemons. Change: core/breaker at the agent; routers tell the weight that they can use; strikes name the death; words and strikes are pushed to five members at once and on; who is behind a version is told from whom to fetch; measurements of retries and quarantine. Ruled out: believing the routers' weight always (churn and disagree rows 0.1 to 0.9% over the bound); asking for parts more often (version 16 s).

--- a/core/gate.c
+++ b/core/gate.c
@@ -20,6 +20,9 @@
 // Share of the room between mean and bound that the drift margin may take.
 #define GROWTH_SHARE 0.9
 
+// Share of that room that lost endpoints may take before routers are believed.
+#define TAKEN_UP_SHARE 0.75
+
 struct waiting {
     struct gate_request request;
     int64_t since_ms;
@@ -49,6 +52,7 @@
 struct router {
     struct str name;
     uint32_t in_flight;
+    uint32_t pool_weight; ///< 0: not told
     int64_t at_ms;
     UT_hash_handle hh;
 };
@@ -57,6 +61,7 @@
     struct gate_options options;
     enum agent_state state;
     uint64_t total_weight;
+    uint64_t told_weight; ///< by the routers, or 0
     uint32_t own_weight;
     uint32_t running;
     struct router *routers;
@@ -226,10 +231,27 @@
     return age > 0 ? age : 0;
 }
 
+/// Routers differ about a few endpoints all the time; what the room between
+/// mean and bound can take up is left to the list. If they have lost more, the
+/// list is behind, and a bound by the list would throttle those that are left.
+static double
+pool_weight(const struct gate *gate)
+{
+    double room = 1 - 1 / gate->options.bound_multiple;
+    double listed = (double)gate->total_weight;
+    double told = (double)gate->told_weight;
+    double weight = listed;
+
+    if (told > 0 && told < listed * (1 - TAKEN_UP_SHARE * room)) {
+        weight = told;
+    }
+    return weight > gate->own_weight ? weight : (double)gate->own_weight;
+}
+
 uint32_t
 gate_bound(const struct gate *gate)
 {
-    double share = (double)gate->own_weight / (double)gate->total_weight;
+    double share = (double)gate->own_weight / pool_weight(gate);
     double sum = (double)gate_pool_in_flight(gate);
     double drift =
         gate->options.drift_margin * sqrt(sum * mean_age_ms(gate) / 1000);
@@ -565,6 +587,16 @@
     admit_waiting(gate);
 }
 
+void
+gate_router_weight(struct gate *gate, struct str name, uint32_t weight)
+{
+    struct router *router = find_router(gate, name);
+
+    if (router != NULL) {
+        router->pool_weight = weight;
+    }
+}
+
 void
 gate_end(struct gate *gate)
 {
@@ -673,18 +705,30 @@
     }
 }
 
-void
-gate_tick(struct gate *gate)
+/// Drops the numbers of routers that have gone silent, and notes the largest
+/// pool weight that one of the others tells.
+static void
+review_routers(struct gate *gate)
 {
     int64_t oldest = now_ms(gate) - gate->options.router_silent_ms;
     struct router *router, *next;
 
+    gate->told_weight = 0;
     HASH_ITER(hh, gate->routers, router, next)
     {
         if (router->at_ms < oldest) {
             router_remove(gate, router);
         }
+        else if (router->pool_weight > gate->told_weight) {
+            gate->told_weight = router->pool_weight;
+        }
     }
+}
+
+void
+gate_tick(struct gate *gate)
+{
+    review_routers(gate);
     admit_waiting(gate);
     drop_waiting(gate);
     purge_accounts(gate);
--- a/core/gossip.c
+++ b/core/gossip.c
@@ -17,8 +17,9 @@
 #define NEWS_BYTES_MAX 100
 #define BURST_SECONDS 1.0
 #define SAME_ZONE_SHARE 0.7
-#define URGENT_PEERS 3
+#define URGENT_PEERS 5
 #define FETCH_RETRY_MS 1000
+#define FETCH_STALLED_MS 500
 #define FETCH_GIVE_UP_MS 5000
 #define ELEMENTS_MAX 64
 
@@ -30,7 +31,7 @@
 
 enum news_type {
     NEWS_WORD,
-    NEWS_STRIKES,
+    NEWS_STRIKE,
 };
 
 /// A rumour that is sent on until it has gone out often enough.
@@ -38,7 +39,7 @@
     enum news_type type;
     struct str name;
     uint64_t number; ///< incarnation or fingerprint
-    uint32_t value;  ///< state or strikes
+    uint32_t value;  ///< state or death
     uint32_t sends;
     struct news *prev;
     struct news *next;
@@ -62,7 +63,7 @@
     size_t peer_count;
     struct news *news; ///< newest first
     size_t news_count;
-    size_t urgent;
+    bool urgent; ///< the budget may be exceeded for now
     int64_t next_ms;
     struct fetch fetch;
     struct gossip_counts counts;
@@ -153,14 +154,15 @@
 
 static struct news *
 find_news(const struct gossip *gossip, enum news_type type, struct str name,
-          uint64_t number)
+          uint64_t number, uint32_t value)
 {
     struct news *news;
 
     DL_FOREACH(gossip->news, news)
     {
-        bool same = type == NEWS_WORD ? str_equal(news->name, name)
-                                      : news->number == number;
+        bool same = type == NEWS_WORD
+                        ? str_equal(news->name, name)
+                        : news->number == number && news->value == value;
 
         if (news->type == type && same) {
             return news;
@@ -173,7 +175,7 @@
 add_news(struct gossip *gossip, enum news_type type, struct str name,
          uint64_t number, uint32_t value)
 {
-    struct news *news = find_news(gossip, type, name, number);
+    struct news *news = find_news(gossip, type, name, number, value);
 
     if (news != NULL) {
         news_free(gossip, news);
@@ -190,21 +192,6 @@
     gossip->news_count++;
 }
 
-void
-gossip_tell_word(struct gossip *gossip, struct str name, uint64_t incarnation,
-                 enum agent_state state)
-{
-    add_news(gossip, NEWS_WORD, name, incarnation, state);
-}
-
-void
-gossip_tell_strikes(struct gossip *gossip, uint64_t fingerprint,
-                    uint32_t strikes)
-{
-    add_news(gossip, NEWS_STRIKES, STR_LITERAL(""), fingerprint, strikes);
-    gossip->urgent = URGENT_PEERS;
-}
-
 static void
 pack_str(msgpack_packer *packer, struct str s)
 {
@@ -246,7 +233,7 @@
         return true;
     }
     // Strikes do not wait: they go into debt, which later messages pay back.
-    if (gossip->urgent > 0 &&
+    if (gossip->urgent &&
         gossip->bucket.tokens > -gossip->bucket.burst_bytes) {
         bucket_charge(&gossip->bucket, bytes);
         return true;
@@ -363,6 +350,37 @@
     return &gossip->peers[start];
 }
 
+/// Sends news to a few peers at once, and each daemon to which they are new
+/// does the same: a second that they take costs refusals, or an endpoint.
+static void
+push(struct gossip *gossip)
+{
+    gossip->urgent = true;
+    for (size_t i = 0; i < URGENT_PEERS; i++) {
+        const struct gossip_peer *peer = choose_peer(gossip);
+
+        if (peer != NULL) {
+            send_news(gossip, peer);
+        }
+    }
+    gossip->urgent = false;
+}
+
+void
+gossip_tell_word(struct gossip *gossip, struct str name, uint64_t incarnation,
+                 enum agent_state state)
+{
+    add_news(gossip, NEWS_WORD, name, incarnation, state);
+    push(gossip);
+}
+
+void
+gossip_tell_strike(struct gossip *gossip, uint64_t fingerprint, uint32_t death)
+{
+    add_news(gossip, NEWS_STRIKE, STR_LITERAL(""), fingerprint, death);
+    push(gossip);
+}
+
 static void
 send_ask(struct gossip *gossip)
 {
@@ -412,16 +430,36 @@
     msgpack_sbuffer_destroy(&body);
 }
 
+/// A fetch that has stalled goes on from another peer with the version.
+static void
+switch_fetch(struct gossip *gossip, struct str address)
+{
+    struct fetch *fetch = &gossip->fetch;
+    int64_t now = clock_ms(gossip->options.clock);
+
+    if (now - fetch->progress_ms < FETCH_STALLED_MS ||
+        now - fetch->asked_ms < FETCH_STALLED_MS) {
+        return;
+    }
+    free((char *)fetch->address.data);
+    fetch->address = str_copy(address);
+    send_ask(gossip);
+}
+
 static void
 start_fetch(struct gossip *gossip, struct str address, int64_t version)
 {
     struct fetch *fetch = &gossip->fetch;
 
     if (version <= gossip->options.version(gossip->options.ctx) ||
-        version <= fetch->version ||
+        version < fetch->version ||
         !gossip->options.needs_document(gossip->options.ctx)) {
         return;
     }
+    if (version == fetch->version) {
+        switch_fetch(gossip, address);
+        return;
+    }
     drop_fetch(gossip);
     fetch->version = version;
     fetch->address = str_copy(address);
@@ -521,13 +559,13 @@
     if (type == NEWS_WORD && value <= AGENT_ENDPOINT_DOWN) {
         if (options->word(options->ctx, name, number,
                           (enum agent_state)value)) {
-            add_news(gossip, NEWS_WORD, name, number, (uint32_t)value);
+            gossip_tell_word(gossip, name, number, (enum agent_state)value);
         }
         return true;
     }
-    if (type == NEWS_STRIKES && value <= UINT32_MAX) {
-        if (options->strikes(options->ctx, number, (uint32_t)value)) {
-            gossip_tell_strikes(gossip, number, (uint32_t)value);
+    if (type == NEWS_STRIKE && value <= UINT32_MAX) {
+        if (options->strike(options->ctx, number, (uint32_t)value)) {
+            gossip_tell_strike(gossip, number, (uint32_t)value);
         }
         return true;
     }
@@ -550,6 +588,12 @@
         }
     }
     start_fetch(gossip, address, version);
+    // Whoever is behind hears at once from where it can catch up.
+    if (version < gossip->options.version(gossip->options.ctx)) {
+        const struct gossip_peer behind = {.address = address};
+
+        send_news(gossip, &behind);
+    }
     return true;
 }
 
@@ -671,17 +715,11 @@
     const struct gossip_peer *peer;
 
     repeat_ask(gossip);
-    if (now < gossip->next_ms && gossip->urgent == 0) {
+    if (now < gossip->next_ms) {
         return;
     }
     peer = choose_peer(gossip);
-    if (peer == NULL || !send_news(gossip, peer)) {
-        return;
-    }
-    if (gossip->urgent > 0) {
-        gossip->urgent--;
-    }
-    if (now >= gossip->next_ms) {
+    if (peer != NULL && send_news(gossip, peer)) {
         gossip->next_ms = now + GOSSIP_INTERVAL_MS;
     }
 }
--- a/core/message.c
+++ b/core/message.c
@@ -120,6 +120,7 @@
 {
     put_id(packer, &offer->id);
     put_uint(packer, offer->in_flight);
+    put_uint(packer, offer->pool_weight);
     put_str(packer, offer->account);
     put_uint(packer, offer->account_weight);
     put_uint(packer, offer->priority);
@@ -143,11 +144,11 @@
 field_count(enum message_type type)
 {
     static const size_t counts[MESSAGE_TYPE_END] = {
-        [MESSAGE_HELLO] = 5,  [MESSAGE_PROOF] = 1,     [MESSAGE_OFFER] = 20,
+        [MESSAGE_HELLO] = 5,  [MESSAGE_PROOF] = 1,     [MESSAGE_OFFER] = 21,
         [MESSAGE_BODY] = 4,   [MESSAGE_ACCEPT] = 8,    [MESSAGE_REFUSE] = 10,
         [MESSAGE_HEAD] = 4,   [MESSAGE_DATA] = 4,      [MESSAGE_END] = 10,
-        [MESSAGE_FAIL] = 9,   [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
-        [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 1, [MESSAGE_STATE] = 6,
+        [MESSAGE_FAIL] = 10,  [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
+        [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
     };
 
     return counts[type];
@@ -200,6 +201,7 @@
     case MESSAGE_FAIL:
         put_id(packer, &m->fail.id);
         put_uint(packer, m->fail.reason);
+        put_uint(packer, m->fail.death);
         put_load(packer, &m->fail.load);
         return;
     case MESSAGE_ACK:
@@ -219,6 +221,7 @@
         return;
     case MESSAGE_IN_FLIGHT:
         put_uint(packer, m->in_flight.in_flight);
+        put_uint(packer, m->in_flight.pool_weight);
         return;
     case MESSAGE_STATE:
         put_load(packer, &m->state.load);
@@ -350,6 +353,7 @@
 {
     offer->id = get_id(cursor);
     offer->in_flight = get_u32(cursor);
+    offer->pool_weight = get_u32(cursor);
     offer->account = get_str(cursor);
     offer->account_weight = get_u32(cursor);
     offer->priority = get_u32(cursor);
@@ -421,6 +425,7 @@
         m->fail.id = get_id(cursor);
         m->fail.reason =
             (enum fail_reason)get_uint(cursor, FAIL_REASON_END - 1);
+        m->fail.death = get_u32(cursor);
         m->fail.load = get_load(cursor);
         return;
     case MESSAGE_ACK:
@@ -440,6 +445,7 @@
         return;
     case MESSAGE_IN_FLIGHT:
         m->in_flight.in_flight = get_u32(cursor);
+        m->in_flight.pool_weight = get_u32(cursor);
         return;
     case MESSAGE_STATE:
         m->state.load = get_load(cursor);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -9,6 +9,7 @@
 
 struct struck {
     uint64_t fingerprint;
+    uint32_t deaths[QUARANTINE_DEATHS_MAX];
     uint32_t strikes;
     int64_t until_ms;
     struct struck *prev;
@@ -79,57 +80,66 @@
     return struck;
 }
 
-static void
-set(struct quarantine *quarantine, uint64_t fingerprint, uint32_t strikes)
+static struct struck *
+add(struct quarantine *quarantine, uint64_t fingerprint)
 {
-    struct struck *struck = find(quarantine, fingerprint);
+    struct struck *struck;
 
-    if (struck != NULL) {
-        forget(quarantine, struck);
-    }
-    else if (HASH_COUNT(quarantine->by_fingerprint) >=
-                 quarantine->options.requests_max &&
-             quarantine->by_age != NULL) {
+    if (HASH_COUNT(quarantine->by_fingerprint) >=
+            quarantine->options.requests_max &&
+        quarantine->by_age != NULL) {
         forget(quarantine, quarantine->by_age);
     }
     struck = xcalloc(1, sizeof(*struck));
     struck->fingerprint = fingerprint;
-    struck->strikes = strikes;
-    struck->until_ms =
-        clock_ms(quarantine->options.clock) + quarantine->options.hold_ms;
     HASH_ADD(hh, quarantine->by_fingerprint, fingerprint,
              sizeof(struck->fingerprint), struck);
     DL_APPEND(quarantine->by_age, struck);
+    return struck;
 }
 
-uint32_t
-quarantine_strike(struct quarantine *quarantine, uint64_t fingerprint)
+static bool
+knows_death(const struct struck *struck, uint32_t death)
 {
-    const struct struck *struck;
-    uint32_t strikes;
-
-    drop_old(quarantine);
-    struck = find(quarantine, fingerprint);
-    strikes = struck != NULL ? struck->strikes + 1 : 1;
-    set(quarantine, fingerprint, strikes);
-    return strikes;
+    for (uint32_t i = 0; i < struck->strikes; i++) {
+        if (struck->deaths[i] == death) {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool
-quarantine_learn(struct quarantine *quarantine, uint64_t fingerprint,
-                 uint32_t strikes)
+quarantine_strike(struct quarantine *quarantine, uint64_t fingerprint,
+                  uint32_t death)
 {
-    const struct struck *struck;
+    struct struck *struck;
 
     drop_old(quarantine);
     struck = find(quarantine, fingerprint);
-    if (struck != NULL && struck->strikes >= strikes) {
+    if (struck == NULL) {
+        struck = add(quarantine, fingerprint);
+    }
+    if (knows_death(struck, death) ||
+        struck->strikes == QUARANTINE_DEATHS_MAX) {
         return false;
     }
-    set(quarantine, fingerprint, strikes);
+    struck->deaths[struck->strikes++] = death;
+    struck->until_ms =
+        clock_ms(quarantine->options.clock) + quarantine->options.hold_ms;
+    DL_DELETE(quarantine->by_age, struck);
+    DL_APPEND(quarantine->by_age, struck);
     return true;
 }
 
+uint32_t
+quarantine_strikes(const struct quarantine *quarantine, uint64_t fingerprint)
+{
+    const struct struck *struck = find(quarantine, fingerprint);
+
+    return struck != NULL ? struck->strikes : 0;
+}
+
 void
 quarantine_clear(struct quarantine *quarantine, uint64_t fingerprint)
 {
@@ -155,27 +165,6 @@
                : QUARANTINE_REFUSE;
 }
 
-size_t
-quarantine_newest(const struct quarantine *quarantine,
-                  struct quarantine_news *news, size_t max)
-{
-    const struct struck *struck = quarantine->by_age;
-    size_t count = 0;
-
-    // The list's head links back to its tail.
-    if (struck == NULL) {
-        return 0;
-    }
-    for (struck = struck->prev; count < max; struck = struck->prev) {
-        news[count++] =
-            (struct quarantine_news){struck->fingerprint, struck->strikes};
-        if (struck == quarantine->by_age) {
-            break;
-        }
-    }
-    return count;
-}
-
 size_t
 quarantine_count(const struct quarantine *quarantine)
 {
--- a/core/route.c
+++ b/core/route.c
@@ -495,6 +495,19 @@
     return route->accepted;
 }
 
+uint32_t
+route_usable_weight(const struct route *route)
+{
+    uint32_t weight = 0;
+
+    for (size_t i = 0; i < route->count; i++) {
+        if (route->endpoints[i]->use != MEMBER_UNUSABLE) {
+            weight += route->endpoints[i]->weight;
+        }
+    }
+    return weight;
+}
+
 struct str
 route_home(const struct route *route, uint64_t key_hash)
 {
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -12,6 +12,7 @@
 #include "configuration.h"
 #include "control.h"
 #include "core/xmalloc.h"
+#include "dandelionvalve/breaker.h"
 #include "dandelionvalve/gate.h"
 #include "dandelionvalve/quarantine.h"
 #include "membership.h"
@@ -53,6 +54,8 @@
     struct gate *gate;
     struct endpoint *endpoint;
     struct probe *probe;
+    struct breaker breaker;
+    bool alive;
     struct quarantine *quarantine;
     struct claimlog *claimlog;
     struct runs *runs;
@@ -112,6 +115,15 @@
     tell_state(agent);
 }
 
+/// Health check and lost runs both have a say.
+static void
+update_state(struct agent *agent)
+{
+    bool usable = agent->alive && !breaker_is_open(&agent->breaker);
+
+    set_state(agent, usable ? AGENT_READY : AGENT_ENDPOINT_DOWN);
+}
+
 static void
 on_probed(void *ctx, bool alive)
 {
@@ -121,7 +133,8 @@
     if (!alive) {
         placement_forget_loaded(agent->placement);
     }
-    set_state(agent, alive ? AGENT_READY : AGENT_ENDPOINT_DOWN);
+    agent->alive = alive;
+    update_state(agent);
 }
 
 static void
@@ -129,15 +142,25 @@
 {
     struct agent *agent = ctx;
 
+    breaker_failure(&agent->breaker);
+    update_state(agent);
     probe_now(agent->probe);
 }
 
 static void
-on_struck(void *ctx, uint64_t fingerprint, uint32_t strikes)
+on_endpoint_worked(void *ctx)
 {
     struct agent *agent = ctx;
 
-    control_tell_strikes(agent->control, fingerprint, strikes);
+    breaker_success(&agent->breaker);
+}
+
+static void
+on_struck(void *ctx, uint64_t fingerprint, uint32_t death)
+{
+    struct agent *agent = ctx;
+
+    control_tell_strike(agent->control, fingerprint, death);
 }
 
 static void
@@ -197,6 +220,8 @@
     case MESSAGE_IN_FLIGHT:
         gate_router_count(agent->gate, link_peer_name(link),
                           message->in_flight.in_flight);
+        gate_router_weight(agent->gate, link_peer_name(link),
+                           message->in_flight.pool_weight);
         return;
     default:
         counter_add(&agent->counters, COUNTER_LINK_BAD_FRAMES, 1);
@@ -389,6 +414,7 @@
 
     (void)fd;
     (void)events;
+    update_state(agent);
     gate_tick(agent->gate);
     runs_tick(agent->runs);
     update_pool(agent);
@@ -463,6 +489,15 @@
         .requests_max = STRUCK_REQUESTS_MAX,
     };
 
+    const struct breaker_options breaker = {
+        .clock = options->clock,
+        .failures_max = BREAKER_FAILURES_MAX,
+        .open_min_ms = BREAKER_OPEN_MIN_MS,
+        .open_max_ms = BREAKER_OPEN_MAX_MS,
+    };
+
+    agent->alive = true;
+    breaker_init(&agent->breaker, &breaker);
     agent->gate = gate_new(&gate);
     agent->quarantine = quarantine_new(&quarantine);
 }
@@ -564,6 +599,7 @@
     const struct runs_options runs = {
         .base = agent->options.base,
         .clock = agent->options.clock,
+        .random = agent->options.random,
         .counters = &agent->counters,
         .gate = agent->gate,
         .endpoint = agent->endpoint,
@@ -574,6 +610,7 @@
         .hold_ms = HOLD_MS,
         .struck = on_struck,
         .endpoint_failed = on_endpoint_failed,
+        .endpoint_worked = on_endpoint_worked,
         .ctx = agent,
     };
 
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -73,11 +73,11 @@
 }
 
 static bool
-on_strikes(void *ctx, uint64_t fingerprint, uint32_t strikes)
+on_strike(void *ctx, uint64_t fingerprint, uint32_t death)
 {
     struct control *control = ctx;
 
-    return quarantine_learn(control->options.quarantine, fingerprint, strikes);
+    return quarantine_strike(control->options.quarantine, fingerprint, death);
 }
 
 static void
@@ -195,7 +195,7 @@
         .bytes_per_s = (double)settings->control_bytes_per_s,
         .send = on_send,
         .word = on_word,
-        .strikes = on_strikes,
+        .strike = on_strike,
         .heard = on_heard,
         .version = on_version,
         .document = on_document,
@@ -252,10 +252,10 @@
 }
 
 void
-control_tell_strikes(struct control *control, uint64_t fingerprint,
-                     uint32_t strikes)
+control_tell_strike(struct control *control, uint64_t fingerprint,
+                    uint32_t death)
 {
-    gossip_tell_strikes(control->gossip, fingerprint, strikes);
+    gossip_tell_strike(control->gossip, fingerprint, death);
 }
 
 bool
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -35,8 +35,8 @@
 /// News that this daemon has seen itself.
 void control_tell_word(struct control *control, struct str name,
                        uint64_t incarnation, enum agent_state state);
-void control_tell_strikes(struct control *control, uint64_t fingerprint,
-                          uint32_t strikes);
+void control_tell_strike(struct control *control, uint64_t fingerprint,
+                         uint32_t death);
 
 /// Takes bytes for another control message from the budget.
 bool control_take(struct control *control, size_t bytes);
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -234,14 +234,16 @@
 }
 
 void
-router_strike(struct router *router, uint64_t fingerprint)
+router_strike(struct router *router, uint64_t fingerprint, uint32_t death)
 {
-    uint32_t strikes = quarantine_strike(router->quarantine, fingerprint);
-
+    if (!quarantine_strike(router->quarantine, fingerprint, death)) {
+        return;
+    }
     counter_add(&router->counters, COUNTER_STRIKES, 1);
     LOG_WARNING("event=strike fingerprint=%016llx strikes=%u",
-                (unsigned long long)fingerprint, strikes);
-    control_tell_strikes(router->control, fingerprint, strikes);
+                (unsigned long long)fingerprint,
+                quarantine_strikes(router->quarantine, fingerprint));
+    control_tell_strike(router->control, fingerprint, death);
 }
 
 size_t
@@ -518,6 +520,7 @@
         size_t told = 0;
 
         message.in_flight.in_flight = route_in_flight(pool->route);
+        message.in_flight.pool_weight = route_usable_weight(pool->route);
         for (size_t i = 0;
              i < route_count(pool->route) && told < IN_FLIGHT_NEWS_PER_TICK;
              i++) {
--- a/daemon/router_state.h
+++ b/daemon/router_state.h
@@ -44,6 +44,7 @@
 void router_count_unsent(struct router *router, int change);
 
 /// An endpoint died while it ran a request: tells the other daemons.
-void router_strike(struct router *router, uint64_t fingerprint);
+void router_strike(struct router *router, uint64_t fingerprint,
+                   uint32_t death);
 
 bool router_is_draining(const struct router *router);
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -22,6 +22,7 @@
 #define PART_BYTES_MAX 32768
 #define KEPT_ANSWER_BYTES_MAX 8192
 #define TOMBSTONE_MS 60000
+#define DEATH_MS 100
 #define REPLAYED_HEADER "Dandelionvalve-Replayed"
 
 enum run_state {
@@ -64,6 +65,7 @@
     struct evbuffer *claim_body;
     bool failed;
     enum fail_reason fail_reason;
+    uint32_t death; ///< of the endpoint, or 0
     UT_hash_handle hh;
 };
 
@@ -72,6 +74,8 @@
     struct run *by_id;
     size_t active;
     size_t struck;
+    uint32_t death;
+    int64_t death_ms;
 };
 
 struct runs *
@@ -261,6 +265,7 @@
         message.type = MESSAGE_FAIL;
         message.fail.id = run->id;
         message.fail.reason = run->fail_reason;
+        message.fail.death = run->death;
         message.fail.load = gate_load(run->runs->options.gate);
     }
     else {
@@ -454,21 +459,36 @@
     }
 }
 
+/// The number of the endpoint's death: runs that are lost together share it.
+static uint32_t
+current_death(struct runs *runs)
+{
+    int64_t now = clock_ms(runs->options.clock);
+
+    if (runs->death == 0 || now - runs->death_ms >= DEATH_MS) {
+        runs->death = (uint32_t)random_next(runs->options.random) | 1;
+    }
+    runs->death_ms = now;
+    return runs->death;
+}
+
 /// A run that lost its endpoint may be the one that crashed it.
 static void
 strike(struct run *run)
 {
     struct runs *runs = run->runs;
-    uint32_t strikes =
-        quarantine_strike(runs->options.quarantine, run->offer.fingerprint);
+    uint64_t fingerprint = run->offer.fingerprint;
 
+    run->death = current_death(runs);
+    quarantine_strike(runs->options.quarantine, fingerprint, run->death);
     counter_add(runs->options.counters, COUNTER_ENDPOINT_LOST, 1);
     counter_add(runs->options.counters, COUNTER_STRIKES, 1);
     LOG_WARNING("event=strike fingerprint=%016llx strikes=%u account=" STR_FMT
                 " route=" STR_FMT,
-                (unsigned long long)run->offer.fingerprint, strikes,
+                (unsigned long long)fingerprint,
+                quarantine_strikes(runs->options.quarantine, fingerprint),
                 STR_ARG(run->offer.account), STR_ARG(run->offer.route));
-    runs->options.struck(runs->options.ctx, run->offer.fingerprint, strikes);
+    runs->options.struck(runs->options.ctx, fingerprint, run->death);
 }
 
 static void
@@ -493,6 +513,7 @@
         runs->options.endpoint_failed(runs->options.ctx);
         return;
     }
+    runs->options.endpoint_worked(runs->options.ctx);
     if (run->struck) {
         quarantine_clear(runs->options.quarantine, run->offer.fingerprint);
     }
@@ -808,6 +829,8 @@
 
     gate_router_count(runs->options.gate, link_peer_name(link),
                       offer->in_flight);
+    gate_router_weight(runs->options.gate, link_peer_name(link),
+                       offer->pool_weight);
     if (find(runs, &offer->id) != NULL) {
         counter_add(runs->options.counters, COUNTER_ANSWER_DROPPED, 1);
         return;
--- a/daemon/run.h
+++ b/daemon/run.h
@@ -21,6 +21,7 @@
 struct runs_options {
     struct event_base *base;
     const struct clock *clock;
+    const struct random_source *random;
     struct counters *counters;
     struct gate *gate;
     struct endpoint *endpoint;
@@ -30,9 +31,11 @@
     size_t body_bytes_max;
     int64_t hold_ms; ///< how long an answer waits for a lost router
     /// A request got a strike, since the endpoint died while it ran it.
-    void (*struck)(void *ctx, uint64_t fingerprint, uint32_t strikes);
+    void (*struck)(void *ctx, uint64_t fingerprint, uint32_t death);
     /// The endpoint was lost or cannot be reached.
     void (*endpoint_failed)(void *ctx);
+    /// A run has ended with a whole answer.
+    void (*endpoint_worked)(void *ctx);
     void *ctx;
 };
 
--- a/include/dandelionvalve/gate.h
+++ b/include/dandelionvalve/gate.h
@@ -76,6 +76,12 @@
 /// Notes how many requests a router has in flight in the pool.
 void gate_router_count(struct gate *gate, struct str router,
                        uint32_t in_flight);
+
+/// Notes the weight of the pool's endpoints that a router can use. Routers
+/// see failed endpoints before the list does; the largest weight that one of
+/// them tells counts, but not more than gate_set_pool() says.
+void gate_router_weight(struct gate *gate, struct str router,
+                        uint32_t pool_weight);
 void gate_router_gone(struct gate *gate, struct str router);
 
 struct gate_decision gate_offer(struct gate *gate,
--- a/include/dandelionvalve/gossip.h
+++ b/include/dandelionvalve/gossip.h
@@ -44,8 +44,8 @@
     /// A member's word was heard; true if it was news.
     bool (*word)(void *ctx, struct str name, uint64_t incarnation,
                  enum agent_state state);
-    /// Strikes were heard; true if they were news.
-    bool (*strikes)(void *ctx, uint64_t fingerprint, uint32_t strikes);
+    /// A strike was heard; true if it was news.
+    bool (*strike)(void *ctx, uint64_t fingerprint, uint32_t death);
     /// A datagram came from this daemon: it is alive.
     void (*heard)(void *ctx, struct str name);
     /// The version in force here and its document.
@@ -77,8 +77,8 @@
 /// News of this daemon, or of what it has seen.
 void gossip_tell_word(struct gossip *gossip, struct str name,
                       uint64_t incarnation, enum agent_state state);
-void gossip_tell_strikes(struct gossip *gossip, uint64_t fingerprint,
-                         uint32_t strikes);
+void gossip_tell_strike(struct gossip *gossip, uint64_t fingerprint,
+                        uint32_t death);
 
 /// A datagram has come.
 void gossip_receive(struct gossip *gossip, struct str address,
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -106,6 +106,7 @@
 struct message_offer {
     struct attempt_id id;
     uint32_t in_flight;
+    uint32_t pool_weight; ///< of the endpoints that the router can use
     struct str account;
     uint32_t account_weight;
     uint32_t priority;
@@ -167,6 +168,7 @@
         struct {
             struct attempt_id id;
             enum fail_reason reason;
+            uint32_t death; ///< names the endpoint's death, or 0
             struct load_report load;
         } fail;
         struct {
@@ -186,6 +188,7 @@
         } resume;
         struct {
             uint32_t in_flight;
+            uint32_t pool_weight;
         } in_flight;
         struct {
             struct load_report load;
--- a/include/dandelionvalve/quarantine.h
+++ b/include/dandelionvalve/quarantine.h
@@ -3,6 +3,9 @@
 /// When an endpoint dies, each request that it was running gets a strike. A
 /// struck request runs only where no other struck one runs, so that the next
 /// death tells them apart; at the limit it is refused. A success clears it.
+///
+/// A strike names the death that it is for, so that strikes by daemons that
+/// have not heard of each other add up, and one death counts once.
 #pragma once
 
 #include <stdbool.h>
@@ -26,11 +29,7 @@
     size_t requests_max; ///< fingerprints kept; the oldest go first
 };
 
-/// News of a fingerprint for other daemons.
-struct quarantine_news {
-    uint64_t fingerprint;
-    uint32_t strikes;
-};
+#define QUARANTINE_DEATHS_MAX 8
 
 /// The caller frees with quarantine_free().
 struct quarantine *quarantine_new(const struct quarantine_options *options);
@@ -39,14 +38,14 @@
 void quarantine_set_options(struct quarantine *quarantine,
                             uint32_t strikes_max, int64_t hold_ms);
 
-/// An endpoint died while it ran this request. Returns its strikes.
-uint32_t quarantine_strike(struct quarantine *quarantine,
-                           uint64_t fingerprint);
+/// The endpoint's death `death` struck this request, seen here or told by
+/// another daemon. True if that was news.
+bool quarantine_strike(struct quarantine *quarantine, uint64_t fingerprint,
+                       uint32_t death);
 
-/// Another daemon knows of this many strikes; the higher number wins. True
-/// if that was news.
-bool quarantine_learn(struct quarantine *quarantine, uint64_t fingerprint,
-                      uint32_t strikes);
+/// Deaths that have struck the request.
+uint32_t quarantine_strikes(const struct quarantine *quarantine,
+                            uint64_t fingerprint);
 
 /// The request has ended well.
 void quarantine_clear(struct quarantine *quarantine, uint64_t fingerprint);
@@ -54,8 +53,4 @@
 enum quarantine_verdict quarantine_check(struct quarantine *quarantine,
                                          uint64_t fingerprint);
 
-/// The newest news, at most `max`; returns how many.
-size_t quarantine_newest(const struct quarantine *quarantine,
-                         struct quarantine_news *news, size_t max);
-
 size_t quarantine_count(const struct quarantine *quarantine);
--- a/include/dandelionvalve/route.h
+++ b/include/dandelionvalve/route.h
@@ -106,6 +106,9 @@
 void route_end(struct route *route);
 uint32_t route_in_flight(const struct route *route);
 
+/// Sum of the weights of the endpoints that may be used.
+uint32_t route_usable_weight(const struct route *route);
+
 /// The first endpoint of a key's rendezvous order, usable or not; empty if
 /// there is none.
 struct str route_home(const struct route *route, uint64_t key_hash);
--- a/measure/fleet.h
+++ b/measure/fleet.h
@@ -21,6 +21,7 @@
     FLEET_HOT_KEY,  ///< one key draws half of the load
     FLEET_CHURN,    ///< one endpoint in ten leaves, joins or flaps a minute
     FLEET_DISAGREE, ///< the routers' lists differ
+    FLEET_OUTAGE,   ///< half of the endpoints lose all that they run
 };
 
 struct fleet_options {
@@ -34,6 +35,9 @@
     size_t keys;
     size_t cache_keys; ///< keys that an engine's cache holds
     bool hints;
+    int64_t retry_percent; ///< of the requests; retries after a loss
+    size_t attempts_max;
+    bool breaker; ///< endpoints that lose their runs are taken out of use
     int64_t duration_us;
 };
 
@@ -47,8 +51,10 @@
     double waited;      ///< share of requests that waited in a queue
     double mean_wait_ms;
     uint64_t refused;
-    uint64_t news; ///< messages with in-flight numbers
-    double skew;   ///< busiest engine's admissions over the mean
+    uint64_t lost;   ///< requests that ended without an answer
+    uint64_t denied; ///< retries that the budget did not allow
+    uint64_t news;   ///< messages with in-flight numbers
+    double skew;     ///< busiest engine's admissions over the mean
 };
 
 struct fleet_result fleet_run(const struct fleet_options *options);
--- a/measure/main.c
+++ b/measure/main.c
@@ -14,9 +14,10 @@
     const char *name;
     int (*run)(const struct measure_options *options);
 } measurements[] = {
-    {"routing", measure_routing}, {"fairness", measure_fairness},
-    {"claims", measure_claims},   {"control", measure_control},
-    {"slopes", measure_slopes},   {"scale", measure_scale},
+    {"routing", measure_routing},       {"fairness", measure_fairness},
+    {"claims", measure_claims},         {"control", measure_control},
+    {"slopes", measure_slopes},         {"retries", measure_retries},
+    {"quarantine", measure_quarantine}, {"scale", measure_scale},
 };
 
 static int
--- a/measure/routing.c
+++ b/measure/routing.c
@@ -20,7 +20,7 @@
 static const char *const scenario_names[] = {
     [FLEET_STEADY] = "steady",     [FLEET_HERD] = "herd",
     [FLEET_HOT_KEY] = "hot-key",   [FLEET_CHURN] = "churn",
-    [FLEET_DISAGREE] = "disagree",
+    [FLEET_DISAGREE] = "disagree", [FLEET_OUTAGE] = "outage",
 };
 
 static struct fleet_options
@@ -37,6 +37,8 @@
         .keys = 400 * engines,
         .cache_keys = 600,
         .hints = true,
+        .retry_percent = 10,
+        .attempts_max = 3,
         .duration_us = scenario == FLEET_HERD ? 3000000 : 180 * 1000000LL,
     };
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -96,6 +96,30 @@
     gate_free(fixture.gate);
 }
 
+static void
+test_routers_see_failures_first(void)
+{
+    start(100, 4);
+    gate_router_count(fixture.gate, STR_LITERAL("r1"), 10);
+    gate_router_count(fixture.gate, STR_LITERAL("r2"), 6);
+    gate_router_weight(fixture.gate, STR_LITERAL("r1"), 2);
+    gate_tick(fixture.gate);
+    // 1.25 * 16 / 2 = 10.
+    CU_ASSERT(gate_bound(fixture.gate) == 10);
+    // One router that sees more counts more.
+    gate_router_weight(fixture.gate, STR_LITERAL("r2"), 3);
+    gate_tick(fixture.gate);
+    CU_ASSERT(gate_bound(fixture.gate) == 7);
+    gate_router_weight(fixture.gate, STR_LITERAL("r2"), 9);
+    gate_tick(fixture.gate);
+    CU_ASSERT(gate_bound(fixture.gate) == 5);
+    // One of ten missing is within what routers differ about.
+    gate_set_pool(fixture.gate, 10, 1);
+    gate_tick(fixture.gate);
+    CU_ASSERT(gate_bound(fixture.gate) == 2);
+    gate_free(fixture.gate);
+}
+
 static void
 test_old_numbers_lower_the_bound(void)
 {
@@ -222,6 +246,8 @@
     CU_pSuite suite = CU_add_suite("gate", NULL, NULL);
 
     CU_add_test(suite, "bound follows the pool", test_bound_follows_the_pool);
+    CU_add_test(suite, "routers see failures first",
+                test_routers_see_failures_first);
     CU_add_test(suite, "old numbers lower the bound",
                 test_old_numbers_lower_the_bound);
     CU_add_test(suite, "even pool can always grow",
