kept: the answer that waits for its acknowledgement gets a module

Change: daemon/kept with start, add, acknowledge, copy; no change of what it does, but that bytes nobody will ask for are dropped at once.

--- a/daemon/run.c
+++ b/daemon/run.c
@@ -7,13 +7,13 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <uthash.h>
-#include <xxhash.h>
 
 #include "claimlog.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/claim.h"
 #include "dandelionvalve/gate.h"
 #include "dandelionvalve/quarantine.h"
+#include "kept.h"
 #include "net/endpoint.h"
 #include "net/link.h"
 #include "net/log.h"
@@ -53,15 +53,7 @@
     int64_t activity_ms;
     int64_t lost_ms; ///< when its link was lost, or 0
     int64_t forget_ms;
-    bool has_head;
-    struct message_header *headers;
-    size_t header_count;
-    char *header_block;
-    int status;
-    struct evbuffer *kept; ///< the answer from kept_offset on
-    uint64_t kept_offset;
-    uint64_t end_offset;
-    XXH64_state_t *hash;
+    struct kept kept;
     struct evbuffer *claim_body;
     bool failed;
     enum fail_reason fail_reason;
@@ -90,20 +82,11 @@
 static void
 free_answer(struct run *run)
 {
-    if (run->kept != NULL) {
-        evbuffer_free(run->kept);
-        run->kept = NULL;
-    }
+    kept_destroy(&run->kept);
     if (run->claim_body != NULL) {
         evbuffer_free(run->claim_body);
         run->claim_body = NULL;
     }
-    XXH64_freeState(run->hash);
-    run->hash = NULL;
-    free(run->headers);
-    free(run->header_block);
-    run->headers = NULL;
-    run->header_block = NULL;
 }
 
 static void
@@ -270,8 +253,8 @@
     }
     else {
         message.end.id = run->id;
-        message.end.total_bytes = run->end_offset;
-        message.end.hash = XXH64_digest(run->hash);
+        message.end.total_bytes = run->kept.end;
+        message.end.hash = kept_hash(&run->kept);
         message.end.load = gate_load(run->runs->options.gate);
     }
     send_to(run->link, &message);
@@ -301,13 +284,14 @@
         return;
     }
     if (status != 0) {
-        answer.body_kept = run->end_offset <= KEPT_ANSWER_BYTES_MAX;
+        answer.body_kept = run->kept.end <= KEPT_ANSWER_BYTES_MAX;
         answer.body.len = evbuffer_get_length(run->claim_body);
         answer.body.data = (char *)evbuffer_pullup(run->claim_body, -1);
-        for (size_t i = 0; i < run->header_count; i++) {
-            if (run->headers[i].name.len == 12 &&
-                !strncasecmp(run->headers[i].name.data, "Content-Type", 12)) {
-                answer.content_type = run->headers[i].value;
+        for (size_t i = 0; i < run->kept.header_count; i++) {
+            if (run->kept.headers[i].name.len == 12 &&
+                !strncasecmp(run->kept.headers[i].name.data, "Content-Type",
+                             12)) {
+                answer.content_type = run->kept.headers[i].value;
             }
         }
     }
@@ -327,47 +311,22 @@
 static void
 send_head(struct run *run)
 {
+    const struct kept *kept = &run->kept;
     struct message message = {.type = MESSAGE_HEAD};
 
     message.head.id = run->id;
-    message.head.status = (uint32_t)run->status;
-    message.head.header_count = run->header_count;
-    memcpy(message.head.headers, run->headers,
-           run->header_count * sizeof(*run->headers));
+    message.head.status = (uint32_t)kept->status;
+    message.head.header_count = kept->header_count;
+    memcpy(message.head.headers, kept->headers,
+           kept->header_count * sizeof(*kept->headers));
     send_to(run->link, &message);
 }
 
-static void
-keep_head(struct run *run, int status, const struct message_header *headers,
-          size_t count)
-{
-    size_t bytes = 0;
-    char *next;
-
-    for (size_t i = 0; i < count; i++) {
-        bytes += headers[i].name.len + headers[i].value.len;
-    }
-    run->headers = xcalloc(count, sizeof(*headers));
-    run->header_block = xmalloc(bytes);
-    run->header_count = count;
-    run->status = status;
-    run->has_head = true;
-    next = run->header_block;
-    for (size_t i = 0; i < count; i++) {
-        run->headers[i].name = (struct str){next, headers[i].name.len};
-        memcpy(next, headers[i].name.data, headers[i].name.len);
-        next += headers[i].name.len;
-        run->headers[i].value = (struct str){next, headers[i].value.len};
-        memcpy(next, headers[i].value.data, headers[i].value.len);
-        next += headers[i].value.len;
-    }
-}
-
 static void
 set_timer(struct run *run)
 {
     int64_t limit =
-        run->has_head ? run->offer.idle_ms : run->offer.first_byte_ms;
+        run->kept.has_head ? run->offer.idle_ms : run->offer.first_byte_ms;
     int64_t due = run->deadline_ms;
     int64_t wait;
     struct timeval delay;
@@ -404,7 +363,7 @@
     struct run *run = ctx;
 
     run->activity_ms = clock_ms(run->runs->options.clock);
-    keep_head(run, status, headers, count);
+    kept_set_head(&run->kept, status, headers, count);
     send_head(run);
 }
 
@@ -424,18 +383,12 @@
 static void
 take_answer(struct run *run, struct str bytes)
 {
-    XXH64_update(run->hash, bytes.data, bytes.len);
     if (run->claim_body != NULL &&
-        run->end_offset + bytes.len <= KEPT_ANSWER_BYTES_MAX) {
+        run->kept.end + bytes.len <= KEPT_ANSWER_BYTES_MAX) {
         evbuffer_add(run->claim_body, bytes.data, bytes.len);
     }
-    send_part(run, run->end_offset, bytes);
-    run->end_offset += bytes.len;
-    if (is_abandoned(run)) {
-        run->kept_offset = run->end_offset;
-        return;
-    }
-    evbuffer_add(run->kept, bytes.data, bytes.len);
+    send_part(run, run->kept.end, bytes);
+    kept_add(&run->kept, bytes, !is_abandoned(run));
 }
 
 static void
@@ -454,7 +407,7 @@
         evbuffer_drain(data, len);
         left -= len;
     }
-    if (run->end_offset - run->kept_offset > run->runs->options.window_bytes) {
+    if (run->kept.end - run->kept.first > run->runs->options.window_bytes) {
         set_paused(run, true);
     }
 }
@@ -517,7 +470,7 @@
     if (run->struck) {
         quarantine_clear(runs->options.quarantine, run->offer.fingerprint);
     }
-    finish_claim(run, run->status);
+    finish_claim(run, run->kept.status);
     end_run(run);
 }
 
@@ -552,12 +505,13 @@
     if (run->state != RUN_RUNNING) {
         return;
     }
-    reason = run->has_head ? FAIL_IDLE_TIMEOUT : FAIL_FIRST_BYTE_TIMEOUT;
+    reason = run->kept.has_head ? FAIL_IDLE_TIMEOUT : FAIL_FIRST_BYTE_TIMEOUT;
     if (now >= run->deadline_ms) {
         reason = FAIL_DEADLINE;
     }
-    else if (now - run->activity_ms <
-             (run->has_head ? run->offer.idle_ms : run->offer.first_byte_ms)) {
+    else if (now - run->activity_ms < (run->kept.has_head
+                                           ? run->offer.idle_ms
+                                           : run->offer.first_byte_ms)) {
         set_timer(run);
         return;
     }
@@ -588,12 +542,7 @@
 
     run->state = RUN_RUNNING;
     run->activity_ms = clock_ms(runs->options.clock);
-    run->kept = evbuffer_new();
-    run->hash = XXH64_createState();
-    if (run->kept == NULL || run->hash == NULL) {
-        BUG("out of memory");
-    }
-    XXH64_reset(run->hash, 0);
+    kept_start(&run->kept);
     if (run->key.len > 0) {
         run->claim_body = evbuffer_new();
     }
@@ -641,10 +590,8 @@
     snprintf(length, sizeof(length), "%zu", answer->body.len);
     memcpy(copy, headers, sizeof(copy));
     copy[2].value.len = strlen(length);
-    run->kept = evbuffer_new();
-    run->hash = XXH64_createState();
-    XXH64_reset(run->hash, 0);
-    keep_head(run, answer->status, copy, 3);
+    kept_start(&run->kept);
+    kept_set_head(&run->kept, answer->status, copy, 3);
     send_head(run);
     if (answer->body.len > 0) {
         take_answer(run, answer->body);
@@ -883,20 +830,15 @@
 {
     struct run *run = find(runs, id);
 
-    if (run == NULL || run->kept == NULL || offset < run->kept_offset ||
-        offset > run->end_offset) {
-        if (run != NULL && run->state == RUN_ENDED && finished) {
-            run_free(run);
-        }
+    if (run == NULL) {
         return;
     }
-    evbuffer_drain(run->kept, offset - run->kept_offset);
-    run->kept_offset = offset;
     if (finished && run->state == RUN_ENDED) {
         run_free(run);
         return;
     }
-    if (run->end_offset - offset <= runs->options.window_bytes / 2) {
+    if (kept_acknowledge(&run->kept, offset) &&
+        run->kept.end - offset <= runs->options.window_bytes / 2) {
         set_paused(run, false);
     }
 }
@@ -954,20 +896,13 @@
 static void
 send_kept(struct run *run, uint64_t offset)
 {
-    size_t skip = offset - run->kept_offset;
-    size_t left = evbuffer_get_length(run->kept) - skip;
     char *copy = xmalloc(PART_BYTES_MAX);
-    struct evbuffer_ptr position;
+    size_t len = kept_copy(&run->kept, offset, copy, PART_BYTES_MAX);
 
-    while (left > 0) {
-        size_t len = left < PART_BYTES_MAX ? left : PART_BYTES_MAX;
-
-        evbuffer_ptr_set(run->kept, &position, skip, EVBUFFER_PTR_SET);
-        evbuffer_copyout_from(run->kept, &position, copy, len);
+    while (len > 0) {
         send_part(run, offset, (struct str){copy, len});
         offset += len;
-        skip += len;
-        left -= len;
+        len = kept_copy(&run->kept, offset, copy, PART_BYTES_MAX);
     }
     free(copy);
 }
@@ -1017,11 +952,10 @@
     accept.accept.id = run->id;
     accept.accept.load = gate_load(runs->options.gate);
     link_send(link, &accept);
-    if (run->has_head && need_head) {
+    if (run->kept.has_head && need_head) {
         send_head(run);
     }
-    if (run->kept != NULL && offset >= run->kept_offset &&
-        offset <= run->end_offset) {
+    if (kept_can_resume(&run->kept, offset)) {
         send_kept(run, offset);
     }
     if (run->state == RUN_ENDED) {
