--- a/load/main.c
+++ b/load/main.c
@@ -230,6 +230,9 @@
 
     if (!strcmp(caller->outcome, "not-run")) {
         report->not_run++;
+        if (caller->booking && !caller->resend) {
+            report_add_not_run(report, caller->key);
+        }
     }
     else {
         report->unknown++;
@@ -508,7 +511,8 @@
     report_collect(&load.report, load.base, settings);
     report_print(&load.report, stdout);
     write_csv(&load);
-    status = load.report.wrong > 0 || load.report.keys_run_twice > 0
+    status = load.report.wrong > 0 || load.report.keys_run_twice > 0 ||
+                     load.report.false_not_run > 0
                  ? EXIT_WRONG_ANSWERS
                  : EXIT_SUCCESS;
     report_destroy(&load.report);
--- a/load/report.c
+++ b/load/report.c
@@ -33,6 +33,15 @@
     report->first_ms[report->latency_count++] = first_ms;
 }
 
+void
+report_add_not_run(struct report *report, const char *key)
+{
+    report->not_run_keys =
+        xrealloc(report->not_run_keys,
+                 (report->not_run_key_count + 1) * sizeof(char *));
+    report->not_run_keys[report->not_run_key_count++] = xstrdup(key);
+}
+
 static void
 add_keys(struct key_runs **all, const json_t *json)
 {
@@ -74,6 +83,10 @@
         json_decref(json);
         free((char *)body.data);
     }
+    for (size_t i = 0; i < report->not_run_key_count; i++) {
+        HASH_FIND_STR(all, report->not_run_keys[i], runs);
+        report->false_not_run += runs != NULL;
+    }
     HASH_ITER(hh, all, runs, next)
     {
         report->keys_run_twice += runs->runs > 1 ? 1 : 0;
@@ -215,9 +228,11 @@
             report->control_bytes_per_s);
     fprintf(out,
             "bookings %" PRIu64 ", re-sends %" PRIu64 " (same answer %" PRIu64
-            "), keys run twice %" PRIu64 "\n",
+            "), keys run twice %" PRIu64
+            ", told not-run %zu, of these run %" PRIu64 "\n",
             report->bookings, report->resends, report->resends_same,
-            report->keys_run_twice);
+            report->keys_run_twice, report->not_run_key_count,
+            report->false_not_run);
 }
 
 void
@@ -239,6 +254,10 @@
 void
 report_destroy(struct report *report)
 {
+    for (size_t i = 0; i < report->not_run_key_count; i++) {
+        free(report->not_run_keys[i]);
+    }
+    free(report->not_run_keys);
     free(report->latencies_ms);
     free(report->first_ms);
 }
--- a/load/report.h
+++ b/load/report.h
@@ -27,7 +27,10 @@
     size_t latency_count;
     double seconds;
     uint64_t keys_run_twice;
-    double skew; ///< largest share of an engine over the mean share
+    char **not_run_keys; ///< sent once and refused as not run
+    size_t not_run_key_count;
+    uint64_t false_not_run; ///< of these, keys that a service has run
+    double skew;            ///< largest share of an engine over the mean share
     double control_bytes_before;
     double control_bytes_per_s;
 };
@@ -35,6 +38,9 @@
 void report_add_latency(struct report *report, double first_ms,
                         double total_ms);
 
+/// Notes a key whose only request was refused as not run.
+void report_add_not_run(struct report *report, const char *key);
+
 /// Notes what the routers have counted before the run.
 void report_start(struct report *report, struct event_base *base,
                   const struct settings_load *settings);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -176,6 +176,8 @@
 pool = "$MODEL_POOL"
 affinity = "$AFFINITY"
 repeatable = true
+first_byte_ms = 8000
+idle_ms = 5000
 
 [[route]]
 name = "bookings"
