measure: how a crowd of 50,000 comes back

Cause: Retry-After was designed and not measured. Change: dvmeasure crowd, with the real gate and a fixed second as baseline. Ruled out: a factor of 1.0 or 1.2 instead of 2 on the backlog (no earlier end; the rate at a cold start is what is wrong).

--- a/measure/main.c
+++ b/measure/main.c
@@ -17,7 +17,8 @@
     {"routing", measure_routing},       {"fairness", measure_fairness},
     {"claims", measure_claims},         {"control", measure_control},
     {"slopes", measure_slopes},         {"retries", measure_retries},
-    {"quarantine", measure_quarantine}, {"scale", measure_scale},
+    {"quarantine", measure_quarantine}, {"crowd", measure_crowd},
+    {"scale", measure_scale},
 };
 
 static int
--- a/measure/measure.h
+++ b/measure/measure.h
@@ -16,6 +16,7 @@
 int measure_fairness(const struct measure_options *options);
 int measure_retries(const struct measure_options *options);
 int measure_quarantine(const struct measure_options *options);
+int measure_crowd(const struct measure_options *options);
 int measure_claims(const struct measure_options *options);
 int measure_control(const struct measure_options *options);
 int measure_slopes(const struct measure_options *options);
