--- a/daemon/main_agent.c
+++ b/daemon/main_agent.c
@@ -22,7 +22,7 @@
 static int
 run(const struct program *program, const struct settings_agent *settings)
 {
-    struct event_base *base = event_base_new();
+    struct event_base *base = program_event_base();
     struct err err = {0};
     const struct agent_options options = {
         .base = base,
--- a/daemon/program.c
+++ b/daemon/program.c
@@ -124,3 +124,22 @@
     clock_gettime(CLOCK_REALTIME, &now);
     return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
+
+struct event_base *
+program_event_base(void)
+{
+    struct event_config *config = event_config_new();
+    struct event_base *base;
+
+    if (config == NULL) {
+        BUG("out of memory");
+    }
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+    event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+    base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (base == NULL) {
+        BUG("out of memory");
+    }
+    return base;
+}
--- a/daemon/program.h
+++ b/daemon/program.h
@@ -30,5 +30,9 @@
 void program_run(struct event_base *base, void (*terminate)(void *ctx),
                  void *ctx);
 
+/// An event base that merges changes of one loop iteration before it tells
+/// the kernel; the caller frees with event_base_free().
+struct event_base *program_event_base(void);
+
 /// A number that rises with each start of a process on one VM.
 uint64_t program_incarnation(void);
--- a/daemon/request.c
+++ b/daemon/request.c
@@ -330,16 +330,17 @@
                    "the deadline has passed");
 }
 
-static void
-watch_caller(struct request *request)
+void
+request_watch(struct request *request)
 {
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request->http);
-    int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    struct evhttp_connection *connection;
+    int fd;
 
-    evhttp_connection_set_closecb(connection, on_http_closed, request);
-    // evhttp does not read while an answer is due, so it would not see the
-    // caller go.
+    if (request->gone != NULL || request->http == NULL) {
+        return;
+    }
+    connection = evhttp_request_get_connection(request->http);
+    fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
     request->gone = event_new(router_base(request->router), fd, EV_CLOSED,
                               on_gone, request);
     if (request->gone != NULL) {
@@ -388,7 +389,8 @@
     make_id(request);
     counter_add(router_counters(router), COUNTER_REQUESTS, 1);
     router_add(router, request);
-    watch_caller(request);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(http),
+                                  on_http_closed, request);
     if (router_conf(router) == NULL) {
         request->retry_after_ms = MIN_RETRY_AFTER_MS;
         request_refuse(request, 503, OUTCOME_NOT_RUN,
--- a/daemon/request.h
+++ b/daemon/request.h
@@ -87,6 +87,10 @@
 /// Takes a request from evhttp and sends it through the filter chain.
 void request_start(struct router *router, struct evhttp_request *http);
 
+/// Watches for the caller's leaving: evhttp does not read while an answer is
+/// due, so it would not see it. Most requests end before they need this.
+void request_watch(struct request *request);
+
 /// Chooses an endpoint and offers the request to its agent.
 void request_dispatch(struct request *request);
 
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -541,6 +541,17 @@
     }
 }
 
+static void
+watch_callers(struct router *router)
+{
+    struct request *request;
+
+    for (request = router->requests; request != NULL;
+         request = request->hh.next) {
+        request_watch(request);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
@@ -548,6 +559,7 @@
 
     (void)fd;
     (void)events;
+    watch_callers(router);
     tell_in_flight(router);
     control_tick(router->control);
     counter_set(&router->counters, COUNTER_IN_FLIGHT, router_requests(router));
