--- /dev/null
+++ b/core/catalog.c
@@ -0,0 +1,298 @@
+#include "catalog.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "xmalloc.h"
+
+#define PLACE_BYTES_MAX 2048
+
+struct route_entry {
+    struct catalog_route route;
+    char *place; ///< host and prefix in one
+    UT_hash_handle hh;
+};
+
+struct service_entry {
+    struct catalog_service service;
+    UT_hash_handle hh;
+};
+
+struct account_entry {
+    struct catalog_account account;
+    struct account_entry *next;
+};
+
+struct key_entry {
+    struct str key;
+    const struct catalog_account *account;
+    UT_hash_handle hh;
+};
+
+struct catalog {
+    size_t references;
+    int64_t version;
+    struct catalog_limits limits;
+    struct route_entry *routes;
+    struct service_entry *services;
+    struct account_entry *accounts;
+    struct key_entry *keys;
+};
+
+struct catalog *
+catalog_new(int64_t version)
+{
+    struct catalog *catalog = xcalloc(1, sizeof(*catalog));
+
+    catalog->references = 1;
+    catalog->version = version;
+    return catalog;
+}
+
+struct catalog *
+catalog_ref(struct catalog *catalog)
+{
+    catalog->references++;
+    return catalog;
+}
+
+static void
+free_route(struct catalog_route *route)
+{
+    free((char *)route->name.data);
+    free((char *)route->host.data);
+    free((char *)route->prefix.data);
+    for (size_t i = 0; i < route->target_count; i++) {
+        free((char *)route->targets[i].service.data);
+    }
+}
+
+static void
+free_all(struct catalog *catalog)
+{
+    struct route_entry *route, *next_route;
+    struct service_entry *service, *next_service;
+    struct key_entry *key, *next_key;
+
+    HASH_ITER(hh, catalog->routes, route, next_route)
+    {
+        HASH_DEL(catalog->routes, route);
+        free_route(&route->route);
+        free(route->place);
+        free(route);
+    }
+    HASH_ITER(hh, catalog->services, service, next_service)
+    {
+        HASH_DEL(catalog->services, service);
+        free((char *)service->service.name.data);
+        free(service);
+    }
+    HASH_ITER(hh, catalog->keys, key, next_key)
+    {
+        HASH_DEL(catalog->keys, key);
+        free((char *)key->key.data);
+        free(key);
+    }
+    while (catalog->accounts != NULL) {
+        struct account_entry *account = catalog->accounts;
+
+        catalog->accounts = account->next;
+        free((char *)account->account.name.data);
+        free(account);
+    }
+}
+
+void
+catalog_unref(struct catalog *catalog)
+{
+    if (catalog == NULL || --catalog->references > 0) {
+        return;
+    }
+    free_all(catalog);
+    free(catalog);
+}
+
+void
+catalog_set_limits(struct catalog *catalog,
+                   const struct catalog_limits *limits)
+{
+    catalog->limits = *limits;
+}
+
+/// Host names are compared without case.
+static struct str
+place_of(char *out, struct str host, struct str prefix)
+{
+    const char *colon = memchr(host.data, ':', host.len);
+    size_t host_len = colon != NULL ? (size_t)(colon - host.data) : host.len;
+
+    if (host_len + prefix.len > PLACE_BYTES_MAX) {
+        return (struct str){0};
+    }
+    for (size_t i = 0; i < host_len; i++) {
+        out[i] = (char)tolower((unsigned char)host.data[i]);
+    }
+    memcpy(out + host_len, prefix.data, prefix.len);
+    return (struct str){out, host_len + prefix.len};
+}
+
+void
+catalog_add_route(struct catalog *catalog, const struct catalog_route *route)
+{
+    struct route_entry *entry = xcalloc(1, sizeof(*entry));
+    struct route_entry *old;
+    char place[PLACE_BYTES_MAX];
+    struct str key = place_of(place, route->host, route->prefix);
+
+    entry->route = *route;
+    entry->route.name = str_copy(route->name);
+    entry->route.host = str_copy(route->host);
+    entry->route.prefix = str_copy(route->prefix);
+    for (size_t i = 0; i < route->target_count; i++) {
+        entry->route.targets[i].service = str_copy(route->targets[i].service);
+    }
+    entry->place = str_dup(key);
+    HASH_FIND(hh, catalog->routes, entry->place, key.len, old);
+    if (old != NULL) {
+        HASH_DEL(catalog->routes, old);
+        free_route(&old->route);
+        free(old->place);
+        free(old);
+    }
+    HASH_ADD_KEYPTR(hh, catalog->routes, entry->place, key.len, entry);
+}
+
+void
+catalog_add_service(struct catalog *catalog,
+                    const struct catalog_service *service)
+{
+    struct service_entry *entry;
+
+    if (catalog_find_service(catalog, service->name) != NULL) {
+        return;
+    }
+    entry = xcalloc(1, sizeof(*entry));
+    entry->service = *service;
+    entry->service.name = str_copy(service->name);
+    HASH_ADD_KEYPTR(hh, catalog->services, entry->service.name.data,
+                    entry->service.name.len, entry);
+}
+
+void
+catalog_add_account(struct catalog *catalog,
+                    const struct catalog_account *account,
+                    const struct str *keys, size_t key_count)
+{
+    struct account_entry *entry = xcalloc(1, sizeof(*entry));
+
+    entry->account = *account;
+    entry->account.name = str_copy(account->name);
+    entry->next = catalog->accounts;
+    catalog->accounts = entry;
+    for (size_t i = 0; i < key_count; i++) {
+        struct key_entry *key;
+
+        if (catalog_find_account(catalog, keys[i]) != NULL) {
+            continue;
+        }
+        key = xcalloc(1, sizeof(*key));
+        key->key = str_copy(keys[i]);
+        key->account = &entry->account;
+        HASH_ADD_KEYPTR(hh, catalog->keys, key->key.data, key->key.len, key);
+    }
+}
+
+int64_t
+catalog_version(const struct catalog *catalog)
+{
+    return catalog->version;
+}
+
+const struct catalog_limits *
+catalog_limits(const struct catalog *catalog)
+{
+    return &catalog->limits;
+}
+
+size_t
+catalog_routes(const struct catalog *catalog)
+{
+    return HASH_COUNT(catalog->routes);
+}
+
+bool
+catalog_has_accounts(const struct catalog *catalog)
+{
+    return catalog->accounts != NULL;
+}
+
+const struct catalog_route *
+catalog_find_route(const struct catalog *catalog, struct str host,
+                   struct str path)
+{
+    char place[PLACE_BYTES_MAX];
+    size_t len = path.len;
+
+    // Every prefix ends with a slash: only those places can match.
+    while (len > 0) {
+        struct route_entry *entry;
+        struct str key;
+
+        while (len > 0 && path.data[len - 1] != '/') {
+            len--;
+        }
+        if (len == 0) {
+            break;
+        }
+        key = place_of(place, host, (struct str){path.data, len});
+        if (key.data != NULL) {
+            HASH_FIND(hh, catalog->routes, key.data, key.len, entry);
+            if (entry != NULL) {
+                return &entry->route;
+            }
+        }
+        len--;
+    }
+    return NULL;
+}
+
+const struct catalog_service *
+catalog_find_service(const struct catalog *catalog, struct str name)
+{
+    struct service_entry *entry;
+
+    HASH_FIND(hh, catalog->services, name.data, name.len, entry);
+    return entry != NULL ? &entry->service : NULL;
+}
+
+const struct catalog_account *
+catalog_find_account(const struct catalog *catalog, struct str key)
+{
+    struct key_entry *entry;
+
+    HASH_FIND(hh, catalog->keys, key.data, key.len, entry);
+    return entry != NULL ? entry->account : NULL;
+}
+
+struct str
+catalog_pick_target(const struct catalog_route *route, double draw)
+{
+    uint64_t sum = 0;
+    double at;
+
+    for (size_t i = 0; i < route->target_count; i++) {
+        sum += route->targets[i].weight;
+    }
+    at = draw * (double)sum;
+    for (size_t i = 0; i < route->target_count; i++) {
+        at -= route->targets[i].weight;
+        if (at < 0) {
+            return route->targets[i].service;
+        }
+    }
+    return route->target_count > 0 ? route->targets[0].service
+                                   : (struct str){0};
+}
--- /dev/null
+++ b/core/catalog.h
@@ -0,0 +1,102 @@
+/// One version of the deployment's configuration: routes, services, accounts.
+/// Shared by count of references, so that a request keeps the version that it
+/// came under.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dandelionvalve/str.h"
+
+/// What may be repeated.
+enum route_kind {
+    ROUTE_IDEMPOTENT, ///< may run more than once
+    ROUTE_ONCE,       ///< runs at most once
+    ROUTE_STREAM,     ///< a stream of events, runs at most once
+    ROUTE_RESUMABLE,  ///< a stream that another endpoint may continue
+};
+
+#define CATALOG_TARGETS_MAX 8
+
+/// A service that a route goes to, by weight.
+struct catalog_target {
+    struct str service;
+    uint32_t weight;
+};
+
+struct catalog_route {
+    struct str name;
+    struct str host;
+    struct str prefix;
+    enum route_kind kind;
+    int64_t timeout_ms;   ///< longest time that a caller is kept waiting
+    int64_t objective_ms; ///< latency objective; streams: to the first event
+    int64_t pause_ms;     ///< longest pause between events; 0: none stated
+    uint32_t priority;    ///< 0 is the highest
+    uint32_t endpoints_max; ///< endpoints that one request may be sent to
+    bool is_public;       ///< needs no key
+    bool has_prompt;      ///< requests state their prompts
+    struct catalog_target targets[CATALOG_TARGETS_MAX];
+    size_t target_count;
+};
+
+struct catalog_service {
+    struct str name;
+    bool is_model;
+    uint64_t memory_tokens; ///< of one endpoint
+    uint32_t connections_max; ///< of one endpoint, from all callers
+    uint32_t slots;           ///< of one endpoint; 0: not stated
+};
+
+struct catalog_account {
+    struct str name;
+    bool has_priority;
+    uint32_t priority;
+};
+
+/// What callers may send, and how long they may take.
+struct catalog_limits {
+    int64_t head_bytes_max;
+    int64_t body_bytes_max;
+    int64_t head_ms;
+    int64_t idle_ms;
+};
+
+struct catalog;
+
+/// One reference; the strings that are added are copied.
+struct catalog *catalog_new(int64_t version);
+struct catalog *catalog_ref(struct catalog *catalog);
+void catalog_unref(struct catalog *catalog);
+
+void catalog_set_limits(struct catalog *catalog,
+                        const struct catalog_limits *limits);
+void catalog_add_route(struct catalog *catalog,
+                       const struct catalog_route *route);
+void catalog_add_service(struct catalog *catalog,
+                         const struct catalog_service *service);
+void catalog_add_account(struct catalog *catalog,
+                         const struct catalog_account *account,
+                         const struct str *keys, size_t key_count);
+
+int64_t catalog_version(const struct catalog *catalog);
+const struct catalog_limits *catalog_limits(const struct catalog *catalog);
+size_t catalog_routes(const struct catalog *catalog);
+bool catalog_has_accounts(const struct catalog *catalog);
+
+/// The route of this host whose prefix begins the path and is the longest;
+/// NULL if there is none. A port behind the host is left out.
+const struct catalog_route *catalog_find_route(const struct catalog *catalog,
+                                               struct str host,
+                                               struct str path);
+const struct catalog_service *
+catalog_find_service(const struct catalog *catalog, struct str name);
+
+/// The account that holds the key, or NULL.
+const struct catalog_account *
+catalog_find_account(const struct catalog *catalog, struct str key);
+
+/// One of the route's services; `draw` is uniform in [0, 1).
+struct str catalog_pick_target(const struct catalog_route *route,
+                               double draw);
--- /dev/null
+++ b/core/eject.h
@@ -0,0 +1,43 @@
+/// Takes a failing endpoint out of the choice, by what its answers show.
+///
+/// Load pattern: an endpoint that fails fast looks idle and draws the whole
+/// traffic; one that fails a part of its requests looks healthy. Failures in
+/// a row eject at once, a share of failures after enough samples. It comes
+/// back with little at first: one request at a time until one ends well.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// Failures in a row; a sound endpoint of the pages fails up to one in seven,
+/// so that three in a row by chance are one in 350.
+#define EJECT_ROW_MAX 3
+/// Weight of the newest sample in the share of failures.
+#define EJECT_SAMPLE_WEIGHT 0.15
+/// Failures above the pool's own share that eject, and the samples needed.
+#define EJECT_SHARE_MARGIN 0.25
+#define EJECT_SAMPLES_MIN 6
+#define EJECT_FIRST_MS 800
+#define EJECT_LONGEST_MS 4000
+
+struct eject {
+    uint32_t row;
+    uint32_t samples;
+    double share;
+    int64_t until_ms; ///< 0: not ejected
+    int64_t next_ms;
+    bool trial; ///< back, but not proved yet
+};
+
+void eject_init(struct eject *eject);
+
+/// An answer that shows a sound endpoint. True if it had been on trial.
+bool eject_success(struct eject *eject);
+
+/// A failure that is the endpoint's. `pool_share` is the share of failures
+/// over the whole pool. True if the endpoint is ejected by it.
+bool eject_failure(struct eject *eject, int64_t now_ms, double pool_share);
+
+/// True while nothing should be sent there; `in_flight` bounds the trial.
+bool eject_is_out(const struct eject *eject, int64_t now_ms,
+                  uint32_t in_flight);
--- /dev/null
+++ b/core/patience.h
@@ -0,0 +1,37 @@
+/// How long to wait for an endpoint, and when a caller should come back.
+///
+/// Load patterns: endpoints that hang or go dark while others idle; crowds
+/// that are refused in the same second and must not return in one wave.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "dandelionvalve/clock.h"
+
+/// Silence beyond these multiples of the stated aims is no longer load.
+#define PATIENCE_OBJECTIVE_PERCENT 120
+#define PATIENCE_PAUSE_PERCENT 200
+/// Shortest silence that is acted upon.
+#define PATIENCE_SILENCE_MIN_MS 250
+/// A refusal for want of an endpoint is worth a second try after the time in
+/// which a failing endpoint is noticed, spread so that a crowd spreads too.
+#define PATIENCE_RETRY_MIN_MS 100
+#define PATIENCE_RETRY_SPREAD_MS 500
+/// Callers honour a Retry-After up to this part of the time they have left.
+#define PATIENCE_LEFT_PART 3
+
+struct patience_inputs {
+    bool answering; ///< events have come
+    bool is_stream;
+    int64_t objective_ms;
+    int64_t pause_ms;   ///< 0: none stated
+    int64_t reading_ms; ///< predicted for the prompt
+};
+
+/// Silence after which another endpoint is the better choice, in ms.
+int64_t patience_silence_ms(const struct patience_inputs *inputs);
+
+/// What a refused caller is told, in ms; `left_ms` is the time it has.
+int64_t patience_retry_after_ms(const struct random_source *random,
+                                int64_t left_ms);
--- /dev/null
+++ b/core/place.h
@@ -0,0 +1,65 @@
+/// Chooses the endpoint with the least predicted cost for a request.
+///
+/// Load patterns: chats that return should find their context; a hot subject
+/// must spread over as many endpoints as its rate needs; a herd must not pile
+/// up on the endpoint that looked idle a moment ago; no endpoint may hold more
+/// than a multiple of the mean.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "dandelionvalve/clock.h"
+
+/// Cost of one request in flight, in ms: what it adds to the pauses of a
+/// reply of usual length, so that equal caches give equal loads.
+#define PLACE_LOAD_MS 9.0
+/// The rest of the cap is kept for requests that peers place meanwhile.
+#define PLACE_CAP_SHARE 0.75
+/// How much of a prompt the first endpoints in its rendezvous order are taken
+/// to keep although this router has not placed it there: peers do.
+#define PLACE_HOME_BELIEF 0.7
+
+struct place_candidate {
+    uint64_t hash;      ///< of the endpoint's identity
+    bool usable;
+    bool same_zone;
+    uint32_t load;      ///< requests in flight there, by all routers
+    uint32_t slots;     ///< requests it works on at once
+    double backlog_tokens; ///< prompt tokens that it has yet to read
+    uint32_t cached_tokens; ///< of this prompt, believed there
+};
+
+struct place_request {
+    const struct random_source *random;
+    bool has_prompt;
+    uint64_t affinity;
+    uint32_t prompt_tokens;
+    double tokens_per_ms; ///< reading speed of the service's endpoints
+    double cap_factor;    ///< bound on load, as a multiple of the mean
+    uint32_t cap_slack;   ///< requests above that multiple
+};
+
+enum place_reason {
+    PLACE_CACHED,  ///< part of the prompt is believed there
+    PLACE_HOME,    ///< first in the prompt's rendezvous order
+    PLACE_LIGHTEST, ///< least cost otherwise
+    PLACE_FULL,    ///< all are at the cap: least cost of all
+};
+
+struct place_choice {
+    size_t index;
+    enum place_reason reason;
+    double cost_ms;
+    double first_ms;   ///< predicted time until the prompt is read
+    double mean_load;
+    size_t usable;
+};
+
+/// False if no candidate is usable.
+bool place_choose(const struct place_request *request,
+                  const struct place_candidate *candidates, size_t count,
+                  struct place_choice *choice);
+
+const char *place_reason_name(enum place_reason reason);
--- /dev/null
+++ b/core/prefix.h
@@ -0,0 +1,50 @@
+/// What a router believes that an endpoint keeps of earlier prompts.
+///
+/// Load pattern: chats that return. A prompt is a chain of parts; a part is
+/// reused only if all parts before it are there too. The belief comes from
+/// placements, since reports come late; least recently used parts yield, as
+/// they do at the endpoint.
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+/// Parts of one prompt; further ones are taken as never cached.
+#define PREFIX_PARTS_MAX 16
+
+struct prefix_part {
+    uint64_t id;
+    uint32_t tokens;
+};
+
+/// A prompt in order.
+struct prefix {
+    struct prefix_part parts[PREFIX_PARTS_MAX];
+    size_t count;
+};
+
+struct prefix_cache;
+
+/// `tokens_max` is the endpoint's memory. The caller frees with
+/// prefix_cache_free().
+struct prefix_cache *prefix_cache_new(uint64_t tokens_max);
+void prefix_cache_free(struct prefix_cache *cache);
+
+/// Forgets everything: the endpoint has started anew.
+void prefix_cache_clear(struct prefix_cache *cache);
+
+/// Tokens at the start of the prompt that need not be read again.
+uint32_t prefix_cache_find(const struct prefix_cache *cache,
+                           const struct prefix *prefix);
+
+/// The endpoint reads this prompt.
+void prefix_cache_note(struct prefix_cache *cache,
+                       const struct prefix *prefix);
+
+uint64_t prefix_cache_tokens(const struct prefix_cache *cache);
+
+uint32_t prefix_tokens(const struct prefix *prefix);
+
+/// What prompts must have in common to be placed together: all parts but the
+/// last, which belongs to the request or its session.
+uint64_t prefix_affinity(const struct prefix *prefix);
--- /dev/null
+++ b/core/records.c
@@ -0,0 +1,207 @@
+#include "records.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "xmalloc.h"
+
+/// Removed keys that are remembered so that peers hear of them; the oldest
+/// are forgotten.
+#define REMOVED_MAX 2000
+
+struct entry {
+    struct record record;
+    bool listed;
+    UT_hash_handle hh;
+};
+
+struct topic {
+    struct entry *entries;
+    int64_t end;
+    size_t removed;
+};
+
+struct records {
+    struct records_options options;
+    struct topic topics[RECORDS_TOPICS];
+};
+
+struct records *
+records_new(const struct records_options *options)
+{
+    struct records *records = xcalloc(1, sizeof(*records));
+
+    records->options = *options;
+    return records;
+}
+
+static void
+drop(struct topic *topic, struct entry *entry)
+{
+    HASH_DEL(topic->entries, entry);
+    topic->removed -= entry->record.removed ? 1 : 0;
+    free((char *)entry->record.key.data);
+    free((char *)entry->record.value.data);
+    free(entry);
+}
+
+void
+records_free(struct records *records)
+{
+    if (records == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < RECORDS_TOPICS; i++) {
+        struct entry *entry, *next;
+
+        HASH_ITER(hh, records->topics[i].entries, entry, next)
+        {
+            drop(&records->topics[i], entry);
+        }
+    }
+    free(records);
+}
+
+static void
+forget_removed(struct topic *topic)
+{
+    struct entry *entry, *next, *oldest = NULL;
+
+    if (topic->removed <= REMOVED_MAX) {
+        return;
+    }
+    HASH_ITER(hh, topic->entries, entry, next)
+    {
+        if (entry->record.removed &&
+            (oldest == NULL ||
+             entry->record.offset < oldest->record.offset)) {
+            oldest = entry;
+        }
+    }
+    if (oldest != NULL) {
+        drop(topic, oldest);
+    }
+}
+
+static void
+store(struct topic *topic, struct entry *entry, const struct record *record)
+{
+    free((char *)entry->record.value.data);
+    topic->removed -= entry->record.removed ? 1 : 0;
+    topic->removed += record->removed ? 1 : 0;
+    entry->record.offset = record->offset;
+    entry->record.removed = record->removed;
+    entry->record.value =
+        record->removed ? (struct str){0} : str_copy(record->value);
+}
+
+bool
+records_apply(struct records *records, const struct record *record)
+{
+    struct topic *topic = &records->topics[record->topic];
+    struct entry *entry;
+    bool same;
+
+    HASH_FIND(hh, topic->entries, record->key.data, record->key.len, entry);
+    if (entry != NULL) {
+        entry->listed = true;
+        if (record->offset <= entry->record.offset) {
+            return false;
+        }
+    }
+    else {
+        entry = xcalloc(1, sizeof(*entry));
+        entry->record.topic = record->topic;
+        entry->record.key = str_copy(record->key);
+        entry->record.offset = -1;
+        entry->listed = true;
+        HASH_ADD_KEYPTR(hh, topic->entries, entry->record.key.data,
+                        entry->record.key.len, entry);
+    }
+    same = entry->record.offset >= 0 && !record->removed &&
+           !entry->record.removed &&
+           str_equal(entry->record.value, record->value);
+    if (same) {
+        entry->record.offset = record->offset;
+        return false;
+    }
+    store(topic, entry, record);
+    records->options.changed(records->options.ctx, &entry->record);
+    forget_removed(topic);
+    return true;
+}
+
+void
+records_set_end(struct records *records, enum record_topic topic, int64_t end)
+{
+    if (end > records->topics[topic].end) {
+        records->topics[topic].end = end;
+    }
+}
+
+int64_t
+records_end(const struct records *records, enum record_topic topic)
+{
+    return records->topics[topic].end;
+}
+
+void
+records_list_begin(struct records *records, enum record_topic topic)
+{
+    struct entry *entry, *next;
+
+    HASH_ITER(hh, records->topics[topic].entries, entry, next)
+    {
+        entry->listed = false;
+    }
+}
+
+void
+records_list_end(struct records *records, enum record_topic topic, int64_t end)
+{
+    struct entry *entry, *next;
+
+    HASH_ITER(hh, records->topics[topic].entries, entry, next)
+    {
+        struct record gone = entry->record;
+
+        if (entry->listed || entry->record.removed ||
+            entry->record.offset >= end) {
+            continue;
+        }
+        gone.removed = true;
+        gone.offset = end - 1 > gone.offset ? end - 1 : gone.offset + 1;
+        gone.value = (struct str){0};
+        records_apply(records, &gone);
+    }
+    records_set_end(records, topic, end);
+}
+
+void
+records_since(const struct records *records, enum record_topic topic,
+              int64_t offset,
+              void (*take)(void *ctx, const struct record *record), void *ctx)
+{
+    const struct entry *entry;
+
+    for (entry = records->topics[topic].entries; entry != NULL;
+         entry = entry->hh.next) {
+        if (entry->record.offset >= offset) {
+            take(ctx, &entry->record);
+        }
+    }
+}
+
+const char *
+record_topic_name(enum record_topic topic)
+{
+    static const char *const names[] = {
+        [RECORDS_CONFIGURATION] = "configuration",
+        [RECORDS_ENDPOINTS] = "endpoints",
+        [RECORDS_ROUTERS] = "routers",
+    };
+
+    return names[topic];
+}
--- a/core/retry.c
+++ b/core/retry.c
@@ -54,7 +54,8 @@
         retries += budget->retries[i];
     }
     if ((retries + 1) * 100 >
-        requests * (uint64_t)budget->options.budget_percent) {
+        requests * (uint64_t)budget->options.budget_percent +
+            100 * (uint64_t)budget->options.slack) {
         return false;
     }
     budget->retries[bucket]++;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -209,6 +209,85 @@
     return close_doc(doc, out, err);
 }
 
+static void
+read_links(struct toml_table *root, struct settings_direct *settings,
+           struct err *err)
+{
+    struct toml_table *links = toml_subtable(root, "links", err);
+    size_t count;
+
+    if (links == NULL) {
+        return;
+    }
+    settings->has_links =
+        get_address(links, "address", &settings->links, err);
+    get_keys(links, &settings->keys, err);
+    count = toml_strings(links, "seeds", err);
+    for (size_t i = 0; i < count && i < SETTINGS_SEEDS_MAX; i++) {
+        struct err bad = {0};
+
+        if (!address_parse(toml_string_at(links, "seeds", i),
+                           &settings->seeds[i], &bad)) {
+            toml_error(links, "seeds", err, "%s", bad.message);
+            return;
+        }
+        settings->seed_count = i + 1;
+    }
+}
+
+static void
+read_bounds(struct toml_table *root, struct settings_direct *settings,
+            struct err *err)
+{
+    struct toml_table *bounds = toml_subtable(root, "bounds", err);
+    double grace_s = (double)settings->grace_ms / 1000;
+    double window_s = (double)settings->budget_window_ms / 1000;
+
+    if (bounds == NULL) {
+        return;
+    }
+    toml_get_double(bounds, "grace_s", 0.1, 3600, &grace_s, err);
+    toml_get_double(bounds, "retry_window_s", 0.1, 3600, &window_s, err);
+    toml_get_double(bounds, "retry_ratio", 0, 10, &settings->budget_ratio,
+                    err);
+    toml_get_int(bounds, "retry_slack", 0, 1000000, &settings->budget_slack,
+                 err);
+    toml_get_double(bounds, "load_cap_factor", 1, 100, &settings->cap_factor,
+                    err);
+    settings->grace_ms = (int64_t)(1000 * grace_s);
+    settings->budget_window_ms = (int64_t)(1000 * window_s);
+}
+
+bool
+settings_read_direct(const char *file, struct settings_direct *settings,
+                     struct toml_doc **out, struct err *err)
+{
+    struct toml_doc *doc = open_doc(file, err);
+    struct toml_table *root;
+
+    if (doc == NULL) {
+        return false;
+    }
+    *settings = (struct settings_direct){
+        .grace_ms = 8000,
+        .budget_window_ms = 10000,
+        .budget_ratio = 0.1,
+        .cap_factor = 2,
+    };
+    root = toml_root(doc);
+    require_string(root, "name", &settings->name, err);
+    require_string(root, "zone", &settings->zone, err);
+    get_level(root, &settings->log_level, err);
+    require_address(root, "store", &settings->store, err);
+    require_address(root, "callers", &settings->callers, err);
+    require_address(root, "ready", &settings->ready, err);
+    settings->has_metrics =
+        get_address(root, "metrics", &settings->metrics, err);
+    read_links(root, settings, err);
+    read_bounds(root, settings, err);
+    return close_doc(doc, out, err);
+}
+
 bool
 settings_read_agent(const char *file, struct settings_agent *settings,
                     struct toml_doc **out, struct err *err)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -44,6 +44,30 @@
     bool checks_fencing;
 };
 
+#define SETTINGS_SEEDS_MAX 8
+
+/// A router that calls its endpoints itself.
+struct settings_direct {
+    struct str name;
+    struct str zone;
+    enum log_level log_level;
+    struct address store;
+    struct address callers;
+    struct address ready;
+    bool has_metrics;
+    struct address metrics;
+    bool has_links;
+    struct address links; ///< where other routers reach this one
+    struct link_keys keys;
+    struct address seeds[SETTINGS_SEEDS_MAX];
+    size_t seed_count;
+    int64_t grace_ms;       ///< from SIGTERM to the end of the process
+    int64_t budget_window_ms;
+    double budget_ratio;    ///< retries, as a share of the requests
+    int64_t budget_slack;   ///< retries above that share, of all routers
+    double cap_factor;      ///< bound on an endpoint's load, times the mean
+};
+
 struct settings_standin_group {
     struct str prefix;
     struct str kind;
@@ -106,6 +130,8 @@
 /// toml_free().
 bool settings_read_router(const char *file, struct settings_router *settings,
                           struct toml_doc **doc, struct err *err);
+bool settings_read_direct(const char *file, struct settings_direct *settings,
+                          struct toml_doc **doc, struct err *err);
 bool settings_read_agent(const char *file, struct settings_agent *settings,
                          struct toml_doc **doc, struct err *err);
 bool settings_read_standin(const char *file, struct settings_standin *settings,
--- /dev/null
+++ b/direct/direct.c
@@ -0,0 +1,611 @@
+#include "direct.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <utlist.h>
+
+#include "core/catalog.h"
+#include "core/records.h"
+#include "core/xmalloc.h"
+#include "daemon/admin.h"
+#include "dandelionvalve/quarantine.h"
+#include "dandelionvalve/retry.h"
+#include "direct_state.h"
+#include "endpoints.h"
+#include "exchange.h"
+#include "net/caller.h"
+#include "net/log.h"
+
+#define LOG_MODULE "direct"
+
+#define TICK_MS 100
+/// The balancer asks once a second and needs two misses; the margin covers
+/// late timers.
+#define DRAIN_LISTEN_MS 2600
+/// Left of the grace time when the process ends at the latest.
+#define DRAIN_MARGIN_MS 250
+/// Crashes after which a request is refused: a request may reach few more
+/// endpoints once it has crashed three.
+#define STRIKES_MAX 3
+#define STRIKE_HOLD_MS 30000
+#define STRUCK_MAX 10000
+/// Limits on callers before a configuration states them.
+#define HEAD_BYTES_MAX 16384
+#define BODY_BYTES_MAX (4 * 1024 * 1024)
+#define HEAD_MS 3000
+#define IDLE_MS 15000
+/// Share of the retry budget that is used: other routers count later.
+#define BUDGET_USED_PERCENT 85
+/// Reading speed before any answer has shown it, prompt tokens in a ms.
+#define TOKENS_PER_MS 40.0
+#define TOKENS_PER_MS_MIN 4.0
+#define TOKENS_PER_MS_MAX 500.0
+/// Prompts whose reading time says something of the speed.
+#define READING_TOKENS_MIN 2000
+#define READING_WEIGHT 0.05
+
+struct budget {
+    struct str service;
+    struct retry_budget retry;
+    struct budget *next;
+};
+
+struct listed {
+    struct exchange *exchange;
+    UT_hash_handle hh;
+};
+
+struct direct {
+    struct direct_options options;
+    struct records *records;
+    void *store;
+    struct catalog *catalog;
+    struct endpoints *endpoints;
+    struct caller_server *callers;
+    struct admin *ready;
+    struct admin *metrics;
+    struct quarantine *quarantine;
+    struct budget *budgets;
+    struct listed *exchanges;
+    struct event *tick;
+    bool knows_endpoints;
+    bool was_ready;
+    int64_t store_back_ms; ///< when the store last came back; 0: never away
+    bool draining;
+    bool stopped_listening;
+    int64_t drain_ms; ///< when draining began
+    double tokens_per_ms;
+};
+
+static void
+take_catalog(struct direct *direct, const struct record *record)
+{
+    struct err err = {0};
+    struct catalog *catalog =
+        direct->options.wire->read_catalog(record->value, &err);
+    const struct catalog_limits *limits;
+
+    if (catalog == NULL) {
+        counter_add(direct->options.counters, COUNTER_CONF_REJECTED, 1);
+        LOG_WARNING("event=configuration-rejected offset=%lld detail=\"%s\"",
+                    (long long)record->offset, err.message);
+        return;
+    }
+    if (direct->catalog != NULL &&
+        catalog_version(catalog) < catalog_version(direct->catalog)) {
+        LOG_WARNING("event=configuration-older version=%lld in_force=%lld "
+                    "offset=%lld",
+                    (long long)catalog_version(catalog),
+                    (long long)catalog_version(direct->catalog),
+                    (long long)record->offset);
+        catalog_unref(catalog);
+        return;
+    }
+    LOG_INFO("event=configuration version=%lld before=%lld offset=%lld "
+             "routes=%zu bytes=%zu",
+             (long long)catalog_version(catalog),
+             direct->catalog != NULL
+                 ? (long long)catalog_version(direct->catalog)
+                 : -1,
+             (long long)record->offset, catalog_routes(catalog),
+             record->value.len);
+    counter_add(direct->options.counters, COUNTER_CONF_ACCEPTED, 1);
+    counter_set(direct->options.counters, COUNTER_CONF_VERSION,
+                (uint64_t)catalog_version(catalog));
+    catalog_unref(direct->catalog);
+    direct->catalog = catalog;
+    limits = catalog_limits(catalog);
+    caller_server_set_limits(direct->callers,
+                             &(struct caller_limits){
+                                 .head_bytes_max =
+                                     (size_t)limits->head_bytes_max,
+                                 .body_bytes_max =
+                                     (size_t)limits->body_bytes_max,
+                                 .head_ms = limits->head_ms,
+                                 .idle_ms = limits->idle_ms,
+                             });
+}
+
+struct entry_context {
+    struct direct *direct;
+    struct str id;
+};
+
+static void
+take_endpoint(void *ctx, const struct endpoint_facts *facts)
+{
+    struct entry_context *entry = ctx;
+    const struct catalog_service *service = NULL;
+
+    if (entry->direct->catalog != NULL) {
+        service =
+            catalog_find_service(entry->direct->catalog, facts->service);
+    }
+    endpoints_update(entry->direct->endpoints, entry->id, facts,
+                     service != NULL && service->memory_tokens > 0
+                         ? service->memory_tokens
+                         : UINT64_MAX);
+}
+
+static void
+take_entry(struct direct *direct, const struct record *record)
+{
+    struct entry_context entry = {direct, record->key};
+    struct err err = {0};
+    bool store_is_new =
+        direct->store_back_ms != 0 &&
+        clock_ms(direct->options.clock) - direct->store_back_ms <
+            ENDPOINTS_LAPSE_MS;
+
+    if (record->removed) {
+        endpoints_remove(direct->endpoints, record->key,
+                         store_is_new ||
+                             !direct->options.store->is_reachable(
+                                 direct->store, RECORDS_ENDPOINTS));
+        return;
+    }
+    if (!direct->options.wire->read_endpoint(record->value, take_endpoint,
+                                             &entry, &err)) {
+        LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
+                    " offset=%lld detail=\"%s\"",
+                    STR_ARG(record->key), (long long)record->offset,
+                    err.message);
+    }
+}
+
+static void
+on_record(void *ctx, const struct record *record)
+{
+    struct direct *direct = ctx;
+
+    switch (record->topic) {
+    case RECORDS_CONFIGURATION:
+        if (!record->removed && str_equal_c(record->key, "config")) {
+            take_catalog(direct, record);
+        }
+        return;
+    case RECORDS_ENDPOINTS:
+        take_entry(direct, record);
+        return;
+    case RECORDS_ROUTERS:
+    case RECORDS_TOPICS:
+        return;
+    }
+}
+
+void
+direct_caught_up(struct direct *direct, int topic, int64_t away_ms)
+{
+    if (topic != RECORDS_ENDPOINTS) {
+        return;
+    }
+    direct->knows_endpoints = true;
+    if (away_ms > 0) {
+        direct->store_back_ms = clock_ms(direct->options.clock);
+    }
+}
+
+bool
+direct_is_ready(const struct direct *direct)
+{
+    return !direct->draining && direct->catalog != NULL &&
+           direct->knows_endpoints;
+}
+
+static bool
+is_ready(void *ctx, const char **why)
+{
+    const struct direct *direct = ctx;
+
+    *why = direct->draining           ? "draining\n"
+           : direct->catalog == NULL  ? "no configuration yet\n"
+           : !direct->knows_endpoints ? "no endpoints yet\n"
+                                      : "ok\n";
+    return direct_is_ready(direct);
+}
+
+static char *
+status_of(void *ctx)
+{
+    const struct direct *direct = ctx;
+
+    return xasprintf("{\"version\":%lld,\"endpoints\":%zu,\"requests\":%u,"
+                     "\"draining\":%s}\n",
+                     direct->catalog != NULL
+                         ? (long long)catalog_version(direct->catalog)
+                         : -1,
+                     endpoints_count(direct->endpoints),
+                     HASH_COUNT(direct->exchanges),
+                     direct->draining ? "true" : "false");
+}
+
+static void
+end_drain(struct direct *direct, const char *reason)
+{
+    LOG_INFO("event=drained reason=%s requests=%u connections=%zu "
+             "after_ms=%lld",
+             reason, HASH_COUNT(direct->exchanges),
+             caller_server_connections(direct->callers),
+             (long long)(clock_ms(direct->options.clock) - direct->drain_ms));
+    direct->options.drained(direct->options.ctx);
+}
+
+static void
+drain_tick(struct direct *direct)
+{
+    int64_t passed_ms = clock_ms(direct->options.clock) - direct->drain_ms;
+    int64_t limit_ms = direct->options.settings->grace_ms - DRAIN_MARGIN_MS;
+
+    if (passed_ms >= limit_ms) {
+        end_drain(direct, "time");
+        return;
+    }
+    if (passed_ms < DRAIN_LISTEN_MS) {
+        return;
+    }
+    caller_server_close_idle(direct->callers);
+    if (HASH_COUNT(direct->exchanges) == 0 &&
+        caller_server_connections(direct->callers) == 0) {
+        end_drain(direct, "idle");
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    struct direct *direct = ctx;
+    bool ready = direct_is_ready(direct);
+
+    (void)fd;
+    (void)events;
+    endpoints_tick(direct->endpoints);
+    if (ready != direct->was_ready) {
+        LOG_INFO("event=%s", ready ? "ready" : "not-ready");
+        direct->was_ready = ready;
+    }
+    if (direct->draining) {
+        drain_tick(direct);
+    }
+    log_flush();
+}
+
+static void
+on_request(void *ctx, struct caller *caller)
+{
+    exchange_start(ctx, caller);
+}
+
+static void
+on_gone(void *ctx, void *user)
+{
+    (void)ctx;
+    exchange_abandon(user);
+}
+
+static struct admin *
+new_admin(struct direct *direct, const struct address *address,
+          struct err *err)
+{
+    const struct admin_options options = {
+        .base = direct->options.base,
+        .address = *address,
+        .counters = direct->options.counters,
+        .is_ready = is_ready,
+        .status = status_of,
+        .ctx = direct,
+    };
+
+    return admin_new(&options, err);
+}
+
+static bool
+listen_all(struct direct *direct, struct err *err)
+{
+    const struct settings_direct *settings = direct->options.settings;
+    const struct caller_server_options callers = {
+        .base = direct->options.base,
+        .clock = direct->options.clock,
+        .address = settings->callers,
+        .limits = {HEAD_BYTES_MAX, BODY_BYTES_MAX, HEAD_MS, IDLE_MS},
+        .request = on_request,
+        .gone = on_gone,
+        .ctx = direct,
+    };
+
+    direct->callers = caller_server_new(&callers, err);
+    if (direct->callers == NULL) {
+        return false;
+    }
+    direct->ready = new_admin(direct, &settings->ready, err);
+    if (direct->ready == NULL) {
+        return false;
+    }
+    if (settings->has_metrics) {
+        direct->metrics = new_admin(direct, &settings->metrics, err);
+        return direct->metrics != NULL;
+    }
+    return true;
+}
+
+struct direct *
+direct_new(const struct direct_options *options, struct err *err)
+{
+    static const struct timeval tick = {.tv_usec = TICK_MS * 1000};
+    struct direct *direct = xcalloc(1, sizeof(*direct));
+
+    direct->options = *options;
+    direct->tokens_per_ms = TOKENS_PER_MS;
+    direct->records = records_new(&(struct records_options){
+        .changed = on_record,
+        .ctx = direct,
+    });
+    direct->endpoints = endpoints_new(&(struct endpoints_options){
+        .base = options->base,
+        .clock = options->clock,
+        .zone = options->settings->zone,
+    });
+    direct->quarantine = quarantine_new(&(struct quarantine_options){
+        .clock = options->clock,
+        .strikes_max = STRIKES_MAX,
+        .hold_ms = STRIKE_HOLD_MS,
+        .requests_max = STRUCK_MAX,
+    });
+    direct->tick = event_new(options->base, -1, EV_PERSIST, on_tick, direct);
+    event_add(direct->tick, &tick);
+    if (!listen_all(direct, err)) {
+        direct_free(direct);
+        return NULL;
+    }
+    direct->store =
+        options->store->start(options->store->ctx, direct, direct->records);
+    LOG_INFO("event=start name=" STR_FMT " zone=" STR_FMT
+             " callers=%s:%u incarnation=%llu",
+             STR_ARG(options->settings->name),
+             STR_ARG(options->settings->zone), options->settings->callers.ip,
+             options->settings->callers.port,
+             (unsigned long long)options->incarnation);
+    return direct;
+}
+
+void
+direct_free(struct direct *direct)
+{
+    struct listed *listed, *next;
+
+    if (direct == NULL) {
+        return;
+    }
+    HASH_ITER(hh, direct->exchanges, listed, next)
+    {
+        exchange_forget(listed->exchange);
+    }
+    if (direct->store != NULL) {
+        direct->options.store->stop(direct->store);
+    }
+    caller_server_free(direct->callers);
+    admin_free(direct->ready);
+    admin_free(direct->metrics);
+    endpoints_free(direct->endpoints);
+    records_free(direct->records);
+    quarantine_free(direct->quarantine);
+    catalog_unref(direct->catalog);
+    while (direct->budgets != NULL) {
+        struct budget *budget = direct->budgets;
+
+        direct->budgets = budget->next;
+        free((char *)budget->service.data);
+        free(budget);
+    }
+    event_free(direct->tick);
+    free(direct);
+}
+
+void
+direct_drain(struct direct *direct)
+{
+    direct->draining = true;
+    direct->drain_ms = clock_ms(direct->options.clock);
+    caller_server_drain(direct->callers);
+    LOG_INFO("event=stop requests=%u connections=%zu grace_ms=%lld",
+             HASH_COUNT(direct->exchanges),
+             caller_server_connections(direct->callers),
+             (long long)direct->options.settings->grace_ms);
+}
+
+struct address
+direct_callers_address(const struct direct *direct)
+{
+    return caller_server_address(direct->callers);
+}
+
+struct address
+direct_ready_address(const struct direct *direct)
+{
+    return admin_address(direct->ready);
+}
+
+struct catalog *
+direct_catalog(const struct direct *direct)
+{
+    return direct->catalog;
+}
+
+struct endpoints *
+direct_endpoints(const struct direct *direct)
+{
+    return direct->endpoints;
+}
+
+bool
+direct_knows_endpoints(const struct direct *direct)
+{
+    return direct->knows_endpoints;
+}
+
+const struct clock *
+direct_clock(const struct direct *direct)
+{
+    return direct->options.clock;
+}
+
+const struct random_source *
+direct_random(const struct direct *direct)
+{
+    return direct->options.random;
+}
+
+const struct wire *
+direct_wire(const struct direct *direct)
+{
+    return direct->options.wire;
+}
+
+struct counters *
+direct_counters(const struct direct *direct)
+{
+    return direct->options.counters;
+}
+
+struct event_base *
+direct_base(const struct direct *direct)
+{
+    return direct->options.base;
+}
+
+const struct settings_direct *
+direct_settings(const struct direct *direct)
+{
+    return direct->options.settings;
+}
+
+struct quarantine *
+direct_quarantine(const struct direct *direct)
+{
+    return direct->quarantine;
+}
+
+/// Routers that share the budget, this one included.
+static size_t
+routers_known(const struct direct *direct)
+{
+    (void)direct;
+    return 4;
+}
+
+struct retry_budget *
+direct_budget(struct direct *direct, struct str service)
+{
+    const struct settings_direct *settings = direct->options.settings;
+    const struct retry_options options = {
+        .clock = direct->options.clock,
+        .window_ms = settings->budget_window_ms,
+        .budget_percent =
+            (int64_t)(settings->budget_ratio * BUDGET_USED_PERCENT),
+        .slack = settings->budget_slack * BUDGET_USED_PERCENT / 100 /
+                 (int64_t)routers_known(direct),
+    };
+    struct budget *budget = direct->budgets;
+
+    while (budget != NULL && !str_equal(budget->service, service)) {
+        budget = budget->next;
+    }
+    if (budget == NULL) {
+        budget = xcalloc(1, sizeof(*budget));
+        budget->service = str_copy(service);
+        budget->next = direct->budgets;
+        direct->budgets = budget;
+        retry_init(&budget->retry, &options);
+    }
+    else {
+        retry_set_options(&budget->retry, &options);
+    }
+    return &budget->retry;
+}
+
+void
+direct_strike(struct direct *direct, uint64_t fingerprint, uint32_t death)
+{
+    if (quarantine_strike(direct->quarantine, fingerprint, death)) {
+        counter_add(direct->options.counters, COUNTER_STRIKES, 1);
+        LOG_INFO("event=strike fingerprint=%016llx death=%08x strikes=%u",
+                 (unsigned long long)fingerprint, death,
+                 quarantine_strikes(direct->quarantine, fingerprint));
+    }
+}
+
+double
+direct_tokens_per_ms(const struct direct *direct)
+{
+    return direct->tokens_per_ms;
+}
+
+void
+direct_note_reading(struct direct *direct, uint32_t tokens, int64_t ms)
+{
+    double speed;
+
+    if (tokens < READING_TOKENS_MIN || ms <= 0) {
+        return;
+    }
+    speed = (double)tokens / (double)ms;
+    speed = speed < TOKENS_PER_MS_MIN   ? TOKENS_PER_MS_MIN
+            : speed > TOKENS_PER_MS_MAX ? TOKENS_PER_MS_MAX
+                                        : speed;
+    direct->tokens_per_ms +=
+        READING_WEIGHT * (speed - direct->tokens_per_ms);
+}
+
+void
+direct_add(struct direct *direct, struct exchange *exchange)
+{
+    struct listed *listed = xcalloc(1, sizeof(*listed));
+
+    listed->exchange = exchange;
+    HASH_ADD_PTR(direct->exchanges, exchange, listed);
+    counter_set(direct->options.counters, COUNTER_IN_FLIGHT,
+                HASH_COUNT(direct->exchanges));
+}
+
+void
+direct_remove(struct direct *direct, struct exchange *exchange)
+{
+    struct listed *listed;
+
+    HASH_FIND_PTR(direct->exchanges, &exchange, listed);
+    if (listed != NULL) {
+        HASH_DEL(direct->exchanges, listed);
+        free(listed);
+    }
+    counter_set(direct->options.counters, COUNTER_IN_FLIGHT,
+                HASH_COUNT(direct->exchanges));
+}
+
+void
+direct_note_latency(struct direct *direct, int64_t first_ms, int64_t total_ms)
+{
+    (void)direct;
+    (void)first_ms;
+    (void)total_ms;
+}
--- /dev/null
+++ b/direct/direct.h
@@ -0,0 +1,65 @@
+/// A router that calls endpoints itself, without an agent beside each. Its
+/// state comes from the platform's store and from the other routers.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/wire.h"
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/counter.h"
+#include "net/address.h"
+#include "net/link.h"
+#include "daemon/settings.h"
+
+struct direct;
+struct event_base;
+struct exchange;
+struct records;
+struct str;
+
+/// What a router asks of the client of the platform's store.
+struct direct_store {
+    /// Starts to read; `caught_up` is direct_caught_up() of the router.
+    void *(*start)(void *ctx, struct direct *direct, struct records *records);
+    void (*stop)(void *store);
+    /// Tells other routers where this one takes links.
+    void (*announce)(void *store, struct str key, struct str value);
+    bool (*is_reachable)(const void *store, int topic);
+    void (*hurry)(void *store, int topic);
+    void *ctx;
+};
+
+struct direct_options {
+    struct event_base *base;
+    const struct clock *clock;
+    const struct random_source *random;
+    const struct settings_direct *settings; ///< must outlive the router
+    const struct wire *wire;
+    const struct direct_store *store;
+    struct counters *counters;
+    uint64_t incarnation;
+    /// All work is done after direct_drain().
+    void (*drained)(void *ctx);
+    void *ctx;
+};
+
+/// NULL with `err` set if an address cannot be bound.
+struct direct *direct_new(const struct direct_options *options,
+                          struct err *err);
+void direct_free(struct direct *direct);
+
+/// Fails readiness at once and ends when the last answer is out.
+void direct_drain(struct direct *direct);
+
+/// The settings file has changed; what can be taken without a restart is.
+void direct_reload(struct direct *direct,
+                   const struct settings_direct *settings);
+
+/// A topic has been read to its end, after `away_ms` without the store.
+void direct_caught_up(struct direct *direct, int topic, int64_t away_ms);
+
+bool direct_is_ready(const struct direct *direct);
+struct address direct_callers_address(const struct direct *direct);
+struct address direct_ready_address(const struct direct *direct);
--- /dev/null
+++ b/direct/direct_state.h
@@ -0,0 +1,51 @@
+/// What the parts of a direct router ask of it.
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/wire.h"
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/counter.h"
+
+struct catalog;
+struct direct;
+struct endpoints;
+struct event_base;
+struct exchange;
+struct quarantine;
+struct retry_budget;
+struct settings_direct;
+
+/// The configuration in force, or NULL before one is known.
+struct catalog *direct_catalog(const struct direct *direct);
+struct endpoints *direct_endpoints(const struct direct *direct);
+
+/// True once the entries of endpoints have been read to their end.
+bool direct_knows_endpoints(const struct direct *direct);
+const struct clock *direct_clock(const struct direct *direct);
+const struct random_source *direct_random(const struct direct *direct);
+const struct wire *direct_wire(const struct direct *direct);
+struct counters *direct_counters(const struct direct *direct);
+struct event_base *direct_base(const struct direct *direct);
+const struct settings_direct *direct_settings(const struct direct *direct);
+struct quarantine *direct_quarantine(const struct direct *direct);
+
+/// The retry budget of a service, made if it is new.
+struct retry_budget *direct_budget(struct direct *direct, struct str service);
+
+/// A request crashed its endpoint: counted here and told to the peers.
+void direct_strike(struct direct *direct, uint64_t fingerprint,
+                   uint32_t death);
+
+/// Reading speed of a service's endpoints, learned from answers.
+double direct_tokens_per_ms(const struct direct *direct);
+void direct_note_reading(struct direct *direct, uint32_t tokens, int64_t ms);
+
+void direct_add(struct direct *direct, struct exchange *exchange);
+void direct_remove(struct direct *direct, struct exchange *exchange);
+
+/// Milliseconds from a request's first byte to the first byte and to the end
+/// of its answer.
+void direct_note_latency(struct direct *direct, int64_t first_ms,
+                         int64_t total_ms);
--- /dev/null
+++ b/direct/endpoints.c
@@ -0,0 +1,363 @@
+#include "endpoints.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/xmalloc.h"
+#include "net/channel.h"
+#include "net/log.h"
+
+#define LOG_MODULE "endpoints"
+
+/// Bound on endpoints of one service that a choice looks at.
+#define CANDIDATES_MAX 1024
+#define ANSWER_HEAD_BYTES_MAX 32768
+/// Share of a service's endpoints that may be out at once; with more, the
+/// failures are not theirs, and all are tried.
+#define EJECTED_PERCENT_MAX 50
+
+struct endpoints {
+    struct endpoints_options options;
+    struct endpoint *all;
+};
+
+struct endpoints *
+endpoints_new(const struct endpoints_options *options)
+{
+    struct endpoints *endpoints = xcalloc(1, sizeof(*endpoints));
+
+    endpoints->options = *options;
+    endpoints->options.zone = str_copy(options->zone);
+    return endpoints;
+}
+
+struct endpoint *
+endpoint_ref(struct endpoint *endpoint)
+{
+    endpoint->references++;
+    return endpoint;
+}
+
+void
+endpoint_unref(struct endpoint *endpoint)
+{
+    if (--endpoint->references > 0) {
+        return;
+    }
+    channel_pool_free(endpoint->pool);
+    prefix_cache_free(endpoint->cache);
+    free((char *)endpoint->id.data);
+    free((char *)endpoint->service.data);
+    free((char *)endpoint->zone.data);
+    free(endpoint);
+}
+
+static void
+take_out(struct endpoints *endpoints, struct endpoint *endpoint,
+         const char *reason)
+{
+    LOG_INFO("event=endpoint-gone endpoint=" STR_FMT " service=" STR_FMT
+             " address=%s:%u in_flight=%u reason=%s",
+             STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+             endpoint->address.ip, endpoint->address.port,
+             endpoint->in_flight, reason);
+    HASH_DEL(endpoints->all, endpoint);
+    endpoint->gone = true;
+    endpoint_unref(endpoint);
+}
+
+void
+endpoints_free(struct endpoints *endpoints)
+{
+    struct endpoint *endpoint, *next;
+
+    if (endpoints == NULL) {
+        return;
+    }
+    HASH_ITER(hh, endpoints->all, endpoint, next)
+    {
+        HASH_DEL(endpoints->all, endpoint);
+        endpoint_unref(endpoint);
+    }
+    free((char *)endpoints->options.zone.data);
+    free(endpoints);
+}
+
+static void
+add(struct endpoints *endpoints, struct str id,
+    const struct endpoint_facts *facts, const struct address *address,
+    uint64_t memory_tokens)
+{
+    struct endpoint *endpoint = xcalloc(1, sizeof(*endpoint));
+
+    endpoint->id = str_copy(id);
+    endpoint->hash = str_hash(id, 0);
+    endpoint->service = str_copy(facts->service);
+    endpoint->zone = str_copy(facts->zone);
+    endpoint->address = *address;
+    endpoint->state = facts->state;
+    endpoint->slots = facts->slots;
+    endpoint->incarnation = facts->incarnation;
+    endpoint->references = 1;
+    endpoint->cache = prefix_cache_new(memory_tokens);
+    eject_init(&endpoint->eject);
+    endpoint->pool = channel_pool_new(&(struct channel_pool_options){
+        .base = endpoints->options.base,
+        .clock = endpoints->options.clock,
+        .address = *address,
+        .connect_ms = CHANNEL_CONNECT_MS,
+        .head_bytes_max = ANSWER_HEAD_BYTES_MAX,
+    });
+    HASH_ADD_KEYPTR(hh, endpoints->all, endpoint->id.data, endpoint->id.len,
+                    endpoint);
+    LOG_INFO("event=endpoint-known endpoint=" STR_FMT " service=" STR_FMT
+             " address=%s:%u zone=" STR_FMT " slots=%u state=%s",
+             STR_ARG(id), STR_ARG(facts->service), address->ip, address->port,
+             STR_ARG(facts->zone), facts->slots,
+             facts->state == ENDPOINT_READY ? "ready" : "draining");
+}
+
+void
+endpoints_update(struct endpoints *endpoints, struct str id,
+                 const struct endpoint_facts *facts, uint64_t memory_tokens)
+{
+    struct endpoint *endpoint = endpoints_find(endpoints, id);
+    struct address address;
+    struct err err = {0};
+
+    if (!address_parse(facts->address, &address, &err)) {
+        LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
+                    " detail=\"%s\"",
+                    STR_ARG(id), err.message);
+        return;
+    }
+    if (endpoint != NULL &&
+        (endpoint->incarnation != facts->incarnation ||
+         !str_equal(endpoint->service, facts->service) ||
+         strcmp(endpoint->address.ip, address.ip) ||
+         endpoint->address.port != address.port)) {
+        take_out(endpoints, endpoint, "restarted");
+        endpoint = NULL;
+    }
+    if (endpoint == NULL) {
+        add(endpoints, id, facts, &address, memory_tokens);
+        return;
+    }
+    if (endpoint->state != facts->state) {
+        LOG_INFO("event=endpoint-state endpoint=" STR_FMT " service=" STR_FMT
+                 " state=%s in_flight=%u",
+                 STR_ARG(id), STR_ARG(endpoint->service),
+                 facts->state == ENDPOINT_READY ? "ready" : "draining",
+                 endpoint->in_flight);
+    }
+    endpoint->state = facts->state;
+    endpoint->slots = facts->slots;
+    endpoint->lapse_ms = 0;
+}
+
+void
+endpoints_remove(struct endpoints *endpoints, struct str id, bool lapsed)
+{
+    struct endpoint *endpoint = endpoints_find(endpoints, id);
+
+    if (endpoint == NULL) {
+        return;
+    }
+    if (lapsed && endpoint->state == ENDPOINT_READY) {
+        endpoint->lapse_ms =
+            clock_ms(endpoints->options.clock) + ENDPOINTS_LAPSE_MS;
+        LOG_INFO("event=endpoint-lapsed endpoint=" STR_FMT " wait_ms=%d",
+                 STR_ARG(id), ENDPOINTS_LAPSE_MS);
+        return;
+    }
+    take_out(endpoints, endpoint, "removed");
+}
+
+void
+endpoints_tick(struct endpoints *endpoints)
+{
+    int64_t now_ms = clock_ms(endpoints->options.clock);
+    struct endpoint *endpoint, *next;
+
+    HASH_ITER(hh, endpoints->all, endpoint, next)
+    {
+        if (endpoint->lapse_ms > 0 && now_ms >= endpoint->lapse_ms) {
+            take_out(endpoints, endpoint, "lapsed");
+        }
+    }
+}
+
+struct endpoint *
+endpoints_find(struct endpoints *endpoints, struct str id)
+{
+    struct endpoint *endpoint;
+
+    HASH_FIND(hh, endpoints->all, id.data, id.len, endpoint);
+    return endpoint;
+}
+
+size_t
+endpoints_count(const struct endpoints *endpoints)
+{
+    return HASH_COUNT(endpoints->all);
+}
+
+struct endpoint *
+endpoints_first(struct endpoints *endpoints)
+{
+    return endpoints->all;
+}
+
+uint32_t
+endpoint_load(const struct endpoint *endpoint, int64_t now_ms)
+{
+    uint32_t load = endpoint->in_flight;
+
+    for (size_t i = 0; i < endpoint->peer_count; i++) {
+        if (now_ms - endpoint->peers[i].told_ms < ENDPOINTS_PEER_LOAD_MS) {
+            load += endpoint->peers[i].in_flight;
+        }
+    }
+    return load;
+}
+
+static double
+backlog(const struct endpoint *endpoint, int64_t now_ms)
+{
+    double tokens = endpoint->backlog_tokens;
+
+    for (size_t i = 0; i < endpoint->peer_count; i++) {
+        if (now_ms - endpoint->peers[i].told_ms < ENDPOINTS_PEER_LOAD_MS) {
+            tokens += endpoint->peers[i].backlog_tokens;
+        }
+    }
+    return tokens;
+}
+
+void
+endpoint_set_peer_load(struct endpoint *endpoint, uint64_t peer,
+                       uint32_t in_flight, uint32_t backlog_tokens,
+                       int64_t now_ms)
+{
+    size_t at = 0;
+
+    while (at < endpoint->peer_count && endpoint->peers[at].peer != peer) {
+        at++;
+    }
+    if (at == ENDPOINT_PEERS_MAX) {
+        return;
+    }
+    if (at == endpoint->peer_count) {
+        endpoint->peer_count++;
+    }
+    endpoint->peers[at] = (struct endpoint_peer_load){
+        .peer = peer,
+        .in_flight = in_flight,
+        .backlog_tokens = backlog_tokens,
+        .told_ms = now_ms,
+    };
+}
+
+static bool
+was_tried(const struct endpoints_query *query, uint64_t hash)
+{
+    for (size_t i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+endpoints_ready(const struct endpoints *endpoints, struct str service)
+{
+    const struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (endpoint->state == ENDPOINT_READY &&
+            str_equal(endpoint->service, service)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+double
+endpoints_failure_share(const struct endpoints *endpoints, struct str service)
+{
+    const struct endpoint *endpoint;
+    double sum = 0;
+    size_t count = 0;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (str_equal(endpoint->service, service)) {
+            sum += endpoint->eject.share;
+            count++;
+        }
+    }
+    return count > 0 ? sum / (double)count : 0;
+}
+
+/// With too many out, the failures are not theirs: all count as usable.
+static void
+limit_ejected(struct place_candidate *candidates, size_t count,
+              const bool *ejected)
+{
+    size_t out = 0;
+    size_t ready = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        ready += candidates[i].usable ? 1 : 0;
+        out += candidates[i].usable && ejected[i] ? 1 : 0;
+    }
+    if (100 * out > EJECTED_PERCENT_MAX * ready) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        candidates[i].usable = candidates[i].usable && !ejected[i];
+    }
+}
+
+struct endpoint *
+endpoints_choose(struct endpoints *endpoints,
+                 const struct endpoints_query *query,
+                 struct place_request *request, struct place_choice *choice)
+{
+    static struct place_candidate candidates[CANDIDATES_MAX];
+    static struct endpoint *owners[CANDIDATES_MAX];
+    static bool ejected[CANDIDATES_MAX];
+    int64_t now_ms = clock_ms(endpoints->options.clock);
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints->all;
+         endpoint != NULL && count < CANDIDATES_MAX;
+         endpoint = endpoint->hh.next) {
+        if (!str_equal(endpoint->service, query->service)) {
+            continue;
+        }
+        owners[count] = endpoint;
+        ejected[count] =
+            eject_is_out(&endpoint->eject, now_ms, endpoint->in_flight);
+        candidates[count] = (struct place_candidate){
+            .hash = endpoint->hash,
+            .usable = endpoint->state == ENDPOINT_READY &&
+                      !was_tried(query, endpoint->hash),
+            .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
+            .load = endpoint_load(endpoint, now_ms),
+            .slots = endpoint->slots,
+            .backlog_tokens = backlog(endpoint, now_ms),
+            .cached_tokens = prefix_cache_find(endpoint->cache, query->prefix),
+        };
+        count++;
+    }
+    limit_ejected(candidates, count, ejected);
+    if (!place_choose(request, candidates, count, choice)) {
+        return NULL;
+    }
+    return owners[choice->index];
+}
--- /dev/null
+++ b/direct/endpoints.h
@@ -0,0 +1,122 @@
+/// The endpoints that a router may send to, by what their entries say and
+/// what their answers show.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "core/eject.h"
+#include "core/place.h"
+#include "core/prefix.h"
+#include "core/wire.h"
+#include "dandelionvalve/clock.h"
+#include "net/address.h"
+
+struct channel_pool;
+struct event_base;
+
+/// How long an entry that lapsed while the store was away may be missing
+/// after its return before the endpoint is taken as gone: the store's pages
+/// say two seconds.
+#define ENDPOINTS_LAPSE_MS 2000
+/// A load that peers told of is believed for this long.
+#define ENDPOINTS_PEER_LOAD_MS 3000
+
+/// What one peer has in flight at an endpoint.
+struct endpoint_peer_load {
+    uint64_t peer;
+    uint32_t in_flight;
+    uint32_t backlog_tokens;
+    int64_t told_ms;
+};
+
+#define ENDPOINT_PEERS_MAX 64
+
+struct endpoint {
+    struct str id;
+    struct str service;
+    struct str zone;
+    struct address address;
+    uint64_t hash;
+    enum endpoint_state state;
+    uint32_t slots;
+    int64_t incarnation;
+    struct channel_pool *pool;
+    struct eject eject;
+    struct prefix_cache *cache;
+    uint32_t in_flight;     ///< own requests
+    double backlog_tokens;  ///< own prompts that it has yet to read
+    uint32_t told_in_flight; ///< what peers were last told
+    struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
+    size_t peer_count;
+    bool gone;
+    int64_t lapse_ms; ///< when a missing entry means gone; 0: not missing
+    size_t references;
+    UT_hash_handle hh;
+};
+
+struct endpoints;
+
+struct endpoints_options {
+    struct event_base *base;
+    const struct clock *clock;
+    struct str zone; ///< own availability zone
+};
+
+/// The caller frees with endpoints_free().
+struct endpoints *endpoints_new(const struct endpoints_options *options);
+void endpoints_free(struct endpoints *endpoints);
+
+/// An entry was written. `memory_tokens` is the service's.
+void endpoints_update(struct endpoints *endpoints, struct str id,
+                      const struct endpoint_facts *facts,
+                      uint64_t memory_tokens);
+
+/// An entry was removed; with `lapsed` it may be back within
+/// ENDPOINTS_LAPSE_MS.
+void endpoints_remove(struct endpoints *endpoints, struct str id, bool lapsed);
+
+/// Takes out the lapsed ones whose time is over.
+void endpoints_tick(struct endpoints *endpoints);
+
+struct endpoint *endpoints_find(struct endpoints *endpoints, struct str id);
+size_t endpoints_count(const struct endpoints *endpoints);
+
+/// The first endpoint; the following ones by `hh.next`.
+struct endpoint *endpoints_first(struct endpoints *endpoints);
+
+/// What a request asks of the choice beside place_request.
+struct endpoints_query {
+    struct str service;
+    const struct prefix *prefix;
+    const uint64_t *tried; ///< hashes of endpoints that are out
+    size_t tried_count;
+};
+
+/// Chooses an endpoint; NULL if none is usable. The mean failure share of the
+/// pool and the number of usable ones go into *choice.
+struct endpoint *endpoints_choose(struct endpoints *endpoints,
+                                  const struct endpoints_query *query,
+                                  struct place_request *request,
+                                  struct place_choice *choice);
+
+/// Endpoints of the service that are ready, ejected ones included.
+size_t endpoints_ready(const struct endpoints *endpoints, struct str service);
+
+/// Mean share of failures over the service's endpoints.
+double endpoints_failure_share(const struct endpoints *endpoints,
+                               struct str service);
+
+/// In-flight requests of all routers, as far as they are known.
+uint32_t endpoint_load(const struct endpoint *endpoint, int64_t now_ms);
+
+void endpoint_set_peer_load(struct endpoint *endpoint, uint64_t peer,
+                            uint32_t in_flight, uint32_t backlog_tokens,
+                            int64_t now_ms);
+
+/// Keeps the endpoint's memory valid; each request in flight holds one.
+struct endpoint *endpoint_ref(struct endpoint *endpoint);
+void endpoint_unref(struct endpoint *endpoint);
--- /dev/null
+++ b/direct/exchange.h
@@ -0,0 +1,17 @@
+/// One caller's request on its way to an endpoint and back.
+#pragma once
+
+#include <stddef.h>
+
+struct caller;
+struct direct;
+struct exchange;
+
+/// Takes a whole request; answers it now or later.
+void exchange_start(struct direct *direct, struct caller *caller);
+
+/// The caller has left: what may be cut is cancelled at its endpoint.
+void exchange_abandon(struct exchange *exchange);
+
+/// Frees without a word; the router is going away.
+void exchange_forget(struct exchange *exchange);
--- a/include/dandelionvalve/retry.h
+++ b/include/dandelionvalve/retry.h
@@ -12,6 +12,7 @@
     const struct clock *clock;
     int64_t window_ms;
     int64_t budget_percent;
+    int64_t slack; ///< retries of a window above that share
 };
 
 /// Counts of first attempts and retries over the last window.
--- /dev/null
+++ b/net/caller.c
@@ -0,0 +1,520 @@
+#include "caller.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+#include "http.h"
+#include "http1.h"
+
+#define BACKLOG 1024
+#define READ_BYTES_MAX 65536
+/// A caller that has vanished is noticed by unacknowledged bytes.
+#define SILENCE_MS 5000
+/// Time to read what a caller still sends after an early refusal.
+#define LINGER_MS 1000
+
+enum caller_state {
+    CALLER_READING,
+    CALLER_WAITING,   ///< a whole request, no answer yet
+    CALLER_ANSWERING, ///< the head of the answer is out
+    CALLER_CLOSING,   ///< the last bytes are on their way out
+};
+
+struct caller {
+    struct caller_server *server;
+    struct bufferevent *bufferevent;
+    struct http1 http;
+    enum caller_state state;
+    struct evbuffer *body;
+    struct event *timer;
+    void *user;
+    int64_t started_ms;
+    bool chunked;
+    bool close_after;
+    bool too_large;
+    bool freed;
+    struct caller *prev;
+    struct caller *next;
+};
+
+struct caller_server {
+    struct caller_server_options options;
+    struct evconnlistener *listener;
+    struct caller *callers;
+    struct caller *closed;
+    struct event *reaper;
+    struct address address;
+    size_t connections;
+    bool draining;
+};
+
+static void read_request(struct caller *caller);
+
+static void
+reap(evutil_socket_t fd, short events, void *ctx)
+{
+    struct caller_server *server = ctx;
+    struct caller *caller, *next;
+
+    (void)fd;
+    (void)events;
+    DL_FOREACH_SAFE(server->closed, caller, next)
+    {
+        DL_DELETE(server->closed, caller);
+        http1_destroy(&caller->http);
+        evbuffer_free(caller->body);
+        free(caller);
+    }
+}
+
+static void
+close_caller(struct caller *caller)
+{
+    struct caller_server *server = caller->server;
+
+    if (caller->freed) {
+        return;
+    }
+    caller->freed = true;
+    caller->user = NULL;
+    bufferevent_free(caller->bufferevent);
+    event_free(caller->timer);
+    DL_DELETE(server->callers, caller);
+    DL_APPEND(server->closed, caller);
+    server->connections--;
+    event_active(server->reaper, 0, 0);
+}
+
+static void
+set_timer(struct caller *caller, int64_t ms)
+{
+    const struct timeval delay = {
+        .tv_sec = ms / 1000,
+        .tv_usec = (suseconds_t)(ms % 1000 * 1000),
+    };
+
+    event_add(caller->timer, &delay);
+}
+
+static void
+lose_caller(struct caller *caller)
+{
+    struct caller_server *server = caller->server;
+    void *user = caller->user;
+
+    close_caller(caller);
+    if (user != NULL) {
+        server->options.gone(server->options.ctx, user);
+    }
+}
+
+static void
+refuse_input(struct caller *caller, int status)
+{
+    caller->close_after = true;
+    caller->state = CALLER_WAITING;
+    caller_reply(caller, status, (struct str){0}, NULL);
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct caller *caller = ctx;
+
+    (void)fd;
+    (void)events;
+    if (caller->state == CALLER_READING && caller->http.started) {
+        refuse_input(caller, 408);
+        return;
+    }
+    if (caller->state == CALLER_READING || caller->state == CALLER_CLOSING) {
+        close_caller(caller);
+    }
+}
+
+static void
+on_head(void *ctx)
+{
+    struct caller *caller = ctx;
+    size_t body_max = caller->server->options.limits.body_bytes_max;
+
+    if (caller->http.parser.content_length != UINT64_MAX &&
+        caller->http.parser.content_length > body_max) {
+        caller->too_large = true;
+    }
+    else if (str_equal_nocase(http1_value(&caller->http, "Expect"),
+                              "100-continue")) {
+        evbuffer_add_printf(bufferevent_get_output(caller->bufferevent),
+                            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+static void
+on_data(void *ctx, const char *bytes, size_t len)
+{
+    struct caller *caller = ctx;
+
+    if (evbuffer_get_length(caller->body) + len >
+        caller->server->options.limits.body_bytes_max) {
+        caller->too_large = true;
+        return;
+    }
+    evbuffer_add(caller->body, bytes, len);
+}
+
+static void
+on_end(void *ctx)
+{
+    (void)ctx;
+}
+
+static const struct http1_callbacks http_callbacks = {
+    .head = on_head,
+    .data = on_data,
+    .end = on_end,
+};
+
+static void
+next_request(struct caller *caller)
+{
+    caller->user = NULL;
+    caller->state = CALLER_READING;
+    caller->too_large = false;
+    evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
+    http1_reset(&caller->http);
+    set_timer(caller, caller->server->options.limits.idle_ms);
+    read_request(caller);
+}
+
+static void
+take_request(struct caller *caller)
+{
+    struct caller_server *server = caller->server;
+
+    event_del(caller->timer);
+    caller->state = CALLER_WAITING;
+    caller->close_after = !http1_keeps_alive(&caller->http);
+    server->options.request(server->options.ctx, caller);
+}
+
+static void
+read_request(struct caller *caller)
+{
+    struct evbuffer *input = bufferevent_get_input(caller->bufferevent);
+
+    while (caller->state == CALLER_READING && !caller->freed &&
+           evbuffer_get_length(input) > 0) {
+        size_t len = evbuffer_get_contiguous_space(input);
+        const char *bytes = (const char *)evbuffer_pullup(input, (ssize_t)len);
+        size_t taken;
+
+        if (!caller->http.started) {
+            caller->started_ms = clock_ms(caller->server->options.clock);
+            set_timer(caller, caller->server->options.limits.head_ms);
+        }
+        taken = http1_feed(&caller->http, bytes, len);
+        evbuffer_drain(input, taken);
+        if (caller->http.error != HTTP1_OK) {
+            refuse_input(caller,
+                         caller->http.error == HTTP1_HEAD_TOO_LARGE ? 431
+                                                                    : 400);
+        }
+        else if (caller->too_large) {
+            refuse_input(caller, 413);
+        }
+        else if (caller->http.ended) {
+            take_request(caller);
+        }
+    }
+}
+
+static void
+on_read(struct bufferevent *bufferevent, void *ctx)
+{
+    struct caller *caller = ctx;
+
+    if (caller->state == CALLER_CLOSING) {
+        struct evbuffer *input = bufferevent_get_input(bufferevent);
+
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    read_request(caller);
+}
+
+static void
+on_written(struct bufferevent *bufferevent, void *ctx)
+{
+    struct caller *caller = ctx;
+
+    (void)bufferevent;
+    if (caller->state == CALLER_CLOSING) {
+        // The caller closes first, so that unread bytes of its request do
+        // not reset the answer on its way.
+        shutdown(bufferevent_getfd(caller->bufferevent), SHUT_WR);
+        set_timer(caller, LINGER_MS);
+    }
+}
+
+static void
+on_event(struct bufferevent *bufferevent, short events, void *ctx)
+{
+    (void)bufferevent;
+    (void)events;
+    lose_caller(ctx);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *peer, int len, void *ctx)
+{
+    struct caller_server *server = ctx;
+    struct caller *caller = xcalloc(1, sizeof(*caller));
+    const int on = 1;
+    const unsigned silence_ms = SILENCE_MS;
+
+    (void)listener;
+    (void)peer;
+    (void)len;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+               sizeof(silence_ms));
+    caller->server = server;
+    caller->body = evbuffer_new();
+    caller->timer = event_new(server->options.base, -1, 0, on_timer, caller);
+    http1_init(&caller->http, HTTP_REQUEST,
+               server->options.limits.head_bytes_max, &http_callbacks, caller);
+    caller->bufferevent = bufferevent_socket_new(
+        server->options.base, fd,
+        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(caller->bufferevent, on_read, on_written, on_event,
+                      caller);
+    bufferevent_setwatermark(caller->bufferevent, EV_READ, 0, READ_BYTES_MAX);
+    bufferevent_enable(caller->bufferevent, EV_READ | EV_WRITE);
+    DL_APPEND(server->callers, caller);
+    server->connections++;
+    set_timer(caller, server->options.limits.idle_ms);
+}
+
+struct caller_server *
+caller_server_new(const struct caller_server_options *options, struct err *err)
+{
+    struct caller_server *server = xcalloc(1, sizeof(*server));
+
+    server->options = *options;
+    server->listener = evconnlistener_new_bind(
+        options->base, on_accept, server,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        BACKLOG, (const struct sockaddr *)&options->address.storage,
+        (int)options->address.len);
+    if (server->listener == NULL) {
+        err_set(err, ERR_IO, "bind", options->address.ip,
+                "cannot listen for callers at %s:%u", options->address.ip,
+                options->address.port);
+        free(server);
+        return NULL;
+    }
+    address_of_socket(evconnlistener_get_fd(server->listener),
+                      &server->address);
+    server->reaper = event_new(options->base, -1, 0, reap, server);
+    return server;
+}
+
+void
+caller_server_free(struct caller_server *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    while (server->callers != NULL) {
+        close_caller(server->callers);
+    }
+    reap(-1, 0, server);
+    event_free(server->reaper);
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+    }
+    free(server);
+}
+
+void
+caller_server_set_limits(struct caller_server *server,
+                         const struct caller_limits *limits)
+{
+    server->options.limits = *limits;
+}
+
+struct address
+caller_server_address(const struct caller_server *server)
+{
+    return server->address;
+}
+
+void
+caller_server_drain(struct caller_server *server)
+{
+    server->draining = true;
+}
+
+void
+caller_server_close_idle(struct caller_server *server)
+{
+    struct caller *caller, *next;
+
+    if (server->listener != NULL) {
+        evconnlistener_free(server->listener);
+        server->listener = NULL;
+    }
+    DL_FOREACH_SAFE(server->callers, caller, next)
+    {
+        if (caller->state == CALLER_READING && !caller->http.started &&
+            evbuffer_get_length(
+                bufferevent_get_input(caller->bufferevent)) == 0) {
+            close_caller(caller);
+        }
+    }
+}
+
+size_t
+caller_server_connections(const struct caller_server *server)
+{
+    return server->connections;
+}
+
+const struct http1 *
+caller_head(const struct caller *caller)
+{
+    return &caller->http;
+}
+
+struct evbuffer *
+caller_body(const struct caller *caller)
+{
+    return caller->body;
+}
+
+int64_t
+caller_started_ms(const struct caller *caller)
+{
+    return caller->started_ms;
+}
+
+void
+caller_set_user(struct caller *caller, void *user)
+{
+    caller->user = user;
+}
+
+static void
+end_answer(struct caller *caller)
+{
+    caller->user = NULL;
+    if (!caller->close_after) {
+        next_request(caller);
+        return;
+    }
+    caller->state = CALLER_CLOSING;
+    if (evbuffer_get_length(bufferevent_get_output(caller->bufferevent)) ==
+        0) {
+        on_written(caller->bufferevent, caller);
+    }
+}
+
+static void
+write_head(struct caller *caller, int status, struct str fields)
+{
+    struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
+
+    if (caller->server->draining) {
+        caller->close_after = true;
+    }
+    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
+                        http_reason(status));
+    evbuffer_add(out, fields.data, fields.len);
+    if (caller->close_after) {
+        evbuffer_add_printf(out, "Connection: close\r\n");
+    }
+}
+
+void
+caller_reply(struct caller *caller, int status, struct str fields,
+             struct evbuffer *body)
+{
+    struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
+    bool has_body = caller->http.parser.method != HTTP_HEAD;
+
+    write_head(caller, status, fields);
+    evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n",
+                        body != NULL ? evbuffer_get_length(body) : 0);
+    if (body != NULL && has_body) {
+        evbuffer_add_buffer(out, body);
+    }
+    end_answer(caller);
+}
+
+void
+caller_start(struct caller *caller, int status, struct str fields)
+{
+    struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
+
+    caller->chunked = caller->http.parser.http_major == 1 &&
+                      caller->http.parser.http_minor >= 1;
+    caller->close_after = caller->close_after || !caller->chunked;
+    caller->state = CALLER_ANSWERING;
+    write_head(caller, status, fields);
+    evbuffer_add_printf(
+        out, caller->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+}
+
+void
+caller_data(struct caller *caller, const char *bytes, size_t len)
+{
+    struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
+
+    if (len == 0) {
+        return;
+    }
+    if (caller->chunked) {
+        evbuffer_add_printf(out, "%zx\r\n", len);
+    }
+    evbuffer_add(out, bytes, len);
+    if (caller->chunked) {
+        evbuffer_add(out, "\r\n", 2);
+    }
+    if (evbuffer_get_length(out) > CALLER_OUTPUT_BYTES_MAX) {
+        lose_caller(caller);
+    }
+}
+
+void
+caller_finish(struct caller *caller)
+{
+    if (caller->chunked) {
+        evbuffer_add(bufferevent_get_output(caller->bufferevent),
+                     "0\r\n\r\n", 5);
+    }
+    end_answer(caller);
+}
+
+void
+caller_abort(struct caller *caller)
+{
+    const struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    // Without chunks an ordinary close would look like the answer's end.
+    if (!caller->chunked) {
+        setsockopt(bufferevent_getfd(caller->bufferevent), SOL_SOCKET,
+                   SO_LINGER, &reset, sizeof(reset));
+    }
+    close_caller(caller);
+}
--- /dev/null
+++ b/net/channel.c
@@ -0,0 +1,477 @@
+#include "channel.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+#include "http1.h"
+
+#define READ_BYTES_MAX 65536
+
+enum channel_state {
+    CHANNEL_CONNECTING,
+    CHANNEL_BUSY,
+    CHANNEL_IDLE,
+    CHANNEL_CLOSED,
+};
+
+struct channel {
+    struct channel_pool *pool;
+    struct bufferevent *bufferevent;
+    struct http1 http;
+    struct channel_handler handler;
+    enum channel_state state;
+    struct evbuffer *waiting; ///< the request, until the handshake is done
+    struct event *timer;
+    bool skipping;
+    bool rejected;
+    int64_t idle_since_ms;
+    int64_t idle_max_ms;
+    struct channel *prev;
+    struct channel *next;
+};
+
+struct channel_pool {
+    struct channel_pool_options options;
+    struct channel *channels;
+    struct channel *closed; ///< freed once no callback of theirs is running
+    struct event *reaper;
+    size_t open;
+    size_t opened_total;
+};
+
+static void
+reap(evutil_socket_t fd, short events, void *ctx)
+{
+    struct channel_pool *pool = ctx;
+    struct channel *channel, *next;
+
+    (void)fd;
+    (void)events;
+    DL_FOREACH_SAFE(pool->closed, channel, next)
+    {
+        DL_DELETE(pool->closed, channel);
+        http1_destroy(&channel->http);
+        free(channel);
+    }
+}
+
+struct channel_pool *
+channel_pool_new(const struct channel_pool_options *options)
+{
+    struct channel_pool *pool = xcalloc(1, sizeof(*pool));
+
+    pool->options = *options;
+    pool->reaper = event_new(options->base, -1, 0, reap, pool);
+    return pool;
+}
+
+static void
+close_channel(struct channel *channel)
+{
+    struct channel_pool *pool = channel->pool;
+
+    if (channel->state == CHANNEL_CLOSED) {
+        return;
+    }
+    channel->state = CHANNEL_CLOSED;
+    bufferevent_free(channel->bufferevent);
+    channel->bufferevent = NULL;
+    event_free(channel->timer);
+    if (channel->waiting != NULL) {
+        evbuffer_free(channel->waiting);
+        channel->waiting = NULL;
+    }
+    DL_DELETE(pool->channels, channel);
+    DL_APPEND(pool->closed, channel);
+    pool->open--;
+    event_active(pool->reaper, 0, 0);
+}
+
+void
+channel_pool_free(struct channel_pool *pool)
+{
+    if (pool == NULL) {
+        return;
+    }
+    while (pool->channels != NULL) {
+        close_channel(pool->channels);
+    }
+    reap(-1, 0, pool);
+    event_free(pool->reaper);
+    free(pool);
+}
+
+static void
+finish(struct channel *channel, enum channel_end end, const char *detail)
+{
+    const struct channel_handler handler = channel->handler;
+
+    channel->handler = (struct channel_handler){0};
+    close_channel(channel);
+    if (handler.end != NULL) {
+        handler.end(handler.ctx, end, detail);
+    }
+}
+
+static void
+set_timer(struct channel *channel, int64_t ms)
+{
+    const struct timeval delay = {
+        .tv_sec = ms / 1000,
+        .tv_usec = (suseconds_t)(ms % 1000 * 1000),
+    };
+
+    event_add(channel->timer, &delay);
+}
+
+static void
+on_timer(evutil_socket_t fd, short events, void *ctx)
+{
+    struct channel *channel = ctx;
+
+    (void)fd;
+    (void)events;
+    if (channel->state == CHANNEL_CONNECTING) {
+        finish(channel, CHANNEL_UNSENT, "connect timeout");
+    }
+    else if (channel->state == CHANNEL_IDLE) {
+        close_channel(channel);
+    }
+}
+
+static void
+note_keep_alive(struct channel *channel)
+{
+    struct str value = http1_value(&channel->http, "Keep-Alive");
+    const char *at =
+        value.len > 8 ? memmem(value.data, value.len, "timeout=", 8) : NULL;
+    int64_t seconds = 0;
+
+    if (at == NULL) {
+        return;
+    }
+    for (at += 8; at < value.data + value.len && *at >= '0' && *at <= '9' &&
+                  seconds < 3600;
+         at++) {
+        seconds = 10 * seconds + (*at - '0');
+    }
+    channel->idle_max_ms = seconds * 1000 * CHANNEL_IDLE_PERCENT / 100;
+}
+
+static void
+on_head(void *ctx)
+{
+    struct channel *channel = ctx;
+    enum channel_verdict verdict;
+
+    if (http1_status(&channel->http) < 200) {
+        channel->skipping = true;
+        return;
+    }
+    note_keep_alive(channel);
+    channel->skipping = false;
+    if (channel->handler.head == NULL) {
+        return;
+    }
+    verdict = channel->handler.head(channel->handler.ctx, &channel->http);
+    channel->skipping = verdict == CHANNEL_SKIP;
+    channel->rejected = verdict == CHANNEL_REJECT;
+}
+
+static void
+on_data(void *ctx, const char *bytes, size_t len)
+{
+    struct channel *channel = ctx;
+
+    if (channel->handler.data != NULL && !channel->skipping &&
+        !channel->rejected) {
+        channel->handler.data(channel->handler.ctx, bytes, len);
+    }
+}
+
+/// A connection whose request has not been written whole, or on which more
+/// bytes wait, must not carry another one.
+static bool
+is_reusable(const struct channel *channel)
+{
+    return http1_keeps_alive(&channel->http) &&
+           evbuffer_get_length(
+               bufferevent_get_output(channel->bufferevent)) == 0 &&
+           evbuffer_get_length(bufferevent_get_input(channel->bufferevent)) ==
+               0 &&
+           channel->idle_max_ms > 0;
+}
+
+static void
+become_idle(struct channel *channel)
+{
+    const struct channel_handler handler = channel->handler;
+    struct channel_pool *pool = channel->pool;
+
+    channel->handler = (struct channel_handler){0};
+    if (is_reusable(channel)) {
+        channel->state = CHANNEL_IDLE;
+        channel->idle_since_ms = clock_ms(pool->options.clock);
+        http1_reset(&channel->http);
+        set_timer(channel, channel->idle_max_ms);
+        // Most recently used first, so that the others can lapse.
+        DL_DELETE(pool->channels, channel);
+        DL_PREPEND(pool->channels, channel);
+    }
+    else {
+        close_channel(channel);
+    }
+    if (handler.end != NULL) {
+        handler.end(handler.ctx, CHANNEL_COMPLETE, "");
+    }
+}
+
+static void
+on_end(void *ctx)
+{
+    (void)ctx;
+}
+
+static const struct http1_callbacks http_callbacks = {
+    .head = on_head,
+    .data = on_data,
+    .end = on_end,
+};
+
+/// Feeds what has come; true while the channel waits for more.
+static bool
+feed(struct channel *channel)
+{
+    struct evbuffer *input = bufferevent_get_input(channel->bufferevent);
+    bool skipped;
+
+    while (evbuffer_get_length(input) > 0) {
+        size_t len = evbuffer_get_contiguous_space(input);
+        const char *bytes = (const char *)evbuffer_pullup(input, (ssize_t)len);
+        size_t taken = http1_feed(&channel->http, bytes, len);
+
+        // A callback may have cancelled the request.
+        if (channel->state == CHANNEL_CLOSED) {
+            return false;
+        }
+        evbuffer_drain(input, taken);
+        if (channel->http.error != HTTP1_OK || channel->rejected) {
+            finish(channel, CHANNEL_GARBLED, "bytes that are no answer");
+            return false;
+        }
+        if (!channel->http.ended) {
+            continue;
+        }
+        skipped = channel->skipping;
+        if (!skipped) {
+            become_idle(channel);
+            return false;
+        }
+        channel->skipping = false;
+        http1_reset(&channel->http);
+    }
+    return true;
+}
+
+static void
+on_read(struct bufferevent *bufferevent, void *ctx)
+{
+    struct channel *channel = ctx;
+
+    (void)bufferevent;
+    if (channel->state == CHANNEL_IDLE) {
+        // Bytes that nobody asked for belong to no request.
+        close_channel(channel);
+        return;
+    }
+    if (channel->state == CHANNEL_BUSY) {
+        feed(channel);
+    }
+}
+
+static void
+write_waiting(struct channel *channel)
+{
+    channel->state = CHANNEL_BUSY;
+    event_del(channel->timer);
+    bufferevent_enable(channel->bufferevent, EV_READ | EV_WRITE);
+    bufferevent_write_buffer(channel->bufferevent, channel->waiting);
+    evbuffer_free(channel->waiting);
+    channel->waiting = NULL;
+}
+
+static void
+on_event(struct bufferevent *bufferevent, short events, void *ctx)
+{
+    struct channel *channel = ctx;
+    int error = EVUTIL_SOCKET_ERROR();
+
+    (void)bufferevent;
+    if (channel->state == CHANNEL_CONNECTING) {
+        if (events & BEV_EVENT_CONNECTED) {
+            write_waiting(channel);
+        }
+        else {
+            finish(channel, CHANNEL_UNSENT, strerror(error));
+        }
+        return;
+    }
+    if (channel->state == CHANNEL_IDLE) {
+        close_channel(channel);
+        return;
+    }
+    if (channel->state != CHANNEL_BUSY || !feed(channel)) {
+        return;
+    }
+    if (events & BEV_EVENT_EOF && !channel->skipping) {
+        http1_eof(&channel->http);
+        if (channel->state == CHANNEL_CLOSED) {
+            return;
+        }
+        if (channel->http.ended) {
+            finish(channel, CHANNEL_COMPLETE, "");
+            return;
+        }
+    }
+    finish(channel, CHANNEL_LOST,
+           events & BEV_EVENT_EOF ? "closed early" : strerror(error));
+}
+
+static void
+set_socket_options(int fd)
+{
+    const int on = 1;
+    const int idle_s = 1;
+    const int probes = 2;
+    const unsigned silence_ms = CHANNEL_SILENCE_MS;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+               sizeof(silence_ms));
+}
+
+static struct channel *
+open_channel(struct channel_pool *pool)
+{
+    const struct address *address = &pool->options.address;
+    struct channel *channel;
+    int fd;
+
+    if (pool->options.connections_max > 0 &&
+        pool->open >= pool->options.connections_max) {
+        return NULL;
+    }
+    fd = socket(address->storage.ss_family,
+                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return NULL;
+    }
+    set_socket_options(fd);
+    channel = xcalloc(1, sizeof(*channel));
+    channel->pool = pool;
+    channel->idle_max_ms = CHANNEL_IDLE_MS;
+    channel->timer = event_new(pool->options.base, -1, 0, on_timer, channel);
+    http1_init(&channel->http, HTTP_RESPONSE, pool->options.head_bytes_max,
+               &http_callbacks, channel);
+    channel->bufferevent = bufferevent_socket_new(
+        pool->options.base, fd,
+        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(channel->bufferevent, on_read, NULL, on_event, channel);
+    bufferevent_setwatermark(channel->bufferevent, EV_READ, 0, READ_BYTES_MAX);
+    DL_APPEND(pool->channels, channel);
+    pool->open++;
+    pool->opened_total++;
+    if (bufferevent_socket_connect(
+            channel->bufferevent, (const struct sockaddr *)&address->storage,
+            (int)address->len) != 0) {
+        close_channel(channel);
+        return NULL;
+    }
+    set_timer(channel, pool->options.connect_ms);
+    return channel;
+}
+
+static struct channel *
+find_idle(struct channel_pool *pool, bool once)
+{
+    int64_t now_ms = clock_ms(pool->options.clock);
+    struct channel *channel;
+
+    DL_FOREACH(pool->channels, channel)
+    {
+        if (channel->state == CHANNEL_IDLE &&
+            now_ms - channel->idle_since_ms <
+                (once ? CHANNEL_SURE_MS : channel->idle_max_ms)) {
+            return channel;
+        }
+    }
+    return NULL;
+}
+
+struct channel *
+channel_send(struct channel_pool *pool, const struct channel_request *request,
+             const struct channel_handler *handler)
+{
+    struct channel *channel = find_idle(pool, request->once);
+
+    if (channel == NULL) {
+        channel = open_channel(pool);
+    }
+    if (channel == NULL) {
+        return NULL;
+    }
+    channel->handler = *handler;
+    channel->http.no_body = request->no_body;
+    if (channel->state == CHANNEL_IDLE) {
+        event_del(channel->timer);
+        channel->state = CHANNEL_BUSY;
+        bufferevent_write_buffer(channel->bufferevent, request->bytes);
+        return channel;
+    }
+    channel->waiting = evbuffer_new();
+    evbuffer_add_buffer(channel->waiting, request->bytes);
+    return channel;
+}
+
+void
+channel_cancel(struct channel *channel)
+{
+    channel->handler = (struct channel_handler){0};
+    close_channel(channel);
+}
+
+void
+channel_ignore(struct channel *channel)
+{
+    channel->handler = (struct channel_handler){0};
+}
+
+bool
+channel_was_sent(const struct channel *channel)
+{
+    return channel->state != CHANNEL_CONNECTING;
+}
+
+size_t
+channel_pool_open(const struct channel_pool *pool)
+{
+    return pool->open;
+}
+
+size_t
+channel_pool_opened_total(const struct channel_pool *pool)
+{
+    return pool->opened_total;
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -4,7 +4,7 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BUILD=${BUILD:-$ROOT/build}
 PACKAGES="build-essential meson ninja-build pkg-config libevent-dev
-  libmsgpack-dev liblog4c-dev libpopt-dev libcunit1-dev libxxhash-dev
+  libhttp-parser-dev libmsgpack-dev liblog4c-dev libpopt-dev libcunit1-dev libxxhash-dev
   uthash-dev libsodium-dev libjansson-dev libgsl-dev libtomlplusplus-dev
   librapidcheck-dev scdoc"
 PIDS=()
