--- a/core/catalog.h
+++ b/core/catalog.h
@@ -30,13 +30,13 @@
     struct str host;
     struct str prefix;
     enum route_kind kind;
-    int64_t timeout_ms;   ///< longest time that a caller is kept waiting
-    int64_t objective_ms; ///< latency objective; streams: to the first event
-    int64_t pause_ms;     ///< longest pause between events; 0: none stated
-    uint32_t priority;    ///< 0 is the highest
+    int64_t timeout_ms;     ///< longest time that a caller is kept waiting
+    int64_t objective_ms;   ///< latency objective; streams: to the first event
+    int64_t pause_ms;       ///< longest pause between events; 0: none stated
+    uint32_t priority;      ///< 0 is the highest
     uint32_t endpoints_max; ///< endpoints that one request may be sent to
-    bool is_public;       ///< needs no key
-    bool has_prompt;      ///< requests state their prompts
+    bool is_public;         ///< needs no key
+    bool has_prompt;        ///< requests state their prompts
     struct catalog_target targets[CATALOG_TARGETS_MAX];
     size_t target_count;
 };
@@ -44,7 +44,7 @@
 struct catalog_service {
     struct str name;
     bool is_model;
-    uint64_t memory_tokens; ///< of one endpoint
+    uint64_t memory_tokens;   ///< of one endpoint
     uint32_t connections_max; ///< of one endpoint, from all callers
     uint32_t slots;           ///< of one endpoint; 0: not stated
 };
@@ -98,5 +98,4 @@
 catalog_find_account(const struct catalog *catalog, struct str key);
 
 /// One of the route's services; `draw` is uniform in [0, 1).
-struct str catalog_pick_target(const struct catalog_route *route,
-                               double draw);
+struct str catalog_pick_target(const struct catalog_route *route, double draw);
--- a/core/eject.c
+++ b/core/eject.c
@@ -48,9 +48,8 @@
         return false;
     }
     eject->until_ms = now_ms + eject->next_ms;
-    eject->next_ms = 2 * eject->next_ms < EJECT_LONGEST_MS
-                         ? 2 * eject->next_ms
-                         : EJECT_LONGEST_MS;
+    eject->next_ms = 2 * eject->next_ms < EJECT_LONGEST_MS ? 2 * eject->next_ms
+                                                           : EJECT_LONGEST_MS;
     eject->trial = true;
     eject->row = 0;
     return true;
--- a/core/events.c
+++ b/core/events.c
@@ -74,8 +74,8 @@
         if (events->bytes[at] != '\n') {
             continue;
         }
-        is_blank = at == start ||
-                   (at == start + 1 && events->bytes[start] == '\r');
+        is_blank =
+            at == start || (at == start + 1 && events->bytes[start] == '\r');
         if (is_blank) {
             for (size_t from = whole; from < start;) {
                 const char *line = events->bytes + from;
--- a/core/message.c
+++ b/core/message.c
@@ -8,7 +8,7 @@
 #include "xmalloc.h"
 
 #define NESTING_MAX 2
-#define ELEMENTS_MAX (2 * MESSAGE_HEADERS_MAX)
+#define ELEMENTS_MAX (3 * MESSAGE_LOADS_MAX)
 
 #define TAG_FIXINT_MAX 0x7f
 #define TAG_FIXARRAY 0x90
@@ -34,6 +34,7 @@
 struct cursor {
     const msgpack_object *next;
     const msgpack_object *end;
+    msgpack_zone *zone; ///< for what is not a view of the frame
     bool bad;
 };
 
@@ -149,11 +150,63 @@
         [MESSAGE_HEAD] = 4,   [MESSAGE_DATA] = 4,      [MESSAGE_END] = 10,
         [MESSAGE_FAIL] = 10,  [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
         [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
+        [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 3,
+        [MESSAGE_WANT] = 2,   [MESSAGE_RECORD] = 5,    [MESSAGE_REACHED] = 2,
+        [MESSAGE_STRIKE] = 2,
     };
 
     return counts[type];
 }
 
+static void
+put_loads(msgpack_packer *packer, const struct message_load *items,
+          size_t count)
+{
+    msgpack_pack_array(packer, 3 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].endpoint);
+        put_uint(packer, items[i].in_flight);
+        put_uint(packer, items[i].backlog_tokens);
+    }
+}
+
+/// What routers tell each other.
+static void
+put_router_fields(msgpack_packer *packer, const struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_ROUTER:
+        put_str(packer, m->router.address);
+        return;
+    case MESSAGE_LOADS:
+        put_loads(packer, m->loads.items, m->loads.count);
+        return;
+    case MESSAGE_KNOWN:
+        for (size_t i = 0; i < MESSAGE_TOPICS; i++) {
+            put_uint(packer, m->known.ends[i]);
+        }
+        return;
+    case MESSAGE_WANT:
+    case MESSAGE_REACHED:
+        put_uint(packer, m->position.topic);
+        put_uint(packer, m->position.offset);
+        return;
+    case MESSAGE_RECORD:
+        put_uint(packer, m->record.topic);
+        put_uint(packer, m->record.offset);
+        put_bool(packer, m->record.removed);
+        put_str(packer, m->record.key);
+        put_str(packer, m->record.value);
+        return;
+    case MESSAGE_STRIKE:
+        put_uint(packer, m->strike.fingerprint);
+        put_uint(packer, m->strike.death);
+        return;
+    default:
+        BUG("message type %d", (int)m->type);
+    }
+}
+
 static void
 put_fields(msgpack_packer *packer, const struct message *m)
 {
@@ -226,6 +279,15 @@
     case MESSAGE_STATE:
         put_load(packer, &m->state.load);
         return;
+    case MESSAGE_ROUTER:
+    case MESSAGE_LOADS:
+    case MESSAGE_KNOWN:
+    case MESSAGE_WANT:
+    case MESSAGE_RECORD:
+    case MESSAGE_REACHED:
+    case MESSAGE_STRIKE:
+        put_router_fields(packer, m);
+        return;
     case MESSAGE_PING:
     case MESSAGE_PONG:
         return;
@@ -376,6 +438,74 @@
     }
 }
 
+static void
+get_loads(struct cursor *cursor, struct message *m)
+{
+    struct message_load *items;
+    const msgpack_object *array = get(cursor, MSGPACK_OBJECT_ARRAY);
+    struct cursor fields;
+    size_t count;
+
+    if (array == NULL || array->via.array.size % 3 != 0 ||
+        array->via.array.size > 3 * MESSAGE_LOADS_MAX) {
+        cursor->bad = true;
+        return;
+    }
+    count = array->via.array.size / 3;
+    items = msgpack_zone_malloc(cursor->zone, (count + 1) * sizeof(*items));
+    if (items == NULL) {
+        cursor->bad = true;
+        return;
+    }
+    fields.next = array->via.array.ptr;
+    fields.end = fields.next + 3 * count;
+    fields.bad = false;
+    for (size_t i = 0; i < count; i++) {
+        items[i].endpoint = get_uint(&fields, UINT64_MAX);
+        items[i].in_flight = get_u32(&fields);
+        items[i].backlog_tokens = get_u32(&fields);
+    }
+    cursor->bad = cursor->bad || fields.bad;
+    m->loads.items = items;
+    m->loads.count = count;
+}
+
+static void
+get_router_fields(struct cursor *cursor, struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_ROUTER:
+        m->router.address = get_str(cursor);
+        return;
+    case MESSAGE_LOADS:
+        get_loads(cursor, m);
+        return;
+    case MESSAGE_KNOWN:
+        for (size_t i = 0; i < MESSAGE_TOPICS; i++) {
+            m->known.ends[i] = get_uint(cursor, INT64_MAX);
+        }
+        return;
+    case MESSAGE_WANT:
+    case MESSAGE_REACHED:
+        m->position.topic = (uint32_t)get_uint(cursor, MESSAGE_TOPICS - 1);
+        m->position.offset = get_uint(cursor, INT64_MAX);
+        return;
+    case MESSAGE_RECORD:
+        m->record.topic = (uint32_t)get_uint(cursor, MESSAGE_TOPICS - 1);
+        m->record.offset = get_uint(cursor, INT64_MAX);
+        m->record.removed = get_bool(cursor);
+        m->record.key = get_str(cursor);
+        m->record.value = get_str(cursor);
+        return;
+    case MESSAGE_STRIKE:
+        m->strike.fingerprint = get_uint(cursor, UINT64_MAX);
+        m->strike.death = get_u32(cursor);
+        return;
+    default:
+        cursor->bad = true;
+    }
+}
+
 static void
 get_fields(struct cursor *cursor, struct message *m)
 {
@@ -450,6 +580,15 @@
     case MESSAGE_STATE:
         m->state.load = get_load(cursor);
         return;
+    case MESSAGE_ROUTER:
+    case MESSAGE_LOADS:
+    case MESSAGE_KNOWN:
+    case MESSAGE_WANT:
+    case MESSAGE_RECORD:
+    case MESSAGE_REACHED:
+    case MESSAGE_STRIKE:
+        get_router_fields(cursor, m);
+        return;
     case MESSAGE_PING:
     case MESSAGE_PONG:
     case MESSAGE_TYPE_END:
@@ -565,6 +704,7 @@
     }
     cursor.next = object.via.array.ptr;
     cursor.end = cursor.next + object.via.array.size;
+    cursor.zone = &codec->zone;
     message->type = (enum message_type)get_uint(&cursor, MESSAGE_TYPE_END - 1);
     if (cursor.bad || message->type < MESSAGE_HELLO) {
         return err_set(err, ERR_PROTOCOL, "decode", NULL,
@@ -583,15 +723,18 @@
 message_type_name(enum message_type type)
 {
     static const char *const names[MESSAGE_TYPE_END] = {
-        [MESSAGE_HELLO] = "hello",   [MESSAGE_PROOF] = "proof",
-        [MESSAGE_OFFER] = "offer",   [MESSAGE_BODY] = "body",
-        [MESSAGE_ACCEPT] = "accept", [MESSAGE_REFUSE] = "refuse",
-        [MESSAGE_HEAD] = "head",     [MESSAGE_DATA] = "data",
-        [MESSAGE_END] = "end",       [MESSAGE_FAIL] = "fail",
-        [MESSAGE_ACK] = "ack",       [MESSAGE_CANCEL] = "cancel",
-        [MESSAGE_RESUME] = "resume", [MESSAGE_PING] = "ping",
-        [MESSAGE_PONG] = "pong",     [MESSAGE_IN_FLIGHT] = "in-flight",
-        [MESSAGE_STATE] = "state",
+        [MESSAGE_HELLO] = "hello",     [MESSAGE_PROOF] = "proof",
+        [MESSAGE_OFFER] = "offer",     [MESSAGE_BODY] = "body",
+        [MESSAGE_ACCEPT] = "accept",   [MESSAGE_REFUSE] = "refuse",
+        [MESSAGE_HEAD] = "head",       [MESSAGE_DATA] = "data",
+        [MESSAGE_END] = "end",         [MESSAGE_FAIL] = "fail",
+        [MESSAGE_ACK] = "ack",         [MESSAGE_CANCEL] = "cancel",
+        [MESSAGE_RESUME] = "resume",   [MESSAGE_PING] = "ping",
+        [MESSAGE_PONG] = "pong",       [MESSAGE_IN_FLIGHT] = "in-flight",
+        [MESSAGE_STATE] = "state",     [MESSAGE_ROUTER] = "router",
+        [MESSAGE_LOADS] = "loads",     [MESSAGE_KNOWN] = "known",
+        [MESSAGE_WANT] = "want",       [MESSAGE_RECORD] = "record",
+        [MESSAGE_REACHED] = "reached", [MESSAGE_STRIKE] = "strike",
     };
 
     return names[type];
--- a/core/place.c
+++ b/core/place.c
@@ -3,9 +3,9 @@
 #include <math.h>
 
 /// Cost of the way to another zone, in ms; breaks ties between equal loads.
-#define CROSS_ZONE_MS 4.0
+#define CROSS_ZONE_MS 2.0
 /// Spread of a random part, so that routers do not all choose alike.
-#define JITTER_MS 3.0
+#define JITTER_MS 1.0
 
 static uint64_t
 mix(uint64_t a, uint64_t b)
@@ -33,49 +33,77 @@
     return *usable > 0 ? sum / (double)*usable : 0;
 }
 
-/// The first two usable endpoints in the prompt's rendezvous order.
+/// The first usable endpoints in the prompt's rendezvous order.
 static void
 find_homes(const struct place_request *request,
            const struct place_candidate *candidates, size_t count,
-           size_t homes[2])
+           size_t homes[PLACE_HOMES])
 {
-    uint64_t best[2] = {0, 0};
+    uint64_t best[PLACE_HOMES] = {0};
 
-    homes[0] = homes[1] = SIZE_MAX;
+    for (size_t i = 0; i < PLACE_HOMES; i++) {
+        homes[i] = SIZE_MAX;
+    }
     for (size_t i = 0; i < count; i++) {
         uint64_t score = mix(request->affinity, candidates[i].hash);
+        size_t at = PLACE_HOMES;
 
         if (!candidates[i].usable) {
             continue;
         }
-        if (homes[0] == SIZE_MAX || score > best[0]) {
-            homes[1] = homes[0];
-            best[1] = best[0];
-            homes[0] = i;
-            best[0] = score;
+        while (at > 0 && (homes[at - 1] == SIZE_MAX || score > best[at - 1])) {
+            at--;
+        }
+        if (at == PLACE_HOMES) {
+            continue;
         }
-        else if (homes[1] == SIZE_MAX || score > best[1]) {
-            homes[1] = i;
-            best[1] = score;
+        for (size_t j = PLACE_HOMES - 1; j > at; j--) {
+            homes[j] = homes[j - 1];
+            best[j] = best[j - 1];
         }
+        homes[at] = i;
+        best[at] = score;
     }
 }
 
+/// True if some usable endpoint is known to keep most of the prompt.
+static bool
+is_kept_somewhere(const struct place_request *request,
+                  const struct place_candidate *candidates, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (candidates[i].usable &&
+            2 * candidates[i].cached_tokens >= request->prompt_tokens) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Tokens of the prompt that the endpoint will have to read.
 static double
-prompt_ms(const struct place_request *request,
-          const struct place_candidate *candidate, bool is_home)
+unread_tokens(const struct place_request *request,
+              const struct place_candidate *candidate, size_t home)
 {
+    static const double beliefs[PLACE_HOMES] = {1.0, 0.6, 0.3};
     double cached = candidate->cached_tokens;
-    double uncached;
 
-    if (!request->has_prompt) {
-        return 0;
+    if (home < PLACE_HOMES &&
+        cached < beliefs[home] * request->prompt_tokens) {
+        cached = beliefs[home] * request->prompt_tokens;
     }
-    if (is_home && cached < PLACE_HOME_BELIEF * request->prompt_tokens) {
-        cached = PLACE_HOME_BELIEF * request->prompt_tokens;
+    return fmax(0, request->prompt_tokens - cached);
+}
+
+static size_t
+home_of(const size_t homes[PLACE_HOMES], size_t index)
+{
+    size_t home = 0;
+
+    while (home < PLACE_HOMES && homes[home] != index) {
+        home++;
     }
-    uncached = fmax(0, request->prompt_tokens - cached);
-    return (candidate->backlog_tokens + uncached) / request->tokens_per_ms;
+    return home;
 }
 
 /// Requests beyond the slots wait their turn: each such costs a whole run.
@@ -88,12 +116,44 @@
            (over > 0 ? 20 * PLACE_LOAD_MS * over : 0);
 }
 
+static enum place_reason
+reason_of(const struct place_candidate *candidate, bool fits, size_t home)
+{
+    if (!fits) {
+        return PLACE_FULL;
+    }
+    if (candidate->cached_tokens > 0) {
+        return PLACE_CACHED;
+    }
+    return home == 0 ? PLACE_HOME : PLACE_LIGHTEST;
+}
+
+static void
+predict(const struct place_request *request,
+        const struct place_candidate *candidate, size_t home,
+        struct place_choice *choice)
+{
+    double unread_ms = 0;
+    double backlog_ms = 0;
+
+    if (request->has_prompt) {
+        unread_ms = unread_tokens(request, candidate, home) /
+                    request->tokens_per_ms;
+        backlog_ms = candidate->backlog_tokens / request->tokens_per_ms;
+    }
+    choice->first_ms = unread_ms + backlog_ms;
+    choice->cost_ms = PLACE_REREAD_WEIGHT * unread_ms + backlog_ms +
+                      load_ms(candidate) +
+                      (candidate->same_zone ? 0 : CROSS_ZONE_MS) +
+                      JITTER_MS * random_unit(request->random);
+}
+
 bool
 place_choose(const struct place_request *request,
              const struct place_candidate *candidates, size_t count,
              struct place_choice *choice)
 {
-    size_t homes[2] = {SIZE_MAX, SIZE_MAX};
+    size_t homes[PLACE_HOMES] = {SIZE_MAX, SIZE_MAX, SIZE_MAX};
     bool best_fits = false;
     bool found = false;
     double cap;
@@ -102,36 +162,30 @@
     choice->mean_load = mean_load(candidates, count, &choice->usable);
     cap = PLACE_CAP_SHARE *
           (request->cap_factor * choice->mean_load + request->cap_slack);
-    if (request->has_prompt) {
+    if (request->has_prompt &&
+        !is_kept_somewhere(request, candidates, count)) {
         find_homes(request, candidates, count, homes);
     }
     for (size_t i = 0; i < count; i++) {
         const struct place_candidate *candidate = &candidates[i];
-        bool is_home = i == homes[0];
+        size_t home = home_of(homes, i);
         bool fits = candidate->load + 1 <= cap || candidate->load == 0;
-        double first, cost;
+        struct place_choice here = *choice;
 
         if (!candidate->usable) {
             continue;
         }
-        first = prompt_ms(request, candidate, is_home);
-        cost = first + load_ms(candidate) +
-               (candidate->same_zone ? 0 : CROSS_ZONE_MS) +
-               (i == homes[1] ? -JITTER_MS : 0) +
-               JITTER_MS * random_unit(request->random);
+        predict(request, candidate, home, &here);
         if (found && (best_fits > fits ||
-                      (best_fits == fits && cost >= choice->cost_ms))) {
+                      (best_fits == fits &&
+                       here.cost_ms >= choice->cost_ms))) {
             continue;
         }
         found = true;
         best_fits = fits;
-        choice->index = i;
-        choice->cost_ms = cost;
-        choice->first_ms = first;
-        choice->reason = !fits                        ? PLACE_FULL
-                         : candidate->cached_tokens > 0 ? PLACE_CACHED
-                         : is_home                    ? PLACE_HOME
-                                                      : PLACE_LIGHTEST;
+        here.index = i;
+        here.reason = reason_of(candidate, fits, home);
+        *choice = here;
     }
     return found;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -12,22 +12,25 @@
 
 #include "dandelionvalve/clock.h"
 
-/// Cost of one request in flight, in ms: what it adds to the pauses of a
-/// reply of usual length, so that equal caches give equal loads.
-#define PLACE_LOAD_MS 9.0
+/// Cost of one request in flight, in ms: breaks ties; the cap balances. A
+/// request more in a batch slows the others by a tenth of a ms a step.
+#define PLACE_LOAD_MS 1.0
+/// Reading a context again delays everything at that endpoint, so that it
+/// weighs more than waiting for a turn does.
+#define PLACE_REREAD_WEIGHT 3.0
 /// The rest of the cap is kept for requests that peers place meanwhile.
-#define PLACE_CAP_SHARE 0.75
-/// How much of a prompt the first endpoints in its rendezvous order are taken
-/// to keep although this router has not placed it there: peers do.
-#define PLACE_HOME_BELIEF 0.7
+#define PLACE_CAP_SHARE 0.9
+/// Places in a prompt's rendezvous order that are taken to keep part of it
+/// while this router knows of no endpoint that does: peers place there too.
+#define PLACE_HOMES 3
 
 struct place_candidate {
-    uint64_t hash;      ///< of the endpoint's identity
+    uint64_t hash; ///< of the endpoint's identity
     bool usable;
     bool same_zone;
-    uint32_t load;      ///< requests in flight there, by all routers
-    uint32_t slots;     ///< requests it works on at once
-    double backlog_tokens; ///< prompt tokens that it has yet to read
+    uint32_t load;          ///< requests in flight there, by all routers
+    uint32_t slots;         ///< requests it works on at once
+    double backlog_tokens;  ///< prompt tokens that it has yet to read
     uint32_t cached_tokens; ///< of this prompt, believed there
 };
 
@@ -42,17 +45,17 @@
 };
 
 enum place_reason {
-    PLACE_CACHED,  ///< part of the prompt is believed there
-    PLACE_HOME,    ///< first in the prompt's rendezvous order
+    PLACE_CACHED,   ///< part of the prompt is believed there
+    PLACE_HOME,     ///< first in the prompt's rendezvous order
     PLACE_LIGHTEST, ///< least cost otherwise
-    PLACE_FULL,    ///< all are at the cap: least cost of all
+    PLACE_FULL,     ///< all are at the cap: least cost of all
 };
 
 struct place_choice {
     size_t index;
     enum place_reason reason;
     double cost_ms;
-    double first_ms;   ///< predicted time until the prompt is read
+    double first_ms; ///< predicted time until the prompt is read
     double mean_load;
     size_t usable;
 };
--- a/core/records.c
+++ b/core/records.c
@@ -75,8 +75,7 @@
     HASH_ITER(hh, topic->entries, entry, next)
     {
         if (entry->record.removed &&
-            (oldest == NULL ||
-             entry->record.offset < oldest->record.offset)) {
+            (oldest == NULL || entry->record.offset < oldest->record.offset)) {
             oldest = entry;
         }
     }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -219,8 +219,7 @@
     if (links == NULL) {
         return;
     }
-    settings->has_links =
-        get_address(links, "address", &settings->links, err);
+    settings->has_links = get_address(links, "address", &settings->links, err);
     get_keys(links, &settings->keys, err);
     count = toml_strings(links, "seeds", err);
     for (size_t i = 0; i < count && i < SETTINGS_SEEDS_MAX; i++) {
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -61,11 +61,11 @@
     struct link_keys keys;
     struct address seeds[SETTINGS_SEEDS_MAX];
     size_t seed_count;
-    int64_t grace_ms;       ///< from SIGTERM to the end of the process
+    int64_t grace_ms; ///< from SIGTERM to the end of the process
     int64_t budget_window_ms;
-    double budget_ratio;    ///< retries, as a share of the requests
-    int64_t budget_slack;   ///< retries above that share, of all routers
-    double cap_factor;      ///< bound on an endpoint's load, times the mean
+    double budget_ratio;  ///< retries, as a share of the requests
+    int64_t budget_slack; ///< retries above that share, of all routers
+    double cap_factor;    ///< bound on an endpoint's load, times the mean
 };
 
 struct settings_standin_group {
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -17,6 +17,7 @@
 #include "exchange.h"
 #include "net/caller.h"
 #include "net/log.h"
+#include "mesh.h"
 
 #define LOG_MODULE "direct"
 
@@ -38,6 +39,8 @@
 #define IDLE_MS 15000
 /// Share of the retry budget that is used: other routers count later.
 #define BUDGET_USED_PERCENT 85
+/// Routers that are taken to share the retry budget before they are known.
+#define ROUTERS_ASSUMED 4
 /// Reading speed before any answer has shown it, prompt tokens in a ms.
 #define TOKENS_PER_MS 40.0
 #define TOKENS_PER_MS_MIN 4.0
@@ -59,6 +62,7 @@
 
 struct direct {
     struct direct_options options;
+    char *name;
     struct records *records;
     void *store;
     struct catalog *catalog;
@@ -66,6 +70,7 @@
     struct caller_server *callers;
     struct admin *ready;
     struct admin *metrics;
+    struct mesh *mesh;
     struct quarantine *quarantine;
     struct budget *budgets;
     struct listed *exchanges;
@@ -103,29 +108,26 @@
         catalog_unref(catalog);
         return;
     }
-    LOG_INFO("event=configuration version=%lld before=%lld offset=%lld "
-             "routes=%zu bytes=%zu",
-             (long long)catalog_version(catalog),
-             direct->catalog != NULL
-                 ? (long long)catalog_version(direct->catalog)
-                 : -1,
-             (long long)record->offset, catalog_routes(catalog),
-             record->value.len);
+    LOG_INFO(
+        "event=configuration version=%lld before=%lld offset=%lld "
+        "routes=%zu bytes=%zu",
+        (long long)catalog_version(catalog),
+        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
+                                : -1,
+        (long long)record->offset, catalog_routes(catalog), record->value.len);
     counter_add(direct->options.counters, COUNTER_CONF_ACCEPTED, 1);
     counter_set(direct->options.counters, COUNTER_CONF_VERSION,
                 (uint64_t)catalog_version(catalog));
     catalog_unref(direct->catalog);
     direct->catalog = catalog;
     limits = catalog_limits(catalog);
-    caller_server_set_limits(direct->callers,
-                             &(struct caller_limits){
-                                 .head_bytes_max =
-                                     (size_t)limits->head_bytes_max,
-                                 .body_bytes_max =
-                                     (size_t)limits->body_bytes_max,
-                                 .head_ms = limits->head_ms,
-                                 .idle_ms = limits->idle_ms,
-                             });
+    caller_server_set_limits(
+        direct->callers, &(struct caller_limits){
+                             .head_bytes_max = (size_t)limits->head_bytes_max,
+                             .body_bytes_max = (size_t)limits->body_bytes_max,
+                             .head_ms = limits->head_ms,
+                             .idle_ms = limits->idle_ms,
+                         });
 }
 
 struct entry_context {
@@ -140,8 +142,7 @@
     const struct catalog_service *service = NULL;
 
     if (entry->direct->catalog != NULL) {
-        service =
-            catalog_find_service(entry->direct->catalog, facts->service);
+        service = catalog_find_service(entry->direct->catalog, facts->service);
     }
     endpoints_update(entry->direct->endpoints, entry->id, facts,
                      service != NULL && service->memory_tokens > 0
@@ -175,6 +176,23 @@
     }
 }
 
+static void
+take_router(struct direct *direct, const struct record *record)
+{
+    struct address address;
+    struct err err = {0};
+
+    if (record->removed || direct->mesh == NULL) {
+        return;
+    }
+    if (!address_parse(record->value, &address, &err)) {
+        LOG_WARNING("event=router-rejected router=" STR_FMT " detail=\"%s\"",
+                    STR_ARG(record->key), err.message);
+        return;
+    }
+    mesh_add(direct->mesh, &address);
+}
+
 static void
 on_record(void *ctx, const struct record *record)
 {
@@ -190,6 +208,8 @@
         take_entry(direct, record);
         return;
     case RECORDS_ROUTERS:
+        take_router(direct, record);
+        return;
     case RECORDS_TOPICS:
         return;
     }
@@ -231,14 +251,13 @@
 {
     const struct direct *direct = ctx;
 
-    return xasprintf("{\"version\":%lld,\"endpoints\":%zu,\"requests\":%u,"
-                     "\"draining\":%s}\n",
-                     direct->catalog != NULL
-                         ? (long long)catalog_version(direct->catalog)
-                         : -1,
-                     endpoints_count(direct->endpoints),
-                     HASH_COUNT(direct->exchanges),
-                     direct->draining ? "true" : "false");
+    return xasprintf(
+        "{\"version\":%lld,\"endpoints\":%zu,\"requests\":%u,"
+        "\"draining\":%s}\n",
+        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
+                                : -1,
+        endpoints_count(direct->endpoints), HASH_COUNT(direct->exchanges),
+        direct->draining ? "true" : "false");
 }
 
 static void
@@ -304,6 +323,126 @@
     exchange_abandon(user);
 }
 
+/// Loads that have changed since the peers were told, and those in flight:
+/// a peer takes an old report for gone.
+static size_t
+on_report(void *ctx, struct message_load *items, size_t max)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints_first(direct->endpoints);
+         endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
+        if (endpoint->in_flight == 0 && endpoint->told_in_flight == 0) {
+            continue;
+        }
+        endpoint->told_in_flight = endpoint->in_flight;
+        items[count++] = (struct message_load){
+            .endpoint = endpoint->hash,
+            .in_flight = endpoint->in_flight,
+            .backlog_tokens = (uint32_t)endpoint->backlog_tokens,
+        };
+    }
+    return count;
+}
+
+static void
+on_loads(void *ctx, uint64_t peer, const struct message_load *items,
+         size_t count)
+{
+    struct direct *direct = ctx;
+    int64_t now_ms = clock_ms(direct->options.clock);
+
+    for (size_t i = 0; i < count; i++) {
+        struct endpoint *endpoint =
+            endpoints_find_hash(direct->endpoints, items[i].endpoint);
+
+        if (endpoint != NULL) {
+            endpoint_set_peer_load(endpoint, peer, items[i].in_flight,
+                                   items[i].backlog_tokens, now_ms);
+        }
+    }
+}
+
+static void
+on_strike(void *ctx, uint64_t fingerprint, uint32_t death)
+{
+    const struct direct *direct = ctx;
+
+    quarantine_strike(direct->quarantine, fingerprint, death);
+}
+
+static void
+on_peer_caught_up(void *ctx, enum record_topic topic)
+{
+    struct direct *direct = ctx;
+
+    if (topic == RECORDS_ENDPOINTS) {
+        direct->knows_endpoints = true;
+    }
+}
+
+static bool
+on_store_answers(void *ctx, enum record_topic topic)
+{
+    const struct direct *direct = ctx;
+
+    return direct->store != NULL &&
+           direct->options.store->is_reachable(direct->store, (int)topic);
+}
+
+static bool
+start_peers(struct direct *direct, struct err *err)
+{
+    const struct settings_direct *settings = direct->options.settings;
+    const struct mesh_options options = {
+        .base = direct->options.base,
+        .clock = direct->options.clock,
+        .random = direct->options.random,
+        .counters = direct->options.counters,
+        .name = direct->name,
+        .incarnation = direct->options.incarnation,
+        .address = settings->links,
+        .keys = &settings->keys,
+        .records = direct->records,
+        .report = on_report,
+        .loads = on_loads,
+        .strike = on_strike,
+        .caught_up = on_peer_caught_up,
+        .store_answers = on_store_answers,
+        .ctx = direct,
+    };
+
+    if (!settings->has_links) {
+        return true;
+    }
+    direct->mesh = mesh_new(&options, err);
+    if (direct->mesh == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        mesh_add(direct->mesh, &settings->seeds[i]);
+    }
+    return true;
+}
+
+/// Where other routers find this one.
+static void
+announce(struct direct *direct)
+{
+    char text[ADDRESS_TEXT_BYTES];
+
+    if (direct->mesh == NULL) {
+        return;
+    }
+    address_format(
+        (const struct sockaddr *)&direct->options.settings->links.storage,
+        text);
+    direct->options.store->announce(
+        direct->store, direct->options.settings->name, str_from(text));
+}
+
 static struct admin *
 new_admin(struct direct *direct, const struct address *address,
           struct err *err)
@@ -374,12 +513,14 @@
     });
     direct->tick = event_new(options->base, -1, EV_PERSIST, on_tick, direct);
     event_add(direct->tick, &tick);
-    if (!listen_all(direct, err)) {
+    direct->name = str_dup(options->settings->name);
+    if (!listen_all(direct, err) || !start_peers(direct, err)) {
         direct_free(direct);
         return NULL;
     }
     direct->store =
         options->store->start(options->store->ctx, direct, direct->records);
+    announce(direct);
     LOG_INFO("event=start name=" STR_FMT " zone=" STR_FMT
              " callers=%s:%u incarnation=%llu",
              STR_ARG(options->settings->name),
@@ -404,6 +545,7 @@
     if (direct->store != NULL) {
         direct->options.store->stop(direct->store);
     }
+    mesh_free(direct->mesh);
     caller_server_free(direct->callers);
     admin_free(direct->ready);
     admin_free(direct->metrics);
@@ -419,6 +561,7 @@
         free(budget);
     }
     event_free(direct->tick);
+    free(direct->name);
     free(direct);
 }
 
@@ -510,8 +653,9 @@
 static size_t
 routers_known(const struct direct *direct)
 {
-    (void)direct;
-    return 4;
+    size_t fleet = direct->mesh != NULL ? mesh_fleet(direct->mesh) : 1;
+
+    return fleet > ROUTERS_ASSUMED ? fleet : ROUTERS_ASSUMED;
 }
 
 struct retry_budget *
@@ -552,6 +696,9 @@
         LOG_INFO("event=strike fingerprint=%016llx death=%08x strikes=%u",
                  (unsigned long long)fingerprint, death,
                  quarantine_strikes(direct->quarantine, fingerprint));
+        if (direct->mesh != NULL) {
+            mesh_strike(direct->mesh, fingerprint, death);
+        }
     }
 }
 
@@ -573,8 +720,7 @@
     speed = speed < TOKENS_PER_MS_MIN   ? TOKENS_PER_MS_MIN
             : speed > TOKENS_PER_MS_MAX ? TOKENS_PER_MS_MAX
                                         : speed;
-    direct->tokens_per_ms +=
-        READING_WEIGHT * (speed - direct->tokens_per_ms);
+    direct->tokens_per_ms += READING_WEIGHT * (speed - direct->tokens_per_ms);
 }
 
 void
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -59,8 +59,8 @@
     LOG_INFO("event=endpoint-gone endpoint=" STR_FMT " service=" STR_FMT
              " address=%s:%u in_flight=%u reason=%s",
              STR_ARG(endpoint->id), STR_ARG(endpoint->service),
-             endpoint->address.ip, endpoint->address.port,
-             endpoint->in_flight, reason);
+             endpoint->address.ip, endpoint->address.port, endpoint->in_flight,
+             reason);
     HASH_DEL(endpoints->all, endpoint);
     endpoint->gone = true;
     endpoint_unref(endpoint);
@@ -131,11 +131,10 @@
                     STR_ARG(id), err.message);
         return;
     }
-    if (endpoint != NULL &&
-        (endpoint->incarnation != facts->incarnation ||
-         !str_equal(endpoint->service, facts->service) ||
-         strcmp(endpoint->address.ip, address.ip) ||
-         endpoint->address.port != address.port)) {
+    if (endpoint != NULL && (endpoint->incarnation != facts->incarnation ||
+                             !str_equal(endpoint->service, facts->service) ||
+                             strcmp(endpoint->address.ip, address.ip) ||
+                             endpoint->address.port != address.port)) {
         take_out(endpoints, endpoint, "restarted");
         endpoint = NULL;
     }
@@ -196,6 +195,17 @@
     return endpoint;
 }
 
+struct endpoint *
+endpoints_find_hash(struct endpoints *endpoints, uint64_t hash)
+{
+    struct endpoint *endpoint = endpoints->all;
+
+    while (endpoint != NULL && endpoint->hash != hash) {
+        endpoint = endpoint->hh.next;
+    }
+    return endpoint;
+}
+
 size_t
 endpoints_count(const struct endpoints *endpoints)
 {
@@ -334,8 +344,7 @@
     struct endpoint *endpoint;
     size_t count = 0;
 
-    for (endpoint = endpoints->all;
-         endpoint != NULL && count < CANDIDATES_MAX;
+    for (endpoint = endpoints->all; endpoint != NULL && count < CANDIDATES_MAX;
          endpoint = endpoint->hh.next) {
         if (!str_equal(endpoint->service, query->service)) {
             continue;
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -47,8 +47,8 @@
     struct channel_pool *pool;
     struct eject eject;
     struct prefix_cache *cache;
-    uint32_t in_flight;     ///< own requests
-    double backlog_tokens;  ///< own prompts that it has yet to read
+    uint32_t in_flight;      ///< own requests
+    double backlog_tokens;   ///< own prompts that it has yet to read
     uint32_t told_in_flight; ///< what peers were last told
     struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
     size_t peer_count;
@@ -83,6 +83,8 @@
 void endpoints_tick(struct endpoints *endpoints);
 
 struct endpoint *endpoints_find(struct endpoints *endpoints, struct str id);
+struct endpoint *endpoints_find_hash(struct endpoints *endpoints,
+                                     uint64_t hash);
 size_t endpoints_count(const struct endpoints *endpoints);
 
 /// The first endpoint; the following ones by `hh.next`.
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -52,11 +52,11 @@
     struct endpoint *endpoint;
     struct channel *channel;
     uint64_t tried[OFFERS_MAX];
-    size_t offers;    ///< endpoints chosen so far
-    size_t arrivals;  ///< endpoints that may have got it
-    size_t runs;      ///< endpoints that may have run it
+    size_t offers;   ///< endpoints chosen so far
+    size_t arrivals; ///< endpoints that may have got it
+    size_t runs;     ///< endpoints that may have run it
     int64_t offered_ms;
-    int64_t progress_ms; ///< last sign of the endpoint
+    int64_t progress_ms;   ///< last sign of the endpoint
     double backlog_tokens; ///< its share of the endpoint's
     uint32_t unread_tokens;
     bool stalled; ///< this attempt's silence has been counted
@@ -159,25 +159,26 @@
     const struct endpoint *endpoint = exchange->endpoint;
     int64_t now_ms = now_of(exchange);
 
-    LOG_INFO("event=answer id=%s route=" STR_FMT " account=" STR_FMT
-             " version=%lld status=%d outcome=%s reason=\"%s\" endpoint=" STR_FMT
-             " offers=%zu arrivals=%zu first_ms=%lld total_ms=%lld "
-             "left_ms=%lld",
-             exchange->id,
-             STR_ARG(exchange->route != NULL ? exchange->route->name
-                                             : (struct str){0}),
-             STR_ARG(exchange->account),
-             exchange->catalog != NULL
-                 ? (long long)catalog_version(exchange->catalog)
-                 : -1,
-             status, outcome, reason,
-             STR_ARG(endpoint != NULL ? endpoint->id : (struct str){0}),
-             exchange->offers, exchange->arrivals,
-             (long long)(exchange->first_ms > 0
-                             ? exchange->first_ms - exchange->started_ms
-                             : -1),
-             (long long)(now_ms - exchange->started_ms),
-             (long long)(exchange->limit_ms - now_ms));
+    LOG_INFO(
+        "event=answer id=%s route=" STR_FMT " account=" STR_FMT
+        " version=%lld status=%d outcome=%s reason=\"%s\" endpoint=" STR_FMT
+        " offers=%zu arrivals=%zu first_ms=%lld total_ms=%lld "
+        "left_ms=%lld",
+        exchange->id,
+        STR_ARG(exchange->route != NULL ? exchange->route->name
+                                        : (struct str){0}),
+        STR_ARG(exchange->account),
+        exchange->catalog != NULL
+            ? (long long)catalog_version(exchange->catalog)
+            : -1,
+        status, outcome, reason,
+        STR_ARG(endpoint != NULL ? endpoint->id : (struct str){0}),
+        exchange->offers, exchange->arrivals,
+        (long long)(exchange->first_ms > 0
+                        ? exchange->first_ms - exchange->started_ms
+                        : -1),
+        (long long)(now_ms - exchange->started_ms),
+        (long long)(exchange->limit_ms - now_ms));
 }
 
 /// An answer of the router's own. The status says what is known: 503 and 429
@@ -191,9 +192,9 @@
     bool not_run = exchange->runs == 0;
 
     counter_add(counters,
-                status < 500      ? COUNTER_REJECTED
-                : not_run         ? COUNTER_NOT_RUN
-                                  : COUNTER_UNKNOWN,
+                status < 500 ? COUNTER_REJECTED
+                : not_run    ? COUNTER_NOT_RUN
+                             : COUNTER_UNKNOWN,
                 1);
     log_end(exchange, status, not_run ? "not-run" : "unknown", reason);
     if (exchange->channel != NULL) {
@@ -220,10 +221,10 @@
         refuse(exchange, 502, -1, reason);
         return;
     }
-    refuse(exchange, 503,
-           patience_retry_after_ms(random,
-                                   exchange->limit_ms - now_of(exchange)),
-           reason);
+    refuse(
+        exchange, 503,
+        patience_retry_after_ms(random, exchange->limit_ms - now_of(exchange)),
+        reason);
 }
 
 /// The answer can be neither completed nor replaced.
@@ -292,9 +293,9 @@
 try_again(struct exchange *exchange, enum attempt_end end)
 {
     bool paid = end != ATTEMPT_UNSENT;
-    bool allowed = outcome_allows_retry(end, is_repeatable(exchange)) ||
-                   (end == ATTEMPT_CUT &&
-                    exchange->route->kind == ROUTE_RESUMABLE);
+    bool allowed =
+        outcome_allows_retry(end, is_repeatable(exchange)) ||
+        (end == ATTEMPT_CUT && exchange->route->kind == ROUTE_RESUMABLE);
 
     if (!allowed || exchange->offers >= OFFERS_MAX ||
         exchange->arrivals >= exchange->route->endpoints_max ||
@@ -602,11 +603,10 @@
 static void
 stall(struct exchange *exchange)
 {
-    bool may_move =
-        is_repeatable(exchange) && exchange->caller != NULL &&
-        exchange->arrivals < exchange->route->endpoints_max &&
-        endpoints_ready(direct_endpoints(exchange->direct),
-                        exchange->service) > 1;
+    bool may_move = is_repeatable(exchange) && exchange->caller != NULL &&
+                    exchange->arrivals < exchange->route->endpoints_max &&
+                    endpoints_ready(direct_endpoints(exchange->direct),
+                                    exchange->service) > 1;
 
     exchange->stalled = true;
     note_failure(exchange, "silent");
@@ -685,7 +685,8 @@
         .priority = exchange->priority > 9 ? 9 : exchange->priority,
         .has_priority = exchange->has_priority,
         .body_bytes = body_bytes,
-        .has_body = body_bytes > 0 || http1_count(head, "Content-Length") > 0 ||
+        .has_body = body_bytes > 0 ||
+                    http1_count(head, "Content-Length") > 0 ||
                     http1_count(head, "Transfer-Encoding") > 0,
     };
     const struct channel_handler handler = {on_head, on_data, on_end,
@@ -776,8 +777,8 @@
         return true;
     }
     if (exchange->facts.api_key.len > 0) {
-        account = catalog_find_account(exchange->catalog,
-                                       exchange->facts.api_key);
+        account =
+            catalog_find_account(exchange->catalog, exchange->facts.api_key);
     }
     if (account != NULL) {
         exchange->account = account->name;
--- /dev/null
+++ b/direct/mesh.c
@@ -0,0 +1,627 @@
+#include "mesh.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <utlist.h>
+
+#include "core/xmalloc.h"
+#include "net/log.h"
+
+#define LOG_MODULE "mesh"
+
+#define TICK_MS 100
+#define LINK_TICK_MS 500
+#define DIAL_FIRST_MS 300
+#define DIAL_LONGEST_MS 5000
+/// An address that has not answered for so long is forgotten; its router has
+/// been replaced.
+#define FORGET_MS 60000
+#define FLEET_HOLD_MS 30000
+#define BACKLOG 64
+
+/// An address of another router.
+struct target {
+    char text[ADDRESS_TEXT_BYTES];
+    struct address address;
+    struct link *link; ///< dialed by us, in any state
+    int64_t dial_ms;   ///< when to dial next
+    int64_t backoff_ms;
+    int64_t silent_ms; ///< since when there is no link
+    struct target *next;
+};
+
+/// A link that is ready.
+struct peer {
+    struct link *link;
+    char address[ADDRESS_TEXT_BYTES]; ///< where it takes links
+    uint64_t id;
+    uint64_t ends[RECORDS_TOPICS];
+    int64_t told_ms;
+    struct peer *next;
+};
+
+struct mesh {
+    struct mesh_options options;
+    struct link_options link_options;
+    struct evconnlistener *listener;
+    struct event *tick;
+    struct target *targets;
+    struct peer *all;
+    size_t count;
+    size_t fleet;
+    int64_t fleet_ms;
+    int64_t report_ms;
+    int64_t behind_ms[RECORDS_TOPICS]; ///< since when; 0: not behind
+    int64_t want_ms[RECORDS_TOPICS];   ///< when we last asked; 0: not asking
+    size_t turn; ///< of the peers that are asked for records
+    struct message_load loads[MESSAGE_LOADS_MAX];
+    char own_address[ADDRESS_TEXT_BYTES];
+};
+
+static int64_t
+now_of(const struct mesh *mesh)
+{
+    return clock_ms(mesh->options.clock);
+}
+
+static struct peer *
+find_peer(const struct mesh *mesh, const struct link *link)
+{
+    struct peer *peer;
+
+    LL_SEARCH_SCALAR(mesh->all, peer, link, link);
+    return peer;
+}
+
+static bool
+is_linked(const struct mesh *mesh, const char *address)
+{
+    const struct peer *peer;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        if (!strcmp(peer->address, address)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+tell_own_address(struct mesh *mesh, struct link *link)
+{
+    link_send(link, &(struct message){
+                        .type = MESSAGE_ROUTER,
+                        .router.address = str_from(mesh->own_address),
+                    });
+}
+
+static void
+tell_known(struct mesh *mesh, struct link *link)
+{
+    struct message message = {.type = MESSAGE_KNOWN};
+
+    for (size_t i = 0; i < RECORDS_TOPICS; i++) {
+        message.known.ends[i] =
+            (uint64_t)records_end(mesh->options.records, (enum record_topic)i);
+    }
+    link_send(link, &message);
+}
+
+static void
+on_ready(void *ctx, struct link *link)
+{
+    struct mesh *mesh = ctx;
+    struct peer *peer = xcalloc(1, sizeof(*peer));
+    const struct peer *other;
+
+    peer->link = link;
+    peer->id = str_hash(link_peer_name(link), link_peer_incarnation(link));
+    link_set_busy(link, true);
+    tell_own_address(mesh, link);
+    tell_known(mesh, link);
+    LL_FOREACH(mesh->all, other)
+    {
+        if (other->address[0] != '\0') {
+            link_send(link, &(struct message){
+                                .type = MESSAGE_ROUTER,
+                                .router.address = str_from(other->address),
+                            });
+        }
+    }
+    LL_PREPEND(mesh->all, peer);
+    mesh->count++;
+}
+
+static void
+forget_link(struct mesh *mesh, struct link *link)
+{
+    struct peer *peer = find_peer(mesh, link);
+    struct target *target;
+
+    LL_SEARCH_SCALAR(mesh->targets, target, link, link);
+    if (target != NULL) {
+        target->link = NULL;
+        target->dial_ms = now_of(mesh) + target->backoff_ms;
+    }
+    if (peer != NULL) {
+        LL_DELETE(mesh->all, peer);
+        mesh->count--;
+        free(peer);
+    }
+}
+
+static void
+on_closed(void *ctx, struct link *link, const struct err *err)
+{
+    struct mesh *mesh = ctx;
+    const struct peer *peer = find_peer(mesh, link);
+    char address[ADDRESS_TEXT_BYTES] = "";
+
+    if (peer != NULL) {
+        snprintf(address, sizeof(address), "%s", peer->address);
+    }
+    forget_link(mesh, link);
+    // Of two links with one router the second is closed, which loses nothing.
+    if (address[0] != '\0' && !is_linked(mesh, address)) {
+        LOG_WARNING("event=dependency-lost dependency=router peer=" STR_FMT
+                    " address=%s detail=\"%s\"",
+                    STR_ARG(link_peer_name(link)), address, err->message);
+    }
+}
+
+/// Two routers that dial each other at once have two links; the one that the
+/// lesser address has dialed stays.
+static void
+drop_second_link(struct mesh *mesh, struct peer *peer)
+{
+    struct peer *other, *next;
+    struct target *target;
+
+    LL_FOREACH_SAFE(mesh->all, other, next)
+    {
+        struct peer *victim;
+        bool dialed;
+
+        if (other == peer || other->id != peer->id) {
+            continue;
+        }
+        if (strcmp(mesh->own_address, peer->address) >= 0) {
+            continue;
+        }
+        LL_SEARCH_SCALAR(mesh->targets, target, link, peer->link);
+        dialed = target != NULL;
+        victim = dialed ? other : peer;
+        link_close(victim->link);
+        forget_link(mesh, victim->link);
+        return;
+    }
+}
+
+static void
+take_router(struct mesh *mesh, struct link *link, struct str text)
+{
+    struct peer *peer = find_peer(mesh, link);
+    struct address address;
+    struct err err = {0};
+    char copy[ADDRESS_TEXT_BYTES];
+
+    if (!address_parse(text, &address, &err)) {
+        LOG_WARNING("event=router-rejected peer=" STR_FMT " detail=\"%s\"",
+                    STR_ARG(link_peer_name(link)), err.message);
+        return;
+    }
+    snprintf(copy, sizeof(copy), STR_FMT, STR_ARG(text));
+    if (peer != NULL && peer->address[0] == '\0') {
+        snprintf(peer->address, sizeof(peer->address), "%s", copy);
+        LOG_INFO("event=dependency-regained dependency=router peer=" STR_FMT
+                 " address=%s routers=%zu",
+                 STR_ARG(link_peer_name(link)), copy, mesh_count(mesh) + 1);
+        drop_second_link(mesh, peer);
+    }
+    mesh_add(mesh, &address);
+}
+
+static void
+take_known(struct mesh *mesh, struct link *link, const uint64_t *ends)
+{
+    struct peer *peer = find_peer(mesh, link);
+
+    if (peer != NULL) {
+        memcpy(peer->ends, ends, sizeof(peer->ends));
+    }
+}
+
+static void
+send_record(void *ctx, const struct record *record)
+{
+    link_send(ctx, &(struct message){
+                       .type = MESSAGE_RECORD,
+                       .record.topic = (uint32_t)record->topic,
+                       .record.offset = (uint64_t)record->offset,
+                       .record.removed = record->removed,
+                       .record.key = record->key,
+                       .record.value = record->value,
+                   });
+}
+
+static void
+give_records(struct mesh *mesh, struct link *link, uint32_t topic,
+             uint64_t offset)
+{
+    const struct records *records = mesh->options.records;
+
+    records_since(records, (enum record_topic)topic, (int64_t)offset,
+                  send_record, link);
+    link_send(link, &(struct message){
+                        .type = MESSAGE_REACHED,
+                        .position.topic = topic,
+                        .position.offset = (uint64_t)records_end(
+                            records, (enum record_topic)topic),
+                    });
+}
+
+static void
+take_reached(struct mesh *mesh, struct link *link, uint32_t topic,
+             uint64_t offset)
+{
+    LOG_INFO("event=records-from-peer peer=" STR_FMT " topic=%s before=%lld "
+             "offset=%llu",
+             STR_ARG(link_peer_name(link)),
+             record_topic_name((enum record_topic)topic),
+             (long long)records_end(mesh->options.records,
+                                    (enum record_topic)topic),
+             (unsigned long long)offset);
+    records_set_end(mesh->options.records, (enum record_topic)topic,
+                    (int64_t)offset);
+    mesh->want_ms[topic] = 0;
+    mesh->options.caught_up(mesh->options.ctx, (enum record_topic)topic);
+}
+
+static void
+on_message(void *ctx, struct link *link, const struct message *message)
+{
+    struct mesh *mesh = ctx;
+    const struct peer *peer = find_peer(mesh, link);
+
+    switch (message->type) {
+    case MESSAGE_ROUTER:
+        take_router(mesh, link, message->router.address);
+        return;
+    case MESSAGE_LOADS:
+        if (peer != NULL) {
+            mesh->options.loads(mesh->options.ctx, peer->id,
+                                message->loads.items, message->loads.count);
+        }
+        return;
+    case MESSAGE_KNOWN:
+        take_known(mesh, link, message->known.ends);
+        return;
+    case MESSAGE_WANT:
+        give_records(mesh, link, message->position.topic,
+                     message->position.offset);
+        return;
+    case MESSAGE_RECORD:
+        records_apply(mesh->options.records,
+                      &(struct record){
+                          .topic = (enum record_topic)message->record.topic,
+                          .key = message->record.key,
+                          .offset = (int64_t)message->record.offset,
+                          .removed = message->record.removed,
+                          .value = message->record.value,
+                      });
+        return;
+    case MESSAGE_REACHED:
+        take_reached(mesh, link, message->position.topic,
+                     message->position.offset);
+        return;
+    case MESSAGE_STRIKE:
+        mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
+                             message->strike.death);
+        return;
+    default:
+        LOG_WARNING("event=message-unexpected peer=" STR_FMT " type=%s",
+                    STR_ARG(link_peer_name(link)),
+                    message_type_name(message->type));
+    }
+}
+
+static void
+on_drained(void *ctx, struct link *link)
+{
+    (void)ctx;
+    (void)link;
+}
+
+static void
+dial(struct mesh *mesh)
+{
+    int64_t now_ms = now_of(mesh);
+    struct target *target, *next;
+
+    LL_FOREACH_SAFE(mesh->targets, target, next)
+    {
+        if (target->link != NULL || is_linked(mesh, target->text)) {
+            target->silent_ms = now_ms;
+            target->backoff_ms = DIAL_FIRST_MS;
+            continue;
+        }
+        if (now_ms - target->silent_ms > FORGET_MS) {
+            LL_DELETE(mesh->targets, target);
+            free(target);
+            continue;
+        }
+        if (now_ms < target->dial_ms || mesh->count >= MESH_MAX) {
+            continue;
+        }
+        target->backoff_ms = 2 * target->backoff_ms < DIAL_LONGEST_MS
+                                 ? 2 * target->backoff_ms
+                                 : DIAL_LONGEST_MS;
+        target->dial_ms = now_ms + target->backoff_ms / 2 +
+                          (int64_t)random_below(mesh->options.random,
+                                                (uint64_t)target->backoff_ms);
+        target->link = link_connect(&mesh->link_options, &target->address);
+    }
+}
+
+/// The peer that knows the topic furthest; of several, by turns.
+static struct peer *
+furthest(struct mesh *mesh, size_t topic)
+{
+    struct peer *peer, *best = NULL;
+    size_t at = 0;
+
+    mesh->turn++;
+    LL_FOREACH(mesh->all, peer)
+    {
+        at++;
+        if (best == NULL || peer->ends[topic] > best->ends[topic] ||
+            (peer->ends[topic] == best->ends[topic] &&
+             at == mesh->turn % mesh->count)) {
+            best = peer;
+        }
+    }
+    return best;
+}
+
+static void
+want_records(struct mesh *mesh, size_t topic)
+{
+    int64_t now_ms = now_of(mesh);
+    int64_t end = records_end(mesh->options.records, (enum record_topic)topic);
+    struct peer *peer = furthest(mesh, topic);
+    bool answers;
+
+    if (peer == NULL || (int64_t)peer->ends[topic] <= end) {
+        mesh->behind_ms[topic] = 0;
+        return;
+    }
+    if (mesh->behind_ms[topic] == 0) {
+        mesh->behind_ms[topic] = now_ms;
+    }
+    answers = mesh->options.store_answers(mesh->options.ctx,
+                                          (enum record_topic)topic);
+    if ((answers && now_ms - mesh->behind_ms[topic] < MESH_BEHIND_MS) ||
+        (mesh->want_ms[topic] != 0 &&
+         now_ms - mesh->want_ms[topic] < MESH_WANT_MS)) {
+        return;
+    }
+    mesh->want_ms[topic] = now_ms;
+    mesh->behind_ms[topic] = 0;
+    link_send(peer->link, &(struct message){
+                              .type = MESSAGE_WANT,
+                              .position.topic = (uint32_t)topic,
+                              .position.offset = (uint64_t)end,
+                          });
+}
+
+static void
+report(struct mesh *mesh)
+{
+    struct message message = {.type = MESSAGE_LOADS};
+    struct peer *peer;
+
+    message.loads.items = mesh->loads;
+    message.loads.count = mesh->options.report(mesh->options.ctx, mesh->loads,
+                                               MESSAGE_LOADS_MAX);
+    LL_FOREACH(mesh->all, peer)
+    {
+        if (message.loads.count > 0) {
+            link_send(peer->link, &message);
+        }
+        tell_known(mesh, peer->link);
+    }
+}
+
+static void
+note_fleet(struct mesh *mesh, int64_t now_ms)
+{
+    size_t count = mesh_count(mesh) + 1;
+
+    if (count >= mesh->fleet || now_ms - mesh->fleet_ms > FLEET_HOLD_MS) {
+        mesh->fleet = count;
+        mesh->fleet_ms = now_ms;
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    struct mesh *mesh = ctx;
+    int64_t now_ms = now_of(mesh);
+
+    (void)fd;
+    (void)events;
+    dial(mesh);
+    note_fleet(mesh, now_ms);
+    for (size_t i = 0; i < RECORDS_TOPICS; i++) {
+        want_records(mesh, i);
+    }
+    if (now_ms >= mesh->report_ms) {
+        mesh->report_ms = now_ms + MESH_REPORT_MS +
+                          MESH_REPORT_MS_PER_PEER * (int64_t)mesh->count;
+        report(mesh);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int len, void *ctx)
+{
+    struct mesh *mesh = ctx;
+
+    (void)listener;
+    (void)len;
+    if (mesh->count >= 2 * MESH_MAX) {
+        evutil_closesocket(fd);
+        return;
+    }
+    link_accept(&mesh->link_options, fd, address);
+}
+
+struct mesh *
+mesh_new(const struct mesh_options *options, struct err *err)
+{
+    static const struct timeval tick = {.tv_usec = TICK_MS * 1000};
+    struct mesh *mesh = xcalloc(1, sizeof(*mesh));
+    struct address bound;
+
+    mesh->options = *options;
+    mesh->fleet = 1;
+    mesh->link_options = (struct link_options){
+        .base = options->base,
+        .clock = options->clock,
+        .random = options->random,
+        .counters = options->counters,
+        .name = options->name,
+        .role = "router",
+        .peer_role = "router",
+        .incarnation = options->incarnation,
+        .keys = options->keys,
+        .heartbeat_ms = LINK_HEARTBEAT_MS,
+        .silence_ms = LINK_SILENCE_MS,
+        .check_ms = LINK_CHECK_MS,
+        .handshake_ms = LINK_HANDSHAKE_MS,
+        .output_bytes_max = LINK_OUTPUT_BYTES_MAX,
+        .tick_ms = LINK_TICK_MS,
+        .ready = on_ready,
+        .message = on_message,
+        .closed = on_closed,
+        .drained = on_drained,
+        .ctx = mesh,
+    };
+    mesh->listener = evconnlistener_new_bind(
+        options->base, on_accept, mesh,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        BACKLOG, (const struct sockaddr *)&options->address.storage,
+        (int)options->address.len);
+    if (mesh->listener == NULL) {
+        err_set(err, ERR_IO, "bind", options->address.ip,
+                "cannot listen for routers at %s:%u", options->address.ip,
+                options->address.port);
+        free(mesh);
+        return NULL;
+    }
+    address_of_socket(evconnlistener_get_fd(mesh->listener), &bound);
+    address_format((const struct sockaddr *)&bound.storage, mesh->own_address);
+    mesh->tick = event_new(options->base, -1, EV_PERSIST, on_tick, mesh);
+    event_add(mesh->tick, &tick);
+    return mesh;
+}
+
+void
+mesh_free(struct mesh *mesh)
+{
+    struct target *target, *next;
+    struct peer *peer, *next_peer;
+
+    if (mesh == NULL) {
+        return;
+    }
+    event_free(mesh->tick);
+    evconnlistener_free(mesh->listener);
+    LL_FOREACH_SAFE(mesh->all, peer, next_peer)
+    {
+        struct link *link = peer->link;
+
+        forget_link(mesh, link);
+        link_close(link);
+    }
+    LL_FOREACH_SAFE(mesh->targets, target, next)
+    {
+        if (target->link != NULL) {
+            link_close(target->link);
+        }
+        free(target);
+    }
+    free(mesh);
+}
+
+void
+mesh_add(struct mesh *mesh, const struct address *address)
+{
+    char text[ADDRESS_TEXT_BYTES];
+    struct target *target;
+
+    address_format((const struct sockaddr *)&address->storage, text);
+    if (!strcmp(text, mesh->own_address)) {
+        return;
+    }
+    LL_FOREACH(mesh->targets, target)
+    {
+        if (!strcmp(target->text, text)) {
+            target->silent_ms = now_of(mesh);
+            return;
+        }
+    }
+    target = xcalloc(1, sizeof(*target));
+    target->address = *address;
+    target->backoff_ms = DIAL_FIRST_MS;
+    target->silent_ms = now_of(mesh);
+    snprintf(target->text, sizeof(target->text), "%s", text);
+    LL_PREPEND(mesh->targets, target);
+}
+
+void
+mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death)
+{
+    struct peer *peer;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        link_send(peer->link, &(struct message){
+                                  .type = MESSAGE_STRIKE,
+                                  .strike.fingerprint = fingerprint,
+                                  .strike.death = death,
+                              });
+    }
+}
+
+size_t
+mesh_count(const struct mesh *mesh)
+{
+    const struct peer *peer, *other;
+    size_t count = 0;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        LL_FOREACH(mesh->all, other)
+        {
+            if (other == peer || other->id == peer->id) {
+                break;
+            }
+        }
+        count += other == peer ? 1 : 0;
+    }
+    return count;
+}
+
+size_t
+mesh_fleet(const struct mesh *mesh)
+{
+    return mesh->fleet;
+}
--- /dev/null
+++ b/direct/mesh.h
@@ -0,0 +1,75 @@
+/// Links between the routers of a deployment. Each passes on what it has read
+/// of the store, tells what it has in flight, and which requests crash their
+/// endpoints.
+///
+/// A router that the store refuses, or that is cut off from it, takes the
+/// records from a peer; records name their offsets, so that whoever is ahead
+/// can be asked and nothing goes back.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/records.h"
+#include "dandelionvalve/clock.h"
+#include "dandelionvalve/counter.h"
+#include "dandelionvalve/message.h"
+#include "net/address.h"
+#include "net/link.h"
+
+struct event_base;
+struct mesh;
+
+/// Time between reports to the peers; grows with their number, so that the
+/// reports of all stay a bounded load for each.
+#define MESH_REPORT_MS 250
+#define MESH_REPORT_MS_PER_PEER 12
+/// A topic that a peer knows further for this long is asked for, also while
+/// the store seems to answer.
+#define MESH_BEHIND_MS 700
+/// An answer to a request for records that has not come by then is asked of
+/// another peer.
+#define MESH_WANT_MS 600
+/// Routers that one router links with at most; records reach the others by
+/// relay.
+#define MESH_MAX 40
+
+struct mesh_options {
+    struct event_base *base;
+    const struct clock *clock;
+    const struct random_source *random;
+    struct counters *counters;
+    const char *name;
+    uint64_t incarnation;
+    struct address address; ///< where links are taken
+    const struct link_keys *keys;
+    struct records *records;
+    /// Endpoints' loads to report; returns how many were written.
+    size_t (*report)(void *ctx, struct message_load *items, size_t max);
+    /// What a peer has in flight. `peer` names its process.
+    void (*loads)(void *ctx, uint64_t peer, const struct message_load *items,
+                  size_t count);
+    void (*strike)(void *ctx, uint64_t fingerprint, uint32_t death);
+    /// A peer has passed on all records of a topic.
+    void (*caught_up)(void *ctx, enum record_topic topic);
+    /// True while the store answers reads of the topic.
+    bool (*store_answers)(void *ctx, enum record_topic topic);
+    void *ctx;
+};
+
+/// NULL with `err` set if the address cannot be bound.
+struct mesh *mesh_new(const struct mesh_options *options, struct err *err);
+void mesh_free(struct mesh *mesh);
+
+/// Another router may be reached there.
+void mesh_add(struct mesh *mesh, const struct address *address);
+
+/// Tells all peers that a request crashed its endpoint.
+void mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death);
+
+/// Routers that are linked now.
+size_t mesh_count(const struct mesh *mesh);
+
+/// The most routers, this one included, that were linked at one time of late.
+size_t mesh_fleet(const struct mesh *mesh);
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -32,6 +32,13 @@
     MESSAGE_PONG,
     MESSAGE_IN_FLIGHT,
     MESSAGE_STATE,
+    MESSAGE_ROUTER,  ///< where a router takes links from other routers
+    MESSAGE_LOADS,   ///< what a router has in flight, by endpoint
+    MESSAGE_KNOWN,   ///< how far a router knows each topic
+    MESSAGE_WANT,    ///< asks for records of a topic
+    MESSAGE_RECORD,  ///< one record of a topic
+    MESSAGE_REACHED, ///< all records up to an offset have been sent
+    MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_TYPE_END,
 };
 
@@ -135,6 +142,17 @@
     size_t header_count;
 };
 
+/// Endpoints in one report; further ones follow in the next.
+#define MESSAGE_LOADS_MAX 1000
+#define MESSAGE_TOPICS 3
+
+/// What a router has in flight at one endpoint.
+struct message_load {
+    uint64_t endpoint; ///< hash of its id
+    uint32_t in_flight;
+    uint32_t backlog_tokens; ///< prompt tokens that are still to be read
+};
+
 struct message {
     enum message_type type;
     union {
@@ -193,6 +211,31 @@
         struct {
             struct load_report load;
         } state;
+        struct {
+            struct str address;
+        } router;
+        struct {
+            const struct message_load *items; ///< decoded: the codec's
+            size_t count;
+        } loads;
+        struct {
+            uint64_t ends[MESSAGE_TOPICS];
+        } known;
+        struct {
+            uint32_t topic;
+            uint64_t offset;
+        } position; ///< MESSAGE_WANT and MESSAGE_REACHED
+        struct {
+            uint32_t topic;
+            uint64_t offset;
+            bool removed;
+            struct str key;
+            struct str value;
+        } record;
+        struct {
+            uint64_t fingerprint;
+            uint32_t death;
+        } strike;
     };
 };
 
--- a/net/caller.c
+++ b/net/caller.c
@@ -225,9 +225,9 @@
         taken = http1_feed(&caller->http, bytes, len);
         evbuffer_drain(input, taken);
         if (caller->http.error != HTTP1_OK) {
-            refuse_input(caller,
-                         caller->http.error == HTTP1_HEAD_TOO_LARGE ? 431
-                                                                    : 400);
+            refuse_input(caller, caller->http.error == HTTP1_HEAD_TOO_LARGE
+                                     ? 431
+                                     : 400);
         }
         else if (caller->too_large) {
             refuse_input(caller, 413);
@@ -294,9 +294,9 @@
     caller->timer = event_new(server->options.base, -1, 0, on_timer, caller);
     http1_init(&caller->http, HTTP_REQUEST,
                server->options.limits.head_bytes_max, &http_callbacks, caller);
-    caller->bufferevent = bufferevent_socket_new(
-        server->options.base, fd,
-        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    caller->bufferevent = bufferevent_socket_new(server->options.base, fd,
+                                                 BEV_OPT_CLOSE_ON_FREE |
+                                                     BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(caller->bufferevent, on_read, on_written, on_event,
                       caller);
     bufferevent_setwatermark(caller->bufferevent, EV_READ, 0, READ_BYTES_MAX);
@@ -378,8 +378,8 @@
     DL_FOREACH_SAFE(server->callers, caller, next)
     {
         if (caller->state == CALLER_READING && !caller->http.started &&
-            evbuffer_get_length(
-                bufferevent_get_input(caller->bufferevent)) == 0) {
+            evbuffer_get_length(bufferevent_get_input(caller->bufferevent)) ==
+                0) {
             close_caller(caller);
         }
     }
@@ -500,8 +500,8 @@
 caller_finish(struct caller *caller)
 {
     if (caller->chunked) {
-        evbuffer_add(bufferevent_get_output(caller->bufferevent),
-                     "0\r\n\r\n", 5);
+        evbuffer_add(bufferevent_get_output(caller->bufferevent), "0\r\n\r\n",
+                     5);
     }
     end_answer(caller);
 }
--- a/net/channel.c
+++ b/net/channel.c
@@ -203,8 +203,8 @@
 is_reusable(const struct channel *channel)
 {
     return http1_keeps_alive(&channel->http) &&
-           evbuffer_get_length(
-               bufferevent_get_output(channel->bufferevent)) == 0 &&
+           evbuffer_get_length(bufferevent_get_output(channel->bufferevent)) ==
+               0 &&
            evbuffer_get_length(bufferevent_get_input(channel->bufferevent)) ==
                0 &&
            channel->idle_max_ms > 0;
@@ -385,17 +385,17 @@
     channel->timer = event_new(pool->options.base, -1, 0, on_timer, channel);
     http1_init(&channel->http, HTTP_RESPONSE, pool->options.head_bytes_max,
                &http_callbacks, channel);
-    channel->bufferevent = bufferevent_socket_new(
-        pool->options.base, fd,
-        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    channel->bufferevent = bufferevent_socket_new(pool->options.base, fd,
+                                                  BEV_OPT_CLOSE_ON_FREE |
+                                                      BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(channel->bufferevent, on_read, NULL, on_event, channel);
     bufferevent_setwatermark(channel->bufferevent, EV_READ, 0, READ_BYTES_MAX);
     DL_APPEND(pool->channels, channel);
     pool->open++;
     pool->opened_total++;
-    if (bufferevent_socket_connect(
-            channel->bufferevent, (const struct sockaddr *)&address->storage,
-            (int)address->len) != 0) {
+    if (bufferevent_socket_connect(channel->bufferevent,
+                                   (const struct sockaddr *)&address->storage,
+                                   (int)address->len) != 0) {
         close_channel(channel);
         return NULL;
     }
--- a/net/http1.c
+++ b/net/http1.c
@@ -293,9 +293,15 @@
 http1_is_hop_by_hop(const struct http1 *http, struct str name)
 {
     static const char *const names[] = {
-        "Connection", "Keep-Alive",        "Proxy-Connection",
-        "TE",         "Trailer",           "Transfer-Encoding",
-        "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization",
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
         "Expect",
     };
 
--- a/net/link.c
+++ b/net/link.c
@@ -17,6 +17,7 @@
 #define LOG_MODULE "link"
 #define LENGTH_BYTES 4
 #define HANDSHAKE_FRAME_BYTES_MAX 512
+#define TICK_MS 100
 #define NAME_BYTES_MAX 64
 #define HEARD_JUST_NOW_MS 1000
 
@@ -418,7 +419,11 @@
 static struct link *
 link_new(const struct link_options *options, int fd)
 {
-    static const struct timeval tick = {.tv_usec = 100000};
+    int64_t tick_ms = options->tick_ms > 0 ? options->tick_ms : TICK_MS;
+    const struct timeval tick = {
+        .tv_sec = tick_ms / 1000,
+        .tv_usec = (suseconds_t)(tick_ms % 1000 * 1000),
+    };
     struct link *link = xcalloc(1, sizeof(*link));
 
     link->options = options;
--- a/net/link.h
+++ b/net/link.h
@@ -47,6 +47,7 @@
     int64_t check_ms;        ///< silence after link_check() that ends it
     int64_t handshake_ms;    ///< time for both proofs
     size_t output_bytes_max; ///< output backlog that ends the link
+    int64_t tick_ms;         ///< between checks of these times; 0: 100
     /// Both ends have proved the key.
     void (*ready)(void *ctx, struct link *link);
     /// A message; the link may be closed by the callee.
