mesh, store: two routers read endpoints' entries for all; lapsed entries end on time

Change: a router reads unless two linked routers before it in a fixed order say within two reports that they read; readers tell at once, the others ask. A missing entry is held until 1.8 s after the store's return, not after the removal.

--- a/core/message.c
+++ b/core/message.c
@@ -150,7 +150,7 @@
         [MESSAGE_HEAD] = 4,   [MESSAGE_DATA] = 4,      [MESSAGE_END] = 10,
         [MESSAGE_FAIL] = 10,  [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
         [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
-        [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 3,
+        [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 4,
         [MESSAGE_WANT] = 2,   [MESSAGE_RECORD] = 5,    [MESSAGE_REACHED] = 2,
         [MESSAGE_STRIKE] = 2,
     };
@@ -185,6 +185,7 @@
         for (size_t i = 0; i < MESSAGE_TOPICS; i++) {
             put_uint(packer, m->known.ends[i]);
         }
+        put_bool(packer, m->known.reads);
         return;
     case MESSAGE_WANT:
     case MESSAGE_REACHED:
@@ -484,6 +485,7 @@
         for (size_t i = 0; i < MESSAGE_TOPICS; i++) {
             m->known.ends[i] = get_uint(cursor, INT64_MAX);
         }
+        m->known.reads = get_bool(cursor);
         return;
     case MESSAGE_WANT:
     case MESSAGE_REACHED:
--- a/core/place.c
+++ b/core/place.c
@@ -137,8 +137,8 @@
     double backlog_ms = 0;
 
     if (request->has_prompt) {
-        unread_ms = unread_tokens(request, candidate, home) /
-                    request->tokens_per_ms;
+        unread_ms =
+            unread_tokens(request, candidate, home) / request->tokens_per_ms;
         backlog_ms = candidate->backlog_tokens / request->tokens_per_ms;
     }
     choice->first_ms = unread_ms + backlog_ms;
@@ -176,9 +176,8 @@
             continue;
         }
         predict(request, candidate, home, &here);
-        if (found && (best_fits > fits ||
-                      (best_fits == fits &&
-                       here.cost_ms >= choice->cost_ms))) {
+        if (found && (best_fits > fits || (best_fits == fits &&
+                                           here.cost_ms >= choice->cost_ms))) {
             continue;
         }
         found = true;
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -150,21 +150,23 @@
                          : UINT64_MAX);
 }
 
+/// Until when a missing entry may be missing only because the store was away.
+static int64_t
+lapse_until(const struct direct *direct)
+{
+    return direct->store_back_ms != 0
+               ? direct->store_back_ms + ENDPOINTS_LAPSE_MS
+               : 0;
+}
+
 static void
 take_entry(struct direct *direct, const struct record *record)
 {
     struct entry_context entry = {direct, record->key};
     struct err err = {0};
-    bool store_is_new =
-        direct->store_back_ms != 0 &&
-        clock_ms(direct->options.clock) - direct->store_back_ms <
-            ENDPOINTS_LAPSE_MS;
 
     if (record->removed) {
-        endpoints_remove(direct->endpoints, record->key,
-                         store_is_new ||
-                             !direct->options.store->is_reachable(
-                                 direct->store, RECORDS_ENDPOINTS));
+        endpoints_remove(direct->endpoints, record->key, lapse_until(direct));
         return;
     }
     if (!direct->options.wire->read_endpoint(record->value, take_endpoint,
@@ -223,7 +225,22 @@
     }
     direct->knows_endpoints = true;
     if (away_ms > 0) {
-        direct->store_back_ms = clock_ms(direct->options.clock);
+        LOG_INFO("event=store-back away_ms=%lld", (long long)away_ms);
+    }
+}
+
+void
+direct_store_back(struct direct *direct)
+{
+    direct->store_back_ms = clock_ms(direct->options.clock);
+}
+
+void
+direct_progress(struct direct *direct, int topic)
+{
+    (void)topic;
+    if (direct->mesh != NULL) {
+        mesh_tell(direct->mesh);
     }
 }
 
@@ -300,6 +317,10 @@
     (void)fd;
     (void)events;
     endpoints_tick(direct->endpoints);
+    if (direct->mesh != NULL && direct->knows_endpoints) {
+        direct->options.store->set_reading(direct->store, RECORDS_ENDPOINTS,
+                                           mesh_should_read(direct->mesh));
+    }
     if (ready != direct->was_ready) {
         LOG_INFO("event=%s", ready ? "ready" : "not-ready");
         direct->was_ready = ready;
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -27,7 +27,9 @@
     /// Tells other routers where this one takes links.
     void (*announce)(void *store, struct str key, struct str value);
     bool (*is_reachable)(const void *store, int topic);
-    void (*hurry)(void *store, int topic);
+    bool (*is_failing)(const void *store, int topic);
+    /// Peers read the topic for this router, or no longer do.
+    void (*set_reading)(void *store, int topic, bool reading);
     void *ctx;
 };
 
@@ -60,6 +62,13 @@
 /// A topic has been read to its end, after `away_ms` without the store.
 void direct_caught_up(struct direct *direct, int topic, int64_t away_ms);
 
+/// The store answers again, before what it says is taken: entries that are
+/// missing from it may have lapsed meanwhile.
+void direct_store_back(struct direct *direct);
+
+/// New records of a topic have been read.
+void direct_progress(struct direct *direct, int topic);
+
 bool direct_is_ready(const struct direct *direct);
 struct address direct_callers_address(const struct direct *direct);
 struct address direct_ready_address(const struct direct *direct);
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -155,18 +155,19 @@
 }
 
 void
-endpoints_remove(struct endpoints *endpoints, struct str id, bool lapsed)
+endpoints_remove(struct endpoints *endpoints, struct str id, int64_t lapse_ms)
 {
     struct endpoint *endpoint = endpoints_find(endpoints, id);
 
     if (endpoint == NULL) {
         return;
     }
-    if (lapsed && endpoint->state == ENDPOINT_READY) {
-        endpoint->lapse_ms =
-            clock_ms(endpoints->options.clock) + ENDPOINTS_LAPSE_MS;
-        LOG_INFO("event=endpoint-lapsed endpoint=" STR_FMT " wait_ms=%d",
-                 STR_ARG(id), ENDPOINTS_LAPSE_MS);
+    if (endpoint->state == ENDPOINT_READY &&
+        lapse_ms > clock_ms(endpoints->options.clock)) {
+        endpoint->lapse_ms = lapse_ms;
+        LOG_INFO("event=endpoint-lapsed endpoint=" STR_FMT " wait_ms=%lld",
+                 STR_ARG(id),
+                 (long long)(lapse_ms - clock_ms(endpoints->options.clock)));
         return;
     }
     take_out(endpoints, endpoint, "removed");
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -18,10 +18,11 @@
 struct channel_pool;
 struct event_base;
 
-/// How long an entry that lapsed while the store was away may be missing
-/// after its return before the endpoint is taken as gone: the store's pages
-/// say two seconds.
-#define ENDPOINTS_LAPSE_MS 2000
+/// How long after the store's return an entry that lapsed meanwhile may be
+/// missing before the endpoint is taken as gone. Sound endpoints are back
+/// after two seconds; an entry that is removed right after the return must
+/// not be used for two seconds more.
+#define ENDPOINTS_LAPSE_MS 1800
 /// A load that peers told of is believed for this long.
 #define ENDPOINTS_PEER_LOAD_MS 3000
 
@@ -75,9 +76,10 @@
                       const struct endpoint_facts *facts,
                       uint64_t memory_tokens);
 
-/// An entry was removed; with `lapsed` it may be back within
-/// ENDPOINTS_LAPSE_MS.
-void endpoints_remove(struct endpoints *endpoints, struct str id, bool lapsed);
+/// An entry was removed. Up to `lapse_ms` on the clock it may be back, and a
+/// ready endpoint stays in use.
+void endpoints_remove(struct endpoints *endpoints, struct str id,
+                      int64_t lapse_ms);
 
 /// Takes out the lapsed ones whose time is over.
 void endpoints_tick(struct endpoints *endpoints);
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -40,7 +40,8 @@
     char address[ADDRESS_TEXT_BYTES]; ///< where it takes links
     uint64_t id;
     uint64_t ends[RECORDS_TOPICS];
-    int64_t told_ms;
+    int64_t known_ms; ///< when it last said how far it knows
+    bool reads;
     struct peer *next;
 };
 
@@ -62,6 +63,8 @@
     char own_address[ADDRESS_TEXT_BYTES];
 };
 
+static void want_records(struct mesh *mesh, size_t topic);
+
 static int64_t
 now_of(const struct mesh *mesh)
 {
@@ -77,6 +80,19 @@
     return peer;
 }
 
+static int64_t
+report_interval_ms(const struct mesh *mesh)
+{
+    return MESH_REPORT_MS + MESH_REPORT_MS_PER_PEER * (int64_t)mesh->count;
+}
+
+static bool
+is_live_reader(const struct mesh *mesh, const struct peer *peer)
+{
+    return peer->reads && now_of(mesh) - peer->known_ms <
+                              2 * report_interval_ms(mesh) + MESH_FRESH_MS;
+}
+
 static bool
 is_linked(const struct mesh *mesh, const char *address)
 {
@@ -109,6 +125,8 @@
         message.known.ends[i] =
             (uint64_t)records_end(mesh->options.records, (enum record_topic)i);
     }
+    message.known.reads =
+        mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
     link_send(link, &message);
 }
 
@@ -227,12 +245,18 @@
 }
 
 static void
-take_known(struct mesh *mesh, struct link *link, const uint64_t *ends)
+take_known(struct mesh *mesh, struct link *link, const struct message *message)
 {
     struct peer *peer = find_peer(mesh, link);
 
-    if (peer != NULL) {
-        memcpy(peer->ends, ends, sizeof(peer->ends));
+    if (peer == NULL) {
+        return;
+    }
+    memcpy(peer->ends, message->known.ends, sizeof(peer->ends));
+    peer->reads = message->known.reads;
+    peer->known_ms = now_of(mesh);
+    for (size_t i = 0; i < RECORDS_TOPICS; i++) {
+        want_records(mesh, i);
     }
 }
 
@@ -299,7 +323,7 @@
         }
         return;
     case MESSAGE_KNOWN:
-        take_known(mesh, link, message->known.ends);
+        take_known(mesh, link, message);
         return;
     case MESSAGE_WANT:
         give_records(mesh, link, message->position.topic,
@@ -462,8 +486,7 @@
         want_records(mesh, i);
     }
     if (now_ms >= mesh->report_ms) {
-        mesh->report_ms = now_ms + MESH_REPORT_MS +
-                          MESH_REPORT_MS_PER_PEER * (int64_t)mesh->count;
+        mesh->report_ms = now_ms + report_interval_ms(mesh);
         report(mesh);
     }
 }
@@ -601,6 +624,54 @@
     }
 }
 
+void
+mesh_tell(struct mesh *mesh)
+{
+    struct peer *peer;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        tell_known(mesh, peer->link);
+    }
+}
+
+size_t
+mesh_readers(const struct mesh *mesh)
+{
+    const struct peer *peer;
+    size_t count = 0;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        count += is_live_reader(mesh, peer) ? 1 : 0;
+    }
+    return count;
+}
+
+/// The order of the routers among which the first ones read.
+static uint64_t
+rank_of(const char *address)
+{
+    return str_hash(str_from(address), 0);
+}
+
+bool
+mesh_should_read(const struct mesh *mesh)
+{
+    uint64_t own = rank_of(mesh->own_address);
+    const struct peer *peer;
+    size_t before = 0;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        if (peer->address[0] != '\0' && is_live_reader(mesh, peer) &&
+            rank_of(peer->address) < own) {
+            before++;
+        }
+    }
+    return before < MESH_READERS;
+}
+
 size_t
 mesh_count(const struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -31,6 +31,11 @@
 /// An answer to a request for records that has not come by then is asked of
 /// another peer.
 #define MESH_WANT_MS 600
+/// Routers that read the entries of endpoints for all: calls to the store are
+/// priced, and one of the two may be cut off.
+#define MESH_READERS 2
+/// A report is believed for two intervals and this much more.
+#define MESH_FRESH_MS 400
 /// Routers that one router links with at most; records reach the others by
 /// relay.
 #define MESH_MAX 40
@@ -68,6 +73,15 @@
 /// Tells all peers that a request crashed its endpoint.
 void mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death);
 
+/// Tells the peers at once how far the topics are known.
+void mesh_tell(struct mesh *mesh);
+
+/// Linked routers that read the entries of endpoints and are answered.
+size_t mesh_readers(const struct mesh *mesh);
+
+/// True unless enough routers before this one read for all.
+bool mesh_should_read(const struct mesh *mesh);
+
 /// Routers that are linked now.
 size_t mesh_count(const struct mesh *mesh);
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -220,6 +220,7 @@
         } loads;
         struct {
             uint64_t ends[MESSAGE_TOPICS];
+            bool reads; ///< reads the endpoints' topic, and is answered
         } known;
         struct {
             uint32_t topic;
