--- a/daemon/main_agent.c
+++ b/daemon/main_agent.c
@@ -1,6 +1,8 @@
 /// dvagent: the agent daemon.
 #include <stdlib.h>
 
+#include <unistd.h>
+
 #include <event2/event.h>
 
 #include "core/toml.h"
@@ -65,7 +67,7 @@
     }
     status = EXIT_SUCCESS;
     if (!program.check_only) {
-        log_start(settings.common.log_level);
+        log_start(settings.common.log_level, STDERR_FILENO);
         status = run(&program, &settings);
         log_stop();
     }
--- a/daemon/program.c
+++ b/daemon/program.c
@@ -116,6 +116,36 @@
     event_free(interrupt);
 }
 
+struct hangup {
+    void (*callback)(void *ctx);
+    void *ctx;
+};
+
+static void
+on_hangup(evutil_socket_t number, short events, void *ctx)
+{
+    const struct hangup *hangup = ctx;
+
+    (void)number;
+    (void)events;
+    hangup->callback(hangup->ctx);
+}
+
+struct event *
+program_watch_hangup(struct event_base *base, void (*callback)(void *ctx),
+                     void *ctx)
+{
+    static struct hangup hangup;
+    struct event *event = evsignal_new(base, SIGHUP, on_hangup, &hangup);
+
+    if (event == NULL) {
+        BUG("out of memory");
+    }
+    hangup = (struct hangup){callback, ctx};
+    event_add(event, NULL);
+    return event;
+}
+
 uint64_t
 program_incarnation(void)
 {
--- a/daemon/program.h
+++ b/daemon/program.h
@@ -6,6 +6,7 @@
 
 #include "dandelionvalve/err.h"
 
+struct event;
 struct event_base;
 
 #define EXIT_BAD_INPUT 2
@@ -30,6 +31,11 @@
 void program_run(struct event_base *base, void (*terminate)(void *ctx),
                  void *ctx);
 
+/// Calls back on SIGHUP, which otherwise ends the process. The caller frees
+/// with event_free().
+struct event *program_watch_hangup(struct event_base *base,
+                                   void (*hangup)(void *ctx), void *ctx);
+
 /// An event base that merges changes of one loop iteration before it tells
 /// the kernel; the caller frees with event_base_free().
 struct event_base *program_event_base(void);
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -62,6 +62,7 @@
 
 struct direct {
     struct direct_options options;
+    struct settings_direct settings; ///< as of the last reload
     char *name;
     struct records *records;
     void *store;
@@ -293,7 +294,7 @@
 drain_tick(struct direct *direct)
 {
     int64_t passed_ms = clock_ms(direct->options.clock) - direct->drain_ms;
-    int64_t limit_ms = direct->options.settings->grace_ms - DRAIN_MARGIN_MS;
+    int64_t limit_ms = direct->settings.grace_ms - DRAIN_MARGIN_MS;
 
     if (passed_ms >= limit_ms) {
         end_drain(direct, "time");
@@ -417,7 +418,7 @@
 static bool
 start_peers(struct direct *direct, struct err *err)
 {
-    const struct settings_direct *settings = direct->options.settings;
+    const struct settings_direct *settings = &direct->settings;
     const struct mesh_options options = {
         .base = direct->options.base,
         .clock = direct->options.clock,
@@ -458,11 +459,10 @@
     if (direct->mesh == NULL) {
         return;
     }
-    address_format(
-        (const struct sockaddr *)&direct->options.settings->links.storage,
-        text);
-    direct->options.store->announce(
-        direct->store, direct->options.settings->name, str_from(text));
+    address_format((const struct sockaddr *)&direct->settings.links.storage,
+                   text);
+    direct->options.store->announce(direct->store, direct->settings.name,
+                                    str_from(text));
 }
 
 static struct admin *
@@ -484,7 +484,7 @@
 static bool
 listen_all(struct direct *direct, struct err *err)
 {
-    const struct settings_direct *settings = direct->options.settings;
+    const struct settings_direct *settings = &direct->settings;
     const struct caller_server_options callers = {
         .base = direct->options.base,
         .clock = direct->options.clock,
@@ -517,6 +517,7 @@
     struct direct *direct = xcalloc(1, sizeof(*direct));
 
     direct->options = *options;
+    direct->settings = *options->settings;
     direct->tokens_per_ms = TOKENS_PER_MS;
     direct->records = records_new(&(struct records_options){
         .changed = on_record,
@@ -525,7 +526,7 @@
     direct->endpoints = endpoints_new(&(struct endpoints_options){
         .base = options->base,
         .clock = options->clock,
-        .zone = options->settings->zone,
+        .zone = direct->settings.zone,
     });
     direct->quarantine = quarantine_new(&(struct quarantine_options){
         .clock = options->clock,
@@ -535,7 +536,7 @@
     });
     direct->tick = event_new(options->base, -1, EV_PERSIST, on_tick, direct);
     event_add(direct->tick, &tick);
-    direct->name = str_dup(options->settings->name);
+    direct->name = str_dup(direct->settings.name);
     if (!listen_all(direct, err) || !start_peers(direct, err)) {
         direct_free(direct);
         return NULL;
@@ -545,9 +546,8 @@
     announce(direct);
     LOG_INFO("event=start name=" STR_FMT " zone=" STR_FMT
              " callers=%s:%u incarnation=%llu",
-             STR_ARG(options->settings->name),
-             STR_ARG(options->settings->zone), options->settings->callers.ip,
-             options->settings->callers.port,
+             STR_ARG(direct->settings.name), STR_ARG(direct->settings.zone),
+             direct->settings.callers.ip, direct->settings.callers.port,
              (unsigned long long)options->incarnation);
     return direct;
 }
@@ -596,7 +596,41 @@
     LOG_INFO("event=stop requests=%u connections=%zu grace_ms=%lld",
              HASH_COUNT(direct->exchanges),
              caller_server_connections(direct->callers),
-             (long long)direct->options.settings->grace_ms);
+             (long long)direct->settings.grace_ms);
+}
+
+static bool
+is_same_address(const struct address *a, const struct address *b)
+{
+    return !strcmp(a->ip, b->ip) && a->port == b->port;
+}
+
+void
+direct_reload(struct direct *direct, const struct settings_direct *fresh)
+{
+    struct settings_direct *settings = &direct->settings;
+
+    if (!is_same_address(&fresh->callers, &settings->callers) ||
+        !is_same_address(&fresh->ready, &settings->ready) ||
+        !is_same_address(&fresh->store, &settings->store) ||
+        !str_equal(fresh->zone, settings->zone)) {
+        LOG_WARNING("event=reload-partial detail=\"addresses and zone change "
+                    "with a restart only\"");
+    }
+    settings->grace_ms = fresh->grace_ms;
+    settings->budget_window_ms = fresh->budget_window_ms;
+    settings->budget_ratio = fresh->budget_ratio;
+    settings->budget_slack = fresh->budget_slack;
+    settings->cap_factor = fresh->cap_factor;
+    settings->keys = fresh->keys;
+    for (size_t i = 0; direct->mesh != NULL && i < fresh->seed_count; i++) {
+        mesh_add(direct->mesh, &fresh->seeds[i]);
+    }
+    LOG_INFO("event=reload grace_ms=%lld retry_ratio=%.3f retry_slack=%lld "
+             "load_cap_factor=%.2f seeds=%zu",
+             (long long)settings->grace_ms, settings->budget_ratio,
+             (long long)settings->budget_slack, settings->cap_factor,
+             fresh->seed_count);
 }
 
 struct address
@@ -662,7 +696,7 @@
 const struct settings_direct *
 direct_settings(const struct direct *direct)
 {
-    return direct->options.settings;
+    return &direct->settings;
 }
 
 struct quarantine *
@@ -683,7 +717,7 @@
 struct retry_budget *
 direct_budget(struct direct *direct, struct str service)
 {
-    const struct settings_direct *settings = direct->options.settings;
+    const struct settings_direct *settings = &direct->settings;
     const struct retry_options options = {
         .clock = direct->options.clock,
         .window_ms = settings->budget_window_ms,
--- a/load/main.c
+++ b/load/main.c
@@ -1,6 +1,8 @@
 /// dvload: returning chats and bookings with re-sends, through all routers.
 #include <stdio.h>
 #include <stdlib.h>
+
+#include <unistd.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -565,7 +567,7 @@
     }
     status = EXIT_SUCCESS;
     if (!program.check_only) {
-        log_start(settings.log_level);
+        log_start(settings.log_level, STDERR_FILENO);
         status = settings.idle_connections > 0 ? hold_idle(&settings)
                                                : run(&settings);
         log_stop();
--- a/net/caller.c
+++ b/net/caller.c
@@ -257,8 +257,9 @@
 {
     struct caller *caller = ctx;
 
-    (void)bufferevent;
-    if (caller->state == CALLER_CLOSING) {
+    // Callbacks are deferred: this one may speak of bytes before the last.
+    if (caller->state == CALLER_CLOSING &&
+        evbuffer_get_length(bufferevent_get_output(bufferevent)) == 0) {
         // The caller closes first, so that unread bytes of its request do
         // not reset the answer on its way.
         shutdown(bufferevent_getfd(caller->bufferevent), SHUT_WR);
--- a/net/log.c
+++ b/net/log.c
@@ -1,20 +1,30 @@
 #include "log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
 #define LINE_BYTES 1024
 #define BUFFER_BYTES 65536
+/// Bound on the volume under load: three lines each for 1,000 requests.
+#define LINES_PER_S_MAX 3000
 
 static struct {
     log4c_category_t *category;
     log4c_appender_t *appender;
     enum log_level level;
-    FILE *out;
+    int fd;
+    char buffer[BUFFER_BYTES];
+    size_t buffered;
+    unsigned long dropped;
+    time_t second; ///< in which `lines` were written
+    unsigned lines;
 } state;
 
 static const int priorities[] = {
@@ -32,11 +42,49 @@
     return event->evt_msg;
 }
 
+/// Writes what the reader takes without waiting: a pipe that is ready takes
+/// PIPE_BUF bytes at once.
+static void
+write_buffer(void)
+{
+    size_t done = 0;
+
+    while (done < state.buffered) {
+        struct pollfd ready = {.fd = state.fd, .events = POLLOUT};
+        size_t len = state.buffered - done;
+        ssize_t written;
+
+        if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT)) {
+            break;
+        }
+        written = write(state.fd, state.buffer + done,
+                        len < PIPE_BUF ? len : PIPE_BUF);
+        if (written <= 0) {
+            break;
+        }
+        done += (size_t)written;
+    }
+    memmove(state.buffer, state.buffer + done, state.buffered - done);
+    state.buffered -= done;
+}
+
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+    const char *line = event->evt_rendered_msg;
+    size_t len = strlen(line);
+
     (void)appender;
-    return fputs(event->evt_rendered_msg, state.out) >= 0 ? 0 : -1;
+    if (state.buffered + len > BUFFER_BYTES) {
+        write_buffer();
+    }
+    if (state.buffered + len > BUFFER_BYTES) {
+        state.dropped++;
+        return -1;
+    }
+    memcpy(state.buffer + state.buffered, line, len);
+    state.buffered += len;
+    return 0;
 }
 
 static const log4c_layout_type_t layout_type = {
@@ -45,14 +93,13 @@
 };
 
 static const log4c_appender_type_t appender_type = {
-    .name = "buffered-stderr",
+    .name = "buffered",
     .append = append_line,
 };
 
 void
-log_start(enum log_level level)
+log_start(enum log_level level, int fd)
 {
-    static char buffer[BUFFER_BYTES];
     log4c_layout_t *layout;
 
     log4c_init();
@@ -68,8 +115,8 @@
     log4c_category_set_additivity(state.category, 0);
     log4c_category_set_priority(state.category, priorities[level]);
     state.level = level;
-    state.out = stderr;
-    setvbuf(stderr, buffer, _IOFBF, sizeof(buffer));
+    state.fd = fd;
+    state.buffered = 0;
 }
 
 void
@@ -86,9 +133,33 @@
 void
 log_flush(void)
 {
-    if (state.out != NULL) {
-        fflush(state.out);
+    unsigned long dropped = state.dropped;
+
+    if (state.category == NULL) {
+        return;
+    }
+    write_buffer();
+    if (dropped > 0 && state.buffered < BUFFER_BYTES / 2) {
+        state.dropped = 0;
+        log_line(LOG_LEVEL_WARNING, "log", "event=lines-dropped lines=%lu",
+                 dropped);
+    }
+}
+
+/// True while this second's lines stay under the bound.
+static bool
+within_rate(time_t second)
+{
+    if (second != state.second) {
+        state.second = second;
+        state.lines = 0;
+    }
+    if (state.lines < LINES_PER_S_MAX) {
+        state.lines++;
+        return true;
     }
+    state.dropped++;
+    return false;
 }
 
 bool
@@ -145,6 +216,9 @@
         return;
     }
     clock_gettime(CLOCK_REALTIME, &now);
+    if (!within_rate(now.tv_sec)) {
+        return;
+    }
     len = snprintf(line, sizeof(line), "ts=%lld.%03ld level=%s module=%s ",
                    (long long)now.tv_sec, now.tv_nsec / 1000000,
                    log4c_priority_to_string(priorities[level]), module);
@@ -157,6 +231,6 @@
     event.evt_priority = priorities[level];
     log4c_appender_append(state.appender, &event);
     if (level <= LOG_LEVEL_WARNING) {
-        log_flush();
+        write_buffer();
     }
 }
--- a/net/log.h
+++ b/net/log.h
@@ -16,9 +16,11 @@
 #define LOG_INFO(...) log_line(LOG_LEVEL_INFO, LOG_MODULE, __VA_ARGS__)
 #define LOG_DEBUG(...) log_line(LOG_LEVEL_DEBUG, LOG_MODULE, __VA_ARGS__)
 
-/// Starts logging to standard error. Lines are buffered until log_flush();
-/// errors and warnings are written at once.
-void log_start(enum log_level level);
+/// Starts logging to a file descriptor. Lines are buffered until log_flush();
+/// errors and warnings are written at once. Writing never waits: lines that
+/// the reader does not take, or that go over the bound of a second, are
+/// dropped, and their number is logged.
+void log_start(enum log_level level, int fd);
 void log_stop(void);
 void log_flush(void);
 
--- a/standin/main.c
+++ b/standin/main.c
@@ -2,6 +2,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <unistd.h>
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 
@@ -194,7 +196,7 @@
     }
     status = EXIT_SUCCESS;
     if (!program.check_only) {
-        log_start(settings.log_level);
+        log_start(settings.log_level, STDERR_FILENO);
         status = run(&program, &settings);
         log_stop();
     }
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -458,6 +458,36 @@
     direct_harness_stop(&harness);
 }
 
+/// The last bytes of an answer whose connection closes behind it arrive, also
+/// when they come right behind others.
+static void
+test_last_bytes_arrive(void)
+{
+    struct direct_harness harness;
+    struct direct_call calls[60] = {{0}};
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 4,
+                                       .events = 40,
+                                       .work_us = 0,
+                                   });
+    direct_drain(harness.routers[0]);
+    for (int round = 0; round < 10; round++) {
+        for (size_t i = 0; i < 60; i++) {
+            direct_call_start(&harness, 0, &calls[i], "POST", "/stream/draft/",
+                              "id", NULL, "x");
+        }
+        for (size_t i = 0; i < 60; i++) {
+            CU_ASSERT(direct_harness_wait(&harness, direct_call_ended,
+                                          &calls[i], 5000));
+            CU_ASSERT(calls[i].end == CHANNEL_COMPLETE);
+            direct_call_free(&calls[i]);
+        }
+    }
+    direct_harness_stop(&harness);
+}
+
 /// Many requests on one connection, some with bodies in chunks.
 static void
 test_kept_connections(void)
@@ -500,5 +530,6 @@
     CU_add_test(suite, "timeout is told", test_timeout_is_told);
     CU_add_test(suite, "crashing request", test_crashing_request);
     CU_add_test(suite, "drain", test_drain);
+    CU_add_test(suite, "last bytes arrive", test_last_bytes_arrive);
     CU_add_test(suite, "kept connections", test_kept_connections);
 }
