mesh: routers tell each other where contexts are placed

Also a context counted as kept by the whole prompt, own part included. Ruled out: eviction (a third of the memory is used), the cap (loads of 1 to 5 at a mean of 4). Change: the first placement of a context at an endpoint is told to the peers within 100 ms; a context counts as kept by the parts that it shares. What is left is mostly engines replaced by releases and short chats that go round a long prompt.

--- a/core/message.c
+++ b/core/message.c
@@ -152,7 +152,7 @@
         [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
         [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 4,
         [MESSAGE_WANT] = 2,   [MESSAGE_RECORD] = 5,    [MESSAGE_REACHED] = 2,
-        [MESSAGE_STRIKE] = 2,
+        [MESSAGE_STRIKE] = 2, [MESSAGE_PLACED] = 1,
     };
 
     return counts[type];
@@ -170,6 +170,26 @@
     }
 }
 
+static void
+put_placed(msgpack_packer *packer, const struct message_placed *items,
+           size_t count)
+{
+    size_t numbers = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        numbers += 2 + 2 * items[i].count;
+    }
+    msgpack_pack_array(packer, numbers);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].endpoint);
+        put_uint(packer, items[i].count);
+        for (size_t j = 0; j < items[i].count; j++) {
+            put_uint(packer, items[i].parts[j].id);
+            put_uint(packer, items[i].parts[j].tokens);
+        }
+    }
+}
+
 /// What routers tell each other.
 static void
 put_router_fields(msgpack_packer *packer, const struct message *m)
@@ -199,6 +219,9 @@
         put_str(packer, m->record.key);
         put_str(packer, m->record.value);
         return;
+    case MESSAGE_PLACED:
+        put_placed(packer, m->placed.items, m->placed.count);
+        return;
     case MESSAGE_STRIKE:
         put_uint(packer, m->strike.fingerprint);
         put_uint(packer, m->strike.death);
@@ -287,6 +310,7 @@
     case MESSAGE_RECORD:
     case MESSAGE_REACHED:
     case MESSAGE_STRIKE:
+    case MESSAGE_PLACED:
         put_router_fields(packer, m);
         return;
     case MESSAGE_PING:
@@ -471,6 +495,39 @@
     m->loads.count = count;
 }
 
+static void
+get_placed(struct cursor *cursor, struct message *m)
+{
+    const msgpack_object *array = get(cursor, MSGPACK_OBJECT_ARRAY);
+    struct message_placed *items;
+    struct cursor fields;
+    size_t count = 0;
+
+    items =
+        msgpack_zone_malloc(cursor->zone, MESSAGE_PLACED_MAX * sizeof(*items));
+    if (array == NULL || items == NULL) {
+        cursor->bad = true;
+        return;
+    }
+    fields.next = array->via.array.ptr;
+    fields.end = fields.next + array->via.array.size;
+    fields.bad = false;
+    while (!fields.bad && fields.next != fields.end &&
+           count < MESSAGE_PLACED_MAX) {
+        struct message_placed *item = &items[count++];
+
+        item->endpoint = get_uint(&fields, UINT64_MAX);
+        item->count = get_uint(&fields, MESSAGE_PARTS_MAX);
+        for (size_t i = 0; i < item->count; i++) {
+            item->parts[i].id = get_uint(&fields, UINT64_MAX);
+            item->parts[i].tokens = get_u32(&fields);
+        }
+    }
+    cursor->bad = cursor->bad || fields.bad || fields.next != fields.end;
+    m->placed.items = items;
+    m->placed.count = count;
+}
+
 static void
 get_router_fields(struct cursor *cursor, struct message *m)
 {
@@ -499,6 +556,9 @@
         m->record.key = get_str(cursor);
         m->record.value = get_str(cursor);
         return;
+    case MESSAGE_PLACED:
+        get_placed(cursor, m);
+        return;
     case MESSAGE_STRIKE:
         m->strike.fingerprint = get_uint(cursor, UINT64_MAX);
         m->strike.death = get_u32(cursor);
@@ -589,6 +649,7 @@
     case MESSAGE_RECORD:
     case MESSAGE_REACHED:
     case MESSAGE_STRIKE:
+    case MESSAGE_PLACED:
         get_router_fields(cursor, m);
         return;
     case MESSAGE_PING:
@@ -737,6 +798,7 @@
         [MESSAGE_LOADS] = "loads",     [MESSAGE_KNOWN] = "known",
         [MESSAGE_WANT] = "want",       [MESSAGE_RECORD] = "record",
         [MESSAGE_REACHED] = "reached", [MESSAGE_STRIKE] = "strike",
+        [MESSAGE_PLACED] = "placed",
     };
 
     return names[type];
--- a/core/place.c
+++ b/core/place.c
@@ -66,14 +66,15 @@
     }
 }
 
-/// True if some usable endpoint is known to keep most of the prompt.
+/// True if some usable endpoint is known to keep all that the prompt shares
+/// with others.
 static bool
 is_kept_somewhere(const struct place_request *request,
                   const struct place_candidate *candidates, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
         if (candidates[i].usable &&
-            2 * candidates[i].cached_tokens >= request->prompt_tokens) {
+            candidates[i].cached_tokens >= request->shared_tokens) {
             return true;
         }
     }
@@ -89,8 +90,8 @@
     double cached = candidate->cached_tokens;
 
     if (home < PLACE_HOMES &&
-        cached < beliefs[home] * request->prompt_tokens) {
-        cached = beliefs[home] * request->prompt_tokens;
+        cached < beliefs[home] * request->shared_tokens) {
+        cached = beliefs[home] * request->shared_tokens;
     }
     return fmax(0, request->prompt_tokens - cached);
 }
--- a/core/prefix.c
+++ b/core/prefix.c
@@ -141,6 +141,14 @@
     return tokens;
 }
 
+uint32_t
+prefix_shared_tokens(const struct prefix *prefix)
+{
+    return prefix->count > 0 ? prefix_tokens(prefix) -
+                                   prefix->parts[prefix->count - 1].tokens
+                             : 0;
+}
+
 uint64_t
 prefix_affinity(const struct prefix *prefix)
 {
--- a/core/prefix.h
+++ b/core/prefix.h
@@ -45,6 +45,9 @@
 
 uint32_t prefix_tokens(const struct prefix *prefix);
 
+/// Tokens of all parts but the last.
+uint32_t prefix_shared_tokens(const struct prefix *prefix);
+
 /// What prompts must have in common to be placed together: all parts but the
 /// last, which belongs to the request or its session.
 uint64_t prefix_affinity(const struct prefix *prefix);
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -38,8 +38,14 @@
 {
     struct admin *admin = ctx;
     char *text = counter_text(admin->options.counters);
-
-    http_reply(request, 200, TEXT_TYPE, str_from(text));
+    char *more = admin->options.metrics != NULL
+                     ? admin->options.metrics(admin->options.ctx)
+                     : xstrdup("");
+    char *all = xasprintf("%s%s", text, more);
+
+    http_reply(request, 200, TEXT_TYPE, str_from(all));
+    free(all);
+    free(more);
     free(text);
 }
 
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -17,6 +17,8 @@
     bool (*is_ready)(void *ctx, const char **why);
     /// A JSON description of the daemon for operators; freed by the caller.
     char *(*status)(void *ctx);
+    /// Further metrics as text, freed by the caller; may be NULL.
+    char *(*metrics)(void *ctx);
     void *ctx;
 };
 
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,5 +1,6 @@
 #include "direct.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,6 +8,7 @@
 #include <utlist.h>
 
 #include "core/catalog.h"
+#include "core/histogram.h"
 #include "core/records.h"
 #include "core/xmalloc.h"
 #include "daemon/admin.h"
@@ -49,6 +51,8 @@
 #define READING_TOKENS_MIN 2000
 #define READING_WEIGHT 0.05
 
+#define KINDS (ROUTE_RESUMABLE + 1)
+
 struct budget {
     struct str service;
     struct retry_budget retry;
@@ -83,6 +87,8 @@
     bool stopped_listening;
     int64_t drain_ms; ///< when draining began
     double tokens_per_ms;
+    struct histogram first[KINDS]; ///< to the first byte of an answer
+    struct histogram total[KINDS];
 };
 
 static void
@@ -279,6 +285,45 @@
         direct->draining ? "true" : "false");
 }
 
+static char *
+metrics_of(void *ctx)
+{
+    static const char *const labels[KINDS] = {
+        [ROUTE_IDEMPOTENT] = "kind=\"idempotent\"",
+        [ROUTE_ONCE] = "kind=\"once\"",
+        [ROUTE_STREAM] = "kind=\"stream\"",
+        [ROUTE_RESUMABLE] = "kind=\"resumable\"",
+    };
+    const struct direct *direct = ctx;
+    const struct endpoint *endpoint;
+    int64_t now_ms = clock_ms(direct->options.clock);
+    char *text = NULL;
+    size_t len = 0;
+    FILE *out = open_memstream(&text, &len);
+
+    if (out == NULL) {
+        return xstrdup("");
+    }
+    for (size_t i = 0; i < KINDS; i++) {
+        histogram_print(&direct->first[i], "first_byte_ms", labels[i], out);
+        histogram_print(&direct->total[i], "answer_ms", labels[i], out);
+    }
+    for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        fprintf(out,
+                "endpoint_in_flight{endpoint=\"" STR_FMT "\"} %u\n"
+                "endpoint_ejected{endpoint=\"" STR_FMT "\"} %d\n",
+                STR_ARG(endpoint->id), endpoint->in_flight,
+                STR_ARG(endpoint->id),
+                eject_is_out(&endpoint->eject, now_ms, 0));
+    }
+    fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
+            direct->mesh != NULL ? mesh_count(direct->mesh) : 0,
+            direct->catalog != NULL);
+    fclose(out);
+    return text;
+}
+
 static void
 end_drain(struct direct *direct, const char *reason)
 {
@@ -330,6 +375,8 @@
     if (direct->draining) {
         drain_tick(direct);
     }
+    counter_set(direct->options.counters, COUNTER_CONNECTIONS,
+                caller_server_connections(direct->callers));
     log_flush();
 }
 
@@ -406,6 +453,25 @@
     }
 }
 
+static void
+on_placed(void *ctx, const struct message_placed *placed)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint =
+        endpoints_find_hash(direct->endpoints, placed->endpoint);
+    struct prefix prefix = {.count = placed->count};
+
+    for (size_t i = 0; i < placed->count; i++) {
+        prefix.parts[i] = (struct prefix_part){
+            .id = placed->parts[i].id,
+            .tokens = placed->parts[i].tokens,
+        };
+    }
+    if (endpoint != NULL) {
+        prefix_belief_note(endpoint->cache, &prefix);
+    }
+}
+
 static bool
 on_store_answers(void *ctx, enum record_topic topic)
 {
@@ -431,6 +497,7 @@
         .records = direct->records,
         .report = on_report,
         .loads = on_loads,
+        .placed = on_placed,
         .strike = on_strike,
         .caught_up = on_peer_caught_up,
         .store_answers = on_store_answers,
@@ -475,6 +542,7 @@
         .counters = direct->options.counters,
         .is_ready = is_ready,
         .status = status_of,
+        .metrics = metrics_of,
         .ctx = direct,
     };
 
@@ -744,6 +812,24 @@
     return &budget->retry;
 }
 
+void
+direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
+                   const struct prefix *prefix)
+{
+    struct message_placed placed = {.endpoint = endpoint->hash};
+
+    if (direct->mesh == NULL || prefix->count < 2 ||
+        prefix->count - 1 > MESSAGE_PARTS_MAX) {
+        return;
+    }
+    placed.count = prefix->count - 1;
+    for (size_t i = 0; i < placed.count; i++) {
+        placed.parts[i].id = prefix->parts[i].id;
+        placed.parts[i].tokens = prefix->parts[i].tokens;
+    }
+    mesh_placed(direct->mesh, &placed);
+}
+
 void
 direct_strike(struct direct *direct, uint64_t fingerprint, uint32_t death)
 {
@@ -805,9 +891,9 @@
 }
 
 void
-direct_note_latency(struct direct *direct, int64_t first_ms, int64_t total_ms)
+direct_note_latency(struct direct *direct, enum route_kind kind,
+                    int64_t first_ms, int64_t total_ms)
 {
-    (void)direct;
-    (void)first_ms;
-    (void)total_ms;
+    histogram_add(&direct->first[kind], first_ms);
+    histogram_add(&direct->total[kind], total_ms);
 }
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -4,12 +4,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/catalog.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
 
-struct catalog;
 struct direct;
+struct endpoint;
 struct endpoints;
 struct event_base;
 struct exchange;
@@ -34,6 +35,10 @@
 /// The retry budget of a service, made if it is new.
 struct retry_budget *direct_budget(struct direct *direct, struct str service);
 
+/// The endpoint begins to keep what this prompt shares with others.
+void direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
+                        const struct prefix *prefix);
+
 /// A request crashed its endpoint: counted here and told to the peers.
 void direct_strike(struct direct *direct, uint64_t fingerprint,
                    uint32_t death);
@@ -46,6 +51,6 @@
 void direct_remove(struct direct *direct, struct exchange *exchange);
 
 /// Milliseconds from a request's first byte to the first byte and to the end
-/// of its answer.
-void direct_note_latency(struct direct *direct, int64_t first_ms,
-                         int64_t total_ms);
+/// of its answer, by the kind of its route.
+void direct_note_latency(struct direct *direct, enum route_kind kind,
+                         int64_t first_ms, int64_t total_ms);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -445,7 +445,7 @@
                          exchange->fingerprint);
     }
     counter_add(direct_counters(exchange->direct), COUNTER_DONE, 1);
-    direct_note_latency(exchange->direct,
+    direct_note_latency(exchange->direct, exchange->route->kind,
                         exchange->first_ms - exchange->started_ms,
                         now_ms - exchange->started_ms);
     log_end(exchange, exchange->status, "done", "");
@@ -662,6 +662,7 @@
         .has_prompt = exchange->facts.prefix.count > 0,
         .affinity = prefix_affinity(&exchange->facts.prefix),
         .prompt_tokens = prefix_tokens(&exchange->facts.prefix),
+        .shared_tokens = prefix_shared_tokens(&exchange->facts.prefix),
         .tokens_per_ms = direct_tokens_per_ms(direct),
         .cap_factor = direct_settings(direct)->cap_factor,
         .cap_slack = 3,
@@ -721,16 +722,22 @@
     exchange->backlog_tokens = exchange->unread_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
     prefix_belief_note(endpoint->cache, &exchange->facts.prefix);
+    if (cached < prefix_shared_tokens(&exchange->facts.prefix)) {
+        direct_note_placed(exchange->direct, endpoint,
+                           &exchange->facts.prefix);
+    }
     exchange->arrivals++;
     exchange->runs++;
     exchange->stalled = false;
     exchange->offered_ms = now_of(exchange);
     exchange->progress_ms = exchange->offered_ms;
     LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
-             " reason=%s load=%u mean=%.1f usable=%zu cached=%u unread=%u "
+             " reason=%s context=%08x load=%u mean=%.1f usable=%zu cached=%u "
+             "unread=%u "
              "predicted_ms=%.0f left_ms=%lld version=%lld offer=%zu",
              exchange->id, STR_ARG(exchange->route->name),
              STR_ARG(endpoint->id), place_reason_name(choice->reason),
+             (uint32_t)prefix_affinity(&exchange->facts.prefix),
              endpoint->in_flight, choice->mean_load, choice->usable, cached,
              exchange->unread_tokens, choice->first_ms,
              (long long)(exchange->limit_ms - exchange->offered_ms),
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -60,6 +60,8 @@
     int64_t want_ms[RECORDS_TOPICS];   ///< when we last asked; 0: not asking
     size_t turn; ///< of the peers that are asked for records
     struct message_load loads[MESSAGE_LOADS_MAX];
+    struct message_placed placed[MESSAGE_PLACED_MAX]; ///< not told yet
+    size_t placed_count;
     char own_address[ADDRESS_TEXT_BYTES];
 };
 
@@ -343,6 +345,11 @@
         take_reached(mesh, link, message->position.topic,
                      message->position.offset);
         return;
+    case MESSAGE_PLACED:
+        for (size_t i = 0; i < message->placed.count; i++) {
+            mesh->options.placed(mesh->options.ctx, &message->placed.items[i]);
+        }
+        return;
     case MESSAGE_STRIKE:
         mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
                              message->strike.death);
@@ -461,6 +468,26 @@
     }
 }
 
+static void
+tell_placed(struct mesh *mesh)
+{
+    const struct message message = {
+        .type = MESSAGE_PLACED,
+        .placed.items = mesh->placed,
+        .placed.count = mesh->placed_count,
+    };
+    struct peer *peer;
+
+    if (mesh->placed_count == 0) {
+        return;
+    }
+    LL_FOREACH(mesh->all, peer)
+    {
+        link_send(peer->link, &message);
+    }
+    mesh->placed_count = 0;
+}
+
 static void
 note_fleet(struct mesh *mesh, int64_t now_ms)
 {
@@ -481,6 +508,7 @@
     (void)fd;
     (void)events;
     dial(mesh);
+    tell_placed(mesh);
     note_fleet(mesh, now_ms);
     for (size_t i = 0; i < RECORDS_TOPICS; i++) {
         want_records(mesh, i);
@@ -672,6 +700,15 @@
     return before < MESH_READERS;
 }
 
+void
+mesh_placed(struct mesh *mesh, const struct message_placed *placed)
+{
+    if (mesh->placed_count == MESSAGE_PLACED_MAX) {
+        tell_placed(mesh);
+    }
+    mesh->placed[mesh->placed_count++] = *placed;
+}
+
 size_t
 mesh_count(const struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -55,6 +55,8 @@
     /// What a peer has in flight. `peer` names its process.
     void (*loads)(void *ctx, uint64_t peer, const struct message_load *items,
                   size_t count);
+    /// An endpoint keeps a context that a peer has sent there.
+    void (*placed)(void *ctx, const struct message_placed *placed);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t death);
     /// A peer has passed on all records of a topic.
     void (*caught_up)(void *ctx, enum record_topic topic);
@@ -70,6 +72,9 @@
 /// Another router may be reached there.
 void mesh_add(struct mesh *mesh, const struct address *address);
 
+/// Tells the peers with the next tick that an endpoint keeps a context.
+void mesh_placed(struct mesh *mesh, const struct message_placed *placed);
+
 /// Tells all peers that a request crashed its endpoint.
 void mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death);
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -38,6 +38,7 @@
     MESSAGE_WANT,    ///< asks for records of a topic
     MESSAGE_RECORD,  ///< one record of a topic
     MESSAGE_REACHED, ///< all records up to an offset have been sent
+    MESSAGE_PLACED,  ///< contexts that endpoints now keep
     MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_TYPE_END,
 };
@@ -145,6 +146,9 @@
 /// Endpoints in one report; further ones follow in the next.
 #define MESSAGE_LOADS_MAX 1000
 #define MESSAGE_TOPICS 3
+/// Contexts in one report, and parts of one context.
+#define MESSAGE_PLACED_MAX 64
+#define MESSAGE_PARTS_MAX 4
 
 /// What a router has in flight at one endpoint.
 struct message_load {
@@ -153,6 +157,17 @@
     uint32_t backlog_tokens; ///< prompt tokens that are still to be read
 };
 
+/// A context that an endpoint has begun to keep: the parts of a prompt that
+/// other requests share, in order.
+struct message_placed {
+    uint64_t endpoint; ///< hash of its id
+    size_t count;
+    struct {
+        uint64_t id;
+        uint32_t tokens;
+    } parts[MESSAGE_PARTS_MAX];
+};
+
 struct message {
     enum message_type type;
     union {
@@ -233,6 +248,10 @@
             struct str key;
             struct str value;
         } record;
+        struct {
+            const struct message_placed *items; ///< decoded: the codec's
+            size_t count;
+        } placed;
         struct {
             uint64_t fingerprint;
             uint32_t death;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -99,6 +99,7 @@
         .has_prompt = true,
         .affinity = prefix_affinity(&prefix),
         .prompt_tokens = prefix_tokens(&prefix),
+        .shared_tokens = prefix_shared_tokens(&prefix),
         .tokens_per_ms = 50,
         .cap_factor = CAP_FACTOR,
         .cap_slack = CAP_SLACK,
@@ -257,6 +258,44 @@
     CU_ASSERT(agreed == 200);
 }
 
+/// Load pattern: long requests about short shared contexts. An endpoint that
+/// keeps the context is chosen, not one that keeps just its first part.
+static void
+test_long_requests(void)
+{
+    struct random_seeded seeded = {1};
+    struct random_source random = random_seeded_interface(&seeded);
+    const struct place_request request = {
+        .random = &random,
+        .has_prompt = true,
+        .affinity = 77,
+        .prompt_tokens = 512 + 3000 + 9000,
+        .shared_tokens = 512 + 3000,
+        .tokens_per_ms = 50,
+        .cap_factor = 2,
+        .cap_slack = 3,
+    };
+    struct place_choice choice;
+
+    for (uint64_t hash = 1; hash < 200; hash++) {
+        const struct place_candidate candidates[] = {
+            {.hash = hash * 31, .usable = true, .slots = 8},
+            {.hash = hash * 37,
+             .usable = true,
+             .slots = 8,
+             .load = 2,
+             .cached_tokens = 512 + 3000},
+            {.hash = hash * 41,
+             .usable = true,
+             .slots = 8,
+             .cached_tokens = 512},
+        };
+
+        CU_ASSERT(place_choose(&request, candidates, 3, &choice));
+        CU_ASSERT(choice.index == 1);
+    }
+}
+
 static void
 test_nothing_usable(void)
 {
@@ -451,6 +490,7 @@
     CU_add_test(suite, "herd", test_herd);
     CU_add_test(suite, "scale out keeps chats", test_scale_out_keeps_chats);
     CU_add_test(suite, "routers agree", test_routers_agree);
+    CU_add_test(suite, "long requests", test_long_requests);
     CU_add_test(suite, "nothing usable", test_nothing_usable);
     CU_add_test(suite, "prefix belief", test_prefix_belief);
     CU_add_test(suite, "eject: fails fast", test_eject_fails_fast);
