--- a/core/message.c
+++ b/core/message.c
@@ -303,23 +303,12 @@
     case MESSAGE_STATE:
         put_load(packer, &m->state.load);
         return;
-    case MESSAGE_ROUTER:
-    case MESSAGE_LOADS:
-    case MESSAGE_KNOWN:
-    case MESSAGE_WANT:
-    case MESSAGE_RECORD:
-    case MESSAGE_REACHED:
-    case MESSAGE_STRIKE:
-    case MESSAGE_PLACED:
-        put_router_fields(packer, m);
-        return;
     case MESSAGE_PING:
     case MESSAGE_PONG:
         return;
-    case MESSAGE_TYPE_END:
-        break;
+    default:
+        put_router_fields(packer, m);
     }
-    BUG("message type %d", (int)m->type);
 }
 
 struct str
@@ -642,20 +631,11 @@
     case MESSAGE_STATE:
         m->state.load = get_load(cursor);
         return;
-    case MESSAGE_ROUTER:
-    case MESSAGE_LOADS:
-    case MESSAGE_KNOWN:
-    case MESSAGE_WANT:
-    case MESSAGE_RECORD:
-    case MESSAGE_REACHED:
-    case MESSAGE_STRIKE:
-    case MESSAGE_PLACED:
-        get_router_fields(cursor, m);
-        return;
     case MESSAGE_PING:
     case MESSAGE_PONG:
-    case MESSAGE_TYPE_END:
         return;
+    default:
+        get_router_fields(cursor, m);
     }
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -40,9 +40,9 @@
     uint64_t affinity;
     uint32_t prompt_tokens;
     uint32_t shared_tokens; ///< of the parts that other requests share
-    double tokens_per_ms; ///< reading speed of the service's endpoints
-    double cap_factor;    ///< bound on load, as a multiple of the mean
-    uint32_t cap_slack;   ///< requests above that multiple
+    double tokens_per_ms;   ///< reading speed of the service's endpoints
+    double cap_factor;      ///< bound on load, as a multiple of the mean
+    uint32_t cap_slack;     ///< requests above that multiple
 };
 
 enum place_reason {
--- a/core/records.c
+++ b/core/records.c
@@ -92,8 +92,10 @@
     topic->removed += record->removed ? 1 : 0;
     entry->record.offset = record->offset;
     entry->record.removed = record->removed;
-    entry->record.value =
-        record->removed ? (struct str){0} : str_copy(record->value);
+    entry->record.value = (struct str){0};
+    if (!record->removed) {
+        entry->record.value = str_copy(record->value);
+    }
 }
 
 bool
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -133,7 +133,7 @@
     }
     if (endpoint != NULL && (endpoint->incarnation != facts->incarnation ||
                              !str_equal(endpoint->service, facts->service) ||
-                             strcmp(endpoint->address.ip, address.ip) ||
+                             strcmp(endpoint->address.ip, address.ip) != 0 ||
                              endpoint->address.port != address.port)) {
         take_out(endpoints, endpoint, "restarted");
         endpoint = NULL;
