place: plain calls by own numbers; the cap leaves room for other routers

A call lasts 60 ms, peers' numbers are up to 610 ms old, so that 30 routers went to the endpoint that had been free. Ruled out: too few slots (55% busy). Change: plain calls go by the router's own numbers, at random among equals; reports come every 250 + 6 ms a peer; the cap's share falls to 0.82 at 31.

--- a/core/place.c
+++ b/core/place.c
@@ -117,6 +117,17 @@
            (over > 0 ? 20 * PLACE_LOAD_MS * over : 0);
 }
 
+static double
+cap_share(size_t routers)
+{
+    double others = routers > PLACE_CAP_ROUTERS
+                        ? (double)(routers - PLACE_CAP_ROUTERS)
+                        : 0;
+
+    return fmax(PLACE_CAP_SHARE_MIN,
+                PLACE_CAP_SHARE - PLACE_CAP_SHARE_PER_ROUTER * others);
+}
+
 static enum place_reason
 reason_of(const struct place_candidate *candidate, bool fits, size_t home)
 {
@@ -143,10 +154,10 @@
         backlog_ms = candidate->backlog_tokens / request->tokens_per_ms;
     }
     choice->first_ms = unread_ms + backlog_ms;
-    choice->cost_ms = PLACE_REREAD_WEIGHT * unread_ms + backlog_ms +
-                      load_ms(candidate) +
-                      (candidate->same_zone ? 0 : CROSS_ZONE_MS) +
-                      JITTER_MS * random_unit(request->random);
+    choice->cost_ms =
+        PLACE_REREAD_WEIGHT * unread_ms + backlog_ms + load_ms(candidate) +
+        (candidate->same_zone || !request->has_prompt ? 0 : CROSS_ZONE_MS) +
+        JITTER_MS * random_unit(request->random);
 }
 
 bool
@@ -161,7 +172,7 @@
 
     *choice = (struct place_choice){0};
     choice->mean_load = mean_load(candidates, count, &choice->usable);
-    cap = PLACE_CAP_SHARE *
+    cap = cap_share(request->routers) *
           (request->cap_factor * choice->mean_load + request->cap_slack);
     if (request->has_prompt &&
         !is_kept_somewhere(request, candidates, count)) {
--- a/core/place.h
+++ b/core/place.h
@@ -18,8 +18,12 @@
 /// Reading a context again delays everything at that endpoint, so that it
 /// weighs more than waiting for a turn does.
 #define PLACE_REREAD_WEIGHT 3.0
-/// The rest of the cap is kept for requests that peers place meanwhile.
+/// The rest of the cap is kept for requests that peers place meanwhile: the
+/// more routers there are, the more of these come between two reports.
 #define PLACE_CAP_SHARE 0.9
+#define PLACE_CAP_SHARE_PER_ROUTER 0.003
+#define PLACE_CAP_SHARE_MIN 0.8
+#define PLACE_CAP_ROUTERS 4
 /// Places in a prompt's rendezvous order that are taken to keep part of it
 /// while this router knows of no endpoint that does: peers place there too.
 #define PLACE_HOMES 3
@@ -42,6 +46,7 @@
     uint32_t shared_tokens; ///< of the parts that other requests share
     double tokens_per_ms;   ///< reading speed of the service's endpoints
     double cap_factor;      ///< bound on load, as a multiple of the mean
+    size_t routers;         ///< that place at the same endpoints
     uint32_t cap_slack;     ///< requests above that multiple
 };
 
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -773,9 +773,8 @@
     return direct->quarantine;
 }
 
-/// Routers that share the budget, this one included.
-static size_t
-routers_known(const struct direct *direct)
+size_t
+direct_routers(const struct direct *direct)
 {
     size_t fleet = direct->mesh != NULL ? mesh_fleet(direct->mesh) : 1;
 
@@ -792,7 +791,7 @@
         .budget_percent =
             (int64_t)(settings->budget_ratio * BUDGET_USED_PERCENT),
         .slack = settings->budget_slack * BUDGET_USED_PERCENT / 100 /
-                 (int64_t)routers_known(direct),
+                 (int64_t)direct_routers(direct),
     };
     struct budget *budget = direct->budgets;
 
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -43,6 +43,9 @@
 void direct_strike(struct direct *direct, uint64_t fingerprint,
                    uint32_t death);
 
+/// Routers of the deployment, this one included, as far as they are linked.
+size_t direct_routers(const struct direct *direct);
+
 /// Reading speed of a service's endpoints, learned from answers.
 double direct_tokens_per_ms(const struct direct *direct);
 void direct_note_reading(struct direct *direct, uint32_t tokens, int64_t ms);
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -358,7 +358,10 @@
             .usable = endpoint->state == ENDPOINT_READY &&
                       !was_tried(query, endpoint->hash),
             .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
-            .load = endpoint_load(endpoint, now_ms),
+            // A plain call ends before peers have told of it: their numbers
+            // would send all routers to the same endpoint.
+            .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
+                                        : endpoint->in_flight,
             .slots = endpoint->slots,
             .backlog_tokens = backlog(endpoint, now_ms),
             .cached_tokens =
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -666,6 +666,7 @@
         .tokens_per_ms = direct_tokens_per_ms(direct),
         .cap_factor = direct_settings(direct)->cap_factor,
         .cap_slack = 3,
+        .routers = direct_routers(direct),
     };
 
     return endpoints_choose(direct_endpoints(direct), &query, &request,
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -24,7 +24,7 @@
 /// Time between reports to the peers; grows with their number, so that the
 /// reports of all stay a bounded load for each.
 #define MESH_REPORT_MS 250
-#define MESH_REPORT_MS_PER_PEER 12
+#define MESH_REPORT_MS_PER_PEER 6
 /// A topic that a peer knows further for this long is asked for, also while
 /// the store seems to answer.
 #define MESH_BEHIND_MS 700
