eject: a refused connection ejects at once and is told to the peers

Ruled out: slow news from the store, crashed endpoints keep their entries for three heartbeats. Change: a refused connection ejects; peers hear of it and try the endpoint with one request at a time. Attempts are named in the log, not numbered.

--- a/core/eject.c
+++ b/core/eject.c
@@ -15,6 +15,16 @@
     }
 }
 
+static void
+put_out(struct eject *eject, int64_t now_ms)
+{
+    eject->until_ms = now_ms + eject->next_ms;
+    eject->next_ms = 2 * eject->next_ms < EJECT_LONGEST_MS ? 2 * eject->next_ms
+                                                           : EJECT_LONGEST_MS;
+    eject->trial = true;
+    eject->row = 0;
+}
+
 bool
 eject_success(struct eject *eject)
 {
@@ -51,14 +61,27 @@
          eject->share < pool_share + EJECT_SHARE_MARGIN)) {
         return false;
     }
-    eject->until_ms = now_ms + eject->next_ms;
-    eject->next_ms = 2 * eject->next_ms < EJECT_LONGEST_MS ? 2 * eject->next_ms
-                                                           : EJECT_LONGEST_MS;
-    eject->trial = true;
-    eject->row = 0;
+    put_out(eject, now_ms);
     return true;
 }
 
+bool
+eject_down(struct eject *eject, int64_t now_ms)
+{
+    add_sample(eject, 1);
+    if (now_ms < eject->until_ms) {
+        return false;
+    }
+    put_out(eject, now_ms);
+    return true;
+}
+
+void
+eject_doubt(struct eject *eject)
+{
+    eject->trial = true;
+}
+
 bool
 eject_is_out(const struct eject *eject, int64_t now_ms, uint32_t in_flight)
 {
--- a/core/eject.h
+++ b/core/eject.h
@@ -1,9 +1,11 @@
 /// Takes a failing endpoint out of the choice, by what its answers show.
 ///
 /// Load pattern: an endpoint that fails fast looks idle and draws the whole
-/// traffic; one that fails a part of its requests looks healthy. Failures in
-/// a row eject at once, a share of failures after enough samples. It comes
-/// back with little at first: one request at a time until one ends well.
+/// traffic; one that fails a part of its requests looks healthy; of many that
+/// crash together each router would have to find each. Failures in a row and
+/// a refused connection eject at once, a share of failures after enough
+/// samples. It comes back with little at first: one request at a time until
+/// one ends well.
 #pragma once
 
 #include <stdbool.h>
@@ -41,6 +43,14 @@
 /// over the whole pool. True if the endpoint is ejected by it.
 bool eject_failure(struct eject *eject, int64_t now_ms, double pool_share);
 
+/// The endpoint takes no connections: it is ejected at once. False if it was
+/// out already.
+bool eject_down(struct eject *eject, int64_t now_ms);
+
+/// A peer says that the endpoint is down. What fails for a peer may work from
+/// here: it is tried with one request at a time until one ends well.
+void eject_doubt(struct eject *eject);
+
 /// True while nothing should be sent there; `in_flight` bounds the trial.
 bool eject_is_out(const struct eject *eject, int64_t now_ms,
                   uint32_t in_flight);
--- a/core/message.c
+++ b/core/message.c
@@ -152,7 +152,7 @@
         [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
         [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 4,
         [MESSAGE_WANT] = 2,   [MESSAGE_RECORD] = 5,    [MESSAGE_REACHED] = 2,
-        [MESSAGE_STRIKE] = 2, [MESSAGE_PLACED] = 1,
+        [MESSAGE_STRIKE] = 2, [MESSAGE_PLACED] = 1,    [MESSAGE_DOWN] = 1,
     };
 
     return counts[type];
@@ -222,6 +222,9 @@
     case MESSAGE_PLACED:
         put_placed(packer, m->placed.items, m->placed.count);
         return;
+    case MESSAGE_DOWN:
+        put_uint(packer, m->down.endpoint);
+        return;
     case MESSAGE_STRIKE:
         put_uint(packer, m->strike.fingerprint);
         put_uint(packer, m->strike.death);
@@ -548,6 +551,9 @@
     case MESSAGE_PLACED:
         get_placed(cursor, m);
         return;
+    case MESSAGE_DOWN:
+        m->down.endpoint = get_uint(cursor, UINT64_MAX);
+        return;
     case MESSAGE_STRIKE:
         m->strike.fingerprint = get_uint(cursor, UINT64_MAX);
         m->strike.death = get_u32(cursor);
@@ -778,7 +784,7 @@
         [MESSAGE_LOADS] = "loads",     [MESSAGE_KNOWN] = "known",
         [MESSAGE_WANT] = "want",       [MESSAGE_RECORD] = "record",
         [MESSAGE_REACHED] = "reached", [MESSAGE_STRIKE] = "strike",
-        [MESSAGE_PLACED] = "placed",
+        [MESSAGE_PLACED] = "placed",   [MESSAGE_DOWN] = "down",
     };
 
     return names[type];
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -12,6 +12,18 @@
     return names[outcome];
 }
 
+const char *
+outcome_attempt_name(enum attempt_end end)
+{
+    static const char *const names[] = {
+        [ATTEMPT_REFUSED] = "refused", [ATTEMPT_UNSENT] = "unsent",
+        [ATTEMPT_LOST] = "lost",       [ATTEMPT_FAILED] = "failed",
+        [ATTEMPT_CUT] = "cut",
+    };
+
+    return names[end];
+}
+
 enum outcome
 outcome_of_attempt(enum attempt_end end)
 {
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -472,6 +472,22 @@
     }
 }
 
+static void
+on_down(void *ctx, uint64_t hash)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
+
+    if (endpoint != NULL && !endpoint->eject.trial) {
+        eject_doubt(&endpoint->eject);
+        LOG_INFO("event=endpoint-doubted endpoint=" STR_FMT " service=" STR_FMT
+                 " in_flight=%u "
+                 "reason=\"a peer cannot connect\"",
+                 STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+                 endpoint->in_flight);
+    }
+}
+
 static bool
 on_store_answers(void *ctx, enum record_topic topic)
 {
@@ -498,6 +514,7 @@
         .report = on_report,
         .loads = on_loads,
         .placed = on_placed,
+        .down = on_down,
         .strike = on_strike,
         .caught_up = on_peer_caught_up,
         .store_answers = on_store_answers,
@@ -829,6 +846,14 @@
     mesh_placed(direct->mesh, &placed);
 }
 
+void
+direct_note_down(struct direct *direct, const struct endpoint *endpoint)
+{
+    if (direct->mesh != NULL) {
+        mesh_down(direct->mesh, endpoint->hash);
+    }
+}
+
 void
 direct_strike(struct direct *direct, uint64_t fingerprint, uint32_t death)
 {
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -39,6 +39,9 @@
 void direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
                         const struct prefix *prefix);
 
+/// The endpoint takes no connections: told to the peers.
+void direct_note_down(struct direct *direct, const struct endpoint *endpoint);
+
 /// A request crashed its endpoint: counted here and told to the peers.
 void direct_strike(struct direct *direct, uint64_t fingerprint,
                    uint32_t death);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -259,6 +259,23 @@
     }
 }
 
+/// A refused connection says more than a failed request: nobody is there.
+static void
+note_down(struct exchange *exchange, const char *reason)
+{
+    struct endpoint *endpoint = exchange->endpoint;
+
+    if (!eject_down(&endpoint->eject, now_of(exchange))) {
+        return;
+    }
+    LOG_WARNING("event=endpoint-ejected endpoint=" STR_FMT " service=" STR_FMT
+                " reason=\"%s\" until_ms=%lld id=%s",
+                STR_ARG(endpoint->id), STR_ARG(endpoint->service), reason,
+                (long long)(endpoint->eject.until_ms - now_of(exchange)),
+                exchange->id);
+    direct_note_down(exchange->direct, endpoint);
+}
+
 static void
 note_success(struct exchange *exchange)
 {
@@ -329,8 +346,9 @@
         end = ATTEMPT_CUT;
     }
     LOG_INFO("event=attempt-failed id=%s endpoint=" STR_FMT
-             " end=%d reason=\"%s\" after_ms=%lld status=%d",
-             exchange->id, STR_ARG(exchange->endpoint->id), (int)end, reason,
+             " end=%s reason=\"%s\" after_ms=%lld status=%d",
+             exchange->id, STR_ARG(exchange->endpoint->id),
+             outcome_attempt_name(end), reason,
              (long long)(now_of(exchange) - exchange->offered_ms),
              exchange->status);
     if (try_again(exchange, end)) {
@@ -537,7 +555,7 @@
     case CHANNEL_UNSENT:
         exchange->arrivals--;
         exchange->runs--;
-        note_failure(exchange, detail);
+        note_down(exchange, detail);
         attempt_failed(exchange, ATTEMPT_UNSENT, detail);
         return;
     case CHANNEL_LOST:
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -350,6 +350,9 @@
             mesh->options.placed(mesh->options.ctx, &message->placed.items[i]);
         }
         return;
+    case MESSAGE_DOWN:
+        mesh->options.down(mesh->options.ctx, message->down.endpoint);
+        return;
     case MESSAGE_STRIKE:
         mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
                              message->strike.death);
@@ -637,6 +640,20 @@
     LL_PREPEND(mesh->targets, target);
 }
 
+void
+mesh_down(struct mesh *mesh, uint64_t endpoint)
+{
+    struct peer *peer;
+
+    LL_FOREACH(mesh->all, peer)
+    {
+        link_send(peer->link, &(struct message){
+                                  .type = MESSAGE_DOWN,
+                                  .down.endpoint = endpoint,
+                              });
+    }
+}
+
 void
 mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -57,6 +57,8 @@
                   size_t count);
     /// An endpoint keeps a context that a peer has sent there.
     void (*placed)(void *ctx, const struct message_placed *placed);
+    /// A peer says that an endpoint takes no connections.
+    void (*down)(void *ctx, uint64_t endpoint);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t death);
     /// A peer has passed on all records of a topic.
     void (*caught_up)(void *ctx, enum record_topic topic);
@@ -75,6 +77,9 @@
 /// Tells the peers with the next tick that an endpoint keeps a context.
 void mesh_placed(struct mesh *mesh, const struct message_placed *placed);
 
+/// Tells all peers that an endpoint takes no connections.
+void mesh_down(struct mesh *mesh, uint64_t endpoint);
+
 /// Tells all peers that a request crashed its endpoint.
 void mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death);
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -39,6 +39,7 @@
     MESSAGE_RECORD,  ///< one record of a topic
     MESSAGE_REACHED, ///< all records up to an offset have been sent
     MESSAGE_PLACED,  ///< contexts that endpoints now keep
+    MESSAGE_DOWN,    ///< an endpoint takes no connections
     MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_TYPE_END,
 };
@@ -252,6 +253,9 @@
             const struct message_placed *items; ///< decoded: the codec's
             size_t count;
         } placed;
+        struct {
+            uint64_t endpoint; ///< hash of its id
+        } down;
         struct {
             uint64_t fingerprint;
             uint32_t death;
--- a/include/dandelionvalve/outcome.h
+++ b/include/dandelionvalve/outcome.h
@@ -22,6 +22,8 @@
     ATTEMPT_CUT,     ///< bytes of its answer have reached the caller
 };
 
+const char *outcome_attempt_name(enum attempt_end end);
+
 enum outcome outcome_of_attempt(enum attempt_end end);
 
 /// True if the request may be sent again: always after not-run, else only if
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -488,6 +488,34 @@
     direct_harness_stop(&harness);
 }
 
+/// Half of the endpoints are gone at once: each is asked once, not once for
+/// each of the failures that eject one that answers badly.
+static void
+test_crashed_endpoints(void)
+{
+    struct direct_harness harness;
+    uint64_t offers;
+
+    start(&harness, 4);
+    for (size_t i = 0; i < 2; i++) {
+        origin_free(harness.origins[i]);
+        harness.origins[i] = NULL;
+    }
+    for (int i = 0; i < 20; i++) {
+        struct direct_call call = {0};
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%d", i);
+        direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", id, NULL,
+                       "x");
+        CU_ASSERT(call.status == 200);
+        direct_call_free(&call);
+    }
+    offers = counter_get(&harness.counters[0], COUNTER_OFFERS);
+    CU_ASSERT(offers <= 22);
+    direct_harness_stop(&harness);
+}
+
 /// Many requests on one connection, some with bodies in chunks.
 static void
 test_kept_connections(void)
@@ -531,5 +559,6 @@
     CU_add_test(suite, "crashing request", test_crashing_request);
     CU_add_test(suite, "drain", test_drain);
     CU_add_test(suite, "last bytes arrive", test_last_bytes_arrive);
+    CU_add_test(suite, "crashed endpoints", test_crashed_endpoints);
     CU_add_test(suite, "kept connections", test_kept_connections);
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -547,6 +547,25 @@
     CU_ASSERT(!eject_is_out(&eject, 1 + EJECT_FIRST_MS, 5));
 }
 
+/// Load pattern: many endpoints crash together. A refused connection ejects
+/// at once; a peer's word puts on trial only.
+static void
+test_eject_down(void)
+{
+    struct eject eject;
+
+    eject_init(&eject);
+    CU_ASSERT(eject_down(&eject, 1));
+    CU_ASSERT(eject_is_out(&eject, 2, 0));
+    CU_ASSERT(!eject_down(&eject, 3));
+    eject_init(&eject);
+    eject_doubt(&eject);
+    CU_ASSERT(!eject_is_out(&eject, 2, 0));
+    CU_ASSERT(eject_is_out(&eject, 2, 1));
+    eject_success(&eject);
+    CU_ASSERT(!eject_is_out(&eject, 2, 1));
+}
+
 /// Load pattern: a crowd that is refused in the same second.
 static void
 test_retry_after_spreads(void)
@@ -624,6 +643,7 @@
     CU_add_test(suite, "eject: fails in part", test_eject_fails_in_part);
     CU_add_test(suite, "eject: keeps sound ones", test_eject_keeps_sound);
     CU_add_test(suite, "eject: trial", test_eject_trial);
+    CU_add_test(suite, "eject: down", test_eject_down);
     CU_add_test(suite, "retry-after spreads", test_retry_after_spreads);
     CU_add_test(suite, "events", test_events);
 }
