--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -27,7 +27,7 @@
 #define ID_BYTES_MAX 128
 /// Endpoints that one request is offered to at most, unreachable ones
 /// included.
-#define OFFERS_MAX 6
+#define OFFERS_MAX 16
 /// An answer that is not a stream is passed on when it is whole; longer ones
 /// are cut off.
 #define ANSWER_BYTES_MAX (16 * 1024 * 1024)
