soak: real routers, faults from outside, promises checked; links in large fleets

Change: up to 40 routers link all with all, in a larger deployment each dials ten by its own order; endpoints are found by hash. dvsoak runs four dvdirect processes against stand-ins, kills, pauses, stops and reloads them, spoils store, connections and endpoints, and checks answers, ledgers, exits and recovery.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -19,6 +19,7 @@
 struct endpoints {
     struct endpoints_options options;
     struct endpoint *all;
+    struct endpoint *by_hash;
 };
 
 struct endpoints *
@@ -62,6 +63,7 @@
              endpoint->address.ip, endpoint->address.port, endpoint->in_flight,
              reason);
     HASH_DEL(endpoints->all, endpoint);
+    HASH_DELETE(by_hash, endpoints->by_hash, endpoint);
     endpoint->gone = true;
     endpoint_unref(endpoint);
 }
@@ -77,6 +79,7 @@
     HASH_ITER(hh, endpoints->all, endpoint, next)
     {
         HASH_DEL(endpoints->all, endpoint);
+        HASH_DELETE(by_hash, endpoints->by_hash, endpoint);
         endpoint_unref(endpoint);
     }
     free((char *)endpoints->options.zone.data);
@@ -110,6 +113,8 @@
     });
     HASH_ADD_KEYPTR(hh, endpoints->all, endpoint->id.data, endpoint->id.len,
                     endpoint);
+    HASH_ADD(by_hash, endpoints->by_hash, hash, sizeof(endpoint->hash),
+             endpoint);
     LOG_INFO("event=endpoint-known endpoint=" STR_FMT " service=" STR_FMT
              " address=%s:%u zone=" STR_FMT " slots=%u state=%s",
              STR_ARG(id), STR_ARG(facts->service), address->ip, address->port,
@@ -199,11 +204,9 @@
 struct endpoint *
 endpoints_find_hash(struct endpoints *endpoints, uint64_t hash)
 {
-    struct endpoint *endpoint = endpoints->all;
+    struct endpoint *endpoint;
 
-    while (endpoint != NULL && endpoint->hash != hash) {
-        endpoint = endpoint->hh.next;
-    }
+    HASH_FIND(by_hash, endpoints->by_hash, &hash, sizeof(hash), endpoint);
     return endpoint;
 }
 
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -57,6 +57,7 @@
     int64_t lapse_ms; ///< when a missing entry means gone; 0: not missing
     size_t references;
     UT_hash_handle hh;
+    UT_hash_handle by_hash; ///< as peers name it
 };
 
 struct endpoints;
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -31,6 +31,7 @@
     int64_t dial_ms;   ///< when to dial next
     int64_t backoff_ms;
     int64_t silent_ms; ///< since when there is no link
+    uint64_t order;    ///< among the addresses that this router may dial
     struct target *next;
 };
 
@@ -63,6 +64,7 @@
     struct message_placed placed[MESSAGE_PLACED_MAX]; ///< not told yet
     size_t placed_count;
     char own_address[ADDRESS_TEXT_BYTES];
+    uint64_t order_seed; ///< differs from router to router
 };
 
 static void want_records(struct mesh *mesh, size_t topic);
@@ -372,33 +374,76 @@
 }
 
 static void
-dial(struct mesh *mesh)
+dial_target(struct mesh *mesh, struct target *target, int64_t now_ms)
+{
+    target->backoff_ms = 2 * target->backoff_ms < DIAL_LONGEST_MS
+                             ? 2 * target->backoff_ms
+                             : DIAL_LONGEST_MS;
+    target->dial_ms = now_ms + target->backoff_ms / 2 +
+                      (int64_t)random_below(mesh->options.random,
+                                            (uint64_t)target->backoff_ms);
+    target->link = link_connect(&mesh->link_options, &target->address);
+}
+
+/// Notes which addresses are linked, forgets those that have been silent for
+/// long. Returns how many links were dialed from here; `known` counts all.
+static size_t
+look_over(struct mesh *mesh, int64_t now_ms, size_t *known)
 {
-    int64_t now_ms = now_of(mesh);
     struct target *target, *next;
+    size_t dialed = 0;
 
+    *known = 0;
     LL_FOREACH_SAFE(mesh->targets, target, next)
     {
+        dialed += target->link != NULL ? 1 : 0;
         if (target->link != NULL || is_linked(mesh, target->text)) {
             target->silent_ms = now_ms;
             target->backoff_ms = DIAL_FIRST_MS;
-            continue;
         }
-        if (now_ms - target->silent_ms > FORGET_MS) {
+        else if (now_ms - target->silent_ms > FORGET_MS) {
             LL_DELETE(mesh->targets, target);
             free(target);
             continue;
         }
-        if (now_ms < target->dial_ms || mesh->count >= MESH_MAX) {
-            continue;
+        (*known)++;
+    }
+    return dialed;
+}
+
+/// The next address to dial: the first in this router's own order.
+static struct target *
+next_target(struct mesh *mesh, int64_t now_ms)
+{
+    struct target *target, *best = NULL;
+
+    LL_FOREACH(mesh->targets, target)
+    {
+        if (target->link == NULL && now_ms >= target->dial_ms &&
+            !is_linked(mesh, target->text) &&
+            (best == NULL || target->order < best->order)) {
+            best = target;
+        }
+    }
+    return best;
+}
+
+static void
+dial(struct mesh *mesh)
+{
+    int64_t now_ms = now_of(mesh);
+    size_t known;
+    size_t dialed = look_over(mesh, now_ms, &known);
+    size_t wanted = known <= MESH_ALL_MAX ? known : MESH_DIALED;
+
+    while (dialed < wanted) {
+        struct target *target = next_target(mesh, now_ms);
+
+        if (target == NULL) {
+            return;
         }
-        target->backoff_ms = 2 * target->backoff_ms < DIAL_LONGEST_MS
-                                 ? 2 * target->backoff_ms
-                                 : DIAL_LONGEST_MS;
-        target->dial_ms = now_ms + target->backoff_ms / 2 +
-                          (int64_t)random_below(mesh->options.random,
-                                                (uint64_t)target->backoff_ms);
-        target->link = link_connect(&mesh->link_options, &target->address);
+        dial_target(mesh, target, now_ms);
+        dialed++;
     }
 }
 
@@ -530,7 +575,7 @@
 
     (void)listener;
     (void)len;
-    if (mesh->count >= 2 * MESH_MAX) {
+    if (mesh->count >= MESH_TAKEN_MAX) {
         evutil_closesocket(fd);
         return;
     }
@@ -582,6 +627,7 @@
     }
     address_of_socket(evconnlistener_get_fd(mesh->listener), &bound);
     address_format((const struct sockaddr *)&bound.storage, mesh->own_address);
+    mesh->order_seed = str_hash(str_from(mesh->own_address), 1);
     mesh->tick = event_new(options->base, -1, EV_PERSIST, on_tick, mesh);
     event_add(mesh->tick, &tick);
     return mesh;
@@ -636,6 +682,7 @@
     target->address = *address;
     target->backoff_ms = DIAL_FIRST_MS;
     target->silent_ms = now_of(mesh);
+    target->order = str_hash(str_from(text), mesh->order_seed);
     snprintf(target->text, sizeof(target->text), "%s", text);
     LL_PREPEND(mesh->targets, target);
 }
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -36,9 +36,13 @@
 #define MESH_READERS 2
 /// A report is believed for two intervals and this much more.
 #define MESH_FRESH_MS 400
-/// Routers that one router links with at most; records reach the others by
-/// relay.
-#define MESH_MAX 40
+/// Up to so many routers all link with all. In a larger deployment each dials
+/// a few, chosen by hash, and records reach the others by relay: what all tell
+/// all would grow with the square.
+#define MESH_ALL_MAX 40
+#define MESH_DIALED 10
+/// Links that a router takes from others at most.
+#define MESH_TAKEN_MAX 80
 
 struct mesh_options {
     struct event_base *base;
--- /dev/null
+++ b/soak/callers.c
@@ -0,0 +1,237 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "core/xmalloc.h"
+#include "net/http1.h"
+#include "soak.h"
+
+/// A process that was killed or paused so recently may have cut an answer.
+#define DISTURBED_MS 3000
+/// The operators' pages: a close this soon after the last byte may cross it.
+#define LOST_SLACK_MS 200
+#define BODY_BYTES_MAX 4096
+
+enum call_kind {
+    CALL_BOOK,
+    CALL_LOOK,
+    CALL_CHAT,
+    CALL_DRAFT,
+    CALL_KINDS,
+};
+
+struct soak_call {
+    struct soak *soak;
+    struct soak_router *router;
+    enum call_kind kind;
+    char id[32];
+    int64_t started_ms;
+    bool calm;
+    int status;
+    char body[BODY_BYTES_MAX];
+    size_t body_len;
+};
+
+static const char *const paths[CALL_KINDS] = {
+    "/book/", "/look/", "/stream/chat/", "/stream/draft/"};
+
+static bool
+is_once(enum call_kind kind)
+{
+    return kind == CALL_BOOK || kind == CALL_DRAFT;
+}
+
+static enum channel_verdict
+on_head(void *ctx, const struct http1 *head)
+{
+    ((struct soak_call *)ctx)->status = http1_status(head);
+    return CHANNEL_TAKE;
+}
+
+static void
+on_data(void *ctx, const char *bytes, size_t len)
+{
+    struct soak_call *call = ctx;
+
+    if (call->body_len + len < BODY_BYTES_MAX) {
+        memcpy(call->body + call->body_len, bytes, len);
+        call->body_len += len;
+    }
+}
+
+/// What a whole answer to this call is.
+static void
+expected_body(const struct soak_call *call, char *out, size_t size)
+{
+    size_t len = 0;
+
+    if (call->kind == CALL_BOOK || call->kind == CALL_LOOK) {
+        snprintf(out, size, "answer to %s, %d bytes", call->id,
+                 call->kind == CALL_BOOK ? 4 : 0);
+        return;
+    }
+    for (int i = 1; i <= SOAK_EVENTS; i++) {
+        len += (size_t)snprintf(out + len, size - len,
+                                "id: %d\ndata: %s/%d\n\n", i, call->id, i);
+    }
+}
+
+static void
+check_body(struct soak_call *call, bool whole)
+{
+    char expected[BODY_BYTES_MAX];
+
+    expected_body(call, expected, sizeof(expected));
+    if (whole ? call->body_len != strlen(expected) ||
+                    memcmp(call->body, expected, call->body_len) != 0
+              : call->body_len > strlen(expected) ||
+                    memcmp(call->body, expected, call->body_len) != 0) {
+        soak_violation(call->soak, "%s %s: wrong answer (%zu bytes%s): %.*s",
+                       call->id, paths[call->kind], call->body_len,
+                       whole ? "" : ", partial", (int)call->body_len,
+                       call->body);
+    }
+}
+
+static uint64_t
+runs_of(const struct soak *soak, const char *id)
+{
+    uint64_t runs = 0;
+
+    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+        runs += origin_runs_of(soak->origins[i].origin, id);
+    }
+    return runs;
+}
+
+/// A request may cross the close of an idle connection if it was not passed
+/// on and the close comes right behind its last byte.
+static bool
+crossed_close(const struct soak_call *call)
+{
+    return call->status == 0 && runs_of(call->soak, call->id) == 0 &&
+           soak_now() - call->started_ms <= LOST_SLACK_MS;
+}
+
+static void
+check_lost(struct soak_call *call)
+{
+    const struct soak_router *router = call->router;
+    bool plain = call->kind == CALL_BOOK || call->kind == CALL_LOOK;
+
+    if (call->status == 200) {
+        check_body(call, false);
+    }
+    if (plain && router->disturbed_ms < call->started_ms &&
+        soak_now() - router->disturbed_ms > DISTURBED_MS && !router->paused &&
+        router->pid != 0 && !crossed_close(call)) {
+        soak_violation(call->soak, "%s: %s closed without an answer to %s%s",
+                       call->id, router->name, paths[call->kind],
+                       router->terminating ? " after SIGTERM" : "");
+    }
+}
+
+static void
+remember(char **list, size_t *count, const char *id)
+{
+    if (*count < SOAK_LEDGER_MAX) {
+        list[(*count)++] = xstrdup(id);
+    }
+}
+
+static void
+on_end(void *ctx, enum channel_end end, const char *detail)
+{
+    struct soak_call *call = ctx;
+    struct soak *soak = call->soak;
+    bool served = end == CHANNEL_COMPLETE && call->status == 200;
+
+    (void)detail;
+    soak->in_flight--;
+    soak->served += served ? 1 : 0;
+    soak->calm_served += served && call->calm ? 1 : 0;
+    if (served) {
+        check_body(call, true);
+    }
+    else if (end == CHANNEL_COMPLETE) {
+        if (call->status >= 400 && call->status < 500 && call->status != 408 &&
+            call->status != 421 && call->status != 429) {
+            soak_violation(soak, "%s: %s answered %d to %s", call->id,
+                           call->router->name, call->status,
+                           paths[call->kind]);
+        }
+        if (is_once(call->kind) &&
+            (call->status == 503 || call->status == 429)) {
+            remember(soak->refused, &soak->refused_count, call->id);
+        }
+    }
+    else if (end == CHANNEL_LOST) {
+        check_lost(call);
+    }
+    else if (end == CHANNEL_GARBLED) {
+        soak_violation(soak, "%s: bytes that are no answer from %s", call->id,
+                       call->router->name);
+    }
+    free(call);
+}
+
+void
+soak_call_start(struct soak *soak)
+{
+    const struct channel_handler handler = {on_head, on_data, on_end, NULL};
+    struct channel_handler bound = handler;
+    struct evbuffer *out = evbuffer_new();
+    const struct channel_request request = {.bytes = out};
+    struct soak_call *call = xcalloc(1, sizeof(*call));
+
+    call->soak = soak;
+    call->router = &soak->routers[random_below(&soak->random, SOAK_ROUTERS)];
+    call->kind = (enum call_kind)random_below(&soak->random, CALL_KINDS);
+    call->started_ms = soak_now();
+    call->calm = soak->calm;
+    snprintf(call->id, sizeof(call->id), "c-%llu",
+             (unsigned long long)soak->calls++);
+    soak->calm_calls += call->calm ? 1 : 0;
+    if (is_once(call->kind)) {
+        remember(soak->once, &soak->once_count, call->id);
+    }
+    evbuffer_add_printf(out,
+                        "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+                        "Dandelionvalve-Request-Id: %s\r\n"
+                        "Dandelionvalve-Deadline-Ms: 3000\r\n"
+                        "Authorization: Bearer key\r\n%s\r\n%s",
+                        call->kind == CALL_LOOK ? "GET" : "POST",
+                        paths[call->kind], call->id,
+                        call->kind == CALL_LOOK ? "" : "Content-Length: 4\r\n",
+                        call->kind == CALL_LOOK ? "" : "body");
+    bound.ctx = call;
+    soak->in_flight++;
+    if (channel_send(call->router->pool, &request, &bound) == NULL) {
+        on_end(call, CHANNEL_UNSENT, "no connection");
+    }
+    evbuffer_free(out);
+}
+
+void
+soak_check_ledgers(struct soak *soak)
+{
+    for (size_t i = 0; i < soak->once_count; i++) {
+        uint64_t runs = runs_of(soak, soak->once[i]);
+
+        if (runs > 1) {
+            soak_violation(soak, "%s ran %llu times", soak->once[i],
+                           (unsigned long long)runs);
+        }
+        free(soak->once[i]);
+    }
+    for (size_t i = 0; i < soak->refused_count; i++) {
+        if (runs_of(soak, soak->refused[i]) > 0) {
+            soak_violation(soak, "%s was said not to have run, but has",
+                           soak->refused[i]);
+        }
+        free(soak->refused[i]);
+    }
+}
--- /dev/null
+++ b/soak/fleet.c
@@ -0,0 +1,303 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "core/xmalloc.h"
+#include "soak.h"
+#include "standin/platform_document.h"
+
+#define KEY "6b1d9c0e5f2a48b7c3d41e6f8a90b2c47d5e6f1a2b3c4d5e6f708192a3b4c5d6"
+#define RESTART_MS 150
+#define WORK_US 4000
+#define HEAD_BYTES_MAX 65536
+
+static struct address
+loopback(void)
+{
+    struct address address = {0};
+    struct err err = {0};
+
+    address_parse(STR_LITERAL("127.0.0.1:0"), &address, &err);
+    return address;
+}
+
+/// A port that is free now.
+static struct address
+free_address(void)
+{
+    struct address address = loopback();
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    if (bind(fd, (struct sockaddr *)&address.storage, address.len) != 0) {
+        BUG("no free port");
+    }
+    address_of_socket(fd, &address);
+    close(fd);
+    return address;
+}
+
+void
+soak_write_settings(struct soak *soak, struct soak_router *router)
+{
+    struct address store = relay_address(router->store);
+    char other[512] = "";
+    FILE *out = fopen(router->file, "w");
+
+    if (out == NULL) {
+        BUG("%s: %s", router->file, strerror(errno));
+    }
+    for (size_t i = 0; i < SOAK_ROUTERS && i < 3; i++) {
+        const struct address *links = &soak->routers[i].links;
+
+        snprintf(other + strlen(other), sizeof(other) - strlen(other),
+                 "%s\"%s:%u\"", i > 0 ? ", " : "", links->ip, links->port);
+    }
+    fprintf(out,
+            "name = \"%s\"\nzone = \"z\"\nlog_level = \"info\"\n"
+            "store = \"%s:%u\"\ncallers = \"%s:%u\"\nready = \"%s:%u\"\n"
+            "[links]\naddress = \"%s:%u\"\nkeys = [\"" KEY "\"]\n"
+            "seeds = [%s]\n[bounds]\ngrace_s = %.1f\nretry_ratio = 0.2\n"
+            "retry_slack = %u\n",
+            router->name, store.ip, store.port, router->callers.ip,
+            router->callers.port, router->ready.ip, router->ready.port,
+            router->links.ip, router->links.port, other,
+            SOAK_GRACE_MS / 1000.0, 40 + router->settings);
+    fclose(out);
+}
+
+static void
+start_router(struct soak *soak, struct soak_router *router)
+{
+    char log[300];
+    pid_t pid;
+
+    snprintf(log, sizeof(log), "%s/%s.log", soak->dir, router->name);
+    pid = fork();
+    if (pid == 0) {
+        int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        for (int i = 3; i < 1024; i++) {
+            close(i);
+        }
+        execl(soak->program, soak->program, "--config", router->file,
+              (char *)NULL);
+        _exit(127);
+    }
+    if (pid < 0) {
+        BUG("fork: %s", strerror(errno));
+    }
+    router->pid = pid;
+    router->paused = router->terminating = router->killed = false;
+    router->disturbed_ms = soak_now();
+}
+
+void
+soak_write_entry(struct soak *soak, const struct soak_origin *origin,
+                 const char *state)
+{
+    struct address address = relay_address(origin->relay);
+    char text[300];
+
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
+             "\"slots\":8,\"state\":\"%s\",\"seq\":1,\"born\":%u}",
+             origin->service, address.ip, address.port, state,
+             origin->incarnation);
+    keyed_store_put(soak->store, "keyed.servers", origin->id,
+                    str_from(state[0] != '\0' ? text : ""));
+}
+
+static void
+start_origin(struct soak *soak, struct soak_origin *origin)
+{
+    struct err err = {0};
+    struct address address;
+
+    origin->origin = origin_new(
+        &(struct origin_options){
+            .base = soak->base,
+            .address = loopback(),
+            .name = origin->id,
+            .work_us = WORK_US,
+            .events = SOAK_EVENTS,
+        },
+        &err);
+    if (origin->origin == NULL) {
+        BUG("%s", err.message);
+    }
+    address = origin_address(origin->origin);
+    origin->relay = relay_new(soak->base, &address);
+    soak_write_entry(soak, origin, "ready");
+}
+
+/// The endpoint starts anew at another address under its identity. The ledger
+/// of the old one stays, since it holds no callers' connections.
+void
+soak_replace_origin(struct soak *soak, struct soak_origin *origin)
+{
+    struct address address = origin_address(origin->origin);
+
+    origin->incarnation++;
+    relay_reset(origin->relay);
+    relay_free(origin->relay);
+    origin->relay = relay_new(soak->base, &address);
+    soak_write_entry(soak, origin, "ready");
+}
+
+void
+soak_configure(struct soak *soak)
+{
+    char *text;
+
+    soak->version += 1 + (int64_t)random_below(&soak->random, 5);
+    text = platform_document(soak->version,
+                             soak->version % 2 == 0 ? "key" : "key\",\"second",
+                             soak->version % 3 == 0, 800, 15000);
+    keyed_store_put(soak->store, "keyed.op", "config", str_from(text));
+    free(text);
+}
+
+void
+soak_start(struct soak *soak)
+{
+    struct err err = {0};
+
+    soak->store = keyed_store_new(
+        &(struct keyed_store_options){
+            .base = soak->base,
+            .clock = &clock_monotonic,
+            .address = loopback(),
+        },
+        &err);
+    if (soak->store == NULL) {
+        BUG("%s", err.message);
+    }
+    soak_configure(soak);
+    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+        struct soak_origin *origin = &soak->origins[i];
+
+        snprintf(origin->id, sizeof(origin->id), "e-%zu", i);
+        origin->service = i == 0 ? "orders" : "models";
+        start_origin(soak, origin);
+    }
+    for (size_t i = 0; i < SOAK_ROUTERS; i++) {
+        struct soak_router *router = &soak->routers[i];
+        struct address address = keyed_store_address(soak->store);
+
+        snprintf(router->name, sizeof(router->name), "router-%zu", i);
+        snprintf(router->file, sizeof(router->file), "%s/%s.toml", soak->dir,
+                 router->name);
+        router->callers = free_address();
+        router->ready = free_address();
+        router->links = free_address();
+        router->store = relay_new(soak->base, &address);
+        router->pool = channel_pool_new(&(struct channel_pool_options){
+            .base = soak->base,
+            .clock = &clock_monotonic,
+            .address = router->callers,
+            .connect_ms = 1000,
+            .head_bytes_max = HEAD_BYTES_MAX,
+        });
+    }
+    for (size_t i = 0; i < SOAK_ROUTERS; i++) {
+        soak_write_settings(soak, &soak->routers[i]);
+        start_router(soak, &soak->routers[i]);
+    }
+}
+
+void
+soak_stop(struct soak *soak)
+{
+    for (size_t i = 0; i < SOAK_ROUTERS; i++) {
+        struct soak_router *router = &soak->routers[i];
+
+        if (router->pid > 0) {
+            kill(router->pid, SIGKILL);
+            waitpid(router->pid, NULL, 0);
+        }
+        channel_pool_free(router->pool);
+        relay_free(router->store);
+    }
+    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+        relay_free(soak->origins[i].relay);
+        origin_free(soak->origins[i].origin);
+    }
+    keyed_store_free(soak->store);
+}
+
+void
+soak_signal(struct soak *soak, struct soak_router *router, int number)
+{
+    if (router->pid == 0 || kill(router->pid, number) != 0) {
+        return;
+    }
+    printf("%lld signal %d to %s\n", (long long)soak_now(), number,
+           router->name);
+    if (number == SIGTERM && !router->terminating) {
+        router->terminating = true;
+        router->term_ms = soak_now();
+    }
+    if (number == SIGKILL || number == SIGSTOP || number == SIGCONT) {
+        router->disturbed_ms = soak_now();
+    }
+    router->killed = router->killed || number == SIGKILL;
+    router->paused =
+        number == SIGSTOP || (router->paused && number != SIGCONT);
+    (void)soak;
+}
+
+/// A process that ends must have been told to, with status 0 and in time.
+static void
+take_end(struct soak *soak, struct soak_router *router, int status)
+{
+    int64_t took_ms = soak_now() - router->term_ms;
+
+    if (router->terminating && !router->killed) {
+        if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
+            soak_violation(soak, "%s: SIGTERM ended with status %d",
+                           router->name, status);
+        }
+        if (took_ms > SOAK_GRACE_MS &&
+            router->disturbed_ms < router->term_ms) {
+            soak_violation(soak, "%s: SIGTERM took %lld ms", router->name,
+                           (long long)took_ms);
+        }
+    }
+    else if (!router->killed) {
+        soak_violation(soak, "%s: ended by itself with status %d",
+                       router->name, status);
+    }
+    router->pid = 0;
+    router->restart_ms = soak_now() + RESTART_MS;
+}
+
+void
+soak_tend(struct soak *soak)
+{
+    int64_t now_ms = soak_now();
+
+    for (size_t i = 0; i < SOAK_ROUTERS; i++) {
+        struct soak_router *router = &soak->routers[i];
+        int status;
+
+        if (router->pid == 0) {
+            if (now_ms >= router->restart_ms) {
+                start_router(soak, router);
+            }
+            continue;
+        }
+        if (router->paused && now_ms >= router->resume_ms) {
+            soak_signal(soak, router, SIGCONT);
+        }
+        if (waitpid(router->pid, &status, WNOHANG) == router->pid) {
+            take_end(soak, router, status);
+        }
+    }
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,173 @@
+/// dvsoak: the randomized soak of direct routers. Exits with 1 if a promise
+/// was broken.
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <popt.h>
+#include <sodium.h>
+
+#include "core/xmalloc.h"
+#include "soak.h"
+
+#define TICK_MS 10
+#define WARM_UP_MS 2000
+/// After the last fault: time to be whole again, and time that is judged.
+#define SETTLE_MS 9000
+#define CALM_MS 3000
+/// Share of the calm requests that must be served.
+#define CALM_SERVED_PERCENT 98
+
+struct phases {
+    struct soak *soak;
+    int64_t started_ms;
+    int64_t faults_ms;
+    size_t calls_a_tick;
+    bool healed;
+};
+
+int64_t
+soak_now(void)
+{
+    return clock_ms(&clock_monotonic);
+}
+
+void
+soak_violation(struct soak *soak, const char *fmt, ...)
+{
+    va_list ap;
+
+    soak->violations++;
+    printf("%lld VIOLATION ", (long long)soak_now());
+    va_start(ap, fmt);
+    vprintf(fmt, ap);
+    va_end(ap);
+    printf("\n");
+}
+
+static void
+on_tick(evutil_socket_t fd, short events, void *ctx)
+{
+    struct phases *phases = ctx;
+    struct soak *soak = phases->soak;
+    int64_t passed_ms = soak_now() - phases->started_ms;
+    int64_t end_ms = WARM_UP_MS + phases->faults_ms;
+
+    (void)fd;
+    (void)events;
+    soak_tend(soak);
+    if (passed_ms < WARM_UP_MS) {
+        return;
+    }
+    if (passed_ms < end_ms) {
+        soak_fault(soak);
+        soak_heal(soak, false);
+    }
+    else if (!phases->healed) {
+        soak_heal(soak, true);
+        phases->healed = true;
+    }
+    soak->calm = passed_ms >= end_ms + SETTLE_MS;
+    if (passed_ms >= end_ms + SETTLE_MS + CALM_MS) {
+        if (soak->in_flight == 0 ||
+            passed_ms >= end_ms + SETTLE_MS + 3 * CALM_MS) {
+            event_base_loopbreak(soak->base);
+        }
+        return;
+    }
+    for (size_t i = 0; i < phases->calls_a_tick; i++) {
+        soak_call_start(soak);
+    }
+}
+
+static void
+judge(struct soak *soak, long seed)
+{
+    if (soak->in_flight > 0) {
+        soak_violation(soak, "%llu requests never ended",
+                       (unsigned long long)soak->in_flight);
+    }
+    if (soak->calm_calls == 0 ||
+        soak->calm_served * 100 < soak->calm_calls * CALM_SERVED_PERCENT) {
+        soak_violation(soak, "after the faults %llu of %llu were served",
+                       (unsigned long long)soak->calm_served,
+                       (unsigned long long)soak->calm_calls);
+    }
+    soak_check_ledgers(soak);
+    printf("soak: seed %ld faults %llu calls %llu served %llu refused %zu "
+           "calm %llu of %llu violations %llu\n",
+           seed, (unsigned long long)soak->faults,
+           (unsigned long long)soak->calls, (unsigned long long)soak->served,
+           soak->refused_count, (unsigned long long)soak->calm_served,
+           (unsigned long long)soak->calm_calls,
+           (unsigned long long)soak->violations);
+}
+
+static bool
+run(const char *program, const char *dir, long seed, long seconds)
+{
+    static const struct timeval tick = {.tv_usec = TICK_MS * 1000};
+    struct soak *soak = xcalloc(1, sizeof(*soak));
+    struct phases phases = {
+        .soak = soak,
+        .started_ms = soak_now(),
+        .faults_ms = 1000 * (int64_t)seconds,
+        .calls_a_tick = 2,
+    };
+    struct event *event;
+    bool ok;
+
+    soak->base = event_base_new();
+    soak->program = program;
+    soak->dir = dir;
+    soak->seeded.state = (uint64_t)seed;
+    soak->random = random_seeded_interface(&soak->seeded);
+    soak_start(soak);
+    event = event_new(soak->base, -1, EV_PERSIST, on_tick, &phases);
+    event_add(event, &tick);
+    event_base_dispatch(soak->base);
+    judge(soak, seed);
+    event_free(event);
+    ok = soak->violations == 0;
+    soak_stop(soak);
+    event_base_free(soak->base);
+    free(soak);
+    return ok;
+}
+
+int
+main(int argc, const char **argv)
+{
+    char *program = NULL;
+    char *dir = NULL;
+    int seed = 1;
+    int seconds = 10;
+    const struct poptOption options[] = {
+        {"router", 0, POPT_ARG_STRING, &program, 0, "program of a router",
+         "FILE"},
+        {"dir", 0, POPT_ARG_STRING, &dir, 0, "where settings and logs go",
+         "DIR"},
+        {"seed", 0, POPT_ARG_INT, &seed, 0, "of schedule and load", "N"},
+        {"seconds", 0, POPT_ARG_INT, &seconds, 0, "time with faults", "N"},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("dvsoak", argc, argv, options, 0);
+    int result = poptGetNextOpt(context);
+    int status = 2;
+
+    if (result < -1 || program == NULL || dir == NULL || sodium_init() < 0) {
+        fprintf(stderr, "dvsoak: --router FILE and --dir DIR are needed; see "
+                        "--help\n");
+        goto out;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    status = run(program, dir, seed, seconds) ? 0 : 1;
+out:
+    poptFreeContext(context);
+    free(program);
+    free(dir);
+    return status;
+}
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,108 @@
+/// A randomized soak: real routers as processes, stand-ins for store and
+/// endpoints, faults from outside, and promises checked from what callers and
+/// endpoints see.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include "dandelionvalve/clock.h"
+#include "net/address.h"
+#include "net/channel.h"
+#include "standin/keyed_store.h"
+#include "standin/origin.h"
+#include "standin/relay.h"
+
+#define SOAK_ROUTERS 4
+#define SOAK_ORIGINS 4
+#define SOAK_EVENTS 12
+#define SOAK_GRACE_MS 4000
+#define SOAK_LEDGER_MAX 60000
+
+struct event;
+struct event_base;
+struct soak_call;
+
+/// One router process and the relay through which it reaches the store.
+struct soak_router {
+    char name[16];
+    char file[256];
+    struct address callers;
+    struct address ready;
+    struct address links;
+    struct relay *store;
+    struct channel_pool *pool;
+    pid_t pid; ///< 0: not running
+    bool paused;
+    bool terminating;
+    bool killed;
+    int64_t resume_ms;
+    int64_t restart_ms;
+    int64_t term_ms;
+    int64_t disturbed_ms; ///< when it was last killed, paused or started
+    unsigned settings;    ///< version of its settings file
+};
+
+/// One endpoint and the relay before it.
+struct soak_origin {
+    char id[24];
+    const char *service;
+    struct origin *origin;
+    struct relay *relay;
+    int64_t heal_ms; ///< 0: sound
+    int64_t faulted_ms;
+    unsigned incarnation;
+};
+
+struct soak {
+    struct event_base *base;
+    const char *program; ///< of a router
+    const char *dir;
+    struct random_seeded seeded;
+    struct random_source random;
+    struct keyed_store *store;
+    int64_t store_heal_ms;
+    struct soak_router routers[SOAK_ROUTERS];
+    struct soak_origin origins[SOAK_ORIGINS];
+    int64_t version;
+    int64_t next_fault_ms;
+    bool calm;                      ///< no more faults; the rest must be well
+    char *refused[SOAK_LEDGER_MAX]; ///< ids that were promised not to run
+    size_t refused_count;
+    char *once[SOAK_LEDGER_MAX]; ///< ids that may run once
+    size_t once_count;
+    uint64_t calls;
+    uint64_t served;
+    uint64_t calm_calls;
+    uint64_t calm_served;
+    uint64_t faults;
+    uint64_t in_flight;
+    uint64_t violations;
+};
+
+int64_t soak_now(void);
+
+/// Reports a broken promise.
+void soak_violation(struct soak *soak, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/// fleet: starts everything; keeps the processes as they should be.
+void soak_start(struct soak *soak);
+void soak_stop(struct soak *soak);
+void soak_tend(struct soak *soak);
+void soak_signal(struct soak *soak, struct soak_router *router, int number);
+void soak_write_settings(struct soak *soak, struct soak_router *router);
+void soak_write_entry(struct soak *soak, const struct soak_origin *origin,
+                      const char *state);
+void soak_configure(struct soak *soak);
+void soak_replace_origin(struct soak *soak, struct soak_origin *origin);
+
+/// faults: brings about the next one; heals what is due.
+void soak_fault(struct soak *soak);
+void soak_heal(struct soak *soak, bool all);
+
+/// callers: one more request; checks once all is over.
+void soak_call_start(struct soak *soak);
+void soak_check_ledgers(struct soak *soak);
--- a/tests/relay.h
+++ b/standin/relay.h
@@ -1,6 +1,7 @@
 /// A TCP relay that can swallow its connections for good while new ones work.
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -20,5 +21,14 @@
 /// (or from it, if `from_target`).
 void relay_swallow_after(struct relay *relay, size_t bytes, bool from_target);
 
+/// All open connections are reset at both ends.
+void relay_reset(struct relay *relay);
+
+/// Nothing is passed on for so long; then all of it.
+void relay_delay(struct relay *relay, int64_t ms);
+
+/// Drops all bytes of a direction until it is set anew.
+void relay_mute(struct relay *relay, bool to_target, bool from_target);
+
 /// Connections that were opened through the relay.
 size_t relay_connections(const struct relay *relay);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -8,7 +8,7 @@
 #include "daemon/agent.h"
 #include "daemon/router.h"
 #include "net/endpoint.h"
-#include "relay.h"
+#include "standin/relay.h"
 #include "standin/engine.h"
 #include "standin/platform_log.h"
 #include "standin/service.h"
