exchange, program: wait a moment at the start; a further SIGTERM changes nothing

Change: a process younger than 2 s holds such requests until configuration and endpoints are known, 0.5 s and a third of their time at most; later ones are refused at once. Only a further SIGINT ends at once.

--- a/core/patience.c
+++ b/core/patience.c
@@ -21,6 +21,18 @@
                                                 : silence_ms;
 }
 
+int64_t
+patience_knowledge_ms(int64_t age_ms, int64_t left_ms)
+{
+    int64_t longest_ms = left_ms / PATIENCE_LEFT_PART;
+
+    if (age_ms >= PATIENCE_START_MS || longest_ms <= 0) {
+        return 0;
+    }
+    return longest_ms < PATIENCE_KNOWLEDGE_MS ? longest_ms
+                                              : PATIENCE_KNOWLEDGE_MS;
+}
+
 int64_t
 patience_retry_after_ms(const struct random_source *random, int64_t left_ms)
 {
--- a/core/patience.h
+++ b/core/patience.h
@@ -29,6 +29,19 @@
     int64_t reading_ms; ///< predicted for the prompt
 };
 
+/// A process that has just started knows the deployment within this time if
+/// the store or a peer answers.
+#define PATIENCE_KNOWLEDGE_MS 500
+/// After this age it does not count as just started: what is not known by
+/// then is not about to be.
+#define PATIENCE_START_MS 2000
+
+/// How long a request may wait for a process of this age to know the
+/// deployment, in ms; 0: it is refused at once.
+///
+/// Load pattern: all processes start together, and callers with them.
+int64_t patience_knowledge_ms(int64_t age_ms, int64_t left_ms);
+
 /// Silence after which another endpoint is the better choice, in ms.
 int64_t patience_silence_ms(const struct patience_inputs *inputs);
 
--- a/daemon/program.c
+++ b/daemon/program.c
@@ -88,10 +88,12 @@
 {
     struct signals *signals = ctx;
 
-    (void)number;
     (void)events;
     if (signals->terminating) {
-        event_base_loopbreak(signals->base);
+        // Whoever stops a process may say so again; that must cut nothing.
+        if (number == SIGINT) {
+            event_base_loopbreak(signals->base);
+        }
         return;
     }
     signals->terminating = true;
--- a/daemon/program.h
+++ b/daemon/program.h
@@ -27,7 +27,8 @@
 int program_fail(const struct program *program, const struct err *err);
 
 /// Runs the loop until event_base_loopbreak(); `terminate` is called on
-/// SIGTERM and SIGINT, a second signal ends the loop at once.
+/// SIGTERM and SIGINT. A further SIGINT ends the loop at once, a further
+/// SIGTERM changes nothing.
 void program_run(struct event_base *base, void (*terminate)(void *ctx),
                  void *ctx);
 
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -81,6 +81,8 @@
     struct listed *exchanges;
     struct event *tick;
     bool knows_endpoints;
+    bool resumed; ///< requests that waited for knowledge have gone on
+    int64_t started_ms;
     bool was_ready;
     int64_t store_back_ms; ///< when the store last came back; 0: never away
     bool draining;
@@ -225,16 +227,32 @@
     }
 }
 
+/// Requests that came before anything was known go on.
+static void
+resume_waiting(struct direct *direct)
+{
+    struct listed *listed, *next;
+
+    if (direct->resumed || !direct_knows_deployment(direct)) {
+        return;
+    }
+    direct->resumed = true;
+    HASH_ITER(hh, direct->exchanges, listed, next)
+    {
+        exchange_resume(listed->exchange);
+    }
+}
+
 void
 direct_caught_up(struct direct *direct, int topic, int64_t away_ms)
 {
-    if (topic != RECORDS_ENDPOINTS) {
-        return;
+    if (topic == RECORDS_ENDPOINTS) {
+        direct->knows_endpoints = true;
     }
-    direct->knows_endpoints = true;
-    if (away_ms > 0) {
+    if (topic == RECORDS_ENDPOINTS && away_ms > 0) {
         LOG_INFO("event=store-back away_ms=%lld", (long long)away_ms);
     }
+    resume_waiting(direct);
 }
 
 void
@@ -255,8 +273,7 @@
 bool
 direct_is_ready(const struct direct *direct)
 {
-    return !direct->draining && direct->catalog != NULL &&
-           direct->knows_endpoints;
+    return !direct->draining && direct_knows_deployment(direct);
 }
 
 static bool
@@ -604,6 +621,7 @@
     direct->options = *options;
     direct->settings = *options->settings;
     direct->tokens_per_ms = TOKENS_PER_MS;
+    direct->started_ms = clock_ms(options->clock);
     direct->records = records_new(&(struct records_options){
         .changed = on_record,
         .ctx = direct,
@@ -743,9 +761,15 @@
 }
 
 bool
-direct_knows_endpoints(const struct direct *direct)
+direct_knows_deployment(const struct direct *direct)
+{
+    return direct->catalog != NULL && direct->knows_endpoints;
+}
+
+int64_t
+direct_age_ms(const struct direct *direct)
 {
-    return direct->knows_endpoints;
+    return clock_ms(direct->options.clock) - direct->started_ms;
 }
 
 const struct clock *
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -22,8 +22,11 @@
 struct catalog *direct_catalog(const struct direct *direct);
 struct endpoints *direct_endpoints(const struct direct *direct);
 
-/// True once the entries of endpoints have been read to their end.
-bool direct_knows_endpoints(const struct direct *direct);
+/// True once configuration and endpoints are known.
+bool direct_knows_deployment(const struct direct *direct);
+
+/// Milliseconds since the start.
+int64_t direct_age_ms(const struct direct *direct);
 const struct clock *direct_clock(const struct direct *direct);
 const struct random_source *direct_random(const struct direct *direct);
 const struct wire *direct_wire(const struct direct *direct);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -33,6 +33,8 @@
 #define ANSWER_BYTES_MAX (16 * 1024 * 1024)
 /// A request with less time left is not offered: its answer would be late.
 #define LEFT_MIN_MS 10
+/// Time that a caller is taken to wait if it does not say so.
+#define LIMIT_DEFAULT_MS 1000
 
 struct exchange {
     struct direct *direct;
@@ -59,7 +61,8 @@
     int64_t progress_ms;   ///< last sign of the endpoint
     double backlog_tokens; ///< its share of the endpoint's
     uint32_t unread_tokens;
-    bool stalled; ///< this attempt's silence has been counted
+    bool stalled;             ///< this attempt's silence has been counted
+    bool waits_for_knowledge; ///< the process has just started
 
     int status;
     bool not_executed;
@@ -653,7 +656,10 @@
 
     (void)fd;
     (void)events;
-    if (now_ms >= exchange->limit_ms) {
+    if (exchange->waits_for_knowledge) {
+        refuse_not_run(exchange, "nothing is known of the deployment yet");
+    }
+    else if (now_ms >= exchange->limit_ms) {
         time_out(exchange);
     }
     else if (exchange->channel != NULL && !exchange->stalled &&
@@ -843,25 +849,34 @@
     exchange->limit_ms = exchange->started_ms + wait_ms;
 }
 
-/// The filters in order; true if the request may be dispatched.
+/// What the request says of itself; false if it was answered.
 static bool
-filter(struct exchange *exchange)
+read_facts(struct exchange *exchange)
 {
-    struct direct *direct = exchange->direct;
     struct err err = {0};
 
-    exchange->limit_ms = exchange->started_ms + 1000;
-    if (!direct_wire(direct)->read_request(caller_head(exchange->caller),
-                                           &exchange->facts, &err)) {
+    exchange->limit_ms = exchange->started_ms + LIMIT_DEFAULT_MS;
+    if (!direct_wire(exchange->direct)
+             ->read_request(caller_head(exchange->caller), &exchange->facts,
+                            &err)) {
         refuse(exchange, 400, -1, err.message);
         return false;
     }
     snprintf(exchange->id, sizeof(exchange->id), STR_FMT,
              STR_ARG(exchange->facts.id));
-    if (direct_catalog(direct) == NULL || !direct_knows_endpoints(direct)) {
-        refuse_not_run(exchange, "nothing is known of the deployment yet");
-        return false;
+    if (exchange->facts.deadline_ms > 0) {
+        exchange->limit_ms =
+            exchange->started_ms + exchange->facts.deadline_ms;
     }
+    return true;
+}
+
+/// The filters in order; false if one has answered.
+static bool
+filter(struct exchange *exchange)
+{
+    struct direct *direct = exchange->direct;
+
     exchange->catalog = catalog_ref(direct_catalog(direct));
     exchange->route = catalog_find_route(
         exchange->catalog, exchange->facts.host, exchange->facts.path);
@@ -884,10 +899,26 @@
     return true;
 }
 
+static void
+go_on(struct exchange *exchange)
+{
+    struct direct *direct = exchange->direct;
+
+    if (!filter(exchange)) {
+        return;
+    }
+    exchange->service = catalog_pick_target(
+        exchange->route, random_unit(direct_random(direct)));
+    exchange->has_priority = exchange->facts.prefix.count > 0;
+    retry_count_request(direct_budget(direct, exchange->service));
+    dispatch(exchange);
+}
+
 void
 exchange_start(struct direct *direct, struct caller *caller)
 {
     struct exchange *exchange = xcalloc(1, sizeof(*exchange));
+    int64_t wait_ms;
 
     exchange->direct = direct;
     exchange->caller = caller;
@@ -900,14 +931,31 @@
     caller_set_user(caller, exchange);
     direct_add(direct, exchange);
     counter_add(direct_counters(direct), COUNTER_REQUESTS, 1);
-    if (!filter(exchange)) {
+    if (!read_facts(exchange)) {
         return;
     }
-    exchange->service = catalog_pick_target(
-        exchange->route, random_unit(direct_random(direct)));
-    exchange->has_priority = exchange->facts.prefix.count > 0;
-    retry_count_request(direct_budget(direct, exchange->service));
-    dispatch(exchange);
+    if (direct_knows_deployment(direct)) {
+        go_on(exchange);
+        return;
+    }
+    wait_ms = patience_knowledge_ms(direct_age_ms(direct),
+                                    exchange->limit_ms - now_of(exchange));
+    if (wait_ms == 0) {
+        refuse_not_run(exchange, "nothing is known of the deployment yet");
+        return;
+    }
+    exchange->waits_for_knowledge = true;
+    set_timer(exchange, wait_ms);
+}
+
+void
+exchange_resume(struct exchange *exchange)
+{
+    if (exchange->waits_for_knowledge) {
+        exchange->waits_for_knowledge = false;
+        event_del(exchange->timer);
+        go_on(exchange);
+    }
 }
 
 void
--- a/direct/exchange.h
+++ b/direct/exchange.h
@@ -10,6 +10,9 @@
 /// Takes a whole request; answers it now or later.
 void exchange_start(struct direct *direct, struct caller *caller);
 
+/// The deployment is known now: a request that has waited for that goes on.
+void exchange_resume(struct exchange *exchange);
+
 /// The caller has left: what may be cut is cancelled at its endpoint.
 void exchange_abandon(struct exchange *exchange);
 
--- a/tests/shutdown.sh
+++ b/tests/shutdown.sh
@@ -43,6 +43,8 @@
 agent=$(eval echo "\$PID_${MODEL_POOL}_1")
 kill -TERM "$agent" "$PID_router_1"
 sleep 0.3
+# Whoever stops a process may say so twice.
+kill -TERM "$agent" "$PID_router_1"
 check "readiness of the router" "$(status_of "$NET.201:9000" /readyz)" 503
 check "health of the router" "$(status_of "$NET.201:9000" /healthz)" 200
 wait "$load"
