caller: no further request on a connection whose router is about to end

Ruled out: the idle connections, which close after 2.6 s. Change: once the listener is closed each connection ends with its answer.

--- a/net/caller.c
+++ b/net/caller.c
@@ -420,7 +420,8 @@
 end_answer(struct caller *caller)
 {
     caller->user = NULL;
-    if (!caller->close_after) {
+    // An answer that began before the drain has not said that it is the last.
+    if (!caller->close_after && caller->server->listener != NULL) {
         next_request(caller);
         return;
     }
--- a/net/caller.h
+++ b/net/caller.h
@@ -52,7 +52,8 @@
 /// From now on each answer ends its connection.
 void caller_server_drain(struct caller_server *server);
 
-/// Takes no new connections and closes the idle ones.
+/// Takes no new connections and closes the idle ones; the others close with
+/// the answer that is on its way.
 void caller_server_close_idle(struct caller_server *server);
 size_t caller_server_connections(const struct caller_server *server);
 
