direct: admission gets a module; one timer and one set of test ports

Change: admission.c, net/timer, standin/ports; work space in the struct; such an id is refused with 400 (test). Conclusion: no change in behaviour but for long ids.

--- /dev/null
+++ b/direct/admission.c
@@ -0,0 +1,116 @@
+#include "admission.h"
+
+#include <stdio.h>
+
+#include <event2/buffer.h>
+
+#include "core/catalog.h"
+#include "dandelionvalve/quarantine.h"
+#include "direct_state.h"
+#include "exchange_state.h"
+#include "net/caller.h"
+
+/// Time that a caller is taken to wait if it does not say so.
+#define LIMIT_DEFAULT_MS 1000
+
+static bool
+identify(struct exchange *exchange)
+{
+    const struct catalog_account *account = NULL;
+
+    exchange->priority = exchange->route->priority;
+    if (!catalog_has_accounts(exchange->catalog)) {
+        return true;
+    }
+    if (exchange->facts.api_key.len > 0) {
+        account =
+            catalog_find_account(exchange->catalog, exchange->facts.api_key);
+    }
+    if (account != NULL) {
+        exchange->account = account->name;
+        if (account->has_priority) {
+            exchange->priority = account->priority;
+        }
+    }
+    if (exchange->route->is_public) {
+        exchange->account = (struct str){0};
+        return true;
+    }
+    return account != NULL;
+}
+
+static uint64_t
+fingerprint_of(const struct exchange *exchange)
+{
+    struct evbuffer *body = caller_body(exchange->caller);
+    size_t len = evbuffer_get_length(body);
+    uint64_t hash = str_hash(exchange->facts.path, 1);
+
+    hash = str_hash(exchange->account, hash);
+    return str_hash((struct str){(const char *)evbuffer_pullup(body, -1), len},
+                    hash);
+}
+
+static void
+set_limit(struct exchange *exchange)
+{
+    int64_t wait_ms = exchange->route->timeout_ms;
+
+    if (exchange->facts.deadline_ms > 0 &&
+        exchange->facts.deadline_ms < wait_ms) {
+        wait_ms = exchange->facts.deadline_ms;
+    }
+    exchange->limit_ms = exchange->started_ms + wait_ms;
+}
+
+bool
+admission_read(struct exchange *exchange)
+{
+    struct err err = {0};
+
+    exchange->limit_ms = exchange->started_ms + LIMIT_DEFAULT_MS;
+    if (!direct_wire(exchange->direct)
+             ->read_request(caller_head(exchange->caller), &exchange->facts,
+                            &err)) {
+        exchange_refuse(exchange, 400, -1, err.message);
+        return false;
+    }
+    if (exchange->facts.id.len >= sizeof(exchange->id)) {
+        exchange_refuse(exchange, 400, -1, "the request's id is too long");
+        return false;
+    }
+    snprintf(exchange->id, sizeof(exchange->id), STR_FMT,
+             STR_ARG(exchange->facts.id));
+    if (exchange->facts.deadline_ms > 0) {
+        exchange->limit_ms =
+            exchange->started_ms + exchange->facts.deadline_ms;
+    }
+    return true;
+}
+
+bool
+admission_filter(struct exchange *exchange)
+{
+    struct direct *direct = exchange->direct;
+
+    exchange->catalog = catalog_ref(direct_catalog(direct));
+    exchange->route = catalog_find_route(
+        exchange->catalog, exchange->facts.host, exchange->facts.path);
+    if (exchange->route == NULL) {
+        exchange_refuse(exchange, 404, -1, "no route");
+        return false;
+    }
+    set_limit(exchange);
+    if (!identify(exchange)) {
+        exchange_refuse(exchange, 401, -1, "unknown key");
+        return false;
+    }
+    exchange->fingerprint = fingerprint_of(exchange);
+    if (quarantine_check(direct_quarantine(direct), exchange->fingerprint) ==
+        QUARANTINE_REFUSE) {
+        counter_add(direct_counters(direct), COUNTER_QUARANTINED, 1);
+        exchange_refuse_not_run(exchange, "crashed the endpoints that ran it");
+        return false;
+    }
+    return true;
+}
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -20,6 +20,10 @@
     struct endpoints_options options;
     struct endpoint *all;
     struct endpoint *by_hash;
+    /// Work space of a choice.
+    struct place_candidate candidates[CANDIDATES_MAX];
+    struct endpoint *owners[CANDIDATES_MAX];
+    bool ejected[CANDIDATES_MAX];
 };
 
 struct endpoints *
@@ -341,9 +345,9 @@
                  const struct endpoints_query *query,
                  struct place_request *request, struct place_choice *choice)
 {
-    static struct place_candidate candidates[CANDIDATES_MAX];
-    static struct endpoint *owners[CANDIDATES_MAX];
-    static bool ejected[CANDIDATES_MAX];
+    struct place_candidate *candidates = endpoints->candidates;
+    struct endpoint **owners = endpoints->owners;
+    bool *ejected = endpoints->ejected;
     int64_t now_ms = clock_ms(endpoints->options.clock);
     struct endpoint *endpoint;
     size_t count = 0;
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -8,72 +8,29 @@
 #include <event2/event.h>
 
 #include "core/catalog.h"
-#include "core/events.h"
 #include "core/patience.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/outcome.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
+#include "admission.h"
 #include "direct_state.h"
 #include "endpoints.h"
+#include "exchange_state.h"
 #include "net/caller.h"
 #include "net/channel.h"
 #include "net/http1.h"
 #include "net/log.h"
+#include "net/timer.h"
 #include "daemon/settings.h"
 
 #define LOG_MODULE "exchange"
 
-#define ID_BYTES_MAX 128
-/// Endpoints that one request is offered to at most, unreachable ones
-/// included.
-#define OFFERS_MAX 16
 /// An answer that is not a stream is passed on when it is whole; longer ones
 /// are cut off.
 #define ANSWER_BYTES_MAX (16 * 1024 * 1024)
 /// A request with less time left is not offered: its answer would be late.
 #define LEFT_MIN_MS 10
-/// Time that a caller is taken to wait if it does not say so.
-#define LIMIT_DEFAULT_MS 1000
-
-struct exchange {
-    struct direct *direct;
-    struct caller *caller; ///< NULL once the caller has left
-    struct catalog *catalog;
-    const struct catalog_route *route;
-    struct str account;
-    struct request_facts facts; ///< views, valid while there is a caller
-    char id[ID_BYTES_MAX];
-    struct str service;
-    uint32_t priority;
-    bool has_priority;
-    uint64_t fingerprint;
-    int64_t started_ms;
-    int64_t limit_ms; ///< on the clock: deadline or the route's timeout
-
-    struct endpoint *endpoint;
-    struct channel *channel;
-    uint64_t tried[OFFERS_MAX];
-    size_t offers;   ///< endpoints chosen so far
-    size_t arrivals; ///< endpoints that may have got it
-    size_t runs;     ///< endpoints that may have run it
-    int64_t offered_ms;
-    int64_t progress_ms;   ///< last sign of the endpoint
-    double backlog_tokens; ///< its share of the endpoint's
-    uint32_t unread_tokens;
-    bool stalled;             ///< this attempt's silence has been counted
-    bool waits_for_knowledge; ///< the process has just started
-
-    int status;
-    bool not_executed;
-    bool is_stream;
-    bool answering; ///< the head has gone to the caller
-    struct evbuffer *fields;
-    struct evbuffer *body;
-    struct events events;
-    int64_t first_ms;
-    struct event *timer;
-};
 
 static void dispatch(struct exchange *exchange);
 
@@ -90,17 +47,6 @@
            exchange->route->kind == ROUTE_RESUMABLE;
 }
 
-static void
-set_timer(struct exchange *exchange, int64_t ms)
-{
-    const struct timeval delay = {
-        .tv_sec = ms / 1000,
-        .tv_usec = (suseconds_t)(ms % 1000 * 1000),
-    };
-
-    event_add(exchange->timer, &delay);
-}
-
 /// What the endpoint no longer has to read of this prompt.
 static void
 settle_backlog(struct exchange *exchange)
@@ -184,11 +130,9 @@
         (long long)(exchange->limit_ms - now_ms));
 }
 
-/// An answer of the router's own. The status says what is known: 503 and 429
-/// only if the request has not run and will not.
-static void
-refuse(struct exchange *exchange, int status, int64_t retry_after_ms,
-       const char *reason)
+void
+exchange_refuse(struct exchange *exchange, int status, int64_t retry_after_ms,
+                const char *reason)
 {
     struct caller *caller = exchange->caller;
     struct counters *counters = direct_counters(exchange->direct);
@@ -215,16 +159,16 @@
     free_exchange(exchange);
 }
 
-static void
-refuse_not_run(struct exchange *exchange, const char *reason)
+void
+exchange_refuse_not_run(struct exchange *exchange, const char *reason)
 {
     const struct random_source *random = direct_random(exchange->direct);
 
     if (exchange->runs > 0) {
-        refuse(exchange, 502, -1, reason);
+        exchange_refuse(exchange, 502, -1, reason);
         return;
     }
-    refuse(
+    exchange_refuse(
         exchange, 503,
         patience_retry_after_ms(random, exchange->limit_ms - now_of(exchange)),
         reason);
@@ -317,7 +261,7 @@
         outcome_allows_retry(end, is_repeatable(exchange)) ||
         (end == ATTEMPT_CUT && exchange->route->kind == ROUTE_RESUMABLE);
 
-    if (!allowed || exchange->offers >= OFFERS_MAX ||
+    if (!allowed || exchange->offers >= EXCHANGE_OFFERS_MAX ||
         exchange->arrivals >= exchange->route->endpoints_max ||
         exchange->limit_ms - now_of(exchange) < LEFT_MIN_MS) {
         return false;
@@ -361,10 +305,10 @@
         break_off(exchange, reason);
     }
     else if (exchange->runs == 0) {
-        refuse_not_run(exchange, reason);
+        exchange_refuse_not_run(exchange, reason);
     }
     else {
-        refuse(exchange, 502, -1, reason);
+        exchange_refuse(exchange, 502, -1, reason);
     }
 }
 
@@ -599,7 +543,7 @@
         exchange->progress_ms + silence_ms(exchange) < at_ms) {
         at_ms = exchange->progress_ms + silence_ms(exchange);
     }
-    set_timer(exchange, at_ms > now_ms ? at_ms - now_ms : 0);
+    timer_start(exchange->timer, at_ms > now_ms ? at_ms - now_ms : 0);
 }
 
 static void
@@ -615,7 +559,7 @@
         break_off(exchange, "time limit");
     }
     else {
-        refuse(exchange, 504, -1, "time limit");
+        exchange_refuse(exchange, 504, -1, "time limit");
     }
 }
 
@@ -657,7 +601,8 @@
     (void)fd;
     (void)events;
     if (exchange->waits_for_knowledge) {
-        refuse_not_run(exchange, "nothing is known of the deployment yet");
+        exchange_refuse_not_run(exchange,
+                                "nothing is known of the deployment yet");
     }
     else if (now_ms >= exchange->limit_ms) {
         time_out(exchange);
@@ -783,7 +728,7 @@
     struct endpoint *endpoint = choose(exchange, &choice);
 
     if (endpoint == NULL && exchange->offers > 0 && exchange->runs == 0 &&
-        exchange->offers < OFFERS_MAX) {
+        exchange->offers < EXCHANGE_OFFERS_MAX) {
         // All were unreachable: the first may be back.
         exchange->tried[0] = 0;
         endpoint = choose(exchange, &choice);
@@ -795,116 +740,16 @@
         break_off(exchange, "no endpoint to continue at");
     }
     else {
-        refuse_not_run(exchange, "no endpoint is usable");
+        exchange_refuse_not_run(exchange, "no endpoint is usable");
     }
 }
 
-static bool
-identify(struct exchange *exchange)
-{
-    const struct catalog_account *account = NULL;
-
-    exchange->priority = exchange->route->priority;
-    if (!catalog_has_accounts(exchange->catalog)) {
-        return true;
-    }
-    if (exchange->facts.api_key.len > 0) {
-        account =
-            catalog_find_account(exchange->catalog, exchange->facts.api_key);
-    }
-    if (account != NULL) {
-        exchange->account = account->name;
-        if (account->has_priority) {
-            exchange->priority = account->priority;
-        }
-    }
-    if (exchange->route->is_public) {
-        exchange->account = (struct str){0};
-        return true;
-    }
-    return account != NULL;
-}
-
-static uint64_t
-fingerprint_of(const struct exchange *exchange)
-{
-    struct evbuffer *body = caller_body(exchange->caller);
-    size_t len = evbuffer_get_length(body);
-    uint64_t hash = str_hash(exchange->facts.path, 1);
-
-    hash = str_hash(exchange->account, hash);
-    return str_hash((struct str){(const char *)evbuffer_pullup(body, -1), len},
-                    hash);
-}
-
-static void
-set_limit(struct exchange *exchange)
-{
-    int64_t wait_ms = exchange->route->timeout_ms;
-
-    if (exchange->facts.deadline_ms > 0 &&
-        exchange->facts.deadline_ms < wait_ms) {
-        wait_ms = exchange->facts.deadline_ms;
-    }
-    exchange->limit_ms = exchange->started_ms + wait_ms;
-}
-
-/// What the request says of itself; false if it was answered.
-static bool
-read_facts(struct exchange *exchange)
-{
-    struct err err = {0};
-
-    exchange->limit_ms = exchange->started_ms + LIMIT_DEFAULT_MS;
-    if (!direct_wire(exchange->direct)
-             ->read_request(caller_head(exchange->caller), &exchange->facts,
-                            &err)) {
-        refuse(exchange, 400, -1, err.message);
-        return false;
-    }
-    snprintf(exchange->id, sizeof(exchange->id), STR_FMT,
-             STR_ARG(exchange->facts.id));
-    if (exchange->facts.deadline_ms > 0) {
-        exchange->limit_ms =
-            exchange->started_ms + exchange->facts.deadline_ms;
-    }
-    return true;
-}
-
-/// The filters in order; false if one has answered.
-static bool
-filter(struct exchange *exchange)
-{
-    struct direct *direct = exchange->direct;
-
-    exchange->catalog = catalog_ref(direct_catalog(direct));
-    exchange->route = catalog_find_route(
-        exchange->catalog, exchange->facts.host, exchange->facts.path);
-    if (exchange->route == NULL) {
-        refuse(exchange, 404, -1, "no route");
-        return false;
-    }
-    set_limit(exchange);
-    if (!identify(exchange)) {
-        refuse(exchange, 401, -1, "unknown key");
-        return false;
-    }
-    exchange->fingerprint = fingerprint_of(exchange);
-    if (quarantine_check(direct_quarantine(direct), exchange->fingerprint) ==
-        QUARANTINE_REFUSE) {
-        counter_add(direct_counters(direct), COUNTER_QUARANTINED, 1);
-        refuse_not_run(exchange, "crashed the endpoints that ran it");
-        return false;
-    }
-    return true;
-}
-
 static void
 go_on(struct exchange *exchange)
 {
     struct direct *direct = exchange->direct;
 
-    if (!filter(exchange)) {
+    if (!admission_filter(exchange)) {
         return;
     }
     exchange->service = catalog_pick_target(
@@ -931,7 +776,7 @@
     caller_set_user(caller, exchange);
     direct_add(direct, exchange);
     counter_add(direct_counters(direct), COUNTER_REQUESTS, 1);
-    if (!read_facts(exchange)) {
+    if (!admission_read(exchange)) {
         return;
     }
     if (direct_knows_deployment(direct)) {
@@ -941,11 +786,12 @@
     wait_ms = patience_knowledge_ms(direct_age_ms(direct),
                                     exchange->limit_ms - now_of(exchange));
     if (wait_ms == 0) {
-        refuse_not_run(exchange, "nothing is known of the deployment yet");
+        exchange_refuse_not_run(exchange,
+                                "nothing is known of the deployment yet");
         return;
     }
     exchange->waits_for_knowledge = true;
-    set_timer(exchange, wait_ms);
+    timer_start(exchange->timer, wait_ms);
 }
 
 void
--- /dev/null
+++ b/direct/exchange_state.h
@@ -0,0 +1,70 @@
+/// What the parts of a direct router that handle a request share of it.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/events.h"
+#include "core/wire.h"
+
+struct caller;
+struct catalog;
+struct catalog_route;
+struct channel;
+struct direct;
+struct endpoint;
+struct evbuffer;
+struct event;
+
+#define EXCHANGE_ID_BYTES 128
+/// Endpoints that one request is offered to at most, unreachable ones
+/// included.
+#define EXCHANGE_OFFERS_MAX 16
+
+struct exchange {
+    struct direct *direct;
+    struct caller *caller; ///< NULL once the caller has left
+    struct catalog *catalog;
+    const struct catalog_route *route;
+    struct str account;
+    struct request_facts facts; ///< views, valid while there is a caller
+    char id[EXCHANGE_ID_BYTES];
+    struct str service;
+    uint32_t priority;
+    bool has_priority;
+    uint64_t fingerprint;
+    int64_t started_ms;
+    int64_t limit_ms; ///< on the clock: deadline or the route's timeout
+
+    struct endpoint *endpoint;
+    struct channel *channel;
+    uint64_t tried[EXCHANGE_OFFERS_MAX];
+    size_t offers;   ///< endpoints chosen so far
+    size_t arrivals; ///< endpoints that may have got it
+    size_t runs;     ///< endpoints that may have run it
+    int64_t offered_ms;
+    int64_t progress_ms;   ///< last sign of the endpoint
+    double backlog_tokens; ///< its share of the endpoint's
+    uint32_t unread_tokens;
+    bool stalled;             ///< this attempt's silence has been counted
+    bool waits_for_knowledge; ///< the process has just started
+
+    int status;
+    bool not_executed;
+    bool is_stream;
+    bool answering; ///< the head has gone to the caller
+    struct evbuffer *fields;
+    struct evbuffer *body;
+    struct events events;
+    int64_t first_ms;
+    struct event *timer;
+};
+
+/// An answer of the router's own, which ends the exchange. 503 and 429 only if
+/// the request has not run and will not. `retry_after_ms` below 0: not said.
+void exchange_refuse(struct exchange *exchange, int status,
+                     int64_t retry_after_ms, const char *reason);
+
+/// 503 with a time to come back, or 502 if the request may have run.
+void exchange_refuse_not_run(struct exchange *exchange, const char *reason);
--- a/net/caller.c
+++ b/net/caller.c
@@ -15,6 +15,7 @@
 #include "core/xmalloc.h"
 #include "http.h"
 #include "http1.h"
+#include "timer.h"
 
 #define BACKLOG 1024
 #define READ_BYTES_MAX 65536
@@ -95,17 +96,6 @@
     event_active(server->reaper, 0, 0);
 }
 
-static void
-set_timer(struct caller *caller, int64_t ms)
-{
-    const struct timeval delay = {
-        .tv_sec = ms / 1000,
-        .tv_usec = (suseconds_t)(ms % 1000 * 1000),
-    };
-
-    event_add(caller->timer, &delay);
-}
-
 static void
 lose_caller(struct caller *caller)
 {
@@ -192,7 +182,7 @@
     caller->too_large = false;
     evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
     http1_reset(&caller->http);
-    set_timer(caller, caller->server->options.limits.idle_ms);
+    timer_start(caller->timer, caller->server->options.limits.idle_ms);
     read_request(caller);
 }
 
@@ -220,7 +210,7 @@
 
         if (!caller->http.started) {
             caller->started_ms = clock_ms(caller->server->options.clock);
-            set_timer(caller, caller->server->options.limits.head_ms);
+            timer_start(caller->timer, caller->server->options.limits.head_ms);
         }
         taken = http1_feed(&caller->http, bytes, len);
         evbuffer_drain(input, taken);
@@ -263,7 +253,7 @@
         // The caller closes first, so that unread bytes of its request do
         // not reset the answer on its way.
         shutdown(bufferevent_getfd(caller->bufferevent), SHUT_WR);
-        set_timer(caller, LINGER_MS);
+        timer_start(caller->timer, LINGER_MS);
     }
 }
 
@@ -304,7 +294,7 @@
     bufferevent_enable(caller->bufferevent, EV_READ | EV_WRITE);
     DL_APPEND(server->callers, caller);
     server->connections++;
-    set_timer(caller, server->options.limits.idle_ms);
+    timer_start(caller->timer, server->options.limits.idle_ms);
 }
 
 struct caller_server *
--- a/net/channel.c
+++ b/net/channel.c
@@ -12,6 +12,7 @@
 
 #include "core/xmalloc.h"
 #include "http1.h"
+#include "timer.h"
 
 #define READ_BYTES_MAX 65536
 
@@ -121,17 +122,6 @@
     }
 }
 
-static void
-set_timer(struct channel *channel, int64_t ms)
-{
-    const struct timeval delay = {
-        .tv_sec = ms / 1000,
-        .tv_usec = (suseconds_t)(ms % 1000 * 1000),
-    };
-
-    event_add(channel->timer, &delay);
-}
-
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -221,7 +211,7 @@
         channel->state = CHANNEL_IDLE;
         channel->idle_since_ms = clock_ms(pool->options.clock);
         http1_reset(&channel->http);
-        set_timer(channel, channel->idle_max_ms);
+        timer_start(channel->timer, channel->idle_max_ms);
         // Most recently used first, so that the others can lapse.
         DL_DELETE(pool->channels, channel);
         DL_PREPEND(pool->channels, channel);
@@ -399,7 +389,7 @@
         close_channel(channel);
         return NULL;
     }
-    set_timer(channel, pool->options.connect_ms);
+    timer_start(channel->timer, pool->options.connect_ms);
     return channel;
 }
 
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -10,37 +10,13 @@
 #include "core/xmalloc.h"
 #include "soak.h"
 #include "standin/platform_document.h"
+#include "standin/ports.h"
 
 #define KEY "6b1d9c0e5f2a48b7c3d41e6f8a90b2c47d5e6f1a2b3c4d5e6f708192a3b4c5d6"
 #define RESTART_MS 150
 #define WORK_US 4000
 #define HEAD_BYTES_MAX 65536
 
-static struct address
-loopback(void)
-{
-    struct address address = {0};
-    struct err err = {0};
-
-    address_parse(STR_LITERAL("127.0.0.1:0"), &address, &err);
-    return address;
-}
-
-/// A port that is free now.
-static struct address
-free_address(void)
-{
-    struct address address = loopback();
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    if (bind(fd, (struct sockaddr *)&address.storage, address.len) != 0) {
-        BUG("no free port");
-    }
-    address_of_socket(fd, &address);
-    close(fd);
-    return address;
-}
-
 void
 soak_write_settings(struct soak *soak, struct soak_router *router)
 {
@@ -123,7 +99,7 @@
     origin->origin = origin_new(
         &(struct origin_options){
             .base = soak->base,
-            .address = loopback(),
+            .address = ports_any(),
             .name = origin->id,
             .work_us = WORK_US,
             .events = SOAK_EVENTS,
@@ -173,7 +149,7 @@
         &(struct keyed_store_options){
             .base = soak->base,
             .clock = &clock_monotonic,
-            .address = loopback(),
+            .address = ports_any(),
         },
         &err);
     if (soak->store == NULL) {
@@ -194,9 +170,9 @@
         snprintf(router->name, sizeof(router->name), "router-%zu", i);
         snprintf(router->file, sizeof(router->file), "%s/%s.toml", soak->dir,
                  router->name);
-        router->callers = free_address();
-        router->ready = free_address();
-        router->links = free_address();
+        router->callers = ports_free();
+        router->ready = ports_free();
+        router->links = ports_free();
         router->store = relay_new(soak->base, &address);
         router->pool = channel_pool_new(&(struct channel_pool_options){
             .base = soak->base,
--- /dev/null
+++ b/standin/ports.h
@@ -0,0 +1,10 @@
+/// Addresses on loopback for tests.
+#pragma once
+
+#include "net/address.h"
+
+/// Any port.
+struct address ports_any(void);
+
+/// A port that is free now, for addresses that must be known beforehand.
+struct address ports_free(void);
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -12,35 +12,11 @@
 #include "net/http1.h"
 #include "platform/decode.h"
 #include "standin/platform_document.h"
+#include "standin/ports.h"
 
 #define READY_MS 5000
 #define CALL_MS 15000
 
-static const struct address any = {0};
-
-static struct address
-loopback(void)
-{
-    struct address address = any;
-    struct err err = {0};
-
-    address_parse(STR_LITERAL("127.0.0.1:0"), &address, &err);
-    return address;
-}
-
-/// A port that is free now, for addresses that must be known beforehand.
-static struct address
-free_address(void)
-{
-    struct address address = loopback();
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    INVARIANT(bind(fd, (struct sockaddr *)&address.storage, address.len) == 0);
-    address_of_socket(fd, &address);
-    evutil_closesocket(fd);
-    return address;
-}
-
 static void
 stop_loop(evutil_socket_t fd, short events, void *ctx)
 {
@@ -114,7 +90,7 @@
         &(struct keyed_store_options){
             .base = harness->base,
             .clock = &clock_monotonic,
-            .address = loopback(),
+            .address = ports_any(),
         },
         &err);
 
@@ -129,7 +105,7 @@
     struct origin *origin = origin_new(
         &(struct origin_options){
             .base = harness->base,
-            .address = loopback(),
+            .address = ports_any(),
             .name = name,
             .work_us = harness->options.work_us,
             .events = harness->options.events,
@@ -228,10 +204,10 @@
         *settings = (struct settings_direct){
             .name = str_from(harness->names[i]),
             .zone = STR_LITERAL("z"),
-            .callers = loopback(),
-            .ready = loopback(),
+            .callers = ports_any(),
+            .ready = ports_any(),
             .has_links = true,
-            .links = free_address(),
+            .links = ports_free(),
             .keys.count = 1,
             .grace_ms = 4000,
             .budget_window_ms = 10000,
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -114,8 +114,14 @@
     struct direct_harness harness;
     struct direct_call call = {0};
     char *long_field = malloc(6000);
+    char long_id[200];
 
     start(&harness, 1);
+    memset(long_id, 'i', sizeof(long_id) - 1);
+    long_id[sizeof(long_id) - 1] = '\0';
+    direct_call_do(&harness, 0, &call, "GET", "/look/", long_id, NULL, NULL);
+    CU_ASSERT(call.status == 400);
+    direct_call_free(&call);
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         direct_call_do(&harness, 0, &call, "GET", cases[i].path, "id",
                        cases[i].fields, NULL);
