store: routers that read for all ask anew in time

Ruled out: peers (none knew), the time limit of the read (21.5 s). Change: the two routers that read for all wait 1.2 s for an answer, the others 20 s; who is behind a peer for 0.25 s asks it.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -382,8 +382,12 @@
     (void)events;
     endpoints_tick(direct->endpoints);
     if (direct->mesh != NULL && direct->knows_endpoints) {
+        bool reads = mesh_should_read(direct->mesh);
+
         direct->options.store->set_reading(direct->store, RECORDS_ENDPOINTS,
-                                           mesh_should_read(direct->mesh));
+                                           reads);
+        direct->options.store->set_lazy(direct->store, RECORDS_CONFIGURATION,
+                                        !reads);
     }
     if (ready != direct->was_ready) {
         LOG_INFO("event=%s", ready ? "ready" : "not-ready");
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -30,6 +30,8 @@
     bool (*is_failing)(const void *store, int topic);
     /// Peers read the topic for this router, or no longer do.
     void (*set_reading)(void *store, int topic, bool reading);
+    /// Peers tell of what reads of the topic miss, or no longer do.
+    void (*set_lazy)(void *store, int topic, bool lazy);
     void *ctx;
 };
 
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -26,8 +26,8 @@
 #define MESH_REPORT_MS 250
 #define MESH_REPORT_MS_PER_PEER 6
 /// A topic that a peer knows further for this long is asked for, also while
-/// the store seems to answer.
-#define MESH_BEHIND_MS 700
+/// the store seems to answer: its answer to a waiting read comes sooner.
+#define MESH_BEHIND_MS 250
 /// An answer to a request for records that has not come by then is asked of
 /// another peer.
 #define MESH_WANT_MS 600
--- a/standin/keyed_store.c
+++ b/standin/keyed_store.c
@@ -213,6 +213,9 @@
         clock_ms(store->options.clock) + (wait != NULL ? atoll(wait) : 0);
     DL_APPEND(store->waiting, waiting);
     caller_set_user(caller, waiting);
+    if (topic->count > waiting->from) {
+        answer_read(waiting);
+    }
 }
 
 static void
@@ -276,12 +279,14 @@
 
     (void)fd;
     (void)events;
-    if (store->fault != KEYED_STORE_SOUND) {
+    if (store->fault != KEYED_STORE_SOUND &&
+        store->fault != KEYED_STORE_DEAF) {
         return;
     }
     DL_FOREACH_SAFE(store->waiting, waiting, next)
     {
-        if (waiting->topic->count > waiting->from ||
+        if ((waiting->topic->count > waiting->from &&
+             store->fault != KEYED_STORE_DEAF) ||
             now_ms >= waiting->until_ms) {
             answer_read(waiting);
         }
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -17,6 +17,7 @@
     KEYED_STORE_SOUND,
     KEYED_STORE_BUSY,   ///< answers 503: nothing was done
     KEYED_STORE_SILENT, ///< takes calls and never answers
+    KEYED_STORE_DEAF,   ///< reads that wait are not told of new records
     KEYED_STORE_LOSES,  ///< does what is asked and never answers
 };
 
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -81,6 +81,23 @@
     direct_harness_stop(&harness);
 }
 
+/// A store that does not tell waiting reads of new records.
+static void
+test_deaf_store(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 4, 0);
+    direct_harness_run(&harness, 2500);
+    keyed_store_set_fault(harness.store, KEYED_STORE_DEAF);
+    direct_harness_configure(&harness, "key", true, 800);
+    direct_harness_run(&harness, IN_FORCE_MS - 200);
+    for (size_t i = 0; i < 4; i++) {
+        CU_ASSERT(status_of(&harness, i, "/added/") == 200);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// A router that the store refuses takes configuration, revoked keys and
 /// leaving endpoints from its peers.
 static void
@@ -351,6 +368,7 @@
     CU_pSuite suite = CU_add_suite("direct store", NULL, NULL);
 
     CU_add_test(suite, "versions come in force", test_versions_come_in_force);
+    CU_add_test(suite, "deaf store", test_deaf_store);
     CU_add_test(suite, "peers pass records on", test_peers_pass_records_on);
     CU_add_test(suite, "start without store", test_start_without_the_store);
     CU_add_test(suite, "unknown is not denied", test_unknown_is_not_denied);
