--- a/soak/faults.c
+++ b/soak/faults.c
@@ -60,8 +60,8 @@
     int64_t kind = below(soak, 4);
 
     if (kind == 3) {
-        keyed_store_compact(soak->store, "keyed.op");
-        keyed_store_compact(soak->store, "keyed.servers");
+        keyed_store_compact(soak->store, KEYED_STORE_OPERATOR);
+        keyed_store_compact(soak->store, KEYED_STORE_ENDPOINTS);
         return;
     }
     keyed_store_set_fault(soak->store, faults[kind]);
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -86,7 +86,7 @@
              "\"slots\":8,\"state\":\"%s\",\"seq\":1,\"born\":%u}",
              origin->service, address.ip, address.port, state,
              origin->incarnation);
-    keyed_store_put(soak->store, "keyed.servers", origin->id,
+    keyed_store_put(soak->store, KEYED_STORE_ENDPOINTS, origin->id,
                     str_from(state[0] != '\0' ? text : ""));
 }
 
@@ -136,7 +136,8 @@
     text = platform_document(soak->version,
                              soak->version % 2 == 0 ? "key" : "key\",\"second",
                              soak->version % 3 == 0, 800, 15000);
-    keyed_store_put(soak->store, "keyed.op", "config", str_from(text));
+    keyed_store_put(soak->store, KEYED_STORE_OPERATOR, "config",
+                    str_from(text));
     free(text);
 }
 
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -10,6 +10,10 @@
 #include "dandelionvalve/err.h"
 #include "net/address.h"
 
+/// Topics of the operator and of the endpoints.
+#define KEYED_STORE_OPERATOR "keyed.op"
+#define KEYED_STORE_ENDPOINTS "keyed.servers"
+
 struct event_base;
 struct keyed_store;
 
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -57,7 +57,8 @@
 
     harness->version += 3;
     text = platform_document(harness->version, key, added, timeout_ms, 3000);
-    keyed_store_put(harness->store, "keyed.op", "config", str_from(text));
+    keyed_store_put(harness->store, KEYED_STORE_OPERATOR, "config",
+                    str_from(text));
     free(text);
 }
 
@@ -70,7 +71,7 @@
     char text[512];
 
     if (state == NULL) {
-        keyed_store_put(harness->store, "keyed.servers", topic_id,
+        keyed_store_put(harness->store, KEYED_STORE_ENDPOINTS, topic_id,
                         (struct str){0});
         return;
     }
@@ -79,7 +80,8 @@
              "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
              "\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
              service, address.ip, address.port, state);
-    keyed_store_put(harness->store, "keyed.servers", topic_id, str_from(text));
+    keyed_store_put(harness->store, KEYED_STORE_ENDPOINTS, topic_id,
+                    str_from(text));
 }
 
 static struct keyed_store *
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -222,8 +222,8 @@
     direct_harness_configure(&harness, "key", true, 800);
     direct_harness_configure(&harness, "key", true, 900);
     direct_harness_entry(&harness, "e-0", harness.origins[0], "models", NULL);
-    keyed_store_compact(harness.store, "keyed.op");
-    keyed_store_compact(harness.store, "keyed.servers");
+    keyed_store_compact(harness.store, KEYED_STORE_OPERATOR);
+    keyed_store_compact(harness.store, KEYED_STORE_ENDPOINTS);
     keyed_store_set_fault(harness.store, KEYED_STORE_SOUND);
     expect(&harness, 0, "/added/", 200, IN_FORCE_MS);
     direct_harness_run(&harness, DRAIN_MS + 500);
@@ -290,7 +290,7 @@
         char id[16];
 
         snprintf(id, sizeof(id), "x-%zu", i);
-        keyed_store_put(harness.store, "keyed.servers", id,
+        keyed_store_put(harness.store, KEYED_STORE_ENDPOINTS, id,
                         str_from(entries[i]));
     }
     direct_harness_run(&harness, 300);
@@ -308,7 +308,7 @@
     uint64_t before;
 
     start(&harness, 1, 0);
-    keyed_store_put(harness.store, "keyed.servers", "e-0",
+    keyed_store_put(harness.store, KEYED_STORE_ENDPOINTS, "e-0",
                     STR_LITERAL("{\"service\":\"models\"}"));
     direct_harness_run(&harness, 300);
     before = origin_runs(harness.origins[0]);
