--- a/direct/direct.c
+++ b/direct/direct.c
@@ -244,7 +244,8 @@
 }
 
 void
-direct_caught_up(struct direct *direct, int topic, int64_t away_ms)
+direct_caught_up(struct direct *direct, enum record_topic topic,
+                 int64_t away_ms)
 {
     if (topic == RECORDS_ENDPOINTS) {
         direct->knows_endpoints = true;
@@ -262,7 +263,7 @@
 }
 
 void
-direct_progress(struct direct *direct, int topic)
+direct_progress(struct direct *direct, enum record_topic topic)
 {
     (void)topic;
     if (direct->mesh != NULL) {
@@ -515,7 +516,7 @@
     const struct direct *direct = ctx;
 
     return direct->store != NULL &&
-           direct->options.store->is_reachable(direct->store, (int)topic);
+           direct->options.store->is_reachable(direct->store, topic);
 }
 
 static bool
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/records.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
@@ -16,8 +17,6 @@
 struct direct;
 struct event_base;
 struct exchange;
-struct records;
-struct str;
 
 /// What a router asks of the client of the platform's store.
 struct direct_store {
@@ -26,12 +25,12 @@
     void (*stop)(void *store);
     /// Tells other routers where this one takes links.
     void (*announce)(void *store, struct str key, struct str value);
-    bool (*is_reachable)(const void *store, int topic);
-    bool (*is_failing)(const void *store, int topic);
+    bool (*is_reachable)(const void *store, enum record_topic topic);
+    bool (*is_failing)(const void *store, enum record_topic topic);
     /// Peers read the topic for this router, or no longer do.
-    void (*set_reading)(void *store, int topic, bool reading);
+    void (*set_reading)(void *store, enum record_topic topic, bool reading);
     /// Peers tell of what reads of the topic miss, or no longer do.
-    void (*set_lazy)(void *store, int topic, bool lazy);
+    void (*set_lazy)(void *store, enum record_topic topic, bool lazy);
     void *ctx;
 };
 
@@ -62,14 +61,15 @@
                    const struct settings_direct *settings);
 
 /// A topic has been read to its end, after `away_ms` without the store.
-void direct_caught_up(struct direct *direct, int topic, int64_t away_ms);
+void direct_caught_up(struct direct *direct, enum record_topic topic,
+                      int64_t away_ms);
 
 /// The store answers again, before what it says is taken: entries that are
 /// missing from it may have lapsed meanwhile.
 void direct_store_back(struct direct *direct);
 
 /// New records of a topic have been read.
-void direct_progress(struct direct *direct, int topic);
+void direct_progress(struct direct *direct, enum record_topic topic);
 
 bool direct_is_ready(const struct direct *direct);
 struct address direct_callers_address(const struct direct *direct);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -392,6 +392,8 @@
     else {
         LOG_WARNING("event=answer-too-long id=%s limit=%d", exchange->id,
                     ANSWER_BYTES_MAX);
+        channel_cancel(exchange->channel);
+        exchange->channel = NULL;
         attempt_failed(exchange, ATTEMPT_FAILED, "answer too long");
     }
 }
--- a/net/caller.c
+++ b/net/caller.c
@@ -43,6 +43,7 @@
     bool chunked;
     bool close_after;
     bool too_large;
+    bool overflows; ///< the caller does not read its answer
     bool freed;
     struct caller *prev;
     struct caller *next;
@@ -123,6 +124,10 @@
 
     (void)fd;
     (void)events;
+    if (caller->overflows) {
+        lose_caller(caller);
+        return;
+    }
     if (caller->state == CALLER_READING && caller->http.started) {
         refuse_input(caller, 408);
         return;
@@ -483,8 +488,11 @@
     if (caller->chunked) {
         evbuffer_add(out, "\r\n", 2);
     }
-    if (evbuffer_get_length(out) > CALLER_OUTPUT_BYTES_MAX) {
-        lose_caller(caller);
+    if (evbuffer_get_length(out) > CALLER_OUTPUT_BYTES_MAX &&
+        !caller->overflows) {
+        // Not from here: whoever writes still uses the connection.
+        caller->overflows = true;
+        timer_start(caller->timer, 0);
     }
 }
 
