--- a/direct/direct.c
+++ b/direct/direct.c
@@ -86,7 +86,6 @@
     bool was_ready;
     int64_t store_back_ms; ///< when the store last came back; 0: never away
     bool draining;
-    bool stopped_listening;
     int64_t drain_ms; ///< when draining began
     double tokens_per_ms;
     struct histogram first[KINDS]; ///< to the first byte of an answer
