--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -239,6 +239,8 @@
     origin_free(harness->orders);
     keyed_store_free(harness->store);
     keyed_store_free(harness->other_store);
+    // Closed connections with deferred callbacks are freed by the loop.
+    event_base_loop(harness->base, EVLOOP_NONBLOCK);
     event_base_free(harness->base);
 }
 
