net: a loop frees closed connections before its base goes

A connection that is closed while a callback of its is deferred is freed by the loop, and event_base_free() drops such callbacks. Ruled out: a module that forgets a connection; with the loop run once more nothing is left.

--- a/soak/main.c
+++ b/soak/main.c
@@ -11,6 +11,7 @@
 #include <sodium.h>
 
 #include "core/xmalloc.h"
+#include "net/loop.h"
 #include "soak.h"
 
 #define TICK_MS 10
@@ -133,7 +134,7 @@
     event_free(event);
     ok = soak->violations == 0;
     soak_stop(soak);
-    event_base_free(soak->base);
+    loop_free(soak->base);
     free(soak);
     return ok;
 }
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -10,6 +10,7 @@
 
 #include "core/xmalloc.h"
 #include "net/http1.h"
+#include "net/loop.h"
 #include "platform/decode.h"
 #include "standin/platform_document.h"
 #include "standin/ports.h"
@@ -239,9 +240,7 @@
     origin_free(harness->orders);
     keyed_store_free(harness->store);
     keyed_store_free(harness->other_store);
-    // Closed connections with deferred callbacks are freed by the loop.
-    event_base_loop(harness->base, EVLOOP_NONBLOCK);
-    event_base_free(harness->base);
+    loop_free(harness->base);
 }
 
 static enum channel_verdict
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -557,6 +557,31 @@
     direct_harness_stop(&harness);
 }
 
+/// A router that is freed in the middle of its work leaves nothing behind;
+/// the sanitized run checks that.
+static void
+test_stop_in_the_middle(void)
+{
+    struct direct_harness harness;
+    struct direct_call calls[60] = {{0}};
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 4,
+                                       .events = 40,
+                                       .work_us = 0,
+                                   });
+    for (size_t i = 0; i < 60; i++) {
+        direct_call_start(&harness, 0, &calls[i], "POST", "/stream/draft/",
+                          "id", NULL, "x");
+    }
+    direct_harness_run(&harness, 8);
+    for (size_t i = 0; i < 60; i++) {
+        direct_call_free(&calls[i]);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// Many requests on one connection, some with bodies in chunks.
 static void
 test_kept_connections(void)
@@ -602,5 +627,6 @@
     CU_add_test(suite, "drain takes no more", test_drain_takes_no_more);
     CU_add_test(suite, "last bytes arrive", test_last_bytes_arrive);
     CU_add_test(suite, "crashed endpoints", test_crashed_endpoints);
+    CU_add_test(suite, "stop in the middle", test_stop_in_the_middle);
     CU_add_test(suite, "kept connections", test_kept_connections);
 }
