place: endpoints fetch contexts from each other instead of reading them again

Cause: an endpoint that takes over a context (a release, scale-out, a full or crashed one) read it again, some 10,000 tokens or 180 ms, although another endpoint still kept it; the endpoints' own link carries it in about 9 ms. Ruled out: holding requests back for the endpoint that keeps the context (it is at the cap, or leaves). The choice of the endpoint is unchanged; a chosen endpoint that lacks part of the prompt is told to fetch it from the one that saves most time, also from one that drains, never from one that is ejected.

Tests: release hands contexts on, source of a context, contexts are fetched (end to end).

--- a/core/catalog.h
+++ b/core/catalog.h
@@ -44,7 +44,10 @@
 struct catalog_service {
     struct str name;
     bool is_model;
-    uint64_t memory_tokens;   ///< of one endpoint
+    uint64_t memory_tokens; ///< of one endpoint
+    /// Speed at which endpoints fetch kept contexts from each other; 0: they
+    /// cannot.
+    double fetched_tokens_per_ms;
     uint32_t connections_max; ///< of one endpoint, from all callers
     uint32_t slots;           ///< of one endpoint; 0: not stated
 };
--- a/core/place.c
+++ b/core/place.c
@@ -160,6 +160,48 @@
         JITTER_MS * random_unit(request->random);
 }
 
+static double
+fetch_ms(const struct place_request *request,
+         const struct place_candidate *from, const struct place_candidate *to,
+         uint32_t tokens)
+{
+    double ms =
+        PLACE_FETCH_SETUP_MS + (double)tokens / request->fetched_tokens_per_ms;
+
+    return from->zone == to->zone ? ms : PLACE_FETCH_CROSS_ZONE * ms;
+}
+
+/// Finds from where the chosen endpoint fetches what it lacks of the prompt.
+static void
+find_source(const struct place_request *request,
+            const struct place_candidate *candidates, size_t count,
+            struct place_choice *choice)
+{
+    const struct place_candidate *to = &candidates[choice->index];
+    double saved_ms = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct place_candidate *from = &candidates[i];
+        uint32_t tokens;
+        double read_ms, wait_ms;
+
+        if (!from->gives || from->cached_tokens <= to->cached_tokens) {
+            continue;
+        }
+        tokens = from->cached_tokens - to->cached_tokens;
+        read_ms = tokens / request->tokens_per_ms;
+        wait_ms = fetch_ms(request, from, to, tokens);
+        if (read_ms < PLACE_FETCH_GAIN * wait_ms ||
+            read_ms - wait_ms <= saved_ms) {
+            continue;
+        }
+        saved_ms = read_ms - wait_ms;
+        choice->source = i;
+        choice->fetched_tokens = tokens;
+    }
+    choice->first_ms -= saved_ms;
+}
+
 bool
 place_choose(const struct place_request *request,
              const struct place_candidate *candidates, size_t count,
@@ -170,7 +212,7 @@
     bool found = false;
     double cap;
 
-    *choice = (struct place_choice){0};
+    *choice = (struct place_choice){.source = PLACE_NO_SOURCE};
     choice->mean_load = mean_load(candidates, count, &choice->usable);
     cap = cap_share(request->routers) *
           (request->cap_factor * choice->mean_load + request->cap_slack);
@@ -198,6 +240,9 @@
         here.reason = reason_of(candidate, fits, home);
         *choice = here;
     }
+    if (found && request->has_prompt && request->fetched_tokens_per_ms > 0) {
+        find_source(request, candidates, count, choice);
+    }
     return found;
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -3,7 +3,8 @@
 /// Load patterns: chats that return should find their context; a hot subject
 /// must spread over as many endpoints as its rate needs; a herd must not pile
 /// up on the endpoint that looked idle a moment ago; no endpoint may hold more
-/// than a multiple of the mean.
+/// than a multiple of the mean. New endpoints, and those that take over from
+/// crashed or full ones, fetch contexts from an endpoint that keeps them.
 #pragma once
 
 #include <stdbool.h>
@@ -24,6 +25,13 @@
 #define PLACE_CAP_SHARE_PER_ROUTER 0.003
 #define PLACE_CAP_SHARE_MIN 0.8
 #define PLACE_CAP_ROUTERS 4
+/// Time to set up a transfer between two endpoints.
+#define PLACE_FETCH_SETUP_MS 5.0
+/// A transfer must be this many times as fast as reading: its source may have
+/// dropped the context, or still be sending another.
+#define PLACE_FETCH_GAIN 2.0
+/// A transfer to another zone takes this many times as long.
+#define PLACE_FETCH_CROSS_ZONE 2.0
 /// Places in a prompt's rendezvous order that are taken to keep part of it
 /// while this router knows of no endpoint that does: peers place there too.
 #define PLACE_HOMES 3
@@ -31,7 +39,9 @@
 struct place_candidate {
     uint64_t hash; ///< of the endpoint's identity
     bool usable;
+    bool gives; ///< contexts that it keeps can be fetched from it
     bool same_zone;
+    uint64_t zone;
     uint32_t load;          ///< requests in flight there, by all routers
     uint32_t slots;         ///< requests it works on at once
     double backlog_tokens;  ///< prompt tokens that it has yet to read
@@ -45,9 +55,11 @@
     uint32_t prompt_tokens;
     uint32_t shared_tokens; ///< of the parts that other requests share
     double tokens_per_ms;   ///< reading speed of the service's endpoints
-    double cap_factor;      ///< bound on load, as a multiple of the mean
-    size_t routers;         ///< that place at the same endpoints
-    uint32_t cap_slack;     ///< requests above that multiple
+    /// Speed of a transfer between two endpoints of a zone; 0: there is none.
+    double fetched_tokens_per_ms;
+    double cap_factor;  ///< bound on load, as a multiple of the mean
+    size_t routers;     ///< that place at the same endpoints
+    uint32_t cap_slack; ///< requests above that multiple
 };
 
 enum place_reason {
@@ -64,8 +76,12 @@
     double first_ms; ///< predicted time until the prompt is read
     double mean_load;
     size_t usable;
+    size_t source; ///< fetch from this candidate; PLACE_NO_SOURCE: do not
+    uint32_t fetched_tokens;
 };
 
+#define PLACE_NO_SOURCE SIZE_MAX
+
 /// False if no candidate is usable.
 bool place_choose(const struct place_request *request,
                   const struct place_candidate *candidates, size_t count,
--- a/core/wire.h
+++ b/core/wire.h
@@ -29,11 +29,13 @@
 
 /// What the router adds to a request on its way to an endpoint.
 struct forward_facts {
-    int64_t deadline_ms;      ///< what is left
-    struct str instance;      ///< the only endpoint that may run it
-    struct str account;       ///< empty on public routes
-    struct str last_event_id; ///< goes on behind this event; empty: as it is
-    uint32_t priority;        ///< 0 is the highest
+    int64_t deadline_ms;       ///< what is left
+    struct str instance;       ///< the only endpoint that may run it
+    struct str account;        ///< empty on public routes
+    struct str last_event_id;  ///< goes on behind this event; empty: as it is
+    struct str context_source; ///< address to fetch kept parts of the prompt
+                               ///< from; empty: none
+    uint32_t priority;         ///< 0 is the highest
     bool has_priority;
     size_t body_bytes;
     bool has_body;
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -101,6 +101,7 @@
     endpoint->hash = str_hash(id, 0);
     endpoint->service = str_copy(facts->service);
     endpoint->zone = str_copy(facts->zone);
+    endpoint->zone_hash = str_hash(facts->zone, 0);
     endpoint->address = *address;
     endpoint->state = facts->state;
     endpoint->slots = facts->slots;
@@ -340,10 +341,11 @@
     }
 }
 
-struct endpoint *
+bool
 endpoints_choose(struct endpoints *endpoints,
                  const struct endpoints_query *query,
-                 struct place_request *request, struct place_choice *choice)
+                 const struct place_request *request,
+                 struct endpoints_choice *choice)
 {
     struct place_candidate *candidates = endpoints->candidates;
     struct endpoint **owners = endpoints->owners;
@@ -364,7 +366,10 @@
             .hash = endpoint->hash,
             .usable = endpoint->state == ENDPOINT_READY &&
                       !was_tried(query, endpoint->hash),
+            // One that drains still answers its peers.
+            .gives = !ejected[count],
             .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
+            .zone = endpoint->zone_hash,
             // A plain call ends before peers have told of it: their numbers
             // would send all routers to the same endpoint.
             .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
@@ -377,8 +382,13 @@
         count++;
     }
     limit_ejected(candidates, count, ejected);
-    if (!place_choose(request, candidates, count, choice)) {
-        return NULL;
+    *choice = (struct endpoints_choice){0};
+    if (!place_choose(request, candidates, count, &choice->place)) {
+        return false;
+    }
+    choice->endpoint = owners[choice->place.index];
+    if (choice->place.source != PLACE_NO_SOURCE) {
+        choice->source = owners[choice->place.source];
     }
-    return owners[choice->index];
+    return true;
 }
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -40,6 +40,7 @@
     struct str id;
     struct str service;
     struct str zone;
+    uint64_t zone_hash;
     struct address address;
     uint64_t hash;
     enum endpoint_state state;
@@ -101,12 +102,17 @@
     size_t tried_count;
 };
 
-/// Chooses an endpoint; NULL if none is usable. The mean failure share of the
-/// pool and the number of usable ones go into *choice.
-struct endpoint *endpoints_choose(struct endpoints *endpoints,
-                                  const struct endpoints_query *query,
-                                  struct place_request *request,
-                                  struct place_choice *choice);
+struct endpoints_choice {
+    struct endpoint *endpoint;
+    struct endpoint *source; ///< keeps more of the prompt; NULL: none
+    struct place_choice place;
+};
+
+/// Chooses an endpoint; false if none is usable.
+bool endpoints_choose(struct endpoints *endpoints,
+                      const struct endpoints_query *query,
+                      const struct place_request *request,
+                      struct endpoints_choice *choice);
 
 /// Endpoints of the service that are ready, ejected ones included.
 size_t endpoints_ready(const struct endpoints *endpoints, struct str service);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -618,23 +618,27 @@
     }
 }
 
-static struct endpoint *
-choose(struct exchange *exchange, struct place_choice *choice)
+static bool
+choose(struct exchange *exchange, struct endpoints_choice *choice)
 {
     struct direct *direct = exchange->direct;
+    const struct catalog_service *service =
+        catalog_find_service(exchange->catalog, exchange->service);
     const struct endpoints_query query = {
         .service = exchange->service,
         .prefix = &exchange->facts.prefix,
         .tried = exchange->tried,
         .tried_count = exchange->offers,
     };
-    struct place_request request = {
+    const struct place_request request = {
         .random = direct_random(direct),
         .has_prompt = exchange->facts.prefix.count > 0,
         .affinity = prefix_affinity(&exchange->facts.prefix),
         .prompt_tokens = prefix_tokens(&exchange->facts.prefix),
         .shared_tokens = prefix_shared_tokens(&exchange->facts.prefix),
         .tokens_per_ms = direct_tokens_per_ms(direct),
+        .fetched_tokens_per_ms =
+            service != NULL ? service->fetched_tokens_per_ms : 0,
         .cap_factor = direct_settings(direct)->cap_factor,
         .cap_slack = 3,
         .routers = direct_routers(direct),
@@ -644,17 +648,30 @@
                             choice);
 }
 
+static struct str
+address_of(const struct endpoint *source, char text[ADDRESS_TEXT_BYTES])
+{
+    if (source == NULL) {
+        return (struct str){0};
+    }
+    address_format((const struct sockaddr *)&source->address.storage, text);
+    return str_from(text);
+}
+
 static void
-send_request(struct exchange *exchange, struct endpoint *endpoint)
+send_request(struct exchange *exchange, struct endpoint *endpoint,
+             const struct endpoint *source)
 {
     const struct http1 *head = caller_head(exchange->caller);
     struct evbuffer *body = caller_body(exchange->caller);
     size_t body_bytes = evbuffer_get_length(body);
+    char source_text[ADDRESS_TEXT_BYTES];
     const struct forward_facts facts = {
         .deadline_ms = exchange->limit_ms - now_of(exchange),
         .instance = endpoint->id,
         .account = exchange->account,
         .last_event_id = events_last_id(&exchange->events),
+        .context_source = address_of(source, source_text),
         .priority = exchange->priority > 9 ? 9 : exchange->priority,
         .has_priority = exchange->has_priority,
         .body_bytes = body_bytes,
@@ -680,9 +697,11 @@
 }
 
 static void
-offer(struct exchange *exchange, struct endpoint *endpoint,
-      const struct place_choice *choice)
+offer(struct exchange *exchange, const struct endpoints_choice *choice)
 {
+    struct endpoint *endpoint = choice->endpoint;
+    const struct endpoint *source = choice->source;
+    const struct place_choice *place = &choice->place;
     uint32_t prompt = prefix_tokens(&exchange->facts.prefix);
     uint32_t cached =
         prefix_belief_find(endpoint->cache, &exchange->facts.prefix);
@@ -690,7 +709,7 @@
     exchange->tried[exchange->offers++] = endpoint->hash;
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
-    exchange->unread_tokens = prompt - cached;
+    exchange->unread_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->unread_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
     prefix_belief_note(endpoint->cache, &exchange->facts.prefix);
@@ -705,17 +724,19 @@
     exchange->progress_ms = exchange->offered_ms;
     LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
              " reason=%s context=%08x load=%u mean=%.1f usable=%zu cached=%u "
-             "unread=%u "
+             "unread=%u source=" STR_FMT " fetched=%u "
              "predicted_ms=%.0f left_ms=%lld version=%lld offer=%zu",
              exchange->id, STR_ARG(exchange->route->name),
-             STR_ARG(endpoint->id), place_reason_name(choice->reason),
+             STR_ARG(endpoint->id), place_reason_name(place->reason),
              (uint32_t)prefix_affinity(&exchange->facts.prefix),
-             endpoint->in_flight, choice->mean_load, choice->usable, cached,
-             exchange->unread_tokens, choice->first_ms,
+             endpoint->in_flight, place->mean_load, place->usable, cached,
+             exchange->unread_tokens,
+             STR_ARG(source != NULL ? source->id : (struct str){0}),
+             place->fetched_tokens, place->first_ms,
              (long long)(exchange->limit_ms - exchange->offered_ms),
              (long long)catalog_version(exchange->catalog), exchange->offers);
     counter_add(direct_counters(exchange->direct), COUNTER_OFFERS, 1);
-    send_request(exchange, endpoint);
+    send_request(exchange, endpoint, source);
     if (exchange->channel == NULL) {
         on_end(exchange, CHANNEL_UNSENT, "no connection");
         return;
@@ -726,17 +747,17 @@
 static void
 dispatch(struct exchange *exchange)
 {
-    struct place_choice choice;
-    struct endpoint *endpoint = choose(exchange, &choice);
+    struct endpoints_choice choice;
+    bool found = choose(exchange, &choice);
 
-    if (endpoint == NULL && exchange->offers > 0 && exchange->runs == 0 &&
+    if (!found && exchange->offers > 0 && exchange->runs == 0 &&
         exchange->offers < EXCHANGE_OFFERS_MAX) {
         // All were unreachable: the first may be back.
         exchange->tried[0] = 0;
-        endpoint = choose(exchange, &choice);
+        found = choose(exchange, &choice);
     }
-    if (endpoint != NULL) {
-        offer(exchange, endpoint, &choice);
+    if (found) {
+        offer(exchange, &choice);
     }
     else if (exchange->answering) {
         break_off(exchange, "no endpoint to continue at");
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -73,6 +73,7 @@
     start(&harness, 1);
     direct_call_do(&harness, 0, &call, "POST", "/book/", "id-1",
                    "Dandelionvalve-Hold: h\r\nKv-From: 1.2.3.4:5/x\r\n"
+                   "Kv-Fetch: 1.2.3.4:5\r\n"
                    "Dandelionvalve-Kv-Backup: 1.2.3.4:5\r\n"
                    "Dandelionvalve-Pin-Ms: 100\r\n"
                    "Dandelionvalve-Tenant: other\r\n"
@@ -83,6 +84,7 @@
     CU_ASSERT_STRING_EQUAL(
         origin_last_field(harness.orders, "Dandelionvalve-Hold"), "");
     CU_ASSERT_STRING_EQUAL(origin_last_field(harness.orders, "Kv-From"), "");
+    CU_ASSERT_STRING_EQUAL(origin_last_field(harness.orders, "Kv-Fetch"), "");
     CU_ASSERT_STRING_EQUAL(
         origin_last_field(harness.orders, "Dandelionvalve-Kv-Backup"), "");
     CU_ASSERT_STRING_EQUAL(
@@ -606,6 +608,48 @@
     direct_harness_stop(&harness);
 }
 
+static bool
+is_in_use(void *ctx)
+{
+    struct origin *origin = ctx;
+
+    return origin_runs(origin) > 0;
+}
+
+/// An endpoint that leaves hands its contexts on: the next request about them
+/// names it as their source.
+static void
+test_contexts_are_fetched(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    char source[64];
+    size_t first;
+
+    start(&harness, 2);
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-1",
+                   "Dandelionvalve-Prefix-Hash: a:512,b:9000,c:100\r\n", "x");
+    CU_ASSERT(call.status == 200);
+    direct_call_free(&call);
+    first = is_in_use(harness.origins[0]) ? 0 : 1;
+    CU_ASSERT_STRING_EQUAL(
+        origin_last_field(harness.origins[first], "Kv-Fetch"), "");
+    snprintf(source, sizeof(source), "%s:%u",
+             origin_address(harness.origins[first]).ip,
+             origin_address(harness.origins[first]).port);
+    direct_harness_entry(&harness, first == 0 ? "e-0" : "e-1",
+                         harness.origins[first], "models", "draining");
+    direct_harness_run(&harness, 200);
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-2",
+                   "Dandelionvalve-Prefix-Hash: a:512,b:9000,d:100\r\n", "x");
+    CU_ASSERT(call.status == 200);
+    direct_call_free(&call);
+    CU_ASSERT(origin_runs(harness.origins[1 - first]) == 1);
+    CU_ASSERT_STRING_EQUAL(
+        origin_last_field(harness.origins[1 - first], "Kv-Fetch"), source);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_direct(void)
 {
@@ -629,4 +673,5 @@
     CU_add_test(suite, "crashed endpoints", test_crashed_endpoints);
     CU_add_test(suite, "stop in the middle", test_stop_in_the_middle);
     CU_add_test(suite, "kept connections", test_kept_connections);
+    CU_add_test(suite, "contexts are fetched", test_contexts_are_fetched);
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -32,9 +32,10 @@
     uint32_t load[ENDPOINTS];
     uint32_t ends[ENDPOINTS][RUN_STEPS];
     bool out[ENDPOINTS];
+    double fetched_tokens_per_ms;
     size_t step;
     uint64_t shared_tokens;
-    uint64_t found_tokens;
+    uint64_t found_tokens; ///< kept there, or fetched
     uint64_t placed;
     uint64_t over_cap;
 };
@@ -101,6 +102,7 @@
         .prompt_tokens = prefix_tokens(&prefix),
         .shared_tokens = prefix_shared_tokens(&prefix),
         .tokens_per_ms = 50,
+        .fetched_tokens_per_ms = fleet->fetched_tokens_per_ms,
         .cap_factor = CAP_FACTOR,
         .cap_slack = CAP_SLACK,
     };
@@ -111,7 +113,9 @@
         candidates[i] = (struct place_candidate){
             .hash = 0x9e3779b97f4a7c15u * (i + 1),
             .usable = !fleet->out[i],
+            .gives = true,
             .same_zone = i % 3 == 0,
+            .zone = i % 3,
             .load = fleet->load[i],
             .slots = SLOTS,
             .cached_tokens = prefix_belief_find(fleet->caches[i], &prefix),
@@ -121,7 +125,8 @@
     CU_ASSERT(!fleet->out[choice.index]);
     fleet->shared_tokens += SUBJECT_TOKENS;
     fleet->found_tokens +=
-        candidates[choice.index].cached_tokens >= SUBJECT_TOKENS
+        candidates[choice.index].cached_tokens + choice.fetched_tokens >=
+                SUBJECT_TOKENS
             ? SUBJECT_TOKENS
             : 0;
     fleet->over_cap +=
@@ -238,6 +243,87 @@
     fleet_free(&fleet);
 }
 
+/// Endpoints are replaced one after the other; those that leave still give
+/// away their contexts. Returns the share of shared tokens that need not be
+/// read meanwhile.
+static double
+found_through_release(double fetched_tokens_per_ms)
+{
+    struct fleet fleet;
+    double share;
+
+    fleet_init(&fleet);
+    fleet.fetched_tokens_per_ms = fetched_tokens_per_ms;
+    for (size_t i = ENDPOINTS / 2; i < ENDPOINTS; i++) {
+        fleet.out[i] = true;
+    }
+    for (size_t i = 0; i < 2000 + 40 * ENDPOINTS / 2; i++) {
+        if (i >= 2000 && (i - 2000) % 40 == 0) {
+            size_t replaced = (i - 2000) / 40;
+
+            fleet.out[replaced] = true;
+            fleet.out[ENDPOINTS / 2 + replaced] = false;
+        }
+        if (i == 2000) {
+            fleet.found_tokens = fleet.shared_tokens = 0;
+        }
+        fleet_place(&fleet, random_below(&fleet.random, SUBJECTS));
+        fleet_step(&fleet);
+    }
+    share = (double)fleet.found_tokens / (double)fleet.shared_tokens;
+    fleet_free(&fleet);
+    return share;
+}
+
+/// Load pattern: a release. Four fifths of the contexts are to be reused
+/// through churn.
+static void
+test_release_hands_contexts_on(void)
+{
+    CU_ASSERT(found_through_release(0) < 0.9);
+    CU_ASSERT(found_through_release(2500) >= 0.98);
+}
+
+/// Fetching pays for long contexts, from a sound endpoint, rather within the
+/// zone of the one that fetches.
+static void
+test_source_of_a_context(void)
+{
+    struct random_seeded seeded = {1};
+    struct random_source random = random_seeded_interface(&seeded);
+    struct place_request request = {
+        .random = &random,
+        .has_prompt = true,
+        .affinity = 77,
+        .prompt_tokens = 9100,
+        .shared_tokens = 9000,
+        .tokens_per_ms = 50,
+        .fetched_tokens_per_ms = 2500,
+        .cap_factor = 2,
+        .cap_slack = 3,
+    };
+    struct place_candidate candidates[] = {
+        {.hash = 31, .usable = true, .slots = 8, .zone = 1},
+        {.hash = 37, .gives = true, .cached_tokens = 9000, .zone = 2},
+        {.hash = 41, .gives = true, .cached_tokens = 9000, .zone = 1},
+        {.hash = 43, .gives = false, .cached_tokens = 9100, .zone = 1},
+    };
+    struct place_choice choice;
+
+    CU_ASSERT(place_choose(&request, candidates, 4, &choice));
+    CU_ASSERT(choice.index == 0 && choice.source == 2);
+    CU_ASSERT(choice.fetched_tokens == 9000);
+    CU_ASSERT(choice.first_ms < 20);
+    request.fetched_tokens_per_ms = 0;
+    CU_ASSERT(place_choose(&request, candidates, 4, &choice));
+    CU_ASSERT(choice.source == PLACE_NO_SOURCE);
+    request.fetched_tokens_per_ms = 2500;
+    candidates[1].cached_tokens = candidates[2].cached_tokens = 400;
+    CU_ASSERT(place_choose(&request, candidates, 4, &choice));
+    CU_ASSERT(choice.source == PLACE_NO_SOURCE);
+    CU_ASSERT(choice.fetched_tokens == 0);
+}
+
 /// Two routers that know nothing of each other's placements still place a
 /// new subject at the same endpoint.
 static void
@@ -634,6 +720,9 @@
     CU_add_test(suite, "crash at the peak", test_crash_at_peak);
     CU_add_test(suite, "herd", test_herd);
     CU_add_test(suite, "scale out keeps chats", test_scale_out_keeps_chats);
+    CU_add_test(suite, "release hands contexts on",
+                test_release_hands_contexts_on);
+    CU_add_test(suite, "source of a context", test_source_of_a_context);
     CU_add_test(suite, "routers agree", test_routers_agree);
     CU_add_test(suite, "plain burst", test_plain_burst);
     CU_add_test(suite, "long requests", test_long_requests);
