endpoints: loads that endpoints state count what routers do not know of

Some endpoints finish work for callers that have left; no router tells of it. Ruled out: stale reports of peers (1,047 in flight by the logs, mean 18.7, as the routers had it). An answer's stated load, less what routers tell, is now part of the load.

Test: stated load (failed before: shares were even).

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -227,8 +227,8 @@
     return endpoints->all;
 }
 
-uint32_t
-endpoint_load(const struct endpoint *endpoint, int64_t now_ms)
+static uint32_t
+told_load(const struct endpoint *endpoint, int64_t now_ms)
 {
     uint32_t load = endpoint->in_flight;
 
@@ -240,6 +240,30 @@
     return load;
 }
 
+uint32_t
+endpoint_load(const struct endpoint *endpoint, int64_t now_ms)
+{
+    uint32_t load = told_load(endpoint, now_ms);
+
+    if (now_ms - endpoint->hidden_ms < ENDPOINTS_HIDDEN_MS) {
+        load += (uint32_t)endpoint->hidden_load;
+    }
+    return load;
+}
+
+void
+endpoint_note_held(struct endpoint *endpoint, uint32_t held, int64_t now_ms)
+{
+    double excess = (double)held - told_load(endpoint, now_ms);
+
+    endpoint->hidden_load +=
+        ENDPOINTS_HIDDEN_WEIGHT * (excess - endpoint->hidden_load);
+    if (endpoint->hidden_load < 0) {
+        endpoint->hidden_load = 0;
+    }
+    endpoint->hidden_ms = now_ms;
+}
+
 static double
 backlog(const struct endpoint *endpoint, int64_t now_ms)
 {
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -26,6 +26,12 @@
 /// A load that peers told of is believed for this long.
 #define ENDPOINTS_PEER_LOAD_MS 3000
 
+/// Hidden load that no answer has shown for this long is taken as gone.
+#define ENDPOINTS_HIDDEN_MS 2000
+/// Weight of one answer's statement in the hidden load: routers' reports are
+/// older than the statement.
+#define ENDPOINTS_HIDDEN_WEIGHT 0.3
+
 /// What one peer has in flight at an endpoint.
 struct endpoint_peer_load {
     uint64_t peer;
@@ -54,6 +60,8 @@
     uint32_t told_in_flight; ///< what peers were last told
     struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
     size_t peer_count;
+    double hidden_load; ///< runs there that no router tells of
+    int64_t hidden_ms;  ///< when an answer last showed it
     bool gone;
     int64_t lapse_ms; ///< when a missing entry means gone; 0: not missing
     size_t references;
@@ -124,6 +132,12 @@
 /// In-flight requests of all routers, as far as they are known.
 uint32_t endpoint_load(const struct endpoint *endpoint, int64_t now_ms);
 
+/// The endpoint says in an answer how many requests it holds. What the routers
+/// do not know of is work for callers that have left, which some endpoints
+/// finish, and that of routers which are not linked.
+void endpoint_note_held(struct endpoint *endpoint, uint32_t held,
+                        int64_t now_ms);
+
 void endpoint_set_peer_load(struct endpoint *endpoint, uint64_t peer,
                             uint32_t in_flight, uint32_t backlog_tokens,
                             int64_t now_ms);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -335,6 +335,10 @@
         (facts.signature.len == 0 || facts.is_encoded)) {
         return CHANNEL_REJECT;
     }
+    if (facts.has_load) {
+        endpoint_note_held(exchange->endpoint, facts.running + facts.waiting,
+                           now_of(exchange));
+    }
     exchange->status = status;
     exchange->not_executed = facts.not_executed;
     exchange->progress_ms = now_of(exchange);
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -20,6 +20,7 @@
 #define FIELD_BYTES 256
 #define ID_FIELD "Dandelionvalve-Request-Id"
 #define SIGNATURE_FIELD "Dandelionvalve-Server-Signature"
+#define LOAD_FIELD "Dandelionvalve-Instance-Load"
 
 struct conn {
     struct origin *origin;
@@ -41,6 +42,7 @@
     struct address address;
     struct conn *conns;
     enum origin_fault fault;
+    const char *load;
     char *ledger[LEDGER_MAX];
     uint64_t runs;
     uint64_t cancelled;
@@ -154,10 +156,13 @@
     conn->next_event = str_to_int64(last, &after) ? (size_t)after + 1 : 1;
     evbuffer_add_printf(out,
                         "HTTP/1.1 200 X\r\n" ID_FIELD
-                        ": %s\r\n" SIGNATURE_FIELD ": s\r\n"
-                        "Content-Type: text/event-stream\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n",
+                        ": %s\r\n" SIGNATURE_FIELD ": s\r\n",
                         conn->id);
+    if (conn->origin->load != NULL) {
+        evbuffer_add_printf(out, LOAD_FIELD ": %s\r\n", conn->origin->load);
+    }
+    evbuffer_add_printf(out, "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 static void
@@ -446,6 +451,12 @@
     origin->fault = fault;
 }
 
+void
+origin_set_load(struct origin *origin, const char *load)
+{
+    origin->load = load;
+}
+
 uint64_t
 origin_runs(const struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -46,6 +46,10 @@
 struct address origin_address(const struct origin *origin);
 void origin_set_fault(struct origin *origin, enum origin_fault fault);
 
+/// From now on its answers state this load, as a text of the platform; NULL:
+/// none.
+void origin_set_load(struct origin *origin, const char *load);
+
 /// Requests that it began to run; those that it runs now; those whose
 /// connection closed while it ran them; connections accepted.
 uint64_t origin_runs(const struct origin *origin);
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -650,6 +650,35 @@
     direct_harness_stop(&harness);
 }
 
+/// An endpoint that holds more than the routers know of, such as work for
+/// callers that have left, gets less.
+static void
+test_stated_load(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 2);
+    origin_set_load(harness.origins[0], "40,10,8");
+    origin_set_load(harness.origins[1], "0,0,8");
+    for (int i = 0; i < 40; i++) {
+        char id[16];
+        char fields[80];
+
+        snprintf(id, sizeof(id), "id-%d", i);
+        snprintf(fields, sizeof(fields),
+                 "Dandelionvalve-Prefix-Hash: a%d:20,b:10\r\n", i);
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", id, fields,
+                       "x");
+        CU_ASSERT(call.status == 200);
+        direct_call_free(&call);
+    }
+    CU_ASSERT(origin_runs(harness.origins[1]) >=
+              3 * origin_runs(harness.origins[0]));
+    CU_ASSERT(origin_runs(harness.origins[0]) >= 1);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_direct(void)
 {
@@ -673,5 +702,6 @@
     CU_add_test(suite, "crashed endpoints", test_crashed_endpoints);
     CU_add_test(suite, "stop in the middle", test_stop_in_the_middle);
     CU_add_test(suite, "kept connections", test_kept_connections);
+    CU_add_test(suite, "stated load", test_stated_load);
     CU_add_test(suite, "contexts are fetched", test_contexts_are_fetched);
 }
