--- a/core/place.c
+++ b/core/place.c
@@ -6,6 +6,8 @@
 #define CROSS_ZONE_MS 2.0
 /// Spread of a random part, so that routers do not all choose alike.
 #define JITTER_MS 1.0
+/// Zones whose best sources are compared.
+#define ZONES_MAX 8
 
 static uint64_t
 mix(uint64_t a, uint64_t b)
@@ -140,26 +142,6 @@
     return home == 0 ? PLACE_HOME : PLACE_LIGHTEST;
 }
 
-static void
-predict(const struct place_request *request,
-        const struct place_candidate *candidate, size_t home,
-        struct place_choice *choice)
-{
-    double unread_ms = 0;
-    double backlog_ms = 0;
-
-    if (request->has_prompt) {
-        unread_ms =
-            unread_tokens(request, candidate, home) / request->tokens_per_ms;
-        backlog_ms = candidate->backlog_tokens / request->tokens_per_ms;
-    }
-    choice->first_ms = unread_ms + backlog_ms;
-    choice->cost_ms =
-        PLACE_REREAD_WEIGHT * unread_ms + backlog_ms + load_ms(candidate) +
-        (candidate->same_zone || !request->has_prompt ? 0 : CROSS_ZONE_MS) +
-        JITTER_MS * random_unit(request->random);
-}
-
 static double
 fetch_ms(const struct place_request *request,
          const struct place_candidate *from, const struct place_candidate *to,
@@ -171,35 +153,102 @@
     return from->zone == to->zone ? ms : PLACE_FETCH_CROSS_ZONE * ms;
 }
 
-/// Finds from where the chosen endpoint fetches what it lacks of the prompt.
+/// Of each zone, the candidate that keeps most of the prompt.
+struct sources {
+    size_t index[ZONES_MAX];
+    size_t count;
+};
+
 static void
-find_source(const struct place_request *request,
-            const struct place_candidate *candidates, size_t count,
-            struct place_choice *choice)
+find_sources(const struct place_request *request,
+             const struct place_candidate *candidates, size_t count,
+             struct sources *sources)
 {
-    const struct place_candidate *to = &candidates[choice->index];
-    double saved_ms = 0;
-
+    sources->count = 0;
+    if (!request->has_prompt || request->fetched_tokens_per_ms <= 0) {
+        return;
+    }
     for (size_t i = 0; i < count; i++) {
         const struct place_candidate *from = &candidates[i];
-        uint32_t tokens;
-        double read_ms, wait_ms;
+        size_t at = 0;
 
-        if (!from->gives || from->cached_tokens <= to->cached_tokens) {
+        if (!from->gives || from->cached_tokens == 0) {
+            continue;
+        }
+        while (at < sources->count &&
+               candidates[sources->index[at]].zone != from->zone) {
+            at++;
+        }
+        if (at == ZONES_MAX) {
             continue;
         }
-        tokens = from->cached_tokens - to->cached_tokens;
-        read_ms = tokens / request->tokens_per_ms;
-        wait_ms = fetch_ms(request, from, to, tokens);
-        if (read_ms < PLACE_FETCH_GAIN * wait_ms ||
-            read_ms - wait_ms <= saved_ms) {
+        if (at == sources->count) {
+            sources->count++;
+            sources->index[at] = i;
+        }
+        else if (from->cached_tokens >
+                 candidates[sources->index[at]].cached_tokens) {
+            sources->index[at] = i;
+        }
+    }
+}
+
+/// What fetching saves a candidate.
+struct saving {
+    size_t source; ///< PLACE_NO_SOURCE: fetching does not pay
+    uint32_t tokens;
+    double read_ms;  ///< that need not be spent
+    double fetch_ms; ///< that is spent instead
+};
+
+static struct saving
+find_saving(const struct place_request *request,
+            const struct place_candidate *candidates,
+            const struct sources *sources, const struct place_candidate *to)
+{
+    struct saving best = {.source = PLACE_NO_SOURCE};
+
+    for (size_t i = 0; i < sources->count; i++) {
+        const struct place_candidate *from = &candidates[sources->index[i]];
+        struct saving saving = {.source = sources->index[i]};
+
+        if (from->cached_tokens <= to->cached_tokens) {
             continue;
         }
-        saved_ms = read_ms - wait_ms;
-        choice->source = i;
-        choice->fetched_tokens = tokens;
+        saving.tokens = from->cached_tokens - to->cached_tokens;
+        saving.read_ms = saving.tokens / request->tokens_per_ms;
+        saving.fetch_ms = fetch_ms(request, from, to, saving.tokens);
+        if (saving.read_ms >= PLACE_FETCH_GAIN * saving.fetch_ms &&
+            saving.read_ms - saving.fetch_ms > best.read_ms - best.fetch_ms) {
+            best = saving;
+        }
+    }
+    return best;
+}
+
+static void
+predict(const struct place_request *request,
+        const struct place_candidate *candidate, size_t home,
+        const struct saving *saving, struct place_choice *choice)
+{
+    double unread_ms = 0;
+    double backlog_ms = 0;
+
+    if (request->has_prompt) {
+        unread_ms = fmax(0, unread_tokens(request, candidate, home) /
+                                    request->tokens_per_ms -
+                                saving->read_ms);
+        backlog_ms = candidate->backlog_tokens / request->tokens_per_ms;
     }
-    choice->first_ms -= saved_ms;
+    choice->first_ms = unread_ms + saving->fetch_ms + backlog_ms;
+    choice->cost_ms =
+        PLACE_REREAD_WEIGHT * unread_ms +
+        PLACE_FETCH_WEIGHT * saving->fetch_ms + backlog_ms +
+        load_ms(candidate) +
+        (candidate->same_zone || !request->has_prompt ? 0 : CROSS_ZONE_MS) +
+        JITTER_MS * random_unit(request->random);
+    choice->source = saving->source;
+    choice->fetched_tokens = saving->tokens;
 }
 
 bool
@@ -208,6 +257,7 @@
              struct place_choice *choice)
 {
     size_t homes[PLACE_HOMES] = {SIZE_MAX, SIZE_MAX, SIZE_MAX};
+    struct sources sources;
     bool best_fits = false;
     bool found = false;
     double cap;
@@ -220,8 +270,10 @@
         !is_kept_somewhere(request, candidates, count)) {
         find_homes(request, candidates, count, homes);
     }
+    find_sources(request, candidates, count, &sources);
     for (size_t i = 0; i < count; i++) {
         const struct place_candidate *candidate = &candidates[i];
+        struct saving saving;
         size_t home = home_of(homes, i);
         bool fits = candidate->load + 1 <= cap || candidate->load == 0;
         struct place_choice here = *choice;
@@ -229,7 +281,8 @@
         if (!candidate->usable) {
             continue;
         }
-        predict(request, candidate, home, &here);
+        saving = find_saving(request, candidates, &sources, candidate);
+        predict(request, candidate, home, &saving, &here);
         if (found && (best_fits > fits || (best_fits == fits &&
                                            here.cost_ms >= choice->cost_ms))) {
             continue;
@@ -240,9 +293,6 @@
         here.reason = reason_of(candidate, fits, home);
         *choice = here;
     }
-    if (found && request->has_prompt && request->fetched_tokens_per_ms > 0) {
-        find_source(request, candidates, count, choice);
-    }
     return found;
 }
 
--- a/core/place.h
+++ b/core/place.h
@@ -27,6 +27,9 @@
 #define PLACE_CAP_ROUTERS 4
 /// Time to set up a transfer between two endpoints.
 #define PLACE_FETCH_SETUP_MS 5.0
+/// A copied context displaces others and uses the endpoints' links, so that it
+/// weighs more than waiting for as long does.
+#define PLACE_FETCH_WEIGHT 8.0
 /// A transfer must be this many times as fast as reading: its source may have
 /// dropped the context, or still be sending another.
 #define PLACE_FETCH_GAIN 2.0
