shed: refuses at once what a service cannot serve in time

Ruled out: a queue in the router (the endpoints' own are long enough; waiting was the fault), a limit on calls in flight for each router (31 routers before three endpoints have less than one each). Each router measures the delay of its own answers by service and urgency and refuses a share (a proportional integral controller). Urgent kinds go last; callers that have tried before, and so are late already, go first.

--- a/core/patience.c
+++ b/core/patience.c
@@ -33,6 +33,23 @@
                                               : PATIENCE_KNOWLEDGE_MS;
 }
 
+int64_t
+patience_usual_ms(int64_t usual_ms, int64_t stated_ms)
+{
+    if (stated_ms >= usual_ms) {
+        return stated_ms;
+    }
+    return usual_ms -
+           (usual_ms - stated_ms) * PATIENCE_USUAL_WEIGHT_PERCENT / 100;
+}
+
+bool
+patience_is_late(int64_t usual_ms, int64_t stated_ms, int64_t objective_ms)
+{
+    return usual_ms - stated_ms >
+           objective_ms * (100 - PATIENCE_NEEDED_PERCENT) / 100;
+}
+
 int64_t
 patience_retry_after_ms(const struct random_source *random, int64_t left_ms)
 {
--- a/core/patience.h
+++ b/core/patience.h
@@ -45,6 +45,21 @@
 /// Silence after which another endpoint is the better choice, in ms.
 int64_t patience_silence_ms(const struct patience_inputs *inputs);
 
+/// What of its objective a request needs at the least to be in time.
+#define PATIENCE_NEEDED_PERCENT 50
+/// Weight of a caller that states less than the usual time, in percent: most
+/// such callers have tried before.
+#define PATIENCE_USUAL_WEIGHT_PERCENT 1
+
+/// The time that callers of a route begin with, given what the next one
+/// states. `usual_ms` is 0 at first.
+int64_t patience_usual_ms(int64_t usual_ms, int64_t stated_ms);
+
+/// True if so much of the usual time has passed that the objective cannot be
+/// met.
+bool patience_is_late(int64_t usual_ms, int64_t stated_ms,
+                      int64_t objective_ms);
+
 /// What a refused caller is told, in ms; `left_ms` is the time it has.
 int64_t patience_retry_after_ms(const struct random_source *random,
                                 int64_t left_ms);
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -20,6 +20,7 @@
 #include "net/caller.h"
 #include "net/log.h"
 #include "mesh.h"
+#include "services.h"
 
 #define LOG_MODULE "direct"
 
@@ -41,6 +42,8 @@
 #define IDLE_MS 15000
 /// Share of the retry budget that is used: other routers count later.
 #define BUDGET_USED_PERCENT 85
+/// A tick that comes later than this means that the process stood still.
+#define STOOD_STILL_MS 1000
 /// Routers that are taken to share the retry budget before they are known.
 #define ROUTERS_ASSUMED 4
 /// Reading speed before any answer has shown it, prompt tokens in a ms.
@@ -53,12 +56,6 @@
 
 #define KINDS (ROUTE_RESUMABLE + 1)
 
-struct budget {
-    struct str service;
-    struct retry_budget retry;
-    struct budget *next;
-};
-
 struct listed {
     struct exchange *exchange;
     UT_hash_handle hh;
@@ -77,13 +74,14 @@
     struct admin *metrics;
     struct mesh *mesh;
     struct quarantine *quarantine;
-    struct budget *budgets;
+    struct services *services;
     struct listed *exchanges;
     struct event *tick;
     bool knows_endpoints;
     bool resumed; ///< requests that waited for knowledge have gone on
     int64_t started_ms;
     bool was_ready;
+    int64_t ticked_ms;
     int64_t store_back_ms; ///< when the store last came back; 0: never away
     bool draining;
     int64_t drain_ms; ///< when draining began
@@ -372,6 +370,22 @@
     }
 }
 
+/// Notes requests whose answers are late to begin. After the process stood
+/// still, their ages say nothing of the endpoints.
+static void
+note_pending(struct direct *direct)
+{
+    int64_t now_ms = clock_ms(direct->options.clock);
+    bool stood_still = now_ms - direct->ticked_ms > STOOD_STILL_MS;
+    struct listed *listed, *next;
+
+    direct->ticked_ms = now_ms;
+    HASH_ITER(hh, direct->exchanges, listed, next)
+    {
+        exchange_note_pending(listed->exchange, stood_still);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
@@ -381,6 +395,8 @@
     (void)fd;
     (void)events;
     endpoints_tick(direct->endpoints);
+    note_pending(direct);
+    services_tick(direct->services);
     if (direct->mesh != NULL && direct->knows_endpoints) {
         bool reads = mesh_should_read(direct->mesh);
 
@@ -626,6 +642,7 @@
     direct->settings = *options->settings;
     direct->tokens_per_ms = TOKENS_PER_MS;
     direct->started_ms = clock_ms(options->clock);
+    direct->ticked_ms = direct->started_ms;
     direct->records = records_new(&(struct records_options){
         .changed = on_record,
         .ctx = direct,
@@ -635,6 +652,7 @@
         .clock = options->clock,
         .zone = direct->settings.zone,
     });
+    direct->services = services_new(options->clock);
     direct->quarantine = quarantine_new(&(struct quarantine_options){
         .clock = options->clock,
         .strikes_max = STRIKES_MAX,
@@ -682,13 +700,7 @@
     records_free(direct->records);
     quarantine_free(direct->quarantine);
     catalog_unref(direct->catalog);
-    while (direct->budgets != NULL) {
-        struct budget *budget = direct->budgets;
-
-        direct->budgets = budget->next;
-        free((char *)budget->service.data);
-        free(budget);
-    }
+    services_free(direct->services);
     event_free(direct->tick);
     free(direct->name);
     free(direct);
@@ -838,22 +850,14 @@
         .slack = settings->budget_slack * BUDGET_USED_PERCENT / 100 /
                  (int64_t)direct_routers(direct),
     };
-    struct budget *budget = direct->budgets;
 
-    while (budget != NULL && !str_equal(budget->service, service)) {
-        budget = budget->next;
-    }
-    if (budget == NULL) {
-        budget = xcalloc(1, sizeof(*budget));
-        budget->service = str_copy(service);
-        budget->next = direct->budgets;
-        direct->budgets = budget;
-        retry_init(&budget->retry, &options);
-    }
-    else {
-        retry_set_options(&budget->retry, &options);
-    }
-    return &budget->retry;
+    return services_budget(direct->services, service, &options);
+}
+
+struct services *
+direct_services(const struct direct *direct)
+{
+    return direct->services;
 }
 
 void
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -16,6 +16,7 @@
 struct exchange;
 struct quarantine;
 struct retry_budget;
+struct services;
 struct settings_direct;
 
 /// The configuration in force, or NULL before one is known.
@@ -38,6 +39,8 @@
 /// The retry budget of a service, made if it is new.
 struct retry_budget *direct_budget(struct direct *direct, struct str service);
 
+struct services *direct_services(const struct direct *direct);
+
 /// The endpoint begins to keep what this prompt shares with others.
 void direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
                         const struct prefix *prefix);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -22,6 +22,7 @@
 #include "net/http1.h"
 #include "net/log.h"
 #include "net/timer.h"
+#include "services.h"
 #include "daemon/settings.h"
 
 #define LOG_MODULE "exchange"
@@ -357,6 +358,38 @@
     return CHANNEL_TAKE;
 }
 
+static struct shed *
+shed_of(const struct exchange *exchange)
+{
+    return services_shed(direct_services(exchange->direct), exchange->service,
+                         exchange->priority);
+}
+
+/// The answer has begun.
+static void
+note_delay(struct exchange *exchange)
+{
+    if (!exchange->delay_noted) {
+        exchange->delay_noted = true;
+        shed_note(shed_of(exchange), now_of(exchange) - exchange->offered_ms,
+                  exchange->route->objective_ms);
+    }
+}
+
+void
+exchange_note_pending(struct exchange *exchange, bool ignore)
+{
+    if (exchange->channel == NULL || exchange->answering ||
+        now_of(exchange) - exchange->offered_ms <
+            exchange->route->objective_ms) {
+        return;
+    }
+    if (ignore) {
+        exchange->delay_noted = true;
+    }
+    note_delay(exchange);
+}
+
 /// Passes on what is whole of a stream. The head waits for the first event,
 /// so that a failure before it can still be answered.
 static void
@@ -371,6 +404,7 @@
     if (!exchange->answering) {
         exchange->answering = true;
         exchange->first_ms = now_of(exchange);
+        note_delay(exchange);
         caller_start(exchange->caller, exchange->status, fields_of(exchange));
     }
     caller_data(exchange->caller, bytes, len);
@@ -410,6 +444,7 @@
 
     if (exchange->first_ms == 0) {
         exchange->first_ms = now_ms;
+        note_delay(exchange);
     }
     if (exchange->status < 500) {
         quarantine_clear(direct_quarantine(exchange->direct),
@@ -445,6 +480,9 @@
             exchange->arrivals--;
             note_failure(exchange, "address of another endpoint");
         }
+        else {
+            shed_note_full(shed_of(exchange), exchange->route->objective_ms);
+        }
         attempt_failed(exchange, ATTEMPT_REFUSED, "refused by the endpoint");
         return;
     }
@@ -724,6 +762,7 @@
     exchange->arrivals++;
     exchange->runs++;
     exchange->stalled = false;
+    exchange->delay_noted = exchange->answering;
     exchange->offered_ms = now_of(exchange);
     exchange->progress_ms = exchange->offered_ms;
     LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
@@ -771,6 +810,34 @@
     }
 }
 
+/// Refuses the request if the service is overloaded and it is one of those
+/// that have to go. A caller that goes on with a stream is not one.
+static bool
+shed(struct exchange *exchange)
+{
+    struct direct *direct = exchange->direct;
+    struct shed *shed = shed_of(exchange);
+    bool is_late = services_is_late(
+        direct_services(direct), exchange->route->name,
+        exchange->facts.deadline_ms, exchange->route->objective_ms);
+
+    double share_min = services_urgent_share(
+        direct_services(direct), exchange->service, exchange->priority);
+
+    if (exchange->facts.last_event_id.len > 0 ||
+        !shed_refuses(shed, direct_random(direct), share_min, is_late)) {
+        return false;
+    }
+    LOG_INFO("event=shed id=%s service=" STR_FMT " priority=%u share=%.2f "
+             "share_min=%.2f delay=%.2f late=%d deadline_ms=%lld",
+             exchange->id, STR_ARG(exchange->service), exchange->priority,
+             shed->share, share_min, shed->delay, is_late,
+             (long long)exchange->facts.deadline_ms);
+    counter_add(direct_counters(direct), COUNTER_SHED, 1);
+    exchange_refuse_not_run(exchange, "the service is overloaded");
+    return true;
+}
+
 static void
 go_on(struct exchange *exchange)
 {
@@ -783,7 +850,9 @@
         exchange->route, random_unit(direct_random(direct)));
     exchange->has_priority = exchange->facts.prefix.count > 0;
     retry_count_request(direct_budget(direct, exchange->service));
-    dispatch(exchange);
+    if (!shed(exchange)) {
+        dispatch(exchange);
+    }
 }
 
 void
--- a/direct/exchange.h
+++ b/direct/exchange.h
@@ -1,6 +1,7 @@
 /// One caller's request on its way to an endpoint and back.
 #pragma once
 
+#include <stdbool.h>
 #include <stddef.h>
 
 struct caller;
@@ -16,5 +17,9 @@
 /// The caller has left: what may be cut is cancelled at its endpoint.
 void exchange_abandon(struct exchange *exchange);
 
+/// Counts an answer that has not begun within the objective, once for each
+/// endpoint that was asked. `ignore`: the wait was the router's own.
+void exchange_note_pending(struct exchange *exchange, bool ignore);
+
 /// Frees without a word; the router is going away.
 void exchange_forget(struct exchange *exchange);
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -47,6 +47,7 @@
     int64_t progress_ms;   ///< last sign of the endpoint
     double backlog_tokens; ///< its share of the endpoint's
     uint32_t unread_tokens;
+    bool delay_noted;         ///< this attempt's delay has been counted
     bool stalled;             ///< this attempt's silence has been counted
     bool waits_for_knowledge; ///< the process has just started
 
--- /dev/null
+++ b/direct/services.c
@@ -0,0 +1,210 @@
+#include "services.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "core/patience.h"
+#include "core/xmalloc.h"
+#include "net/log.h"
+
+#define LOG_MODULE "services"
+
+/// Requests of a lower urgency share the last one's decision.
+#define PRIORITIES 10
+/// Between two lines on the same decision while it lasts.
+#define LOG_INTERVAL_MS 1000
+/// Names in the configuration change; what is unused for so long is dropped.
+#define UNUSED_MS 60000
+
+struct urgency {
+    struct shed shed;
+    int64_t logged_ms;
+};
+
+struct service {
+    struct str name;
+    struct retry_budget retry;
+    struct urgency urgencies[PRIORITIES];
+    int64_t used_ms;
+    UT_hash_handle hh;
+};
+
+struct route {
+    struct str name;
+    int64_t usual_ms; ///< time that callers begin with
+    int64_t used_ms;
+    UT_hash_handle hh;
+};
+
+struct services {
+    const struct clock *clock;
+    struct service *all;
+    struct route *routes;
+};
+
+struct services *
+services_new(const struct clock *clock)
+{
+    struct services *services = xcalloc(1, sizeof(*services));
+
+    services->clock = clock;
+    return services;
+}
+
+static void
+drop_service(struct services *services, struct service *service)
+{
+    HASH_DEL(services->all, service);
+    free((char *)service->name.data);
+    free(service);
+}
+
+static void
+drop_route(struct services *services, struct route *route)
+{
+    HASH_DEL(services->routes, route);
+    free((char *)route->name.data);
+    free(route);
+}
+
+void
+services_free(struct services *services)
+{
+    struct service *service, *next_service;
+    struct route *route, *next_route;
+
+    if (services == NULL) {
+        return;
+    }
+    HASH_ITER(hh, services->all, service, next_service)
+    {
+        drop_service(services, service);
+    }
+    HASH_ITER(hh, services->routes, route, next_route)
+    {
+        drop_route(services, route);
+    }
+    free(services);
+}
+
+static struct service *
+get_service(struct services *services, struct str name)
+{
+    struct service *service;
+
+    HASH_FIND(hh, services->all, name.data, name.len, service);
+    if (service == NULL) {
+        service = xcalloc(1, sizeof(*service));
+        service->name = str_copy(name);
+        HASH_ADD_KEYPTR(hh, services->all, service->name.data,
+                        service->name.len, service);
+    }
+    service->used_ms = clock_ms(services->clock);
+    return service;
+}
+
+struct retry_budget *
+services_budget(struct services *services, struct str name,
+                const struct retry_options *options)
+{
+    struct service *service = get_service(services, name);
+
+    retry_set_options(&service->retry, options);
+    return &service->retry;
+}
+
+struct shed *
+services_shed(struct services *services, struct str name, uint32_t priority)
+{
+    struct service *service = get_service(services, name);
+
+    return &service
+                ->urgencies[priority < PRIORITIES ? priority : PRIORITIES - 1]
+                .shed;
+}
+
+double
+services_urgent_share(struct services *services, struct str name,
+                      uint32_t priority)
+{
+    const struct service *service = get_service(services, name);
+    double share = 0;
+
+    for (uint32_t i = 0; i < priority && i < PRIORITIES - 1; i++) {
+        share = fmax(share, service->urgencies[i].shed.share);
+    }
+    return share;
+}
+
+bool
+services_is_late(struct services *services, struct str name,
+                 int64_t deadline_ms, int64_t objective_ms)
+{
+    struct route *route;
+
+    HASH_FIND(hh, services->routes, name.data, name.len, route);
+    if (route == NULL) {
+        route = xcalloc(1, sizeof(*route));
+        route->name = str_copy(name);
+        HASH_ADD_KEYPTR(hh, services->routes, route->name.data,
+                        route->name.len, route);
+    }
+    route->used_ms = clock_ms(services->clock);
+    route->usual_ms = patience_usual_ms(route->usual_ms, deadline_ms);
+    return patience_is_late(route->usual_ms, deadline_ms, objective_ms);
+}
+
+static void
+log_share(const struct service *service, uint32_t priority,
+          struct urgency *urgency, double before, int64_t now_ms)
+{
+    const struct shed *shed = &urgency->shed;
+    bool starts = before == 0;
+    bool stops = shed->share == 0;
+
+    if (!starts && !stops && now_ms - urgency->logged_ms < LOG_INTERVAL_MS) {
+        return;
+    }
+    urgency->logged_ms = now_ms;
+    LOG_INFO("event=shedding service=" STR_FMT " priority=%u share=%.2f "
+             "before=%.2f delay=%.2f target=%.2f",
+             STR_ARG(service->name), priority, shed->share, before,
+             shed->delay, SHED_TARGET);
+}
+
+static void
+update(struct service *service, int64_t now_ms)
+{
+    for (uint32_t priority = 0; priority < PRIORITIES; priority++) {
+        struct urgency *urgency = &service->urgencies[priority];
+        double before = urgency->shed.share;
+
+        if (shed_update(&urgency->shed, now_ms)) {
+            log_share(service, priority, urgency, before, now_ms);
+        }
+    }
+}
+
+void
+services_tick(struct services *services)
+{
+    int64_t now_ms = clock_ms(services->clock);
+    struct service *service, *next_service;
+    struct route *route, *next_route;
+
+    HASH_ITER(hh, services->all, service, next_service)
+    {
+        update(service, now_ms);
+        if (now_ms - service->used_ms > UNUSED_MS) {
+            drop_service(services, service);
+        }
+    }
+    HASH_ITER(hh, services->routes, route, next_route)
+    {
+        if (now_ms - route->used_ms > UNUSED_MS) {
+            drop_route(services, route);
+        }
+    }
+}
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -17,6 +17,8 @@
       "requests with bad input, a wrong key or no route")                     \
     X(OFFERS, "offers_total", "", "offers sent to agents")                    \
     X(REFUSALS, "refusals_total", "", "offers refused by agents")             \
+    X(SHED, "shed_total", "",                                                 \
+      "requests refused as their service is overloaded")                      \
     X(RETRIES, "retries_total", "", "retries paid from the budget")           \
     X(RETRY_DENIED, "retries_denied_total", "",                               \
       "retries that the budget did not allow")                                \
--- a/measure/main.c
+++ b/measure/main.c
@@ -18,7 +18,7 @@
     {"claims", measure_claims},         {"control", measure_control},
     {"slopes", measure_slopes},         {"retries", measure_retries},
     {"quarantine", measure_quarantine}, {"crowd", measure_crowd},
-    {"scale", measure_scale},
+    {"scale", measure_scale},           {"overload", measure_overload},
 };
 
 static int
--- a/measure/measure.h
+++ b/measure/measure.h
@@ -19,4 +19,5 @@
 int measure_crowd(const struct measure_options *options);
 int measure_claims(const struct measure_options *options);
 int measure_control(const struct measure_options *options);
+int measure_overload(const struct measure_options *options);
 int measure_slopes(const struct measure_options *options);
--- /dev/null
+++ b/measure/overload.c
@@ -0,0 +1,127 @@
+/// Plain services beyond what their endpoints can do, with and without
+/// shedding at the routers.
+#include "measure.h"
+
+#include <inttypes.h>
+
+#include "pool.h"
+
+#define SLOTS 6
+#define WORK_MS 60
+#define ENDPOINTS 3
+/// What the pool can end in a second.
+#define CAPACITY_PER_S (1000.0 / WORK_MS * SLOTS * ENDPOINTS)
+/// Of what the pool can do, this share is to be in time under any excess.
+#define IN_TIME_TARGET 0.70
+/// Below two thirds of the load nothing is refused, but for one in 200.
+#define REFUSED_TARGET 0.005
+
+/// Once the excess has been over for 1.5 s, at most this share is refused.
+#define RECOVERED_TARGET 0.05
+
+static struct pool_options
+pool_options_of(const struct measure_options *options, size_t routers,
+                double load, bool shedding)
+{
+    return (struct pool_options){
+        .seed = options->seed,
+        .routers = routers,
+        .endpoints = ENDPOINTS,
+        .slots = SLOTS,
+        .queue = 24,
+        .work_ms = WORK_MS,
+        .objective_ms = 300,
+        .deadline_ms = 1500,
+        .per_s = load * CAPACITY_PER_S,
+        .run_ms = 20000,
+        .report_ms = 430,
+        .shedding = shedding,
+    };
+}
+
+static bool
+print(const struct measure_options *options, size_t routers, double load,
+      bool shedding)
+{
+    const struct pool_options pool =
+        pool_options_of(options, routers, load, shedding);
+    struct pool_result result;
+    double asked, possible, in_time, refused;
+    bool missed;
+
+    pool_run(&pool, &result);
+    asked = (double)result.asked;
+    possible = load < 1 ? asked : asked / load;
+    in_time = (double)result.in_time / possible;
+    refused = (double)result.refused / asked;
+    missed = shedding && (in_time < IN_TIME_TARGET ||
+                          (load < 0.7 && refused > REFUSED_TARGET));
+    printf("%7zu %5.2f %-9s %8.3f %8.3f %8.3f %9.3f %9.3f%s\n", routers, load,
+           shedding ? "shedding" : "none", in_time,
+           (double)result.late / asked, refused,
+           result.returned > 0
+               ? (double)result.returned_served / (double)result.returned
+               : 0,
+           result.sent > 0 ? (double)result.shed / (double)result.sent : 0,
+           missed ? "  missed" : "");
+    if (options->csv != NULL) {
+        fprintf(options->csv, "%zu,%.2f,%d,%.4f,%.4f,%.4f\n", routers, load,
+                shedding, in_time, (double)result.late / asked, refused);
+    }
+    return missed;
+}
+
+/// An excess of four seconds: how much is refused after its end, in the time
+/// that callers may reasonably be told to come back.
+static bool
+print_recovery(const struct measure_options *options, size_t routers)
+{
+    struct pool_options pool = pool_options_of(options, routers, 0.5, true);
+    struct pool_result whole, before;
+
+    pool.excess_per_s = 3 * CAPACITY_PER_S;
+    pool.excess_from_ms = 4000;
+    pool.excess_until_ms = 8000;
+    pool.run_ms = 9500;
+    pool_run(&pool, &before);
+    pool.run_ms = 14000;
+    pool_run(&pool, &whole);
+    printf("%zu routers, 3.5 times the capacity for 4 s: refused later than "
+           "1.5 s after: %" PRIu64 " of %" PRIu64 "\n",
+           routers, whole.refused - before.refused,
+           whole.asked - before.asked);
+    return (double)(whole.refused - before.refused) >
+           RECOVERED_TARGET * (double)(whole.asked - before.asked);
+}
+
+int
+measure_overload(const struct measure_options *options)
+{
+    static const size_t routers[] = {4, 31};
+    static const double loads[] = {0.66, 1.2, 2, 5};
+    int missed = 0;
+
+    printf("three plain endpoints of %d slots, %d ms a call, objective 300 "
+           "ms; seed %" PRIu64 "\n"
+           "in-time: of what the pool can do; returned: served of those that "
+           "came back; full: offers that an endpoint refused\n",
+           SLOTS, WORK_MS, options->seed);
+    printf("%7s %5s %-9s %8s %8s %8s %9s %9s\n", "routers", "load", "way",
+           "in-time", "late", "refused", "returned", "full");
+    if (options->csv != NULL) {
+        fprintf(options->csv, "routers,load,shedding,in_time,late,refused\n");
+    }
+    for (size_t i = 0; i < sizeof(routers) / sizeof(routers[0]); i++) {
+        for (size_t j = 0; j < sizeof(loads) / sizeof(loads[0]); j++) {
+            missed += print(options, routers[i], loads[j], false);
+            missed += print(options, routers[i], loads[j], true);
+        }
+    }
+    for (size_t i = 0; i < sizeof(routers) / sizeof(routers[0]); i++) {
+        missed += print_recovery(options, routers[i]);
+    }
+    printf("targets missed (in time at least %.2f of what the pool can do, "
+           "refused at most %.3f below capacity): %d\n",
+           IN_TIME_TARGET, REFUSED_TARGET, missed);
+    return missed;
+}
--- /dev/null
+++ b/measure/pool.c
@@ -0,0 +1,317 @@
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "core/patience.h"
+#include "core/place.h"
+#include "core/shed.h"
+#include "core/xmalloc.h"
+#include "dandelionvalve/clock.h"
+
+#define CAP_FACTOR 2
+#define CAP_SLACK 3
+/// Endpoints that one request is offered to at most.
+#define OFFERS_MAX 3
+
+struct request {
+    size_t router;
+    size_t endpoint;
+    int64_t asked_ms; ///< of the first attempt
+    int64_t offered_ms;
+    int64_t ends_ms;    ///< of its run
+    int64_t returns_ms; ///< of a refused one
+    bool returned;
+    bool noted; ///< its delay has been counted
+    struct request *prev;
+    struct request *next;
+};
+
+struct pool {
+    const struct pool_options *options;
+    struct pool_result *result;
+    struct random_seeded seeded;
+    struct random_source random;
+    struct shed sheds[POOL_ROUTERS_MAX];
+    uint32_t own[POOL_ROUTERS_MAX][POOL_ENDPOINTS_MAX];
+    uint32_t told[POOL_ROUTERS_MAX][POOL_ENDPOINTS_MAX];
+    struct request *running[POOL_ENDPOINTS_MAX];
+    struct request *waiting[POOL_ENDPOINTS_MAX];
+    size_t running_count[POOL_ENDPOINTS_MAX];
+    size_t waiting_count[POOL_ENDPOINTS_MAX];
+    struct request *returning;
+    int64_t now_ms;
+};
+
+static void
+start_run(struct pool *pool, struct request *request)
+{
+    size_t at = request->endpoint;
+    uint64_t spread_ms = 2 * (uint64_t)pool->options->work_ms;
+
+    request->ends_ms =
+        pool->now_ms + 1 + (int64_t)random_below(&pool->random, spread_ms);
+    DL_APPEND(pool->running[at], request);
+    pool->running_count[at]++;
+}
+
+/// False if the endpoint has no room.
+static bool
+arrive(struct pool *pool, struct request *request)
+{
+    size_t at = request->endpoint;
+
+    if (pool->running_count[at] < pool->options->slots) {
+        start_run(pool, request);
+        return true;
+    }
+    if (pool->waiting_count[at] < pool->options->queue) {
+        DL_APPEND(pool->waiting[at], request);
+        pool->waiting_count[at]++;
+        return true;
+    }
+    return false;
+}
+
+/// False if all that are not in `tried` are unusable.
+static bool
+choose(struct pool *pool, size_t router, const bool *tried, size_t *at)
+{
+    const struct pool_options *options = pool->options;
+    const struct place_request request = {
+        .random = &pool->random,
+        .cap_factor = CAP_FACTOR,
+        .cap_slack = CAP_SLACK,
+        .routers = options->routers,
+    };
+    struct place_candidate candidates[POOL_ENDPOINTS_MAX];
+    struct place_choice choice;
+
+    for (size_t i = 0; i < options->endpoints; i++) {
+        candidates[i] = (struct place_candidate){
+            .hash = i + 1,
+            .usable = !tried[i],
+            .same_zone = router % options->endpoints == i,
+            .slots = (uint32_t)options->slots,
+            .load = pool->own[router][i],
+        };
+        for (size_t j = 0; options->with_peers && j < options->routers; j++) {
+            candidates[i].load += j != router ? pool->told[j][i] : 0;
+        }
+    }
+    if (!place_choose(&request, candidates, options->endpoints, &choice)) {
+        return false;
+    }
+    *at = choice.index;
+    return true;
+}
+
+/// The caller comes back once, when it is told to.
+static void
+refuse(struct pool *pool, struct request *request)
+{
+    int64_t left_ms =
+        request->asked_ms + pool->options->deadline_ms - pool->now_ms;
+
+    if (request->returned) {
+        pool->result->refused++;
+        free(request);
+        return;
+    }
+    request->returned = true;
+    request->returns_ms =
+        pool->now_ms + patience_retry_after_ms(&pool->random, left_ms);
+    DL_APPEND(pool->returning, request);
+}
+
+static void
+offer(struct pool *pool, struct request *request)
+{
+    struct shed *shed = &pool->sheds[request->router];
+    bool tried[POOL_ENDPOINTS_MAX] = {false};
+
+    if (pool->options->shedding &&
+        shed_refuses(shed, &pool->random, 0, request->returned)) {
+        refuse(pool, request);
+        return;
+    }
+    for (size_t i = 0; i < OFFERS_MAX; i++) {
+        if (!choose(pool, request->router, tried, &request->endpoint)) {
+            break;
+        }
+        pool->result->sent++;
+        request->offered_ms = pool->now_ms;
+        if (arrive(pool, request)) {
+            pool->own[request->router][request->endpoint]++;
+            return;
+        }
+        tried[request->endpoint] = true;
+        pool->result->shed++;
+        shed_note_full(shed, pool->options->objective_ms);
+    }
+    refuse(pool, request);
+}
+
+static void
+finish(struct pool *pool, struct request *request)
+{
+    const struct pool_options *options = pool->options;
+    struct pool_result *result = pool->result;
+    int64_t total_ms = pool->now_ms - request->asked_ms;
+
+    pool->own[request->router][request->endpoint]--;
+    if (!request->noted) {
+        shed_note(&pool->sheds[request->router],
+                  pool->now_ms - request->offered_ms, options->objective_ms);
+    }
+    result->runs++;
+    result->in_time += total_ms <= options->objective_ms ? 1 : 0;
+    result->late +=
+        total_ms > options->objective_ms && total_ms <= options->deadline_ms
+            ? 1
+            : 0;
+    result->lost += total_ms > options->deadline_ms ? 1 : 0;
+    result->returned_served +=
+        request->returned && total_ms <= options->deadline_ms ? 1 : 0;
+    free(request);
+}
+
+static void
+end_runs(struct pool *pool, size_t at)
+{
+    struct request *request, *next;
+
+    DL_FOREACH_SAFE(pool->running[at], request, next)
+    {
+        if (request->ends_ms > pool->now_ms) {
+            continue;
+        }
+        DL_DELETE(pool->running[at], request);
+        pool->running_count[at]--;
+        finish(pool, request);
+        if (pool->waiting[at] != NULL) {
+            struct request *first = pool->waiting[at];
+
+            DL_DELETE(pool->waiting[at], first);
+            pool->waiting_count[at]--;
+            start_run(pool, first);
+        }
+    }
+}
+
+static void
+note_pending(struct pool *pool, struct request *list)
+{
+    int64_t objective_ms = pool->options->objective_ms;
+    struct request *request;
+
+    DL_FOREACH(list, request)
+    {
+        int64_t age_ms = pool->now_ms - request->offered_ms;
+
+        if (!request->noted && age_ms >= objective_ms) {
+            request->noted = true;
+            shed_note(&pool->sheds[request->router], age_ms, objective_ms);
+        }
+    }
+}
+
+static void
+tick(struct pool *pool)
+{
+    for (size_t at = 0; at < pool->options->endpoints; at++) {
+        note_pending(pool, pool->running[at]);
+        note_pending(pool, pool->waiting[at]);
+    }
+    for (size_t router = 0; router < pool->options->routers; router++) {
+        shed_update(&pool->sheds[router], pool->now_ms);
+    }
+}
+
+static void
+come_back(struct pool *pool)
+{
+    struct request *request, *next;
+
+    DL_FOREACH_SAFE(pool->returning, request, next)
+    {
+        if (request->returns_ms <= pool->now_ms) {
+            DL_DELETE(pool->returning, request);
+            pool->result->returned++;
+            request->router =
+                random_below(&pool->random, pool->options->routers);
+            offer(pool, request);
+        }
+    }
+}
+
+static void
+ask(struct pool *pool)
+{
+    struct request *request = xcalloc(1, sizeof(*request));
+
+    request->router = random_below(&pool->random, pool->options->routers);
+    request->asked_ms = pool->now_ms;
+    pool->result->asked++;
+    offer(pool, request);
+}
+
+static void
+drop_all(struct request **list)
+{
+    struct request *request, *next;
+
+    DL_FOREACH_SAFE(*list, request, next)
+    {
+        DL_DELETE(*list, request);
+        free(request);
+    }
+}
+
+static double
+rate_at(const struct pool_options *options, int64_t now_ms)
+{
+    bool excess =
+        now_ms >= options->excess_from_ms && now_ms < options->excess_until_ms;
+
+    return options->per_s + (excess ? options->excess_per_s : 0);
+}
+
+void
+pool_run(const struct pool_options *options, struct pool_result *result)
+{
+    struct pool *pool = xcalloc(1, sizeof(*pool));
+
+    *result = (struct pool_result){0};
+    pool->options = options;
+    pool->result = result;
+    pool->seeded.state = options->seed;
+    pool->random = random_seeded_interface(&pool->seeded);
+    for (pool->now_ms = 1; pool->now_ms < options->run_ms; pool->now_ms++) {
+        double due = rate_at(options, pool->now_ms) / 1000;
+
+        for (size_t at = 0; at < options->endpoints; at++) {
+            end_runs(pool, at);
+        }
+        if (pool->now_ms % options->report_ms == 0) {
+            memcpy(pool->told, pool->own, sizeof(pool->told));
+        }
+        if (pool->now_ms % SHED_STEP_MS == 0) {
+            tick(pool);
+        }
+        come_back(pool);
+        for (; due > 0; due -= 1) {
+            if (random_unit(&pool->random) < due) {
+                ask(pool);
+            }
+        }
+    }
+    for (size_t at = 0; at < options->endpoints; at++) {
+        drop_all(&pool->running[at]);
+        drop_all(&pool->waiting[at]);
+    }
+    drop_all(&pool->returning);
+    free(pool);
+}
--- a/tests/main.c
+++ b/tests/main.c
@@ -30,6 +30,7 @@
     {"catalog", suite_catalog},
     {"records", suite_records},
     {"place", suite_place},
+    {"shed", suite_shed},
     {"wire", suite_wire},
     {"direct", suite_direct},
     {"direct-store", suite_direct_store},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -17,6 +17,7 @@
 void suite_catalog(void);
 void suite_records(void);
 void suite_place(void);
+void suite_shed(void);
 void suite_wire(void);
 void suite_direct(void);
 void suite_direct_store(void);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -12,6 +12,7 @@
 #include "core/patience.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "measure/pool.h"
 #include "suites.h"
 
 #define ENDPOINTS 18
@@ -344,117 +345,28 @@
     CU_ASSERT(agreed == 200);
 }
 
-#define PLAIN_ROUTERS 31
-#define PLAIN_ENDPOINTS 3
-#define PLAIN_SLOTS 6
-#define PLAIN_QUEUE 24
-#define PLAIN_WORK_MS 60
-#define PLAIN_PER_S 210
-#define PLAIN_REPORT_MS 430
-#define PLAIN_RUN_MS 30000
-
-/// Plain endpoints of few slots behind many routers, a millisecond a step.
-struct plain {
-    struct random_seeded seeded;
-    struct random_source random;
-    uint32_t own[PLAIN_ROUTERS][PLAIN_ENDPOINTS];
-    uint32_t told[PLAIN_ROUTERS][PLAIN_ENDPOINTS];
-    int64_t ends[PLAIN_ENDPOINTS][PLAIN_SLOTS]; ///< 0: free
-    int owner[PLAIN_ENDPOINTS][PLAIN_SLOTS];
-    int queue[PLAIN_ENDPOINTS][PLAIN_QUEUE];
-    size_t queued[PLAIN_ENDPOINTS];
-    uint64_t sent;
-    uint64_t shed;
-};
-
-static void
-plain_start(struct plain *plain, size_t at, int router, int64_t now_ms)
-{
-    for (size_t slot = 0; slot < PLAIN_SLOTS; slot++) {
-        if (plain->ends[at][slot] == 0) {
-            plain->ends[at][slot] =
-                now_ms + 1 +
-                (int64_t)random_below(&plain->random, 2 * PLAIN_WORK_MS);
-            plain->owner[at][slot] = router;
-            return;
-        }
-    }
-    if (plain->queued[at] < PLAIN_QUEUE) {
-        plain->queue[at][plain->queued[at]++] = router;
-        return;
-    }
-    plain->shed++;
-    plain->own[router][at]--;
-}
-
-static void
-plain_end(struct plain *plain, int64_t now_ms)
-{
-    for (size_t at = 0; at < PLAIN_ENDPOINTS; at++) {
-        for (size_t slot = 0; slot < PLAIN_SLOTS; slot++) {
-            if (plain->ends[at][slot] == 0 || plain->ends[at][slot] > now_ms) {
-                continue;
-            }
-            plain->ends[at][slot] = 0;
-            plain->own[plain->owner[at][slot]][at]--;
-            if (plain->queued[at] > 0) {
-                int router = plain->queue[at][0];
-
-                memmove(plain->queue[at], plain->queue[at] + 1,
-                        --plain->queued[at] * sizeof(plain->queue[at][0]));
-                plain_start(plain, at, router, now_ms);
-            }
-        }
-    }
-}
-
-static void
-plain_place(struct plain *plain, bool with_peers, int64_t now_ms)
-{
-    int router = (int)random_below(&plain->random, PLAIN_ROUTERS);
-    const struct place_request request = {
-        .random = &plain->random,
-        .cap_factor = CAP_FACTOR,
-        .cap_slack = CAP_SLACK,
-        .routers = PLAIN_ROUTERS,
-    };
-    struct place_candidate candidates[PLAIN_ENDPOINTS];
-    struct place_choice choice;
-
-    for (size_t i = 0; i < PLAIN_ENDPOINTS; i++) {
-        candidates[i] = (struct place_candidate){
-            .usable = true,
-            .same_zone = (size_t)router % PLAIN_ENDPOINTS == i,
-            .slots = PLAIN_SLOTS,
-            .load = plain->own[router][i],
-        };
-        for (int j = 0; with_peers && j < PLAIN_ROUTERS; j++) {
-            candidates[i].load += j != router ? plain->told[j][i] : 0;
-        }
-    }
-    CU_ASSERT_FATAL(
-        place_choose(&request, candidates, PLAIN_ENDPOINTS, &choice));
-    plain->own[router][choice.index]++;
-    plain->sent++;
-    plain_start(plain, choice.index, router, now_ms);
-}
-
+/// Share of offers that endpoints refuse for want of room.
 static double
 plain_shed_share(bool with_peers)
 {
-    struct plain plain = {.seeded = {17}};
+    const struct pool_options options = {
+        .seed = 17,
+        .routers = 31,
+        .endpoints = 3,
+        .slots = 6,
+        .queue = 24,
+        .work_ms = 60,
+        .objective_ms = 300,
+        .deadline_ms = 1500,
+        .per_s = 210,
+        .run_ms = 30000,
+        .report_ms = 430,
+        .with_peers = with_peers,
+    };
+    struct pool_result result;
 
-    plain.random = random_seeded_interface(&plain.seeded);
-    for (int64_t now_ms = 1; now_ms < PLAIN_RUN_MS; now_ms++) {
-        plain_end(&plain, now_ms);
-        if (now_ms % PLAIN_REPORT_MS == 0) {
-            memcpy(plain.told, plain.own, sizeof(plain.told));
-        }
-        if (random_unit(&plain.random) < PLAIN_PER_S / 1000.0) {
-            plain_place(&plain, with_peers, now_ms);
-        }
-    }
-    return (double)plain.shed / (double)plain.sent;
+    pool_run(&options, &result);
+    return (double)result.shed / (double)result.sent;
 }
 
 /// Load pattern: a burst of short calls from many routers, two thirds of what
