contexts: a router that starts learns what endpoints keep

Ruled out: placing by rendezvous order alone (endpoints have been replaced since the contexts were placed). A router that starts asks a linked peer for all it knows; if none knows, each endpoint is asked by one router, the first in an order of all known ones, and what it states is told to the peers. The questions are priced and delay the endpoint, so there is one for each endpoint and loss of power, none for a single restart.

Tests: contexts from a peer, contexts after power loss, contexts round trip, prefix belief.

--- a/core/message.c
+++ b/core/message.c
@@ -145,14 +145,19 @@
 field_count(enum message_type type)
 {
     static const size_t counts[MESSAGE_TYPE_END] = {
-        [MESSAGE_HELLO] = 5,  [MESSAGE_PROOF] = 1,     [MESSAGE_OFFER] = 21,
-        [MESSAGE_BODY] = 4,   [MESSAGE_ACCEPT] = 8,    [MESSAGE_REFUSE] = 10,
-        [MESSAGE_HEAD] = 4,   [MESSAGE_DATA] = 4,      [MESSAGE_END] = 10,
-        [MESSAGE_FAIL] = 10,  [MESSAGE_ACK] = 5,       [MESSAGE_CANCEL] = 3,
-        [MESSAGE_RESUME] = 4, [MESSAGE_IN_FLIGHT] = 2, [MESSAGE_STATE] = 6,
-        [MESSAGE_ROUTER] = 1, [MESSAGE_LOADS] = 1,     [MESSAGE_KNOWN] = 4,
-        [MESSAGE_WANT] = 2,   [MESSAGE_RECORD] = 5,    [MESSAGE_REACHED] = 2,
-        [MESSAGE_STRIKE] = 2, [MESSAGE_PLACED] = 1,    [MESSAGE_DOWN] = 1,
+        [MESSAGE_HELLO] = 5,         [MESSAGE_PROOF] = 1,
+        [MESSAGE_OFFER] = 21,        [MESSAGE_BODY] = 4,
+        [MESSAGE_ACCEPT] = 8,        [MESSAGE_REFUSE] = 10,
+        [MESSAGE_HEAD] = 4,          [MESSAGE_DATA] = 4,
+        [MESSAGE_END] = 10,          [MESSAGE_FAIL] = 10,
+        [MESSAGE_ACK] = 5,           [MESSAGE_CANCEL] = 3,
+        [MESSAGE_RESUME] = 4,        [MESSAGE_IN_FLIGHT] = 2,
+        [MESSAGE_STATE] = 6,         [MESSAGE_ROUTER] = 1,
+        [MESSAGE_LOADS] = 1,         [MESSAGE_KNOWN] = 4,
+        [MESSAGE_WANT] = 2,          [MESSAGE_RECORD] = 5,
+        [MESSAGE_REACHED] = 2,       [MESSAGE_STRIKE] = 2,
+        [MESSAGE_PLACED] = 1,        [MESSAGE_DOWN] = 1,
+        [MESSAGE_WANT_CONTEXTS] = 0, [MESSAGE_CONTEXTS] = 1,
     };
 
     return counts[type];
@@ -170,6 +175,18 @@
     }
 }
 
+static void
+put_contexts(msgpack_packer *packer, const struct message_context *items,
+             size_t count)
+{
+    msgpack_pack_array(packer, 3 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].endpoint);
+        put_uint(packer, items[i].key);
+        put_uint(packer, items[i].tokens);
+    }
+}
+
 static void
 put_placed(msgpack_packer *packer, const struct message_placed *items,
            size_t count)
@@ -222,6 +239,11 @@
     case MESSAGE_PLACED:
         put_placed(packer, m->placed.items, m->placed.count);
         return;
+    case MESSAGE_WANT_CONTEXTS:
+        return;
+    case MESSAGE_CONTEXTS:
+        put_contexts(packer, m->contexts.items, m->contexts.count);
+        return;
     case MESSAGE_DOWN:
         put_uint(packer, m->down.endpoint);
         return;
@@ -403,22 +425,41 @@
     return load;
 }
 
+/// Opens an array of `max` groups of `width` numbers at most; the groups it
+/// has, or 0 with the cursor spoilt.
 static size_t
-get_headers(struct cursor *cursor, struct message_header *headers)
+open_array(struct cursor *cursor, size_t width, size_t max,
+           struct cursor *fields)
 {
     const msgpack_object *array = get(cursor, MSGPACK_OBJECT_ARRAY);
-    struct cursor items;
-    size_t count;
 
-    if (array == NULL || array->via.array.size % 2 != 0 ||
-        array->via.array.size > 2 * MESSAGE_HEADERS_MAX) {
+    *fields = (struct cursor){0};
+    if (array == NULL || array->via.array.size % width != 0 ||
+        array->via.array.size > width * max) {
         cursor->bad = true;
         return 0;
     }
-    count = array->via.array.size / 2;
-    items.next = array->via.array.ptr;
-    items.end = items.next + 2 * count;
-    items.bad = false;
+    fields->next = array->via.array.ptr;
+    fields->end = fields->next + array->via.array.size;
+    return array->via.array.size / width;
+}
+
+/// Room for what is decoded, valid as long as the message.
+static void *
+get_room(struct cursor *cursor, size_t bytes)
+{
+    void *room = msgpack_zone_malloc(cursor->zone, bytes);
+
+    cursor->bad = cursor->bad || room == NULL;
+    return room;
+}
+
+static size_t
+get_headers(struct cursor *cursor, struct message_header *headers)
+{
+    struct cursor items;
+    size_t count = open_array(cursor, 2, MESSAGE_HEADERS_MAX, &items);
+
     for (size_t i = 0; i < count; i++) {
         headers[i].name = get_str(&items);
         headers[i].value = get_str(&items);
@@ -458,26 +499,12 @@
 static void
 get_loads(struct cursor *cursor, struct message *m)
 {
-    struct message_load *items;
-    const msgpack_object *array = get(cursor, MSGPACK_OBJECT_ARRAY);
     struct cursor fields;
-    size_t count;
+    size_t count = open_array(cursor, 3, MESSAGE_LOADS_MAX, &fields);
+    struct message_load *items =
+        get_room(cursor, (count + 1) * sizeof(*items));
 
-    if (array == NULL || array->via.array.size % 3 != 0 ||
-        array->via.array.size > 3 * MESSAGE_LOADS_MAX) {
-        cursor->bad = true;
-        return;
-    }
-    count = array->via.array.size / 3;
-    items = msgpack_zone_malloc(cursor->zone, (count + 1) * sizeof(*items));
-    if (items == NULL) {
-        cursor->bad = true;
-        return;
-    }
-    fields.next = array->via.array.ptr;
-    fields.end = fields.next + 3 * count;
-    fields.bad = false;
-    for (size_t i = 0; i < count; i++) {
+    for (size_t i = 0; i < count && items != NULL; i++) {
         items[i].endpoint = get_uint(&fields, UINT64_MAX);
         items[i].in_flight = get_u32(&fields);
         items[i].backlog_tokens = get_u32(&fields);
@@ -487,6 +514,24 @@
     m->loads.count = count;
 }
 
+static void
+get_contexts(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = open_array(cursor, 3, MESSAGE_CONTEXTS_MAX, &fields);
+    struct message_context *items =
+        get_room(cursor, (count + 1) * sizeof(*items));
+
+    for (size_t i = 0; i < count && items != NULL; i++) {
+        items[i].endpoint = get_uint(&fields, UINT64_MAX);
+        items[i].key = get_uint(&fields, UINT64_MAX);
+        items[i].tokens = get_u32(&fields);
+    }
+    cursor->bad = cursor->bad || fields.bad;
+    m->contexts.items = items;
+    m->contexts.count = count;
+}
+
 static void
 get_placed(struct cursor *cursor, struct message *m)
 {
@@ -551,6 +596,11 @@
     case MESSAGE_PLACED:
         get_placed(cursor, m);
         return;
+    case MESSAGE_WANT_CONTEXTS:
+        return;
+    case MESSAGE_CONTEXTS:
+        get_contexts(cursor, m);
+        return;
     case MESSAGE_DOWN:
         m->down.endpoint = get_uint(cursor, UINT64_MAX);
         return;
@@ -772,19 +822,34 @@
 message_type_name(enum message_type type)
 {
     static const char *const names[MESSAGE_TYPE_END] = {
-        [MESSAGE_HELLO] = "hello",     [MESSAGE_PROOF] = "proof",
-        [MESSAGE_OFFER] = "offer",     [MESSAGE_BODY] = "body",
-        [MESSAGE_ACCEPT] = "accept",   [MESSAGE_REFUSE] = "refuse",
-        [MESSAGE_HEAD] = "head",       [MESSAGE_DATA] = "data",
-        [MESSAGE_END] = "end",         [MESSAGE_FAIL] = "fail",
-        [MESSAGE_ACK] = "ack",         [MESSAGE_CANCEL] = "cancel",
-        [MESSAGE_RESUME] = "resume",   [MESSAGE_PING] = "ping",
-        [MESSAGE_PONG] = "pong",       [MESSAGE_IN_FLIGHT] = "in-flight",
-        [MESSAGE_STATE] = "state",     [MESSAGE_ROUTER] = "router",
-        [MESSAGE_LOADS] = "loads",     [MESSAGE_KNOWN] = "known",
-        [MESSAGE_WANT] = "want",       [MESSAGE_RECORD] = "record",
-        [MESSAGE_REACHED] = "reached", [MESSAGE_STRIKE] = "strike",
-        [MESSAGE_PLACED] = "placed",   [MESSAGE_DOWN] = "down",
+        [MESSAGE_HELLO] = "hello",
+        [MESSAGE_PROOF] = "proof",
+        [MESSAGE_OFFER] = "offer",
+        [MESSAGE_BODY] = "body",
+        [MESSAGE_ACCEPT] = "accept",
+        [MESSAGE_REFUSE] = "refuse",
+        [MESSAGE_HEAD] = "head",
+        [MESSAGE_DATA] = "data",
+        [MESSAGE_END] = "end",
+        [MESSAGE_FAIL] = "fail",
+        [MESSAGE_ACK] = "ack",
+        [MESSAGE_CANCEL] = "cancel",
+        [MESSAGE_RESUME] = "resume",
+        [MESSAGE_PING] = "ping",
+        [MESSAGE_PONG] = "pong",
+        [MESSAGE_IN_FLIGHT] = "in-flight",
+        [MESSAGE_STATE] = "state",
+        [MESSAGE_ROUTER] = "router",
+        [MESSAGE_LOADS] = "loads",
+        [MESSAGE_KNOWN] = "known",
+        [MESSAGE_WANT] = "want",
+        [MESSAGE_RECORD] = "record",
+        [MESSAGE_REACHED] = "reached",
+        [MESSAGE_STRIKE] = "strike",
+        [MESSAGE_WANT_CONTEXTS] = "want-contexts",
+        [MESSAGE_CONTEXTS] = "contexts",
+        [MESSAGE_PLACED] = "placed",
+        [MESSAGE_DOWN] = "down",
     };
 
     return names[type];
--- a/core/prefix.c
+++ b/core/prefix.c
@@ -10,10 +10,12 @@
 
 /// Keeps a router's memory bounded whatever the parts' sizes.
 #define ENTRIES_MAX 1024
+#define STATED_SEED UINT64_C(0x5bd1e995a17c0d2f)
 
 struct entry {
-    uint64_t chain; ///< hash of this part and all before it
+    uint64_t key; ///< of the part behind those before it, or of the part alone
     uint32_t tokens;
+    bool is_shared; ///< with other requests
     struct entry *prev;
     struct entry *next;
     UT_hash_handle hh;
@@ -69,6 +71,23 @@
     }
 }
 
+/// Key of a part that the endpoint has stated by itself. Mixed, so that it
+/// differs from the key of the same part as a prompt's first.
+static uint64_t
+stated_key(uint64_t id)
+{
+    return chain_hash(STATED_SEED, id);
+}
+
+static struct entry *
+find(const struct prefix_belief *cache, uint64_t key)
+{
+    struct entry *entry;
+
+    HASH_FIND(hh, cache->entries, &key, sizeof(key), entry);
+    return entry;
+}
+
 uint32_t
 prefix_belief_find(const struct prefix_belief *cache,
                    const struct prefix *prefix)
@@ -77,11 +96,9 @@
     uint32_t tokens = 0;
 
     for (size_t i = 0; i < prefix->count; i++) {
-        struct entry *entry;
-
         chain = chain_hash(chain, prefix->parts[i].id);
-        HASH_FIND(hh, cache->entries, &chain, sizeof(chain), entry);
-        if (entry == NULL) {
+        if (find(cache, chain) == NULL &&
+            find(cache, stated_key(prefix->parts[i].id)) == NULL) {
             break;
         }
         tokens += prefix->parts[i].tokens;
@@ -90,24 +107,36 @@
 }
 
 static void
-note(struct prefix_belief *cache, uint64_t chain, uint32_t tokens)
+note(struct prefix_belief *cache, uint64_t key, uint32_t tokens,
+     bool is_shared)
 {
-    struct entry *entry;
+    struct entry *entry = find(cache, key);
 
-    HASH_FIND(hh, cache->entries, &chain, sizeof(chain), entry);
     if (entry != NULL) {
+        entry->is_shared = entry->is_shared || is_shared;
         DL_DELETE(cache->oldest, entry);
         DL_APPEND(cache->oldest, entry);
         return;
     }
     entry = xcalloc(1, sizeof(*entry));
-    entry->chain = chain;
+    entry->key = key;
     entry->tokens = tokens;
-    HASH_ADD(hh, cache->entries, chain, sizeof(entry->chain), entry);
+    entry->is_shared = is_shared;
+    HASH_ADD(hh, cache->entries, key, sizeof(entry->key), entry);
     DL_APPEND(cache->oldest, entry);
     cache->tokens += tokens;
 }
 
+static void
+limit(struct prefix_belief *cache)
+{
+    while (cache->oldest != NULL &&
+           (cache->tokens > cache->tokens_max ||
+            HASH_COUNT(cache->entries) > ENTRIES_MAX)) {
+        evict(cache, cache->oldest);
+    }
+}
+
 void
 prefix_belief_note(struct prefix_belief *cache, const struct prefix *prefix)
 {
@@ -115,12 +144,44 @@
 
     for (size_t i = 0; i < prefix->count; i++) {
         chain = chain_hash(chain, prefix->parts[i].id);
-        note(cache, chain, prefix->parts[i].tokens);
+        note(cache, chain, prefix->parts[i].tokens, i + 1 < prefix->count);
     }
-    while (cache->oldest != NULL &&
-           (cache->tokens > cache->tokens_max ||
-            HASH_COUNT(cache->entries) > ENTRIES_MAX)) {
-        evict(cache, cache->oldest);
+    limit(cache);
+}
+
+uint64_t
+prefix_belief_note_part(struct prefix_belief *cache, uint64_t id,
+                        uint32_t tokens)
+{
+    uint64_t key = stated_key(id);
+
+    note(cache, key, tokens, true);
+    limit(cache);
+    return key;
+}
+
+void
+prefix_belief_restore(struct prefix_belief *cache, uint64_t key,
+                      uint32_t tokens)
+{
+    if (find(cache, key) == NULL) {
+        note(cache, key, tokens, true);
+        limit(cache);
+    }
+}
+
+void
+prefix_belief_each(const struct prefix_belief *cache,
+                   void (*take)(void *ctx, uint64_t key, uint32_t tokens),
+                   void *ctx)
+{
+    const struct entry *entry;
+
+    DL_FOREACH(cache->oldest, entry)
+    {
+        if (entry->is_shared) {
+            take(ctx, entry->key, entry->tokens);
+        }
     }
 }
 
--- a/core/prefix.h
+++ b/core/prefix.h
@@ -41,6 +41,21 @@
 void prefix_belief_note(struct prefix_belief *cache,
                         const struct prefix *prefix);
 
+/// The endpoint has stated that it keeps this part, whatever came before it.
+/// Returns its key.
+uint64_t prefix_belief_note_part(struct prefix_belief *cache, uint64_t id,
+                                 uint32_t tokens);
+
+/// Takes over what another router believes; an entry that is known keeps its
+/// age.
+void prefix_belief_restore(struct prefix_belief *cache, uint64_t key,
+                           uint32_t tokens);
+
+/// All parts that requests share, the least recently used first.
+void prefix_belief_each(const struct prefix_belief *cache,
+                        void (*take)(void *ctx, uint64_t key, uint32_t tokens),
+                        void *ctx);
+
 uint64_t prefix_belief_tokens(const struct prefix_belief *cache);
 
 uint32_t prefix_tokens(const struct prefix *prefix);
--- a/core/wire.h
+++ b/core/wire.h
@@ -80,6 +80,14 @@
     void (*read_answer)(const struct http1 *head, struct answer_facts *facts);
     /// Field lines of an answer that go on to the caller.
     void (*write_answer)(const struct http1 *head, struct evbuffer *out);
+    /// Writes the question which parts of prompts an endpoint keeps.
+    void (*write_contexts_query)(struct evbuffer *out);
+    /// Calls back with each part of the answer; false with `err` set if the
+    /// text is none.
+    bool (*read_contexts)(struct str text,
+                          void (*take)(void *ctx, uint64_t id,
+                                       uint32_t tokens),
+                          void *ctx, struct err *err);
     /// NULL with `err` set if the text is no configuration.
     struct catalog *(*read_catalog)(struct str text, struct err *err);
     /// Calls back with the facts if the entry names an endpoint that may be
--- /dev/null
+++ b/direct/contexts.c
@@ -0,0 +1,341 @@
+#include "contexts.h"
+
+#include <stdlib.h>
+
+#include <event2/buffer.h>
+#include <utlist.h>
+
+#include "core/prefix.h"
+#include "core/xmalloc.h"
+#include "endpoints.h"
+#include "mesh.h"
+#include "net/channel.h"
+#include "net/http1.h"
+#include "net/log.h"
+
+#define LOG_MODULE "contexts"
+
+/// Links with peers are up within this time after the start if the peers are.
+#define PEERS_MS 300
+/// A peer that has not answered by then will not.
+#define ANSWER_MS 200
+/// Peers that are asked before the endpoints are.
+#define PEERS_MAX 2
+/// Routers that ask the same endpoint: one may be cut off.
+#define ASKERS 1
+/// An endpoint's answer is awaited for this long.
+#define QUERY_MS 1000
+#define ANSWER_BYTES_MAX (1024 * 1024)
+
+enum stage {
+    STAGE_PEERS,     ///< asks peers
+    STAGE_ENDPOINTS, ///< asks endpoints
+    STAGE_KNOWN,
+};
+
+/// A question to one endpoint.
+struct query {
+    struct contexts *contexts;
+    struct endpoint *endpoint;
+    struct channel *channel;
+    struct evbuffer *body;
+    int status;
+    int64_t until_ms;
+    size_t count; ///< of `items`
+    struct message_context items[MESSAGE_CONTEXTS_MAX];
+    struct query *prev;
+    struct query *next;
+};
+
+struct contexts {
+    struct contexts_options options;
+    enum stage stage;
+    int64_t started_ms;
+    int64_t asked_ms; ///< the last peer; 0: none yet
+    size_t peers;     ///< that were asked
+    size_t told;      ///< contexts that peers have told of
+    struct query *queries;
+};
+
+struct contexts *
+contexts_new(const struct contexts_options *options)
+{
+    struct contexts *contexts = xcalloc(1, sizeof(*contexts));
+
+    contexts->options = *options;
+    contexts->started_ms = clock_ms(options->clock);
+    return contexts;
+}
+
+static void
+free_query(struct query *query)
+{
+    if (query->channel != NULL) {
+        channel_cancel(query->channel);
+    }
+    DL_DELETE(query->contexts->queries, query);
+    endpoint_unref(query->endpoint);
+    evbuffer_free(query->body);
+    free(query);
+}
+
+void
+contexts_free(struct contexts *contexts)
+{
+    struct query *query, *next;
+
+    if (contexts == NULL) {
+        return;
+    }
+    DL_FOREACH_SAFE(contexts->queries, query, next)
+    {
+        free_query(query);
+    }
+    free(contexts);
+}
+
+static enum channel_verdict
+on_head(void *ctx, const struct http1 *head)
+{
+    struct query *query = ctx;
+
+    query->status = http1_status(head);
+    return CHANNEL_TAKE;
+}
+
+static void
+on_data(void *ctx, const char *bytes, size_t len)
+{
+    struct query *query = ctx;
+
+    if (evbuffer_get_length(query->body) + len <= ANSWER_BYTES_MAX) {
+        evbuffer_add(query->body, bytes, len);
+    }
+}
+
+static void
+take_part(void *ctx, uint64_t id, uint32_t tokens)
+{
+    struct query *query = ctx;
+    struct endpoint *endpoint = query->endpoint;
+    uint64_t key = prefix_belief_note_part(endpoint->cache, id, tokens);
+
+    if (query->count < MESSAGE_CONTEXTS_MAX) {
+        query->items[query->count++] = (struct message_context){
+            .endpoint = endpoint->hash,
+            .key = key,
+            .tokens = tokens,
+        };
+    }
+}
+
+static void
+on_end(void *ctx, enum channel_end end, const char *detail)
+{
+    struct query *query = ctx;
+    struct contexts *contexts = query->contexts;
+    struct str text = {
+        (const char *)evbuffer_pullup(query->body, -1),
+        evbuffer_get_length(query->body),
+    };
+    struct err err = {0};
+
+    query->channel = NULL;
+    if (end != CHANNEL_COMPLETE || query->status != 200) {
+        LOG_INFO("event=contexts-unknown endpoint=" STR_FMT
+                 " status=%d detail=\"%s\"",
+                 STR_ARG(query->endpoint->id), query->status, detail);
+    }
+    else if (!contexts->options.wire->read_contexts(text, take_part, query,
+                                                    &err)) {
+        LOG_WARNING("event=contexts-rejected endpoint=" STR_FMT
+                    " detail=\"%s\"",
+                    STR_ARG(query->endpoint->id), err.message);
+    }
+    else {
+        LOG_INFO("event=contexts-stated endpoint=" STR_FMT
+                 " parts=%zu bytes=%zu",
+                 STR_ARG(query->endpoint->id), query->count, text.len);
+    }
+    if (query->count > 0 && contexts->options.mesh != NULL) {
+        mesh_send_contexts(contexts->options.mesh, NULL, query->items,
+                           query->count);
+    }
+    free_query(query);
+}
+
+static void
+ask_endpoint(struct contexts *contexts, struct endpoint *endpoint)
+{
+    const struct channel_handler handler = {on_head, on_data, on_end, NULL};
+    struct channel_handler own = handler;
+    struct query *query = xcalloc(1, sizeof(*query));
+    struct evbuffer *out = evbuffer_new();
+    const struct channel_request request = {.bytes = out};
+
+    query->contexts = contexts;
+    query->endpoint = endpoint_ref(endpoint);
+    query->body = evbuffer_new();
+    query->until_ms = clock_ms(contexts->options.clock) + QUERY_MS;
+    DL_APPEND(contexts->queries, query);
+    own.ctx = query;
+    contexts->options.wire->write_contexts_query(out);
+    query->channel = channel_send(endpoint->pool, &request, &own);
+    evbuffer_free(out);
+    if (query->channel == NULL) {
+        on_end(query, CHANNEL_UNSENT, "no connection");
+    }
+}
+
+static bool
+is_mine(const struct contexts *contexts, const struct endpoint *endpoint)
+{
+    return contexts->options.mesh == NULL ||
+           mesh_is_among(contexts->options.mesh, endpoint->hash, ASKERS);
+}
+
+static void
+ask_endpoints(struct contexts *contexts)
+{
+    struct endpoint *endpoint;
+    size_t asked = 0;
+
+    for (endpoint = endpoints_first(contexts->options.endpoints);
+         endpoint != NULL; endpoint = endpoint->hh.next) {
+        if (endpoint->state == ENDPOINT_READY &&
+            contexts->options.keeps(contexts->options.ctx, endpoint) &&
+            is_mine(contexts, endpoint)) {
+            ask_endpoint(contexts, endpoint);
+            asked++;
+        }
+    }
+    LOG_INFO(
+        "event=contexts-asked endpoints=%zu peers=%zu after_ms=%lld", asked,
+        contexts->peers,
+        (long long)(clock_ms(contexts->options.clock) - contexts->started_ms));
+}
+
+/// Asks a peer, or the endpoints if no peer can tell.
+static void
+ask_peers(struct contexts *contexts, int64_t now_ms)
+{
+    bool waits =
+        contexts->asked_ms != 0 && now_ms - contexts->asked_ms < ANSWER_MS;
+
+    if (waits) {
+        return;
+    }
+    if (contexts->peers < PEERS_MAX && contexts->options.mesh != NULL &&
+        mesh_want_contexts(contexts->options.mesh)) {
+        contexts->asked_ms = now_ms;
+        contexts->peers++;
+        return;
+    }
+    if (now_ms - contexts->started_ms >= PEERS_MS ||
+        contexts->options.mesh == NULL) {
+        contexts->stage = STAGE_ENDPOINTS;
+        ask_endpoints(contexts);
+    }
+}
+
+void
+contexts_tick(struct contexts *contexts)
+{
+    int64_t now_ms = clock_ms(contexts->options.clock);
+    struct query *query, *next;
+
+    switch (contexts->stage) {
+    case STAGE_PEERS:
+        ask_peers(contexts, now_ms);
+        return;
+    case STAGE_ENDPOINTS:
+        DL_FOREACH_SAFE(contexts->queries, query, next)
+        {
+            if (now_ms >= query->until_ms) {
+                LOG_INFO("event=contexts-unknown endpoint=" STR_FMT
+                         " detail=\"no answer in %d ms\"",
+                         STR_ARG(query->endpoint->id), QUERY_MS);
+                free_query(query);
+            }
+        }
+        if (contexts->queries == NULL) {
+            contexts->stage = STAGE_KNOWN;
+        }
+        return;
+    case STAGE_KNOWN:
+        return;
+    }
+}
+
+void
+contexts_take(struct contexts *contexts, const struct message_context *items,
+              size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        struct endpoint *endpoint = endpoints_find_hash(
+            contexts->options.endpoints, items[i].endpoint);
+
+        if (endpoint != NULL) {
+            prefix_belief_restore(endpoint->cache, items[i].key,
+                                  items[i].tokens);
+        }
+    }
+    contexts->told += count;
+    if (count == 0 && contexts->stage == STAGE_PEERS) {
+        LOG_INFO("event=contexts-told contexts=%zu peers=%zu", contexts->told,
+                 contexts->peers);
+        contexts->asked_ms = 0;
+        if (contexts->told > 0) {
+            contexts->stage = STAGE_KNOWN;
+        }
+    }
+}
+
+/// Collects what is sent to a peer.
+struct parcel {
+    struct contexts *contexts;
+    struct link *link;
+    uint64_t endpoint;
+    size_t count;
+    struct message_context items[MESSAGE_CONTEXTS_MAX];
+};
+
+static void
+put_part(void *ctx, uint64_t key, uint32_t tokens)
+{
+    struct parcel *parcel = ctx;
+
+    parcel->items[parcel->count++] = (struct message_context){
+        .endpoint = parcel->endpoint,
+        .key = key,
+        .tokens = tokens,
+    };
+    if (parcel->count == MESSAGE_CONTEXTS_MAX) {
+        mesh_send_contexts(parcel->contexts->options.mesh, parcel->link,
+                           parcel->items, parcel->count);
+        parcel->count = 0;
+    }
+}
+
+void
+contexts_give(struct contexts *contexts, struct link *link)
+{
+    struct parcel *parcel = xcalloc(1, sizeof(*parcel));
+    struct endpoint *endpoint;
+
+    parcel->contexts = contexts;
+    parcel->link = link;
+    if (contexts->stage != STAGE_PEERS) {
+        for (endpoint = endpoints_first(contexts->options.endpoints);
+             endpoint != NULL; endpoint = endpoint->hh.next) {
+            parcel->endpoint = endpoint->hash;
+            prefix_belief_each(endpoint->cache, put_part, parcel);
+        }
+    }
+    if (parcel->count > 0) {
+        mesh_send_contexts(contexts->options.mesh, link, parcel->items,
+                           parcel->count);
+    }
+    mesh_send_contexts(contexts->options.mesh, link, NULL, 0);
+    free(parcel);
+}
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -11,6 +11,7 @@
 #include "core/histogram.h"
 #include "core/records.h"
 #include "core/xmalloc.h"
+#include "contexts.h"
 #include "daemon/admin.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
@@ -73,6 +74,7 @@
     struct admin *ready;
     struct admin *metrics;
     struct mesh *mesh;
+    struct contexts *contexts;
     struct quarantine *quarantine;
     struct services *services;
     struct listed *exchanges;
@@ -397,6 +399,9 @@
     endpoints_tick(direct->endpoints);
     note_pending(direct);
     services_tick(direct->services);
+    if (direct_knows_deployment(direct)) {
+        contexts_tick(direct->contexts);
+    }
     if (direct->mesh != NULL && direct->knows_endpoints) {
         bool reads = mesh_should_read(direct->mesh);
 
@@ -525,6 +530,46 @@
     }
 }
 
+static void
+on_want_contexts(void *ctx, struct link *link)
+{
+    const struct direct *direct = ctx;
+
+    contexts_give(direct->contexts, link);
+}
+
+static void
+on_contexts(void *ctx, const struct message_context *items, size_t count)
+{
+    const struct direct *direct = ctx;
+
+    contexts_take(direct->contexts, items, count);
+}
+
+static bool
+keeps_prompts(void *ctx, const struct endpoint *endpoint)
+{
+    const struct direct *direct = ctx;
+    const struct catalog_service *service =
+        catalog_find_service(direct->catalog, endpoint->service);
+
+    return service != NULL && service->is_model;
+}
+
+static void
+start_contexts(struct direct *direct)
+{
+    direct->contexts = contexts_new(&(struct contexts_options){
+        .base = direct->options.base,
+        .clock = direct->options.clock,
+        .wire = direct->options.wire,
+        .endpoints = direct->endpoints,
+        .mesh = direct->mesh,
+        .keeps = keeps_prompts,
+        .ctx = direct,
+    });
+}
+
 static bool
 on_store_answers(void *ctx, enum record_topic topic)
 {
@@ -553,6 +598,8 @@
         .placed = on_placed,
         .down = on_down,
         .strike = on_strike,
+        .want_contexts = on_want_contexts,
+        .contexts = on_contexts,
         .caught_up = on_peer_caught_up,
         .store_answers = on_store_answers,
         .ctx = direct,
@@ -666,6 +713,7 @@
         direct_free(direct);
         return NULL;
     }
+    start_contexts(direct);
     direct->store =
         options->store->start(options->store->ctx, direct, direct->records);
     announce(direct);
@@ -692,6 +740,7 @@
     if (direct->store != NULL) {
         direct->options.store->stop(direct->store);
     }
+    contexts_free(direct->contexts);
     mesh_free(direct->mesh);
     caller_server_free(direct->callers);
     admin_free(direct->ready);
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -352,6 +352,13 @@
             mesh->options.placed(mesh->options.ctx, &message->placed.items[i]);
         }
         return;
+    case MESSAGE_WANT_CONTEXTS:
+        mesh->options.want_contexts(mesh->options.ctx, link);
+        return;
+    case MESSAGE_CONTEXTS:
+        mesh->options.contexts(mesh->options.ctx, message->contexts.items,
+                               message->contexts.count);
+        return;
     case MESSAGE_DOWN:
         mesh->options.down(mesh->options.ctx, message->down.endpoint);
         return;
@@ -716,6 +723,62 @@
     }
 }
 
+bool
+mesh_want_contexts(struct mesh *mesh)
+{
+    struct peer *peer;
+    size_t skip;
+
+    if (mesh->count == 0) {
+        return false;
+    }
+    skip = random_below(mesh->options.random, mesh->count);
+    LL_FOREACH(mesh->all, peer)
+    {
+        if (skip-- == 0) {
+            link_send(peer->link,
+                      &(struct message){.type = MESSAGE_WANT_CONTEXTS});
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+mesh_send_contexts(struct mesh *mesh, struct link *link,
+                   const struct message_context *items, size_t count)
+{
+    const struct message message = {
+        .type = MESSAGE_CONTEXTS,
+        .contexts.items = items,
+        .contexts.count = count,
+    };
+    struct peer *peer;
+
+    if (link != NULL) {
+        link_send(link, &message);
+        return;
+    }
+    LL_FOREACH(mesh->all, peer)
+    {
+        link_send(peer->link, &message);
+    }
+}
+
+bool
+mesh_is_among(const struct mesh *mesh, uint64_t key, size_t count)
+{
+    uint64_t own = str_hash(str_from(mesh->own_address), key);
+    const struct target *target;
+    size_t before = 0;
+
+    LL_FOREACH(mesh->targets, target)
+    {
+        before += str_hash(str_from(target->text), key) < own ? 1 : 0;
+    }
+    return before < count;
+}
+
 void
 mesh_tell(struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -64,6 +64,12 @@
     /// A peer says that an endpoint takes no connections.
     void (*down)(void *ctx, uint64_t endpoint);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t death);
+    /// A peer asks for all contexts that this router knows of; answered by
+    /// mesh_send_contexts(), at once.
+    void (*want_contexts)(void *ctx, struct link *link);
+    /// A peer tells of contexts; none: it has told all.
+    void (*contexts)(void *ctx, const struct message_context *items,
+                     size_t count);
     /// A peer has passed on all records of a topic.
     void (*caught_up)(void *ctx, enum record_topic topic);
     /// True while the store answers reads of the topic.
@@ -87,6 +93,18 @@
 /// Tells all peers that a request crashed its endpoint.
 void mesh_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t death);
 
+/// Asks one peer for all contexts that it knows of; false if there is none.
+bool mesh_want_contexts(struct mesh *mesh);
+
+/// Sends contexts, MESSAGE_CONTEXTS_MAX at most, to one peer, or to all if
+/// `link` is NULL.
+void mesh_send_contexts(struct mesh *mesh, struct link *link,
+                        const struct message_context *items, size_t count);
+
+/// True if this router is one of the first `count` in the order of all known
+/// routers, linked or not, for what `key` names: work is shared by it.
+bool mesh_is_among(const struct mesh *mesh, uint64_t key, size_t count);
+
 /// Tells the peers at once how far the topics are known.
 void mesh_tell(struct mesh *mesh);
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -32,15 +32,17 @@
     MESSAGE_PONG,
     MESSAGE_IN_FLIGHT,
     MESSAGE_STATE,
-    MESSAGE_ROUTER,  ///< where a router takes links from other routers
-    MESSAGE_LOADS,   ///< what a router has in flight, by endpoint
-    MESSAGE_KNOWN,   ///< how far a router knows each topic
-    MESSAGE_WANT,    ///< asks for records of a topic
-    MESSAGE_RECORD,  ///< one record of a topic
-    MESSAGE_REACHED, ///< all records up to an offset have been sent
-    MESSAGE_PLACED,  ///< contexts that endpoints now keep
-    MESSAGE_DOWN,    ///< an endpoint takes no connections
-    MESSAGE_STRIKE,  ///< a request crashed its endpoint
+    MESSAGE_ROUTER,        ///< where a router takes links from other routers
+    MESSAGE_LOADS,         ///< what a router has in flight, by endpoint
+    MESSAGE_KNOWN,         ///< how far a router knows each topic
+    MESSAGE_WANT,          ///< asks for records of a topic
+    MESSAGE_RECORD,        ///< one record of a topic
+    MESSAGE_REACHED,       ///< all records up to an offset have been sent
+    MESSAGE_PLACED,        ///< contexts that endpoints now keep
+    MESSAGE_DOWN,          ///< an endpoint takes no connections
+    MESSAGE_STRIKE,        ///< a request crashed its endpoint
+    MESSAGE_WANT_CONTEXTS, ///< asks for all contexts that a router knows of
+    MESSAGE_CONTEXTS,      ///< some of them, or the last, empty message
     MESSAGE_TYPE_END,
 };
 
@@ -169,6 +171,16 @@
     } parts[MESSAGE_PARTS_MAX];
 };
 
+/// Contexts in one answer; further ones follow.
+#define MESSAGE_CONTEXTS_MAX 500
+
+/// A context that an endpoint is believed to keep.
+struct message_context {
+    uint64_t endpoint; ///< hash of its id
+    uint64_t key;      ///< as routers compute it from the prompt
+    uint32_t tokens;
+};
+
 struct message {
     enum message_type type;
     union {
@@ -253,6 +265,10 @@
             const struct message_placed *items; ///< decoded: the codec's
             size_t count;
         } placed;
+        struct {
+            const struct message_context *items; ///< decoded: the codec's
+            size_t count;
+        } contexts;
         struct {
             uint64_t endpoint; ///< hash of its id
         } down;
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -43,6 +43,8 @@
     struct conn *conns;
     enum origin_fault fault;
     const char *load;
+    const char *contexts;
+    uint64_t contexts_queries;
     char *ledger[LEDGER_MAX];
     uint64_t runs;
     uint64_t cancelled;
@@ -287,6 +289,24 @@
     }
 }
 
+static bool
+asks_contexts(const struct conn *conn)
+{
+    return str_equal_c(http1_target(&conn->http), "/v1/kv-list");
+}
+
+static void
+answer_contexts(struct conn *conn)
+{
+    char body[512];
+
+    conn->origin->contexts_queries++;
+    snprintf(body, sizeof(body), "{\"epoch\":1,\"next\":1,\"held\":[%s]}",
+             conn->origin->contexts != NULL ? conn->origin->contexts : "");
+    write_answer(conn, "", 200, "", body);
+    next_request(conn);
+}
+
 static void
 on_end(void *ctx)
 {
@@ -294,6 +314,10 @@
     struct origin *origin = conn->origin;
     struct str target = http1_target(&conn->http);
 
+    if (asks_contexts(conn)) {
+        answer_contexts(conn);
+        return;
+    }
     origin->last_body_bytes = conn->body_bytes;
     if (origin->fault == ORIGIN_SHEDS || origin->fault == ORIGIN_MISDIRECTED) {
         refuse(conn, origin->fault == ORIGIN_SHEDS ? 503 : 421);
@@ -323,6 +347,9 @@
     struct conn *conn = ctx;
     struct origin *origin = conn->origin;
 
+    if (asks_contexts(conn)) {
+        return;
+    }
     snprintf(conn->id, sizeof(conn->id), STR_FMT,
              STR_ARG(http1_value(&conn->http, ID_FIELD)));
     free(origin->last.text);
@@ -451,6 +478,18 @@
     origin->fault = fault;
 }
 
+void
+origin_set_contexts(struct origin *origin, const char *rows)
+{
+    origin->contexts = rows;
+}
+
+uint64_t
+origin_contexts_queries(const struct origin *origin)
+{
+    return origin->contexts_queries;
+}
+
 void
 origin_set_load(struct origin *origin, const char *load)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -50,6 +50,11 @@
 /// none.
 void origin_set_load(struct origin *origin, const char *load);
 
+/// What it states that it keeps, as the platform's rows; NULL: nothing. And
+/// how often it was asked.
+void origin_set_contexts(struct origin *origin, const char *rows);
+uint64_t origin_contexts_queries(const struct origin *origin);
+
 /// Requests that it began to run; those that it runs now; those whose
 /// connection closed while it ran them; connections accepted.
 uint64_t origin_runs(const struct origin *origin);
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -608,12 +608,52 @@
     direct_harness_stop(&harness);
 }
 
+#define CONTEXT "Dandelionvalve-Prefix-Hash: a:512,b:9000,"
+
+/// Sends a draft about the one context; `own` is its last part.
+static void
+draft(struct direct_harness *harness, size_t router, const char *own)
+{
+    struct direct_call call = {0};
+    char fields[100];
+
+    snprintf(fields, sizeof(fields), CONTEXT "%s:100\r\n", own);
+    direct_call_do(harness, router, &call, "POST", "/stream/draft/", own,
+                   fields, "x");
+    CU_ASSERT(call.status == 200);
+    direct_call_free(&call);
+}
+
+/// The only endpoint that has run something.
+static size_t
+find_keeper(const struct direct_harness *harness)
+{
+    CU_ASSERT(origin_runs(harness->origins[0]) +
+                  origin_runs(harness->origins[1]) ==
+              1);
+    return origin_runs(harness->origins[0]) > 0 ? 0 : 1;
+}
+
+/// Takes the endpoint out, so that the context has to be fetched from it.
+static void
+drain_endpoint(struct direct_harness *harness, size_t index)
+{
+    direct_harness_entry(harness, index == 0 ? "e-0" : "e-1",
+                         harness->origins[index], "models", "draining");
+    direct_harness_run(harness, 200);
+}
+
+/// True if the last request of the other endpoint names this one as the
+/// source of its context.
 static bool
-is_in_use(void *ctx)
+is_source(struct direct_harness *harness, size_t index)
 {
-    struct origin *origin = ctx;
+    char source[64];
+    struct address address = origin_address(harness->origins[index]);
 
-    return origin_runs(origin) > 0;
+    snprintf(source, sizeof(source), "%s:%u", address.ip, address.port);
+    return !strcmp(origin_last_field(harness->origins[1 - index], "Kv-Fetch"),
+                   source);
 }
 
 /// An endpoint that leaves hands its contexts on: the next request about them
@@ -622,31 +662,83 @@
 test_contexts_are_fetched(void)
 {
     struct direct_harness harness;
-    struct direct_call call = {0};
-    char source[64];
-    size_t first;
+    size_t keeper;
 
     start(&harness, 2);
-    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-1",
-                   "Dandelionvalve-Prefix-Hash: a:512,b:9000,c:100\r\n", "x");
-    CU_ASSERT(call.status == 200);
-    direct_call_free(&call);
-    first = is_in_use(harness.origins[0]) ? 0 : 1;
+    draft(&harness, 0, "c");
+    keeper = find_keeper(&harness);
     CU_ASSERT_STRING_EQUAL(
-        origin_last_field(harness.origins[first], "Kv-Fetch"), "");
-    snprintf(source, sizeof(source), "%s:%u",
-             origin_address(harness.origins[first]).ip,
-             origin_address(harness.origins[first]).port);
-    direct_harness_entry(&harness, first == 0 ? "e-0" : "e-1",
-                         harness.origins[first], "models", "draining");
-    direct_harness_run(&harness, 200);
-    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-2",
-                   "Dandelionvalve-Prefix-Hash: a:512,b:9000,d:100\r\n", "x");
-    CU_ASSERT(call.status == 200);
-    direct_call_free(&call);
-    CU_ASSERT(origin_runs(harness.origins[1 - first]) == 1);
-    CU_ASSERT_STRING_EQUAL(
-        origin_last_field(harness.origins[1 - first], "Kv-Fetch"), source);
+        origin_last_field(harness.origins[keeper], "Kv-Fetch"), "");
+    drain_endpoint(&harness, keeper);
+    draft(&harness, 0, "d");
+    CU_ASSERT(is_source(&harness, keeper));
+    direct_harness_stop(&harness);
+}
+
+/// Load pattern: routers restart in turn. One that has restarted learns from
+/// its peer what the endpoints keep, and asks no endpoint.
+static void
+test_contexts_from_a_peer(void)
+{
+    struct direct_harness harness;
+    uint64_t queries;
+    size_t keeper;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 2,
+                                       .origins = 2,
+                                       .events = 2,
+                                       .work_us = 1000,
+                                   });
+    direct_harness_run(&harness, 1500);
+    draft(&harness, 0, "c");
+    keeper = find_keeper(&harness);
+    direct_harness_stop_router(&harness, 1);
+    direct_harness_run(&harness, 300);
+    queries = origin_contexts_queries(harness.origins[0]) +
+              origin_contexts_queries(harness.origins[1]);
+    direct_harness_start_router(&harness, 1);
+    direct_harness_run(&harness, 1500);
+    CU_ASSERT(origin_contexts_queries(harness.origins[0]) +
+                  origin_contexts_queries(harness.origins[1]) ==
+              queries);
+    drain_endpoint(&harness, keeper);
+    draft(&harness, 1, "d");
+    CU_ASSERT(is_source(&harness, keeper));
+    direct_harness_stop(&harness);
+}
+
+/// Load pattern: all routers lose power. What the endpoints keep is asked of
+/// themselves, of each by one router.
+static void
+test_contexts_after_power_loss(void)
+{
+    struct direct_harness harness;
+    uint64_t queries;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 2,
+                                       .origins = 2,
+                                       .events = 2,
+                                       .work_us = 1000,
+                                   });
+    origin_set_contexts(harness.origins[0], "[\"\",\"a\",512,\"m\"],"
+                                            "[\"\",\"b\",9000,\"m\"],"
+                                            "[\"\",7,9000],3");
+    direct_harness_stop_router(&harness, 0);
+    direct_harness_stop_router(&harness, 1);
+    queries = origin_contexts_queries(harness.origins[0]);
+    direct_harness_start_router(&harness, 0);
+    direct_harness_start_router(&harness, 1);
+    direct_harness_run(&harness, 1500);
+    CU_ASSERT(origin_contexts_queries(harness.origins[0]) == queries + 1);
+    CU_ASSERT(origin_contexts_queries(harness.orders) == 0);
+    drain_endpoint(&harness, 0);
+    draft(&harness, 0, "c");
+    CU_ASSERT(is_source(&harness, 0));
+    draft(&harness, 1, "d");
+    CU_ASSERT(is_source(&harness, 0) ||
+              origin_last_field(harness.origins[1], "Kv-Fetch")[0] == '\0');
     direct_harness_stop(&harness);
 }
 
@@ -704,4 +796,7 @@
     CU_add_test(suite, "kept connections", test_kept_connections);
     CU_add_test(suite, "stated load", test_stated_load);
     CU_add_test(suite, "contexts are fetched", test_contexts_are_fetched);
+    CU_add_test(suite, "contexts from a peer", test_contexts_from_a_peer);
+    CU_add_test(suite, "contexts after power loss",
+                test_contexts_after_power_loss);
 }
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -97,12 +97,43 @@
     message_codec_free(codec);
 }
 
+static void
+test_contexts_round_trip(void)
+{
+    static struct message_context items[MESSAGE_CONTEXTS_MAX];
+    struct message_codec *codec = message_codec_new();
+    struct message message = {
+        .type = MESSAGE_CONTEXTS,
+        .contexts = {items, MESSAGE_CONTEXTS_MAX},
+    };
+    struct message decoded;
+    struct err err = {0};
+
+    for (size_t i = 0; i < MESSAGE_CONTEXTS_MAX; i++) {
+        items[i] = (struct message_context){UINT64_MAX - i, 7 * i, 100};
+    }
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT(decoded.contexts.count == MESSAGE_CONTEXTS_MAX);
+    for (size_t i = 0; i < MESSAGE_CONTEXTS_MAX; i++) {
+        CU_ASSERT(decoded.contexts.items[i].endpoint == items[i].endpoint);
+        CU_ASSERT(decoded.contexts.items[i].key == items[i].key);
+        CU_ASSERT(decoded.contexts.items[i].tokens == items[i].tokens);
+    }
+    message.contexts.count = 0;
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT(decoded.contexts.count == 0);
+    message_codec_free(codec);
+}
+
 void
 suite_message(void)
 {
     CU_pSuite suite = CU_add_suite("message", NULL, NULL);
 
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
+    CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "bad frames", test_bad_frames);
     CU_add_test(suite, "every truncation is refused",
                 test_every_truncation_is_refused);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -456,6 +456,13 @@
     CU_ASSERT(prefix_belief_find(cache, &a) == 300);
     CU_ASSERT(prefix_belief_find(cache, &b) == 600);
     prefix_belief_clear(cache);
+    // A part that the endpoint states counts wherever it stands in a prompt.
+    prefix_belief_note_part(cache, 2, 300);
+    CU_ASSERT(prefix_belief_find(cache, &c) == 300);
+    CU_ASSERT(prefix_belief_find(cache, &a) == 0);
+    prefix_belief_note_part(cache, 1, 300);
+    CU_ASSERT(prefix_belief_find(cache, &a) == 600);
+    prefix_belief_clear(cache);
     CU_ASSERT(prefix_belief_tokens(cache) == 0);
     prefix_belief_free(cache);
     CU_ASSERT(prefix_affinity(&a) == prefix_affinity(&b));
