probe: an endpoint that restarts unnoticed is ordered to load again

Cause: the agent asked for a sign of life only after a lost run, so an engine that restarted between two requests kept none of its models and nobody ordered them. Ruled out: a connection kept open as a witness (servers close idle ones). The agent asks once a second; an answer that states another incarnation has the loaded list forgotten. Before: the test 'quiet restart' fails (no order in 10 s); after: it passes.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -125,15 +125,19 @@
 }
 
 static void
-on_probed(void *ctx, bool alive)
+on_probed(void *ctx, enum probe_result result)
 {
     struct agent *agent = ctx;
 
     // An endpoint that was down may have been started anew with nothing.
-    if (!alive) {
+    if (result != PROBE_ALIVE) {
         placement_forget_loaded(agent->placement);
     }
-    agent->alive = alive;
+    if (result == PROBE_RESTARTED) {
+        LOG_INFO("event=endpoint-restarted detail=\"what it had loaded is "
+                 "ordered again\"");
+    }
+    agent->alive = result != PROBE_DEAD;
     update_state(agent);
 }
 
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -6,10 +6,15 @@
 
 #include "core/xmalloc.h"
 #include "net/endpoint.h"
+#include "net/http1.h"
 
 #define PROBE_PATH "/health"
 #define TIMEOUT_MS 1000
 #define INTERVAL_MS 500
+/// Between probes of an endpoint that answers: one small call a second.
+#define ALIVE_INTERVAL_MS 1000
+/// An endpoint that states it changes it with each start.
+#define INCARNATION_HEADER "Endpoint-Incarnation"
 #define HEADER_BYTES_MAX 16384
 
 struct probe {
@@ -18,6 +23,9 @@
     struct endpoint_call *call;
     struct event *timer;
     bool answered;
+    bool has_incarnation; ///< of an earlier answer
+    uint64_t incarnation; ///< its hash
+    bool restarted;       ///< this answer states another one
 };
 
 static void
@@ -32,14 +40,23 @@
 }
 
 static void
-finish(struct probe *probe, bool alive)
+finish(struct probe *probe, enum probe_result result)
 {
     probe->call = NULL;
     event_del(probe->timer);
-    if (!alive) {
-        arm(probe, INTERVAL_MS);
-    }
-    probe->options.probed(probe->options.ctx, alive);
+    arm(probe, result == PROBE_DEAD ? INTERVAL_MS : ALIVE_INTERVAL_MS);
+    probe->options.probed(probe->options.ctx, result);
+}
+
+static void
+note_incarnation(struct probe *probe, struct str text)
+{
+    uint64_t incarnation = str_hash(text, 0);
+
+    probe->restarted =
+        probe->has_incarnation && incarnation != probe->incarnation;
+    probe->has_incarnation = true;
+    probe->incarnation = incarnation;
 }
 
 static void
@@ -48,8 +65,11 @@
 {
     struct probe *probe = ctx;
 
-    (void)headers;
-    (void)count;
+    for (size_t i = 0; i < count; i++) {
+        if (str_equal_nocase(headers[i].name, INCARNATION_HEADER)) {
+            note_incarnation(probe, headers[i].value);
+        }
+    }
     // Any answer is a sign of life, but one that says the opposite.
     probe->answered = status != 503;
 }
@@ -59,7 +79,12 @@
 {
     struct probe *probe = ctx;
 
-    finish(probe, end == ENDPOINT_WHOLE && probe->answered);
+    if (end != ENDPOINT_WHOLE || !probe->answered) {
+        finish(probe, PROBE_DEAD);
+    }
+    else {
+        finish(probe, probe->restarted ? PROBE_RESTARTED : PROBE_ALIVE);
+    }
 }
 
 static void
@@ -74,7 +99,7 @@
         return;
     }
     endpoint_cancel(probe->call);
-    finish(probe, false);
+    finish(probe, PROBE_DEAD);
 }
 
 struct probe *
@@ -125,6 +150,7 @@
         return;
     }
     probe->answered = false;
+    probe->restarted = false;
     probe->call = endpoint_call(probe->endpoint, &call);
     arm(probe, probe->call != NULL ? TIMEOUT_MS : INTERVAL_MS);
 }
--- a/daemon/probe.h
+++ b/daemon/probe.h
@@ -1,4 +1,5 @@
-/// Asks the endpoint for a sign of life after a failure and until it answers.
+/// Asks the endpoint for a sign of life: at once after a failure, until it
+/// answers, and now and then while it does.
 #pragma once
 
 #include <stdbool.h>
@@ -8,11 +9,17 @@
 struct event_base;
 struct probe;
 
+enum probe_result {
+    PROBE_DEAD,
+    PROBE_ALIVE,
+    PROBE_RESTARTED, ///< alive, but started anew since the last answer
+};
+
 struct probe_options {
     struct event_base *base;
     struct address endpoint;
     /// The result of each probe.
-    void (*probed)(void *ctx, bool alive);
+    void (*probed)(void *ctx, enum probe_result result);
     void *ctx;
 };
 
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -427,6 +427,18 @@
     http_reply(http, 400, JSON_TYPE, STR_LITERAL("{}"));
 }
 
+static void
+reply_health(const struct engine *engine, struct evhttp_request *http)
+{
+    char incarnation[24];
+
+    snprintf(incarnation, sizeof(incarnation), "%llu",
+             (unsigned long long)engine->ledger.crashes);
+    evhttp_add_header(evhttp_request_get_output_headers(http),
+                      "Endpoint-Incarnation", incarnation);
+    http_reply(http, 200, JSON_TYPE, STR_LITERAL("{}"));
+}
+
 static void
 on_request(struct evhttp_request *http, void *ctx)
 {
@@ -453,7 +465,7 @@
         on_order(engine, http);
     }
     else if (!strcmp(path, "/health")) {
-        http_reply(http, 200, JSON_TYPE, STR_LITERAL("{}"));
+        reply_health(engine, http);
     }
     else {
         http_reply_json(http, 404,
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -174,6 +174,35 @@
     harness_stop(&harness);
 }
 
+static bool
+has_four_orders(void *ctx)
+{
+    const struct harness *harness = ctx;
+
+    return engine_ledger(harness->engines[0])->orders >= 4;
+}
+
+/// An engine that restarts between two requests has lost what it had loaded,
+/// though no request was lost.
+static void
+test_quiet_restart(void)
+{
+    const struct harness_options options = {
+        .engines = 1,
+        .routers = 1,
+        .slots = 4,
+    };
+    struct harness harness;
+
+    harness_start(&harness, &options);
+    CU_ASSERT(harness_wait(&harness, all_have_orders, &harness, 20000));
+    harness_run(&harness, 500);
+    CU_ASSERT(engine_ledger(harness.engines[0])->orders == 2);
+    engine_set_fault(harness.engines[0], ENGINE_CRASH);
+    CU_ASSERT(harness_wait(&harness, has_four_orders, &harness, 10000));
+    harness_stop(&harness);
+}
+
 static void
 test_no_order_while_the_log_is_down(void)
 {
@@ -216,6 +245,7 @@
     CU_add_test(suite, "end of an old order changes nothing",
                 test_end_of_an_old_order_changes_nothing);
     CU_add_test(suite, "engines are loaded", test_engines_are_loaded);
+    CU_add_test(suite, "quiet restart", test_quiet_restart);
     CU_add_test(suite, "no order while the log is down",
                 test_no_order_while_the_log_is_down);
 }
