--- /dev/null
+++ b/direct/attempt.c
@@ -0,0 +1,490 @@
+#include "attempt.h"
+
+#include <string.h>
+
+#include <event2/buffer.h>
+
+#include "core/catalog.h"
+#include "core/shed.h"
+#include "dandelionvalve/outcome.h"
+#include "dandelionvalve/quarantine.h"
+#include "dandelionvalve/retry.h"
+#include "direct_state.h"
+#include "dispatch.h"
+#include "endpoints.h"
+#include "exchange.h"
+#include "exchange_state.h"
+#include "net/caller.h"
+#include "net/channel.h"
+#include "net/http1.h"
+#include "net/log.h"
+
+#define LOG_MODULE "attempt"
+
+/// An answer that is not a stream is passed on when it is whole; longer ones
+/// are cut off.
+#define ANSWER_BYTES_MAX (16 * 1024 * 1024)
+/// A request with less time left is not offered: its answer would be late.
+#define LEFT_MIN_MS 10
+
+/// What the endpoint no longer has to read of this prompt.
+static void
+settle_backlog(struct exchange *exchange)
+{
+    struct endpoint *endpoint = exchange->endpoint;
+
+    endpoint->backlog_tokens -= exchange->backlog_tokens;
+    if (endpoint->backlog_tokens < 0) {
+        endpoint->backlog_tokens = 0;
+    }
+    exchange->backlog_tokens = 0;
+}
+
+void
+attempt_leave(struct exchange *exchange)
+{
+    if (exchange->endpoint == NULL) {
+        return;
+    }
+    settle_backlog(exchange);
+    exchange->endpoint->in_flight--;
+    endpoint_unref(exchange->endpoint);
+    exchange->endpoint = NULL;
+    exchange->channel = NULL;
+}
+
+void
+attempt_note_failure(struct exchange *exchange, const char *reason)
+{
+    struct endpoint *endpoint = exchange->endpoint;
+    double share = endpoints_failure_share(direct_endpoints(exchange->direct),
+                                           endpoint->service);
+
+    if (eject_failure(&endpoint->eject, exchange_now(exchange), share)) {
+        LOG_WARNING(
+            "event=endpoint-ejected endpoint=" STR_FMT " service=" STR_FMT
+            " reason=\"%s\" share=%.2f "
+            "pool_share=%.2f samples=%u until_ms=%lld id=%s",
+            STR_ARG(endpoint->id), STR_ARG(endpoint->service), reason,
+            endpoint->eject.share, share, endpoint->eject.samples,
+            (long long)(endpoint->eject.until_ms - exchange_now(exchange)),
+            exchange->id);
+    }
+}
+
+/// A refused connection says more than a failed request: nobody is there.
+static void
+note_down(struct exchange *exchange, const char *reason)
+{
+    struct endpoint *endpoint = exchange->endpoint;
+
+    if (!eject_down(&endpoint->eject, exchange_now(exchange))) {
+        return;
+    }
+    LOG_WARNING("event=endpoint-ejected endpoint=" STR_FMT " service=" STR_FMT
+                " reason=\"%s\" until_ms=%lld id=%s",
+                STR_ARG(endpoint->id), STR_ARG(endpoint->service), reason,
+                (long long)(endpoint->eject.until_ms - exchange_now(exchange)),
+                exchange->id);
+    direct_note_down(exchange->direct, endpoint);
+}
+
+static void
+note_success(struct exchange *exchange)
+{
+    struct endpoint *endpoint = exchange->endpoint;
+
+    if (eject_success(&endpoint->eject)) {
+        LOG_INFO("event=endpoint-back endpoint=" STR_FMT " service=" STR_FMT
+                 " id=%s",
+                 STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+                 exchange->id);
+    }
+}
+
+/// Forgets what the last endpoint said, so that another can be asked.
+void
+attempt_forget(struct exchange *exchange)
+{
+    attempt_leave(exchange);
+    exchange->status = 0;
+    exchange->not_executed = false;
+    evbuffer_drain(exchange->body, evbuffer_get_length(exchange->body));
+    if (!exchange->answering) {
+        evbuffer_drain(exchange->fields,
+                       evbuffer_get_length(exchange->fields));
+    }
+    events_forget_partial(&exchange->events);
+}
+
+/// Sends the request to another endpoint if that is allowed; true if it did
+/// or if the exchange has ended.
+static bool
+try_again(struct exchange *exchange, enum attempt_end end)
+{
+    bool paid = end != ATTEMPT_UNSENT;
+    bool allowed =
+        outcome_allows_retry(end, exchange_is_repeatable(exchange)) ||
+        (end == ATTEMPT_CUT && exchange->route->kind == ROUTE_RESUMABLE);
+
+    if (!allowed || exchange->offers >= EXCHANGE_OFFERS_MAX ||
+        exchange->arrivals >= exchange->route->endpoints_max ||
+        exchange->limit_ms - exchange_now(exchange) < LEFT_MIN_MS) {
+        return false;
+    }
+    if (paid &&
+        !retry_take(direct_budget(exchange->direct, exchange->service))) {
+        counter_add(direct_counters(exchange->direct), COUNTER_RETRY_DENIED,
+                    1);
+        return false;
+    }
+    if (paid) {
+        counter_add(direct_counters(exchange->direct), COUNTER_RETRIES, 1);
+    }
+    attempt_forget(exchange);
+    dispatch_request(exchange);
+    return true;
+}
+
+/// The endpoint has given no whole answer.
+void
+attempt_failed(struct exchange *exchange, enum attempt_end end,
+               const char *reason)
+{
+    if (exchange->caller == NULL) {
+        exchange_free(exchange);
+        return;
+    }
+    if (exchange->answering) {
+        end = ATTEMPT_CUT;
+    }
+    LOG_INFO("event=attempt-failed id=%s endpoint=" STR_FMT
+             " end=%s reason=\"%s\" after_ms=%lld status=%d",
+             exchange->id, STR_ARG(exchange->endpoint->id),
+             outcome_attempt_name(end), reason,
+             (long long)(exchange_now(exchange) - exchange->offered_ms),
+             exchange->status);
+    if (try_again(exchange, end)) {
+        return;
+    }
+    if (exchange->answering) {
+        exchange_break_off(exchange, reason);
+    }
+    else if (exchange->runs == 0) {
+        exchange_refuse_not_run(exchange, reason);
+    }
+    else {
+        exchange_refuse(exchange, 502, -1, reason);
+    }
+}
+
+static enum channel_verdict
+on_head(void *ctx, const struct http1 *head)
+{
+    struct exchange *exchange = ctx;
+    struct answer_facts facts;
+    int status = http1_status(head);
+
+    direct_wire(exchange->direct)->read_answer(head, &facts);
+    if (facts.id.len == 0) {
+        return CHANNEL_REJECT;
+    }
+    if (!str_equal_c(facts.id, exchange->id)) {
+        counter_add(direct_counters(exchange->direct), COUNTER_ANSWER_DROPPED,
+                    1);
+        LOG_INFO("event=answer-dropped id=%s other=" STR_FMT
+                 " detail=\"answers another request\"",
+                 exchange->id, STR_ARG(facts.id));
+        return CHANNEL_SKIP;
+    }
+    if (status >= 200 && status < 300 &&
+        (facts.signature.len == 0 || facts.is_encoded)) {
+        return CHANNEL_REJECT;
+    }
+    if (facts.has_load) {
+        endpoint_note_held(exchange->endpoint, facts.running + facts.waiting,
+                           exchange_now(exchange));
+    }
+    exchange->status = status;
+    exchange->not_executed = facts.not_executed;
+    exchange->progress_ms = exchange_now(exchange);
+    exchange->is_stream =
+        status == 200 && (exchange->route->kind == ROUTE_STREAM ||
+                          exchange->route->kind == ROUTE_RESUMABLE);
+    if (!exchange->answering) {
+        direct_wire(exchange->direct)->write_answer(head, exchange->fields);
+    }
+    if (exchange->is_stream && !exchange->not_executed &&
+        exchange->backlog_tokens > 0) {
+        direct_note_reading(exchange->direct, exchange->unread_tokens,
+                            exchange_now(exchange) - exchange->offered_ms);
+        settle_backlog(exchange);
+    }
+    return CHANNEL_TAKE;
+}
+
+/// The answer has begun.
+void
+attempt_note_delay(struct exchange *exchange)
+{
+    if (!exchange->delay_noted) {
+        exchange->delay_noted = true;
+        shed_note(dispatch_shed_of(exchange),
+                  exchange_now(exchange) - exchange->offered_ms,
+                  exchange->route->objective_ms);
+    }
+}
+
+void
+exchange_note_pending(struct exchange *exchange, bool ignore)
+{
+    if (exchange->channel == NULL || exchange->answering ||
+        exchange_now(exchange) - exchange->offered_ms <
+            exchange->route->objective_ms) {
+        return;
+    }
+    if (ignore) {
+        exchange->delay_noted = true;
+    }
+    attempt_note_delay(exchange);
+}
+
+/// Passes on what is whole of a stream. The head waits for the first event,
+/// so that a failure before it can still be answered.
+static void
+pass_events(struct exchange *exchange, bool all)
+{
+    size_t len;
+    const char *bytes = events_take(&exchange->events, all, &len);
+
+    if (len == 0 || exchange->caller == NULL) {
+        return;
+    }
+    if (!exchange->answering) {
+        exchange->answering = true;
+        exchange->first_ms = exchange_now(exchange);
+        attempt_note_delay(exchange);
+        caller_start(exchange->caller, exchange->status,
+                     exchange_fields(exchange));
+    }
+    caller_data(exchange->caller, bytes, len);
+}
+
+static void
+on_data(void *ctx, const char *bytes, size_t len)
+{
+    struct exchange *exchange = ctx;
+
+    exchange->progress_ms = exchange_now(exchange);
+    if (exchange->caller == NULL) {
+        return;
+    }
+    if (exchange->is_stream) {
+        events_add(&exchange->events, bytes, len);
+        pass_events(exchange, exchange->route->kind != ROUTE_RESUMABLE);
+        return;
+    }
+    if (evbuffer_get_length(exchange->body) + len <= ANSWER_BYTES_MAX) {
+        evbuffer_add(exchange->body, bytes, len);
+    }
+    else {
+        LOG_WARNING("event=answer-too-long id=%s limit=%d", exchange->id,
+                    ANSWER_BYTES_MAX);
+        channel_cancel(exchange->channel);
+        exchange->channel = NULL;
+        attempt_failed(exchange, ATTEMPT_FAILED, "answer too long");
+    }
+}
+
+/// The answer is whole; decides whether it is the caller's.
+static void
+take_answer(struct exchange *exchange)
+{
+    int status = exchange->status;
+
+    if (exchange->not_executed) {
+        exchange->runs--;
+        if (status == 421) {
+            // Another endpoint has the address: this one was never asked.
+            exchange->arrivals--;
+            attempt_note_failure(exchange, "address of another endpoint");
+        }
+        else {
+            shed_note_full(dispatch_shed_of(exchange),
+                           exchange->route->objective_ms);
+        }
+        attempt_failed(exchange, ATTEMPT_REFUSED, "refused by the endpoint");
+        return;
+    }
+    if (exchange->is_stream) {
+        note_success(exchange);
+        pass_events(exchange, true);
+        if (exchange->caller == NULL) {
+            exchange_free(exchange);
+            return;
+        }
+        exchange_finish(exchange);
+        return;
+    }
+    if (status >= 500 || status == 429 || status == 408) {
+        attempt_note_failure(exchange, "answered with a failure");
+        if (exchange->caller != NULL && exchange_is_repeatable(exchange) &&
+            !exchange->answering && try_again(exchange, ATTEMPT_FAILED)) {
+            return;
+        }
+        if (status == 503 || status == 429 || status == 408) {
+            // Passed on, it would promise that nothing has run.
+            exchange->status = 0;
+            attempt_failed(exchange, ATTEMPT_FAILED,
+                           "refusal without a promise");
+            return;
+        }
+    }
+    else {
+        note_success(exchange);
+    }
+    if (exchange->caller == NULL) {
+        exchange_free(exchange);
+        return;
+    }
+    if (exchange->answering) {
+        // A continued stream cannot become a failure half way.
+        exchange_break_off(exchange, "refused to continue");
+        return;
+    }
+    exchange_finish(exchange);
+}
+
+/// Names one crash of an endpoint, the same on all routers that see it.
+static uint32_t
+death_of(const struct endpoint *endpoint, int64_t now_ms)
+{
+    return (uint32_t)endpoint->hash ^ (uint32_t)endpoint->incarnation ^
+           (uint32_t)(now_ms / 2000);
+}
+
+static void
+on_end(void *ctx, enum channel_end end, const char *detail)
+{
+    struct exchange *exchange = ctx;
+
+    exchange->channel = NULL;
+    switch (end) {
+    case CHANNEL_COMPLETE:
+        take_answer(exchange);
+        return;
+    case CHANNEL_UNSENT:
+        exchange->arrivals--;
+        exchange->runs--;
+        note_down(exchange, detail);
+        attempt_failed(exchange, ATTEMPT_UNSENT, detail);
+        return;
+    case CHANNEL_LOST:
+        attempt_note_failure(exchange, detail);
+        direct_strike(exchange->direct, exchange->fingerprint,
+                      death_of(exchange->endpoint, exchange_now(exchange)));
+        attempt_failed(exchange, ATTEMPT_LOST, detail);
+        return;
+    case CHANNEL_GARBLED:
+        attempt_note_failure(exchange, detail);
+        attempt_failed(exchange, ATTEMPT_LOST, detail);
+        return;
+    }
+}
+
+static struct str
+address_of(const struct endpoint *source, char text[ADDRESS_TEXT_BYTES])
+{
+    if (source == NULL) {
+        return (struct str){0};
+    }
+    address_format((const struct sockaddr *)&source->address.storage, text);
+    return str_from(text);
+}
+
+static void
+send_request(struct exchange *exchange, struct endpoint *endpoint,
+             const struct endpoint *source)
+{
+    const struct http1 *head = caller_head(exchange->caller);
+    struct evbuffer *body = caller_body(exchange->caller);
+    size_t body_bytes = evbuffer_get_length(body);
+    char source_text[ADDRESS_TEXT_BYTES];
+    const struct forward_facts facts = {
+        .deadline_ms = exchange->limit_ms - exchange_now(exchange),
+        .instance = endpoint->id,
+        .account = exchange->account,
+        .last_event_id = events_last_id(&exchange->events),
+        .context_source = address_of(source, source_text),
+        .priority = exchange->priority > 9 ? 9 : exchange->priority,
+        .has_priority = exchange->has_priority,
+        .body_bytes = body_bytes,
+        .has_body = body_bytes > 0 ||
+                    http1_count(head, "Content-Length") > 0 ||
+                    http1_count(head, "Transfer-Encoding") > 0,
+    };
+    const struct channel_handler handler = {on_head, on_data, on_end,
+                                            exchange};
+    struct evbuffer *out = evbuffer_new();
+    const struct channel_request request = {
+        .bytes = out,
+        .once = !exchange_is_repeatable(exchange),
+        .no_body = head->parser.method == HTTP_HEAD,
+    };
+
+    direct_wire(exchange->direct)->write_request(head, &facts, out);
+    if (body_bytes > 0) {
+        evbuffer_add(out, evbuffer_pullup(body, -1), body_bytes);
+    }
+    exchange->channel = channel_send(endpoint->pool, &request, &handler);
+    evbuffer_free(out);
+}
+
+void
+attempt_start(struct exchange *exchange, const struct endpoints_choice *choice)
+{
+    struct endpoint *endpoint = choice->endpoint;
+    const struct endpoint *source = choice->source;
+    const struct place_choice *place = &choice->place;
+    uint32_t prompt = prefix_tokens(&exchange->facts.prefix);
+    uint32_t cached =
+        prefix_belief_find(endpoint->cache, &exchange->facts.prefix);
+
+    exchange->tried[exchange->offers++] = endpoint->hash;
+    exchange->endpoint = endpoint_ref(endpoint);
+    endpoint->in_flight++;
+    exchange->unread_tokens = prompt - cached - place->fetched_tokens;
+    exchange->backlog_tokens = exchange->unread_tokens;
+    endpoint->backlog_tokens += exchange->backlog_tokens;
+    prefix_belief_note(endpoint->cache, &exchange->facts.prefix);
+    if (cached < prefix_shared_tokens(&exchange->facts.prefix)) {
+        direct_note_placed(exchange->direct, endpoint,
+                           &exchange->facts.prefix);
+    }
+    exchange->arrivals++;
+    exchange->runs++;
+    exchange->stalled = false;
+    exchange->delay_noted = exchange->answering;
+    exchange->offered_ms = exchange_now(exchange);
+    exchange->progress_ms = exchange->offered_ms;
+    LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
+             " reason=%s context=%08x load=%u mean=%.1f usable=%zu cached=%u "
+             "unread=%u source=" STR_FMT " fetched=%u "
+             "predicted_ms=%.0f left_ms=%lld version=%lld offer=%zu",
+             exchange->id, STR_ARG(exchange->route->name),
+             STR_ARG(endpoint->id), place_reason_name(place->reason),
+             (uint32_t)prefix_affinity(&exchange->facts.prefix),
+             endpoint->in_flight, place->mean_load, place->usable, cached,
+             exchange->unread_tokens,
+             STR_ARG(source != NULL ? source->id : (struct str){0}),
+             place->fetched_tokens, place->first_ms,
+             (long long)(exchange->limit_ms - exchange->offered_ms),
+             (long long)catalog_version(exchange->catalog), exchange->offers);
+    counter_add(direct_counters(exchange->direct), COUNTER_OFFERS, 1);
+    send_request(exchange, endpoint, source);
+    if (exchange->channel == NULL) {
+        on_end(exchange, CHANNEL_UNSENT, "no connection");
+        return;
+    }
+    exchange_arm_timer(exchange);
+}
--- /dev/null
+++ b/direct/deployment.c
@@ -0,0 +1,190 @@
+/// What the operators and the endpoints have written: configuration, entries
+/// of endpoints, addresses of routers.
+#include "core/catalog.h"
+#include "direct_private.h"
+#include "direct_state.h"
+#include "endpoints.h"
+#include "exchange.h"
+#include "mesh.h"
+#include "net/caller.h"
+#include "net/log.h"
+
+#define LOG_MODULE "deployment"
+
+static void
+take_catalog(struct direct *direct, const struct record *record)
+{
+    struct err err = {0};
+    struct catalog *catalog =
+        direct->options.wire->read_catalog(record->value, &err);
+    const struct catalog_limits *limits;
+
+    if (catalog == NULL) {
+        counter_add(direct->options.counters, COUNTER_CONF_REJECTED, 1);
+        LOG_WARNING("event=configuration-rejected offset=%lld detail=\"%s\"",
+                    (long long)record->offset, err.message);
+        return;
+    }
+    if (direct->catalog != NULL &&
+        catalog_version(catalog) < catalog_version(direct->catalog)) {
+        LOG_WARNING("event=configuration-older version=%lld in_force=%lld "
+                    "offset=%lld",
+                    (long long)catalog_version(catalog),
+                    (long long)catalog_version(direct->catalog),
+                    (long long)record->offset);
+        catalog_unref(catalog);
+        return;
+    }
+    LOG_INFO(
+        "event=configuration version=%lld before=%lld offset=%lld "
+        "routes=%zu bytes=%zu",
+        (long long)catalog_version(catalog),
+        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
+                                : -1,
+        (long long)record->offset, catalog_routes(catalog), record->value.len);
+    counter_add(direct->options.counters, COUNTER_CONF_ACCEPTED, 1);
+    counter_set(direct->options.counters, COUNTER_CONF_VERSION,
+                (uint64_t)catalog_version(catalog));
+    catalog_unref(direct->catalog);
+    direct->catalog = catalog;
+    limits = catalog_limits(catalog);
+    caller_server_set_limits(
+        direct->callers, &(struct caller_limits){
+                             .head_bytes_max = (size_t)limits->head_bytes_max,
+                             .body_bytes_max = (size_t)limits->body_bytes_max,
+                             .head_ms = limits->head_ms,
+                             .idle_ms = limits->idle_ms,
+                         });
+}
+
+struct entry_context {
+    struct direct *direct;
+    struct str id;
+};
+
+static void
+take_endpoint(void *ctx, const struct endpoint_facts *facts)
+{
+    struct entry_context *entry = ctx;
+    const struct catalog_service *service = NULL;
+
+    if (entry->direct->catalog != NULL) {
+        service = catalog_find_service(entry->direct->catalog, facts->service);
+    }
+    endpoints_update(entry->direct->endpoints, entry->id, facts,
+                     service != NULL && service->memory_tokens > 0
+                         ? service->memory_tokens
+                         : UINT64_MAX);
+}
+
+/// Until when a missing entry may be missing only because the store was away.
+static int64_t
+lapse_until(const struct direct *direct)
+{
+    return direct->store_back_ms != 0
+               ? direct->store_back_ms + ENDPOINTS_LAPSE_MS
+               : 0;
+}
+
+static void
+take_entry(struct direct *direct, const struct record *record)
+{
+    struct entry_context entry = {direct, record->key};
+    struct err err = {0};
+
+    if (record->removed) {
+        endpoints_remove(direct->endpoints, record->key, lapse_until(direct));
+        return;
+    }
+    if (!direct->options.wire->read_endpoint(record->value, take_endpoint,
+                                             &entry, &err)) {
+        LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
+                    " offset=%lld detail=\"%s\"",
+                    STR_ARG(record->key), (long long)record->offset,
+                    err.message);
+        endpoints_remove(direct->endpoints, record->key, 0);
+    }
+}
+
+static void
+take_router(struct direct *direct, const struct record *record)
+{
+    struct address address;
+    struct err err = {0};
+
+    if (record->removed || direct->mesh == NULL) {
+        return;
+    }
+    if (!address_parse(record->value, &address, &err)) {
+        LOG_WARNING("event=router-rejected router=" STR_FMT " detail=\"%s\"",
+                    STR_ARG(record->key), err.message);
+        return;
+    }
+    mesh_add(direct->mesh, &address);
+}
+
+void
+direct_take_record(void *ctx, const struct record *record)
+{
+    struct direct *direct = ctx;
+
+    switch (record->topic) {
+    case RECORDS_CONFIGURATION:
+        if (!record->removed && str_equal_c(record->key, "config")) {
+            take_catalog(direct, record);
+        }
+        return;
+    case RECORDS_ENDPOINTS:
+        take_entry(direct, record);
+        return;
+    case RECORDS_ROUTERS:
+        take_router(direct, record);
+        return;
+    case RECORDS_TOPICS:
+        return;
+    }
+}
+
+/// Requests that came before anything was known go on.
+static void
+resume_waiting(struct direct *direct)
+{
+    struct listed *listed, *next;
+
+    if (direct->resumed || !direct_knows_deployment(direct)) {
+        return;
+    }
+    direct->resumed = true;
+    HASH_ITER(hh, direct->exchanges, listed, next)
+    {
+        exchange_resume(listed->exchange);
+    }
+}
+
+void
+direct_caught_up(struct direct *direct, enum record_topic topic,
+                 int64_t away_ms)
+{
+    if (topic == RECORDS_ENDPOINTS) {
+        direct->knows_endpoints = true;
+    }
+    if (topic == RECORDS_ENDPOINTS && away_ms > 0) {
+        LOG_INFO("event=store-back away_ms=%lld", (long long)away_ms);
+    }
+    resume_waiting(direct);
+}
+
+void
+direct_store_back(struct direct *direct)
+{
+    direct->store_back_ms = clock_ms(direct->options.clock);
+}
+
+void
+direct_progress(struct direct *direct, enum record_topic topic)
+{
+    (void)topic;
+    if (direct->mesh != NULL) {
+        mesh_tell(direct->mesh);
+    }
+}
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -1,6 +1,5 @@
 #include "direct.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +14,7 @@
 #include "daemon/admin.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
+#include "direct_private.h"
 #include "direct_state.h"
 #include "endpoints.h"
 #include "exchange.h"
@@ -55,292 +55,12 @@
 #define READING_TOKENS_MIN 2000
 #define READING_WEIGHT 0.05
 
-#define KINDS (ROUTE_RESUMABLE + 1)
-
-struct listed {
-    struct exchange *exchange;
-    UT_hash_handle hh;
-};
-
-struct direct {
-    struct direct_options options;
-    struct settings_direct settings; ///< as of the last reload
-    char *name;
-    struct records *records;
-    void *store;
-    struct catalog *catalog;
-    struct endpoints *endpoints;
-    struct caller_server *callers;
-    struct admin *ready;
-    struct admin *metrics;
-    struct mesh *mesh;
-    struct contexts *contexts;
-    struct quarantine *quarantine;
-    struct services *services;
-    struct listed *exchanges;
-    struct event *tick;
-    bool knows_endpoints;
-    bool resumed; ///< requests that waited for knowledge have gone on
-    int64_t started_ms;
-    bool was_ready;
-    int64_t ticked_ms;
-    int64_t store_back_ms; ///< when the store last came back; 0: never away
-    bool draining;
-    int64_t drain_ms; ///< when draining began
-    double tokens_per_ms;
-    struct histogram first[KINDS]; ///< to the first byte of an answer
-    struct histogram total[KINDS];
-};
-
-static void
-take_catalog(struct direct *direct, const struct record *record)
-{
-    struct err err = {0};
-    struct catalog *catalog =
-        direct->options.wire->read_catalog(record->value, &err);
-    const struct catalog_limits *limits;
-
-    if (catalog == NULL) {
-        counter_add(direct->options.counters, COUNTER_CONF_REJECTED, 1);
-        LOG_WARNING("event=configuration-rejected offset=%lld detail=\"%s\"",
-                    (long long)record->offset, err.message);
-        return;
-    }
-    if (direct->catalog != NULL &&
-        catalog_version(catalog) < catalog_version(direct->catalog)) {
-        LOG_WARNING("event=configuration-older version=%lld in_force=%lld "
-                    "offset=%lld",
-                    (long long)catalog_version(catalog),
-                    (long long)catalog_version(direct->catalog),
-                    (long long)record->offset);
-        catalog_unref(catalog);
-        return;
-    }
-    LOG_INFO(
-        "event=configuration version=%lld before=%lld offset=%lld "
-        "routes=%zu bytes=%zu",
-        (long long)catalog_version(catalog),
-        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
-                                : -1,
-        (long long)record->offset, catalog_routes(catalog), record->value.len);
-    counter_add(direct->options.counters, COUNTER_CONF_ACCEPTED, 1);
-    counter_set(direct->options.counters, COUNTER_CONF_VERSION,
-                (uint64_t)catalog_version(catalog));
-    catalog_unref(direct->catalog);
-    direct->catalog = catalog;
-    limits = catalog_limits(catalog);
-    caller_server_set_limits(
-        direct->callers, &(struct caller_limits){
-                             .head_bytes_max = (size_t)limits->head_bytes_max,
-                             .body_bytes_max = (size_t)limits->body_bytes_max,
-                             .head_ms = limits->head_ms,
-                             .idle_ms = limits->idle_ms,
-                         });
-}
-
-struct entry_context {
-    struct direct *direct;
-    struct str id;
-};
-
-static void
-take_endpoint(void *ctx, const struct endpoint_facts *facts)
-{
-    struct entry_context *entry = ctx;
-    const struct catalog_service *service = NULL;
-
-    if (entry->direct->catalog != NULL) {
-        service = catalog_find_service(entry->direct->catalog, facts->service);
-    }
-    endpoints_update(entry->direct->endpoints, entry->id, facts,
-                     service != NULL && service->memory_tokens > 0
-                         ? service->memory_tokens
-                         : UINT64_MAX);
-}
-
-/// Until when a missing entry may be missing only because the store was away.
-static int64_t
-lapse_until(const struct direct *direct)
-{
-    return direct->store_back_ms != 0
-               ? direct->store_back_ms + ENDPOINTS_LAPSE_MS
-               : 0;
-}
-
-static void
-take_entry(struct direct *direct, const struct record *record)
-{
-    struct entry_context entry = {direct, record->key};
-    struct err err = {0};
-
-    if (record->removed) {
-        endpoints_remove(direct->endpoints, record->key, lapse_until(direct));
-        return;
-    }
-    if (!direct->options.wire->read_endpoint(record->value, take_endpoint,
-                                             &entry, &err)) {
-        LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
-                    " offset=%lld detail=\"%s\"",
-                    STR_ARG(record->key), (long long)record->offset,
-                    err.message);
-        endpoints_remove(direct->endpoints, record->key, 0);
-    }
-}
-
-static void
-take_router(struct direct *direct, const struct record *record)
-{
-    struct address address;
-    struct err err = {0};
-
-    if (record->removed || direct->mesh == NULL) {
-        return;
-    }
-    if (!address_parse(record->value, &address, &err)) {
-        LOG_WARNING("event=router-rejected router=" STR_FMT " detail=\"%s\"",
-                    STR_ARG(record->key), err.message);
-        return;
-    }
-    mesh_add(direct->mesh, &address);
-}
-
-static void
-on_record(void *ctx, const struct record *record)
-{
-    struct direct *direct = ctx;
-
-    switch (record->topic) {
-    case RECORDS_CONFIGURATION:
-        if (!record->removed && str_equal_c(record->key, "config")) {
-            take_catalog(direct, record);
-        }
-        return;
-    case RECORDS_ENDPOINTS:
-        take_entry(direct, record);
-        return;
-    case RECORDS_ROUTERS:
-        take_router(direct, record);
-        return;
-    case RECORDS_TOPICS:
-        return;
-    }
-}
-
-/// Requests that came before anything was known go on.
-static void
-resume_waiting(struct direct *direct)
-{
-    struct listed *listed, *next;
-
-    if (direct->resumed || !direct_knows_deployment(direct)) {
-        return;
-    }
-    direct->resumed = true;
-    HASH_ITER(hh, direct->exchanges, listed, next)
-    {
-        exchange_resume(listed->exchange);
-    }
-}
-
-void
-direct_caught_up(struct direct *direct, enum record_topic topic,
-                 int64_t away_ms)
-{
-    if (topic == RECORDS_ENDPOINTS) {
-        direct->knows_endpoints = true;
-    }
-    if (topic == RECORDS_ENDPOINTS && away_ms > 0) {
-        LOG_INFO("event=store-back away_ms=%lld", (long long)away_ms);
-    }
-    resume_waiting(direct);
-}
-
-void
-direct_store_back(struct direct *direct)
-{
-    direct->store_back_ms = clock_ms(direct->options.clock);
-}
-
-void
-direct_progress(struct direct *direct, enum record_topic topic)
-{
-    (void)topic;
-    if (direct->mesh != NULL) {
-        mesh_tell(direct->mesh);
-    }
-}
-
 bool
 direct_is_ready(const struct direct *direct)
 {
     return !direct->draining && direct_knows_deployment(direct);
 }
 
-static bool
-is_ready(void *ctx, const char **why)
-{
-    const struct direct *direct = ctx;
-
-    *why = direct->draining           ? "draining\n"
-           : direct->catalog == NULL  ? "no configuration yet\n"
-           : !direct->knows_endpoints ? "no endpoints yet\n"
-                                      : "ok\n";
-    return direct_is_ready(direct);
-}
-
-static char *
-status_of(void *ctx)
-{
-    const struct direct *direct = ctx;
-
-    return xasprintf(
-        "{\"version\":%lld,\"endpoints\":%zu,\"requests\":%u,"
-        "\"draining\":%s}\n",
-        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
-                                : -1,
-        endpoints_count(direct->endpoints), HASH_COUNT(direct->exchanges),
-        direct->draining ? "true" : "false");
-}
-
-static char *
-metrics_of(void *ctx)
-{
-    static const char *const labels[KINDS] = {
-        [ROUTE_IDEMPOTENT] = "kind=\"idempotent\"",
-        [ROUTE_ONCE] = "kind=\"once\"",
-        [ROUTE_STREAM] = "kind=\"stream\"",
-        [ROUTE_RESUMABLE] = "kind=\"resumable\"",
-    };
-    const struct direct *direct = ctx;
-    const struct endpoint *endpoint;
-    int64_t now_ms = clock_ms(direct->options.clock);
-    char *text = NULL;
-    size_t len = 0;
-    FILE *out = open_memstream(&text, &len);
-
-    if (out == NULL) {
-        return xstrdup("");
-    }
-    for (size_t i = 0; i < KINDS; i++) {
-        histogram_print(&direct->first[i], "first_byte_ms", labels[i], out);
-        histogram_print(&direct->total[i], "answer_ms", labels[i], out);
-    }
-    for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
-         endpoint = endpoint->hh.next) {
-        fprintf(out,
-                "endpoint_in_flight{endpoint=\"" STR_FMT "\"} %u\n"
-                "endpoint_ejected{endpoint=\"" STR_FMT "\"} %d\n",
-                STR_ARG(endpoint->id), endpoint->in_flight,
-                STR_ARG(endpoint->id),
-                eject_is_out(&endpoint->eject, now_ms, 0));
-    }
-    fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
-            direct->mesh != NULL ? mesh_count(direct->mesh) : 0,
-            direct->catalog != NULL);
-    fclose(out);
-    return text;
-}
-
 static void
 end_drain(struct direct *direct, const char *reason)
 {
@@ -435,117 +155,6 @@
     exchange_abandon(user);
 }
 
-/// Loads that have changed since the peers were told, and those in flight:
-/// a peer takes an old report for gone.
-static size_t
-on_report(void *ctx, struct message_load *items, size_t max)
-{
-    struct direct *direct = ctx;
-    struct endpoint *endpoint;
-    size_t count = 0;
-
-    for (endpoint = endpoints_first(direct->endpoints);
-         endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
-        if (endpoint->in_flight == 0 && endpoint->told_in_flight == 0) {
-            continue;
-        }
-        endpoint->told_in_flight = endpoint->in_flight;
-        items[count++] = (struct message_load){
-            .endpoint = endpoint->hash,
-            .in_flight = endpoint->in_flight,
-            .backlog_tokens = (uint32_t)endpoint->backlog_tokens,
-        };
-    }
-    return count;
-}
-
-static void
-on_loads(void *ctx, uint64_t peer, const struct message_load *items,
-         size_t count)
-{
-    struct direct *direct = ctx;
-    int64_t now_ms = clock_ms(direct->options.clock);
-
-    for (size_t i = 0; i < count; i++) {
-        struct endpoint *endpoint =
-            endpoints_find_hash(direct->endpoints, items[i].endpoint);
-
-        if (endpoint != NULL) {
-            endpoint_set_peer_load(endpoint, peer, items[i].in_flight,
-                                   items[i].backlog_tokens, now_ms);
-        }
-    }
-}
-
-static void
-on_strike(void *ctx, uint64_t fingerprint, uint32_t death)
-{
-    const struct direct *direct = ctx;
-
-    quarantine_strike(direct->quarantine, fingerprint, death);
-}
-
-static void
-on_peer_caught_up(void *ctx, enum record_topic topic)
-{
-    struct direct *direct = ctx;
-
-    if (topic == RECORDS_ENDPOINTS) {
-        direct->knows_endpoints = true;
-    }
-}
-
-static void
-on_placed(void *ctx, const struct message_placed *placed)
-{
-    struct direct *direct = ctx;
-    struct endpoint *endpoint =
-        endpoints_find_hash(direct->endpoints, placed->endpoint);
-    struct prefix prefix = {.count = placed->count};
-
-    for (size_t i = 0; i < placed->count; i++) {
-        prefix.parts[i] = (struct prefix_part){
-            .id = placed->parts[i].id,
-            .tokens = placed->parts[i].tokens,
-        };
-    }
-    if (endpoint != NULL) {
-        prefix_belief_note(endpoint->cache, &prefix);
-    }
-}
-
-static void
-on_down(void *ctx, uint64_t hash)
-{
-    struct direct *direct = ctx;
-    struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
-
-    if (endpoint != NULL && !endpoint->eject.trial) {
-        eject_doubt(&endpoint->eject);
-        LOG_INFO("event=endpoint-doubted endpoint=" STR_FMT " service=" STR_FMT
-                 " in_flight=%u "
-                 "reason=\"a peer cannot connect\"",
-                 STR_ARG(endpoint->id), STR_ARG(endpoint->service),
-                 endpoint->in_flight);
-    }
-}
-
-static void
-on_want_contexts(void *ctx, struct link *link)
-{
-    const struct direct *direct = ctx;
-
-    contexts_give(direct->contexts, link);
-}
-
-static void
-on_contexts(void *ctx, const struct message_context *items, size_t count)
-{
-    const struct direct *direct = ctx;
-
-    contexts_take(direct->contexts, items, count);
-}
-
 static bool
 keeps_prompts(void *ctx, const struct endpoint *endpoint)
 {
@@ -570,86 +179,6 @@
     });
 }
 
-static bool
-on_store_answers(void *ctx, enum record_topic topic)
-{
-    const struct direct *direct = ctx;
-
-    return direct->store != NULL &&
-           direct->options.store->is_reachable(direct->store, topic);
-}
-
-static bool
-start_peers(struct direct *direct, struct err *err)
-{
-    const struct settings_direct *settings = &direct->settings;
-    const struct mesh_options options = {
-        .base = direct->options.base,
-        .clock = direct->options.clock,
-        .random = direct->options.random,
-        .counters = direct->options.counters,
-        .name = direct->name,
-        .incarnation = direct->options.incarnation,
-        .address = settings->links,
-        .keys = &settings->keys,
-        .records = direct->records,
-        .report = on_report,
-        .loads = on_loads,
-        .placed = on_placed,
-        .down = on_down,
-        .strike = on_strike,
-        .want_contexts = on_want_contexts,
-        .contexts = on_contexts,
-        .caught_up = on_peer_caught_up,
-        .store_answers = on_store_answers,
-        .ctx = direct,
-    };
-
-    if (!settings->has_links) {
-        return true;
-    }
-    direct->mesh = mesh_new(&options, err);
-    if (direct->mesh == NULL) {
-        return false;
-    }
-    for (size_t i = 0; i < settings->seed_count; i++) {
-        mesh_add(direct->mesh, &settings->seeds[i]);
-    }
-    return true;
-}
-
-/// Where other routers find this one.
-static void
-announce(struct direct *direct)
-{
-    char text[ADDRESS_TEXT_BYTES];
-
-    if (direct->mesh == NULL) {
-        return;
-    }
-    address_format((const struct sockaddr *)&direct->settings.links.storage,
-                   text);
-    direct->options.store->announce(direct->store, direct->settings.name,
-                                    str_from(text));
-}
-
-static struct admin *
-new_admin(struct direct *direct, const struct address *address,
-          struct err *err)
-{
-    const struct admin_options options = {
-        .base = direct->options.base,
-        .address = *address,
-        .counters = direct->options.counters,
-        .is_ready = is_ready,
-        .status = status_of,
-        .metrics = metrics_of,
-        .ctx = direct,
-    };
-
-    return admin_new(&options, err);
-}
-
 static bool
 listen_all(struct direct *direct, struct err *err)
 {
@@ -668,12 +197,12 @@
     if (direct->callers == NULL) {
         return false;
     }
-    direct->ready = new_admin(direct, &settings->ready, err);
+    direct->ready = metrics_listen(direct, &settings->ready, err);
     if (direct->ready == NULL) {
         return false;
     }
     if (settings->has_metrics) {
-        direct->metrics = new_admin(direct, &settings->metrics, err);
+        direct->metrics = metrics_listen(direct, &settings->metrics, err);
         return direct->metrics != NULL;
     }
     return true;
@@ -691,7 +220,7 @@
     direct->started_ms = clock_ms(options->clock);
     direct->ticked_ms = direct->started_ms;
     direct->records = records_new(&(struct records_options){
-        .changed = on_record,
+        .changed = direct_take_record,
         .ctx = direct,
     });
     direct->endpoints = endpoints_new(&(struct endpoints_options){
@@ -709,14 +238,14 @@
     direct->tick = event_new(options->base, -1, EV_PERSIST, on_tick, direct);
     event_add(direct->tick, &tick);
     direct->name = str_dup(direct->settings.name);
-    if (!listen_all(direct, err) || !start_peers(direct, err)) {
+    if (!listen_all(direct, err) || !peers_start(direct, err)) {
         direct_free(direct);
         return NULL;
     }
     start_contexts(direct);
     direct->store =
         options->store->start(options->store->ctx, direct, direct->records);
-    announce(direct);
+    peers_announce(direct);
     LOG_INFO("event=start name=" STR_FMT " zone=" STR_FMT
              " callers=%s:%u incarnation=%llu",
              STR_ARG(direct->settings.name), STR_ARG(direct->settings.zone),
@@ -909,46 +438,6 @@
     return direct->services;
 }
 
-void
-direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
-                   const struct prefix *prefix)
-{
-    struct message_placed placed = {.endpoint = endpoint->hash};
-
-    if (direct->mesh == NULL || prefix->count < 2 ||
-        prefix->count - 1 > MESSAGE_PARTS_MAX) {
-        return;
-    }
-    placed.count = prefix->count - 1;
-    for (size_t i = 0; i < placed.count; i++) {
-        placed.parts[i].id = prefix->parts[i].id;
-        placed.parts[i].tokens = prefix->parts[i].tokens;
-    }
-    mesh_placed(direct->mesh, &placed);
-}
-
-void
-direct_note_down(struct direct *direct, const struct endpoint *endpoint)
-{
-    if (direct->mesh != NULL) {
-        mesh_down(direct->mesh, endpoint->hash);
-    }
-}
-
-void
-direct_strike(struct direct *direct, uint64_t fingerprint, uint32_t death)
-{
-    if (quarantine_strike(direct->quarantine, fingerprint, death)) {
-        counter_add(direct->options.counters, COUNTER_STRIKES, 1);
-        LOG_INFO("event=strike fingerprint=%016llx death=%08x strikes=%u",
-                 (unsigned long long)fingerprint, death,
-                 quarantine_strikes(direct->quarantine, fingerprint));
-        if (direct->mesh != NULL) {
-            mesh_strike(direct->mesh, fingerprint, death);
-        }
-    }
-}
-
 double
 direct_tokens_per_ms(const struct direct *direct)
 {
@@ -994,11 +483,3 @@
     counter_set(direct->options.counters, COUNTER_IN_FLIGHT,
                 HASH_COUNT(direct->exchanges));
 }
-
-void
-direct_note_latency(struct direct *direct, enum route_kind kind,
-                    int64_t first_ms, int64_t total_ms)
-{
-    histogram_add(&direct->first[kind], first_ms);
-    histogram_add(&direct->total[kind], total_ms);
-}
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -69,3 +69,24 @@
 
 /// 503 with a time to come back, or 502 if the request may have run.
 void exchange_refuse_not_run(struct exchange *exchange, const char *reason);
+
+/// On the router's clock.
+int64_t exchange_now(const struct exchange *exchange);
+
+/// True if the request may run more than once.
+bool exchange_is_repeatable(const struct exchange *exchange);
+
+/// Field lines of the answer; valid until they are changed.
+struct str exchange_fields(struct exchange *exchange);
+
+/// Sets the timer to what is due next: silence or the time limit.
+void exchange_arm_timer(struct exchange *exchange);
+
+/// The answer is whole: passes it on and ends the exchange.
+void exchange_finish(struct exchange *exchange);
+
+/// The answer can be neither completed nor replaced: ends the connection.
+void exchange_break_off(struct exchange *exchange, const char *reason);
+
+/// Ends the exchange without a word.
+void exchange_free(struct exchange *exchange);
--- /dev/null
+++ b/direct/peers.c
@@ -0,0 +1,225 @@
+/// What this router tells the others, and what it takes from them.
+#include "contexts.h"
+#include "core/prefix.h"
+#include "dandelionvalve/quarantine.h"
+#include "direct_private.h"
+#include "direct_state.h"
+#include "endpoints.h"
+#include "mesh.h"
+#include "net/log.h"
+
+#define LOG_MODULE "peers"
+
+/// Loads that have changed since the peers were told, and those in flight:
+/// a peer takes an old report for gone.
+static size_t
+on_report(void *ctx, struct message_load *items, size_t max)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints_first(direct->endpoints);
+         endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
+        if (endpoint->in_flight == 0 && endpoint->told_in_flight == 0) {
+            continue;
+        }
+        endpoint->told_in_flight = endpoint->in_flight;
+        items[count++] = (struct message_load){
+            .endpoint = endpoint->hash,
+            .in_flight = endpoint->in_flight,
+            .backlog_tokens = (uint32_t)endpoint->backlog_tokens,
+        };
+    }
+    return count;
+}
+
+static void
+on_loads(void *ctx, uint64_t peer, const struct message_load *items,
+         size_t count)
+{
+    struct direct *direct = ctx;
+    int64_t now_ms = clock_ms(direct->options.clock);
+
+    for (size_t i = 0; i < count; i++) {
+        struct endpoint *endpoint =
+            endpoints_find_hash(direct->endpoints, items[i].endpoint);
+
+        if (endpoint != NULL) {
+            endpoint_set_peer_load(endpoint, peer, items[i].in_flight,
+                                   items[i].backlog_tokens, now_ms);
+        }
+    }
+}
+
+static void
+on_strike(void *ctx, uint64_t fingerprint, uint32_t death)
+{
+    const struct direct *direct = ctx;
+
+    quarantine_strike(direct->quarantine, fingerprint, death);
+}
+
+static void
+on_peer_caught_up(void *ctx, enum record_topic topic)
+{
+    struct direct *direct = ctx;
+
+    if (topic == RECORDS_ENDPOINTS) {
+        direct->knows_endpoints = true;
+    }
+}
+
+static void
+on_placed(void *ctx, const struct message_placed *placed)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint =
+        endpoints_find_hash(direct->endpoints, placed->endpoint);
+    struct prefix prefix = {.count = placed->count};
+
+    for (size_t i = 0; i < placed->count; i++) {
+        prefix.parts[i] = (struct prefix_part){
+            .id = placed->parts[i].id,
+            .tokens = placed->parts[i].tokens,
+        };
+    }
+    if (endpoint != NULL) {
+        prefix_belief_note(endpoint->cache, &prefix);
+    }
+}
+
+static void
+on_down(void *ctx, uint64_t hash)
+{
+    struct direct *direct = ctx;
+    struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
+
+    if (endpoint != NULL && !endpoint->eject.trial) {
+        eject_doubt(&endpoint->eject);
+        LOG_INFO("event=endpoint-doubted endpoint=" STR_FMT " service=" STR_FMT
+                 " in_flight=%u "
+                 "reason=\"a peer cannot connect\"",
+                 STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+                 endpoint->in_flight);
+    }
+}
+
+static void
+on_want_contexts(void *ctx, struct link *link)
+{
+    const struct direct *direct = ctx;
+
+    contexts_give(direct->contexts, link);
+}
+
+static void
+on_contexts(void *ctx, const struct message_context *items, size_t count)
+{
+    const struct direct *direct = ctx;
+
+    contexts_take(direct->contexts, items, count);
+}
+
+static bool
+on_store_answers(void *ctx, enum record_topic topic)
+{
+    const struct direct *direct = ctx;
+
+    return direct->store != NULL &&
+           direct->options.store->is_reachable(direct->store, topic);
+}
+
+bool
+peers_start(struct direct *direct, struct err *err)
+{
+    const struct settings_direct *settings = &direct->settings;
+    const struct mesh_options options = {
+        .base = direct->options.base,
+        .clock = direct->options.clock,
+        .random = direct->options.random,
+        .counters = direct->options.counters,
+        .name = direct->name,
+        .incarnation = direct->options.incarnation,
+        .address = settings->links,
+        .keys = &settings->keys,
+        .records = direct->records,
+        .report = on_report,
+        .loads = on_loads,
+        .placed = on_placed,
+        .down = on_down,
+        .strike = on_strike,
+        .want_contexts = on_want_contexts,
+        .contexts = on_contexts,
+        .caught_up = on_peer_caught_up,
+        .store_answers = on_store_answers,
+        .ctx = direct,
+    };
+
+    if (!settings->has_links) {
+        return true;
+    }
+    direct->mesh = mesh_new(&options, err);
+    if (direct->mesh == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        mesh_add(direct->mesh, &settings->seeds[i]);
+    }
+    return true;
+}
+
+/// Where other routers find this one.
+void
+peers_announce(struct direct *direct)
+{
+    char text[ADDRESS_TEXT_BYTES];
+
+    if (direct->mesh == NULL) {
+        return;
+    }
+    address_format((const struct sockaddr *)&direct->settings.links.storage,
+                   text);
+    direct->options.store->announce(direct->store, direct->settings.name,
+                                    str_from(text));
+}
+
+void
+direct_note_placed(struct direct *direct, const struct endpoint *endpoint,
+                   const struct prefix *prefix)
+{
+    struct message_placed placed = {.endpoint = endpoint->hash};
+
+    if (direct->mesh == NULL || prefix->count < 2 ||
+        prefix->count - 1 > MESSAGE_PARTS_MAX) {
+        return;
+    }
+    placed.count = prefix->count - 1;
+    for (size_t i = 0; i < placed.count; i++) {
+        placed.parts[i].id = prefix->parts[i].id;
+        placed.parts[i].tokens = prefix->parts[i].tokens;
+    }
+    mesh_placed(direct->mesh, &placed);
+}
+
+void
+direct_note_down(struct direct *direct, const struct endpoint *endpoint)
+{
+    if (direct->mesh != NULL) {
+        mesh_down(direct->mesh, endpoint->hash);
+    }
+}
+
+void
+direct_strike(struct direct *direct, uint64_t fingerprint, uint32_t death)
+{
+    if (quarantine_strike(direct->quarantine, fingerprint, death)) {
+        counter_add(direct->options.counters, COUNTER_STRIKES, 1);
+        LOG_INFO("event=strike fingerprint=%016llx death=%08x strikes=%u",
+                 (unsigned long long)fingerprint, death,
+                 quarantine_strikes(direct->quarantine, fingerprint));
+        if (direct->mesh != NULL) {
+            mesh_strike(direct->mesh, fingerprint, death);
+        }
+    }
+}
