--- a/tests/properties.cpp
+++ b/tests/properties.cpp
@@ -13,11 +13,16 @@
 #include <sodium.h>
 #include <xxhash.h>
 
+#include "core/events.h"
+#include "core/place.h"
+#include "core/prefix.h"
+#include "core/shed.h"
 #include "dandelionvalve/answer.h"
 #include "dandelionvalve/claim.h"
 #include "dandelionvalve/history.h"
 #include "dandelionvalve/members.h"
 #include "documents.h"
+#include "net/http1.h"
 }
 
 static int passed;
@@ -615,6 +620,249 @@
     members_free(views[1]);
 }
 
+// Whatever the candidates, a usable one is chosen, under the cap if one is; a
+// source keeps more of the prompt than the chosen one and can give it.
+static void
+placement_is_sound()
+{
+    const auto count = *rc::gen::inRange<size_t>(1, 12);
+    const auto routers = *rc::gen::inRange<size_t>(1, 40);
+    struct random_seeded seeded = {*rc::gen::arbitrary<uint64_t>()};
+    struct random_source random = random_seeded_interface(&seeded);
+    std::vector<struct place_candidate> candidates(count);
+    struct place_request request = {};
+    struct place_choice choice = {};
+    bool usable = false;
+    double load = 0;
+    size_t ready = 0;
+
+    request.random = &random;
+    request.has_prompt = *rc::gen::arbitrary<bool>();
+    request.affinity = *rc::gen::arbitrary<uint64_t>();
+    request.shared_tokens = *rc::gen::inRange<uint32_t>(0, 20000);
+    request.prompt_tokens =
+        request.shared_tokens + *rc::gen::inRange<uint32_t>(0, 5000);
+    request.tokens_per_ms = *rc::gen::inRange(4, 500);
+    request.fetched_tokens_per_ms = *rc::gen::inRange(0, 5000);
+    request.cap_factor = 2;
+    request.cap_slack = 3;
+    request.routers = routers;
+    for (auto &candidate : candidates) {
+        candidate.hash = *rc::gen::arbitrary<uint64_t>();
+        candidate.usable = *rc::gen::arbitrary<bool>();
+        candidate.gives = *rc::gen::arbitrary<bool>();
+        candidate.zone = *rc::gen::inRange<uint64_t>(0, 12);
+        candidate.load = *rc::gen::inRange<uint32_t>(0, 100);
+        candidate.slots = *rc::gen::inRange<uint32_t>(1, 65);
+        candidate.backlog_tokens = *rc::gen::inRange(0, 100000);
+        candidate.cached_tokens =
+            *rc::gen::inRange<uint32_t>(0, request.prompt_tokens + 1);
+        usable = usable || candidate.usable;
+        load += candidate.usable ? candidate.load : 0;
+        ready += candidate.usable ? 1 : 0;
+    }
+    RC_ASSERT(place_choose(&request, candidates.data(), count, &choice) ==
+              usable);
+    if (!usable) {
+        return;
+    }
+    RC_ASSERT(choice.index < count && candidates[choice.index].usable);
+    RC_ASSERT(choice.usable == ready);
+    double cap = 2 * load / (double)ready + 3;
+    bool fits = false;
+
+    for (const auto &candidate : candidates) {
+        fits = fits || (candidate.usable && candidate.load == 0);
+    }
+    RC_ASSERT(!fits || candidates[choice.index].load + 1 <= cap);
+    if (choice.source == PLACE_NO_SOURCE) {
+        RC_ASSERT(choice.fetched_tokens == 0);
+        return;
+    }
+    RC_ASSERT(request.has_prompt && request.fetched_tokens_per_ms > 0);
+    RC_ASSERT(choice.source != choice.index);
+    RC_ASSERT(candidates[choice.source].gives);
+    RC_ASSERT(candidates[choice.index].cached_tokens + choice.fetched_tokens ==
+              candidates[choice.source].cached_tokens);
+}
+
+// A belief never exceeds the endpoint's memory, never promises more than the
+// prompt has, and what it tells a peer promises the peer no more than itself.
+static void
+beliefs_are_bounded()
+{
+    const auto memory = *rc::gen::inRange<uint64_t>(1, 20000);
+    const auto count = *rc::gen::inRange<size_t>(1, 60);
+    struct prefix_belief *own = prefix_belief_new(memory);
+    struct prefix_belief *peer = prefix_belief_new(memory);
+    std::vector<struct prefix> prompts(count);
+
+    for (auto &prompt : prompts) {
+        prompt = {};
+        prompt.count = *rc::gen::inRange<size_t>(1, 5);
+        for (size_t i = 0; i < prompt.count; i++) {
+            prompt.parts[i].id = *rc::gen::inRange<uint64_t>(0, 8);
+            prompt.parts[i].tokens = *rc::gen::inRange<uint32_t>(1, 3000);
+        }
+        if (*rc::gen::arbitrary<bool>()) {
+            prefix_belief_note(own, &prompt);
+        }
+        else {
+            prefix_belief_note_part(own, prompt.parts[0].id,
+                                    prompt.parts[0].tokens);
+        }
+        RC_ASSERT(prefix_belief_tokens(own) <= memory);
+    }
+    prefix_belief_each(
+        own,
+        [](void *ctx, uint64_t key, uint32_t tokens) {
+            prefix_belief_restore((struct prefix_belief *)ctx, key, tokens);
+        },
+        peer);
+    RC_ASSERT(prefix_belief_tokens(peer) <= prefix_belief_tokens(own));
+    for (const auto &prompt : prompts) {
+        uint32_t found = prefix_belief_find(own, &prompt);
+
+        RC_ASSERT(found <= prefix_tokens(&prompt));
+        RC_ASSERT(prefix_belief_find(peer, &prompt) <= found);
+    }
+    prefix_belief_free(own);
+    prefix_belief_free(peer);
+}
+
+// Whatever the delays, the refused share stays within its bounds, and is none
+// again once answers have been quick for long.
+static void
+shedding_is_bounded()
+{
+    const auto steps = *rc::gen::inRange(1, 80);
+    struct shed shed = {};
+    int64_t now_ms = *rc::gen::inRange<int64_t>(0, 1000000);
+
+    for (int i = 0; i < steps; i++) {
+        const auto samples = *rc::gen::inRange(0, 100);
+        const auto delay_ms = *rc::gen::inRange<int64_t>(0, 100000);
+
+        for (int j = 0; j < samples; j++) {
+            if (j % 7 == 6) {
+                shed_note_full(&shed, 300);
+            }
+            else {
+                shed_note(&shed, delay_ms, *rc::gen::inRange(0, 2000));
+            }
+        }
+        now_ms += *rc::gen::inRange<int64_t>(0, 5000);
+        shed_update(&shed, now_ms);
+        RC_ASSERT(shed.share >= 0 && shed.share <= SHED_SHARE_MAX);
+    }
+    for (int i = 0; i < 300; i++) {
+        for (int j = 0; j < 20; j++) {
+            shed_note(&shed, 10, 1000);
+        }
+        now_ms += SHED_STEP_MS;
+        shed_update(&shed, now_ms);
+    }
+    RC_ASSERT(shed.share == 0);
+}
+
+// A stream that arrives in any pieces gives the same whole events.
+static void
+events_survive_any_cut()
+{
+    const auto count = *rc::gen::inRange(1, 12);
+    const std::string ending = *rc::gen::element<std::string>("\n", "\r\n");
+    std::string stream, taken;
+    struct events events;
+    size_t at = 0;
+
+    for (int i = 1; i <= count; i++) {
+        stream += "id: " + std::to_string(i) + ending + "data: " +
+                  std::string((size_t)*rc::gen::inRange(0, 40), 'x') + ending +
+                  ending;
+    }
+    events_init(&events);
+    while (at < stream.size()) {
+        size_t piece = *rc::gen::inRange<size_t>(1, 30);
+        size_t len;
+
+        piece = std::min(piece, stream.size() - at);
+        events_add(&events, stream.data() + at, piece);
+        at += piece;
+        const char *bytes = events_take(&events, false, &len);
+
+        taken.append(bytes, len);
+        RC_ASSERT(stream.compare(0, taken.size(), taken) == 0);
+    }
+    RC_ASSERT(taken == stream);
+    RC_ASSERT(
+        str_equal_c(events_last_id(&events), std::to_string(count).c_str()));
+    events_destroy(&events);
+}
+
+struct Answer {
+    std::string body;
+    int heads;
+    int ends;
+};
+
+static void
+take_head(void *ctx)
+{
+    ((Answer *)ctx)->heads++;
+}
+
+static void
+take_body(void *ctx, const char *bytes, size_t len)
+{
+    ((Answer *)ctx)->body.append(bytes, len);
+}
+
+static void
+take_end(void *ctx)
+{
+    ((Answer *)ctx)->ends++;
+}
+
+// An answer that arrives in any pieces is the same answer, and a part of it
+// never looks whole.
+static void
+answers_survive_any_cut()
+{
+    static const struct http1_callbacks callbacks = {take_head, take_body,
+                                                     take_end};
+    const std::string body(*rc::gen::inRange<size_t>(1, 300), 'b');
+    const bool chunked = *rc::gen::arbitrary<bool>();
+    std::string text = "HTTP/1.1 200 OK\r\nA: b\r\n";
+    struct http1 http;
+    Answer answer = {};
+    size_t at = 0;
+
+    if (chunked) {
+        char size[16];
+
+        snprintf(size, sizeof(size), "%zx", body.size());
+        text += "Transfer-Encoding: chunked\r\n\r\n" + std::string(size) +
+                "\r\n" + body + "\r\n0\r\n\r\n";
+    }
+    else {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body;
+    }
+    http1_init(&http, HTTP_RESPONSE, 8192, &callbacks, &answer);
+    while (at < text.size()) {
+        size_t piece = *rc::gen::inRange<size_t>(1, 60);
+
+        RC_ASSERT(answer.ends == 0);
+        piece = std::min(piece, text.size() - at);
+        RC_ASSERT(http1_feed(&http, text.data() + at, piece) == piece);
+        RC_ASSERT(http.error == HTTP1_OK);
+        at += piece;
+    }
+    RC_ASSERT(answer.heads == 1 && answer.ends == 1);
+    RC_ASSERT(answer.body == body);
+    http1_destroy(&http);
+}
+
 int
 main()
 {
@@ -627,6 +875,11 @@
           versions_never_revert_or_diverge);
     check("keys run at most once", keys_run_at_most_once);
     check("members converge", members_converge);
+    check("placement is sound", placement_is_sound);
+    check("beliefs are bounded", beliefs_are_bounded);
+    check("shedding is bounded", shedding_is_bounded);
+    check("events survive any cut", events_survive_any_cut);
+    check("answers survive any cut", answers_survive_any_cut);
     printf("properties: %d passed, %d failed\n", passed, failed);
     return failed == 0 ? 0 : 1;
 }
