ctl: status asks direct routers; a router says why an endpoint is out

dvctl knew only daemons of a list of VMs; dvdirect keeps none on its platform. Its status now has the version, whether the store answers, routers linked, and of each endpoint load, failures and why nothing new goes there; the metrics address has the share that is refused of each service. Tests: operator, status.

--- a/ctl/fleet.c
+++ b/ctl/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -54,7 +55,7 @@
 }
 
 static void
-ask(struct fleet *fleet, const struct platform_vm *vm)
+ask(struct fleet *fleet, struct str name, bool router, struct str admin)
 {
     struct member *member = &fleet->members[fleet->count++];
     struct endpoint_options endpoint = {
@@ -72,10 +73,10 @@
     struct err err = {0};
 
     member->fleet = fleet;
-    member->name = str_dup(vm->name);
-    member->router = vm->role == PLATFORM_ROLE_ROUTER;
+    member->name = str_dup(name);
+    member->router = router;
     member->body = evbuffer_new();
-    if (!address_parse(vm->admin, &endpoint.address, &err)) {
+    if (!address_parse(admin, &endpoint.address, &err)) {
         return;
     }
     member->endpoint = endpoint_new(&endpoint);
@@ -93,7 +94,8 @@
     fleet->listed = ok && vms != NULL;
     fleet->members = xcalloc(count, sizeof(*fleet->members));
     for (size_t i = 0; fleet->listed && i < count; i++) {
-        ask(fleet, &vms[i]);
+        ask(fleet, vms[i].name, vms[i].role == PLATFORM_ROLE_ROUTER,
+            vms[i].admin);
     }
     if (fleet->open == 0) {
         event_base_loopbreak(fleet->base);
@@ -138,28 +140,62 @@
     event_base_loopbreak(ctx);
 }
 
-bool
-fleet_ask(struct event_base *base, struct platform *platform,
-          int64_t wanted_version, FILE *out, struct fleet_count *count)
+/// Waits for the answers, counts and prints them.
+static void
+collect(struct fleet *fleet, int64_t wanted_version, FILE *out,
+        struct fleet_count *count)
 {
     static const struct timeval limit = {.tv_sec = TIMEOUT_MS / 1000};
-    struct fleet fleet = {.base = base};
-    struct event *timer;
+    struct event *timer = event_new(fleet->base, -1, 0, on_limit, fleet->base);
 
     *count = (struct fleet_count){0};
-    platform_vms(platform, -1, on_vms, &fleet);
-    timer = event_new(base, -1, 0, on_limit, base);
     event_add(timer, &limit);
-    event_base_dispatch(base);
+    event_base_dispatch(fleet->base);
     event_free(timer);
-    for (size_t i = 0; i < fleet.count; i++) {
-        struct member *member = &fleet.members[i];
+    for (size_t i = 0; i < fleet->count; i++) {
+        struct member *member = &fleet->members[i];
 
         count_member(member, wanted_version, out, count);
         endpoint_free(member->endpoint);
         evbuffer_free(member->body);
         free(member->name);
     }
-    free(fleet.members);
+    free(fleet->members);
+}
+
+bool
+fleet_ask(struct event_base *base, struct platform *platform,
+          int64_t wanted_version, FILE *out, struct fleet_count *count)
+{
+    struct fleet fleet = {.base = base};
+
+    platform_vms(platform, -1, on_vms, &fleet);
+    collect(&fleet, wanted_version, out, count);
     return fleet.listed;
 }
+
+bool
+fleet_ask_routers(struct event_base *base, struct str addresses, FILE *out,
+                  struct fleet_count *count, struct err *err)
+{
+    struct fleet fleet = {.base = base};
+    struct address address;
+    size_t from = 0;
+    bool valid = true;
+
+    fleet.members = xcalloc(addresses.len + 1, sizeof(*fleet.members));
+    while (valid && from < addresses.len) {
+        const char *start = addresses.data + from;
+        const char *comma = memchr(start, ',', addresses.len - from);
+        struct str one = {start, comma != NULL ? (size_t)(comma - start)
+                                               : addresses.len - from};
+
+        valid = address_parse(one, &address, err);
+        if (valid) {
+            ask(&fleet, one, true, one);
+        }
+        from += one.len + 1;
+    }
+    collect(&fleet, 0, out, count);
+    return valid;
+}
--- a/ctl/fleet.h
+++ b/ctl/fleet.h
@@ -6,6 +6,9 @@
 #include <stdint.h>
 #include <stdio.h>
 
+#include "dandelionvalve/err.h"
+#include "dandelionvalve/str.h"
+
 struct event_base;
 struct platform;
 
@@ -20,3 +23,8 @@
 /// it is not NULL. False if the list cannot be read.
 bool fleet_ask(struct event_base *base, struct platform *platform,
                int64_t wanted_version, FILE *out, struct fleet_count *count);
+
+/// Asks the routers whose status addresses are given, separated by commas.
+/// False with `err` set if one of them is no address.
+bool fleet_ask_routers(struct event_base *base, struct str addresses,
+                       FILE *out, struct fleet_count *count, struct err *err);
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -33,6 +33,7 @@
     struct platform *platform;
     struct counters counters;
     char *platform_text;
+    char *routers; ///< status addresses, separated by commas; NULL: none
     char *environment;
     char *author;
     char *file;
@@ -347,6 +348,24 @@
     return status;
 }
 
+/// Routers that are in no list, such as those on a platform without one.
+static int
+print_routers(const char *addresses)
+{
+    struct event_base *base = event_base_new();
+    struct fleet_count count;
+    struct err err = {0};
+    bool valid =
+        fleet_ask_routers(base, str_from(addresses), stdout, &count, &err);
+
+    event_base_free(base);
+    if (!valid) {
+        return fail(&err);
+    }
+    printf("%zu routers asked, %zu answered\n", count.routers, count.answered);
+    return count.answered == count.routers ? EXIT_IN_FORCE : EXIT_NOT_DONE;
+}
+
 static int
 command_status(struct ctl *ctl)
 {
@@ -420,6 +439,9 @@
         if (strcmp(name, commands[i].name) != 0) {
             continue;
         }
+        if (ctl->routers != NULL && commands[i].run == command_status) {
+            return print_routers(ctl->routers);
+        }
         if (commands[i].offline) {
             return commands[i].run(ctl);
         }
@@ -489,6 +511,8 @@
         {"config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE"},
         {"platform", 'p', POPT_ARG_STRING, &ctl.platform_text, 0,
          "address of the platform's log", "ADDRESS"},
+        {"routers", 'r', POPT_ARG_STRING, &ctl.routers, 0,
+         "for status: ask these routers' status addresses", "ADDRESS,..."},
         {"environment", 'e', POPT_ARG_STRING, &ctl.environment, 0,
          "environment, by default production", "NAME"},
         {"author", 'a', POPT_ARG_STRING, &ctl.author, 0,
@@ -553,6 +577,7 @@
 out:
     free(config);
     free(ctl.platform_text);
+    free(ctl.routers);
     free(ctl.environment);
     free(ctl.author);
     free(ctl.file);
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -2,12 +2,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <jansson.h>
+
 #include "core/xmalloc.h"
 #include "daemon/admin.h"
 #include "direct_private.h"
 #include "direct_state.h"
 #include "endpoints.h"
 #include "mesh.h"
+#include "services.h"
 
 static bool
 is_ready(void *ctx, const char **why)
@@ -21,18 +24,68 @@
     return direct_is_ready(direct);
 }
 
+/// Why nothing new goes to an endpoint, or less than usual.
+static const char *
+trouble_of(const struct endpoint *endpoint, int64_t now_ms)
+{
+    if (endpoint->state == ENDPOINT_DRAINING) {
+        return "draining";
+    }
+    if (endpoint->lapse_ms > 0) {
+        return "lapsed";
+    }
+    if (now_ms < endpoint->eject.until_ms) {
+        return "ejected";
+    }
+    return endpoint->eject.trial ? "on trial" : "none";
+}
+
+static json_t *
+status_of_endpoint(const struct endpoint *endpoint, int64_t now_ms)
+{
+    return json_pack(
+        "{s:s%,s:s%,s:s%,s:s,s:i,s:i,s:f}", "id", endpoint->id.data,
+        endpoint->id.len, "service", endpoint->service.data,
+        endpoint->service.len, "zone", endpoint->zone.data, endpoint->zone.len,
+        "trouble", trouble_of(endpoint, now_ms), "in_flight",
+        (int)endpoint->in_flight, "load", (int)endpoint_load(endpoint, now_ms),
+        "failure_share", endpoint->eject.share);
+}
+
+static bool
+store_answers(const struct direct *direct, enum record_topic topic)
+{
+    return direct->store != NULL &&
+           direct->options.store->is_reachable(direct->store, topic);
+}
+
 static char *
 status_of(void *ctx)
 {
     const struct direct *direct = ctx;
+    const struct endpoint *endpoint;
+    int64_t now_ms = clock_ms(direct->options.clock);
+    json_t *endpoints = json_array();
+    json_t *root;
+    char *text;
 
-    return xasprintf(
-        "{\"version\":%lld,\"endpoints\":%zu,\"requests\":%u,"
-        "\"draining\":%s}\n",
-        direct->catalog != NULL ? (long long)catalog_version(direct->catalog)
-                                : -1,
-        endpoints_count(direct->endpoints), HASH_COUNT(direct->exchanges),
-        direct->draining ? "true" : "false");
+    for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        json_array_append_new(endpoints, status_of_endpoint(endpoint, now_ms));
+    }
+    root = json_pack(
+        "{s:I,s:b,s:b,s:i,s:i,s:{s:b,s:b},s:o}", "version",
+        direct->catalog != NULL ? (json_int_t)catalog_version(direct->catalog)
+                                : (json_int_t)-1,
+        "ready", direct_is_ready(direct), "draining", direct->draining,
+        "requests", (int)HASH_COUNT(direct->exchanges), "routers_linked",
+        (int)(direct->mesh != NULL ? mesh_count(direct->mesh) : 0),
+        "store_answers", "configuration",
+        store_answers(direct, RECORDS_CONFIGURATION), "endpoints",
+        store_answers(direct, RECORDS_ENDPOINTS), "endpoints", endpoints);
+    text = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return text != NULL ? text : xstrdup("{}");
 }
 
 static char *
@@ -67,6 +120,7 @@
                 STR_ARG(endpoint->id),
                 eject_is_out(&endpoint->eject, now_ms, 0));
     }
+    services_print(direct->services, out);
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
             direct->mesh != NULL ? mesh_count(direct->mesh) : 0,
             direct->catalog != NULL);
--- a/direct/services.c
+++ b/direct/services.c
@@ -187,6 +187,29 @@
     }
 }
 
+void
+services_print(const struct services *services, FILE *out)
+{
+    const struct service *service;
+
+    for (service = services->all; service != NULL;
+         service = service->hh.next) {
+        for (uint32_t priority = 0; priority < PRIORITIES; priority++) {
+            const struct shed *shed = &service->urgencies[priority].shed;
+
+            if (shed->share > 0 || shed->delay > 0) {
+                fprintf(out,
+                        "service_shed_share{service=\"" STR_FMT
+                        "\",priority=\"%u\"} %.3f\n"
+                        "service_delay{service=\"" STR_FMT
+                        "\",priority=\"%u\"} %.3f\n",
+                        STR_ARG(service->name), priority, shed->share,
+                        STR_ARG(service->name), priority, shed->delay);
+            }
+        }
+    }
+}
+
 void
 services_tick(struct services *services)
 {
--- a/direct/services.h
+++ b/direct/services.h
@@ -5,6 +5,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include "core/shed.h"
 #include "dandelionvalve/clock.h"
@@ -36,6 +37,9 @@
 bool services_is_late(struct services *services, struct str route,
                       int64_t deadline_ms, int64_t objective_ms);
 
+/// Writes the shares that are refused, for the metrics address.
+void services_print(const struct services *services, FILE *out);
+
 /// Ends the steps that are due, logs what has changed, and forgets what was
 /// not used for long.
 void services_tick(struct services *services);
--- a/tests/main.c
+++ b/tests/main.c
@@ -14,26 +14,16 @@
     const char *name;
     void (*add)(void);
 } suites[] = {
-    {"message", suite_message},
-    {"conf", suite_conf},
-    {"history", suite_history},
-    {"members", suite_members},
-    {"gate", suite_gate},
-    {"route", suite_route},
-    {"policies", suite_policies},
-    {"claim", suite_claim},
-    {"orders", suite_orders},
-    {"settings", suite_settings},
-    {"requests", suite_requests},
-    {"failures", suite_failures},
-    {"shutdown", suite_shutdown},
-    {"catalog", suite_catalog},
-    {"records", suite_records},
-    {"place", suite_place},
-    {"shed", suite_shed},
-    {"wire", suite_wire},
-    {"direct", suite_direct},
-    {"direct-store", suite_direct_store},
+    {"message", suite_message},   {"conf", suite_conf},
+    {"history", suite_history},   {"members", suite_members},
+    {"gate", suite_gate},         {"route", suite_route},
+    {"policies", suite_policies}, {"claim", suite_claim},
+    {"orders", suite_orders},     {"settings", suite_settings},
+    {"requests", suite_requests}, {"failures", suite_failures},
+    {"shutdown", suite_shutdown}, {"catalog", suite_catalog},
+    {"records", suite_records},   {"place", suite_place},
+    {"shed", suite_shed},         {"wire", suite_wire},
+    {"direct", suite_direct},     {"direct-store", suite_direct_store},
 };
 
 static bool
--- a/tests/operator.sh
+++ b/tests/operator.sh
@@ -49,6 +49,10 @@
 ctl 0 "accepted" history
 ctl 0 "3 routers and 2 agents listed, 5 answered" status
 
+ctl 0 "1 routers asked, 1 answered" --routers "$NET.201:9000" status
+ctl 1 "no answer" --routers "$NET.201:9000,127.0.0.1:9" status
+ctl 2 "127.0.0.1" --routers "127.0.0.1" status
+
 # Two operators at once: one wins, the other is told.
 "$BUILD/dvctl" --platform "$NET.1:7000" publish "$(variant 12)" \
   >"$DIR/a.out" 2>&1 &
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -5,9 +5,11 @@
 #include <string.h>
 
 #include <CUnit/CUnit.h>
+#include <event2/buffer.h>
 
 #include "core/eject.h"
 #include "direct_harness.h"
+#include "net/endpoint.h"
 #include "suites.h"
 
 #define BODY_BYTES 40000
@@ -771,6 +773,72 @@
     direct_harness_stop(&harness);
 }
 
+/// What GET /status of a router has said so far.
+struct status {
+    char text[8192];
+    size_t len;
+    bool ended;
+};
+
+static void
+on_status_data(void *ctx, struct evbuffer *data)
+{
+    struct status *status = ctx;
+    int len = evbuffer_remove(data, status->text + status->len,
+                              sizeof(status->text) - 1 - status->len);
+
+    status->len += len > 0 ? (size_t)len : 0;
+}
+
+static void
+on_status_end(void *ctx, enum endpoint_end end)
+{
+    struct status *status = ctx;
+
+    CU_ASSERT(end == ENDPOINT_WHOLE);
+    status->ended = true;
+}
+
+static bool
+status_ended(void *ctx)
+{
+    return ((struct status *)ctx)->ended;
+}
+
+/// Operators see what a router has in force and why an endpoint is out.
+static void
+test_status(void)
+{
+    struct direct_harness harness;
+    struct status status = {0};
+    const struct endpoint_call_options call = {
+        .method = STR_LITERAL("GET"),
+        .uri = STR_LITERAL("/status"),
+        .body = STR_LITERAL(""),
+        .data = on_status_data,
+        .end = on_status_end,
+        .ctx = &status,
+    };
+    struct endpoint *admin;
+
+    start(&harness, 2);
+    drain_endpoint(&harness, 1);
+    admin = endpoint_new(&(struct endpoint_options){
+        .base = harness.base,
+        .address = direct_ready_address(harness.routers[0]),
+        .header_bytes_max = 8192,
+    });
+    CU_ASSERT_FATAL(endpoint_call(admin, &call) != NULL);
+    CU_ASSERT(direct_harness_wait(&harness, status_ended, &status, 2000));
+    CU_ASSERT(strstr(status.text, "\"ready\":true") != NULL);
+    CU_ASSERT(strstr(status.text, "\"endpoints\":true") != NULL);
+    CU_ASSERT(strstr(status.text, "\"id\":\"e-0\"") != NULL);
+    CU_ASSERT(strstr(status.text, "\"trouble\":\"draining\"") != NULL);
+    CU_ASSERT(strstr(status.text, "\"trouble\":\"none\"") != NULL);
+    endpoint_free(admin);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_direct(void)
 {
@@ -795,6 +863,7 @@
     CU_add_test(suite, "stop in the middle", test_stop_in_the_middle);
     CU_add_test(suite, "kept connections", test_kept_connections);
     CU_add_test(suite, "stated load", test_stated_load);
+    CU_add_test(suite, "status", test_status);
     CU_add_test(suite, "contexts are fetched", test_contexts_are_fetched);
     CU_add_test(suite, "contexts from a peer", test_contexts_from_a_peer);
     CU_add_test(suite, "contexts after power loss",
