--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -440,6 +440,32 @@
     evbuffer_free(out);
 }
 
+static void
+log_offer(const struct exchange *exchange,
+          const struct endpoints_choice *choice, uint32_t cached)
+{
+    const struct endpoint *endpoint = choice->endpoint;
+    const struct endpoint *source = choice->source;
+    const struct place_choice *place = &choice->place;
+    int64_t now_ms = exchange->offered_ms;
+
+    LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
+             " reason=%s context=%08x in_flight=%u load=%u told_ms=%lld "
+             "mean=%.1f usable=%zu cached=%u unread=%u source=" STR_FMT
+             " fetched=%u predicted_ms=%.0f left_ms=%lld version=%lld "
+             "offer=%zu",
+             exchange->id, STR_ARG(exchange->route->name),
+             STR_ARG(endpoint->id), place_reason_name(place->reason),
+             (uint32_t)prefix_affinity(&exchange->facts.prefix),
+             endpoint->in_flight, endpoint_load(endpoint, now_ms),
+             (long long)endpoint_told_age_ms(endpoint, now_ms),
+             place->mean_load, place->usable, cached, exchange->unread_tokens,
+             STR_ARG(source != NULL ? source->id : (struct str){0}),
+             place->fetched_tokens, place->first_ms,
+             (long long)(exchange->limit_ms - now_ms),
+             (long long)catalog_version(exchange->catalog), exchange->offers);
+}
+
 void
 attempt_start(struct exchange *exchange, const struct endpoints_choice *choice)
 {
@@ -467,19 +493,7 @@
     exchange->delay_noted = exchange->answering;
     exchange->offered_ms = exchange_now(exchange);
     exchange->progress_ms = exchange->offered_ms;
-    LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
-             " reason=%s context=%08x load=%u mean=%.1f usable=%zu cached=%u "
-             "unread=%u source=" STR_FMT " fetched=%u "
-             "predicted_ms=%.0f left_ms=%lld version=%lld offer=%zu",
-             exchange->id, STR_ARG(exchange->route->name),
-             STR_ARG(endpoint->id), place_reason_name(place->reason),
-             (uint32_t)prefix_affinity(&exchange->facts.prefix),
-             endpoint->in_flight, place->mean_load, place->usable, cached,
-             exchange->unread_tokens,
-             STR_ARG(source != NULL ? source->id : (struct str){0}),
-             place->fetched_tokens, place->first_ms,
-             (long long)(exchange->limit_ms - exchange->offered_ms),
-             (long long)catalog_version(exchange->catalog), exchange->offers);
+    log_offer(exchange, choice, cached);
     counter_add(direct_counters(exchange->direct), COUNTER_OFFERS, 1);
     send_request(exchange, endpoint, source);
     if (exchange->channel == NULL) {
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -264,6 +264,19 @@
     endpoint->hidden_ms = now_ms;
 }
 
+int64_t
+endpoint_told_age_ms(const struct endpoint *endpoint, int64_t now_ms)
+{
+    int64_t newest_ms = INT64_MIN;
+
+    for (size_t i = 0; i < endpoint->peer_count; i++) {
+        if (endpoint->peers[i].told_ms > newest_ms) {
+            newest_ms = endpoint->peers[i].told_ms;
+        }
+    }
+    return newest_ms == INT64_MIN ? -1 : now_ms - newest_ms;
+}
+
 static double
 backlog(const struct endpoint *endpoint, int64_t now_ms)
 {
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -138,6 +138,9 @@
 void endpoint_note_held(struct endpoint *endpoint, uint32_t held,
                         int64_t now_ms);
 
+/// Milliseconds since a peer last told of its load there; -1: never.
+int64_t endpoint_told_age_ms(const struct endpoint *endpoint, int64_t now_ms);
+
 void endpoint_set_peer_load(struct endpoint *endpoint, uint64_t peer,
                             uint32_t in_flight, uint32_t backlog_tokens,
                             int64_t now_ms);
