--- a/ctl/main.c
+++ b/ctl/main.c
@@ -500,6 +500,27 @@
     toml_free(doc);
 }
 
+static void
+set_defaults(struct ctl *ctl)
+{
+    if (ctl->environment == NULL) {
+        ctl->environment = xstrdup("production");
+    }
+    if (ctl->author == NULL) {
+        ctl->author = xstrdup("unknown");
+    }
+}
+
+static void
+ctl_destroy(struct ctl *ctl)
+{
+    free(ctl->platform_text);
+    free(ctl->routers);
+    free(ctl->environment);
+    free(ctl->author);
+    free(ctl->file);
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -564,23 +585,14 @@
     if (poptPeekArg(context) != NULL) {
         ctl.file = xstrdup(poptGetArg(context));
     }
-    if (ctl.environment == NULL) {
-        ctl.environment = xstrdup("production");
-    }
-    if (ctl.author == NULL) {
-        ctl.author = xstrdup("unknown");
-    }
+    set_defaults(&ctl);
     if (sodium_init() < 0) {
         BUG("libsodium cannot be initialised");
     }
     status = run_command(&ctl, name);
 out:
     free(config);
-    free(ctl.platform_text);
-    free(ctl.routers);
-    free(ctl.environment);
-    free(ctl.author);
-    free(ctl.file);
+    ctl_destroy(&ctl);
     poptFreeContext(context);
     return status;
 }
--- a/measure/claims.c
+++ b/measure/claims.c
@@ -10,7 +10,7 @@
 
 #include "core/xmalloc.h"
 #include "dandelionvalve/claim.h"
-#include "events.h"
+#include "timeline.h"
 
 #define AGENTS 3
 #define APPEND_DELAY_US 5000
@@ -46,7 +46,7 @@
     struct clock clock;
     struct random_seeded seeded;
     struct random_source random;
-    struct events *events;
+    struct timeline *events;
     struct agent agents[AGENTS];
     char **log;
     int64_t end;
@@ -61,12 +61,12 @@
 add_event(struct bench *bench, int64_t delay_us, int type, int agent,
           void *data)
 {
-    events_add(bench->events, (struct timed_event){
-                                  .at_us = bench->manual.now_us + delay_us,
-                                  .type = type,
-                                  .a = agent,
-                                  .data = data,
-                              });
+    timeline_add(bench->events, (struct timed_event){
+                                    .at_us = bench->manual.now_us + delay_us,
+                                    .type = type,
+                                    .a = agent,
+                                    .data = data,
+                                });
 }
 
 static void
@@ -179,7 +179,7 @@
     bench->clock = manual_clock_interface(&bench->manual);
     bench->seeded.state = options->seed;
     bench->random = random_seeded_interface(&bench->seeded);
-    bench->events = events_new();
+    bench->events = timeline_new();
     bench->bookings = (size_t)(bench->rate * SECONDS);
     bench->all = xcalloc(bench->bookings, sizeof(*bench->all));
     bench->waits = xcalloc(bench->bookings, sizeof(*bench->waits));
@@ -226,7 +226,7 @@
     free(bench->log);
     free(bench->all);
     free(bench->waits);
-    events_free(bench->events);
+    timeline_free(bench->events);
     return appends;
 }
 
@@ -239,7 +239,7 @@
     size_t runs;
 
     start(&bench, options);
-    while (events_next(bench.events, &event)) {
+    while (timeline_next(bench.events, &event)) {
         bench.manual.now_us = event.at_us;
         handle(&bench, &event);
     }
--- a/measure/control.c
+++ b/measure/control.c
@@ -8,7 +8,7 @@
 
 #include "core/xmalloc.h"
 #include "dandelionvalve/gossip.h"
-#include "events.h"
+#include "timeline.h"
 
 #define BYTES_PER_S 3000
 #define TICK_US 50000
@@ -44,7 +44,7 @@
     struct clock clock;
     struct random_seeded seeded;
     struct random_source random;
-    struct events *events;
+    struct timeline *events;
     struct daemon *daemons;
     size_t count;
     struct str document;
@@ -60,13 +60,13 @@
     memcpy(copy->data, datagram.data, datagram.len);
     copy->len = datagram.len;
     copy->from = daemon->index;
-    events_add(daemon->bench->events,
-               (struct timed_event){
-                   .at_us = daemon->bench->manual.now_us + DELAY_US,
-                   .type = EVENT_DATAGRAM,
-                   .a = atoi(address.data),
-                   .data = copy,
-               });
+    timeline_add(daemon->bench->events,
+                 (struct timed_event){
+                     .at_us = daemon->bench->manual.now_us + DELAY_US,
+                     .type = EVENT_DATAGRAM,
+                     .a = atoi(address.data),
+                     .data = copy,
+                 });
 }
 
 static bool
@@ -177,12 +177,12 @@
     }
     for (size_t i = 0; i < bench->count; i++) {
         gossip_set_peers(bench->daemons[i].gossip, peers, bench->count);
-        events_add(bench->events,
-                   (struct timed_event){
-                       .at_us = (int64_t)random_below(&bench->random, TICK_US),
-                       .type = EVENT_TICK,
-                       .a = (int)i,
-                   });
+        timeline_add(bench->events, (struct timed_event){
+                                        .at_us = (int64_t)random_below(
+                                            &bench->random, TICK_US),
+                                        .type = EVENT_TICK,
+                                        .a = (int)i,
+                                    });
     }
     free(addresses);
     free(peers);
@@ -197,10 +197,10 @@
 
     if (event->type == EVENT_TICK) {
         gossip_tick(daemon->gossip);
-        events_add(bench->events,
-                   (struct timed_event){.at_us = event->at_us + TICK_US,
-                                        .type = EVENT_TICK,
-                                        .a = event->a});
+        timeline_add(bench->events,
+                     (struct timed_event){.at_us = event->at_us + TICK_US,
+                                          .type = EVENT_TICK,
+                                          .a = event->a});
         return;
     }
     snprintf(from, sizeof(from), "%d", datagram->from);
@@ -265,7 +265,7 @@
     bench.document = (struct str){document, document_bytes};
     bench.clock = manual_clock_interface(&bench.manual);
     bench.random = random_seeded_interface(&bench.seeded);
-    bench.events = events_new();
+    bench.events = timeline_new();
     bench.daemons = xcalloc(count, sizeof(*bench.daemons));
     for (size_t i = 0; i < count; i++) {
         start_daemon(&bench, i);
@@ -278,7 +278,7 @@
                      AGENT_LEAVING);
     bench.daemons[0].knows_strike = true;
     gossip_tell_strike(bench.daemons[0].gossip, 1234567890123, 1);
-    while (events_next(bench.events, &event) && event.at_us < LIMIT_US) {
+    while (timeline_next(bench.events, &event) && event.at_us < LIMIT_US) {
         bench.manual.now_us = event.at_us;
         handle(&bench, &event);
         if (event.at_us >= next_note_us) {
@@ -301,7 +301,7 @@
         (double)bytes / (double)count / ((double)bench.manual.now_us / 1e6);
     spread.cpu_us =
         (double)(clock() - start) * 1e6 / CLOCKS_PER_SEC / (double)datagrams;
-    while (events_next(bench.events, &event)) {
+    while (timeline_next(bench.events, &event)) {
         struct datagram *datagram = event.data;
 
         if (datagram != NULL) {
@@ -309,7 +309,7 @@
             free(datagram);
         }
     }
-    events_free(bench.events);
+    timeline_free(bench.events);
     free(bench.daemons);
     free(document);
     return spread;
--- a/measure/crowd.c
+++ b/measure/crowd.c
@@ -8,7 +8,7 @@
 
 #include "core/xmalloc.h"
 #include "dandelionvalve/gate.h"
-#include "events.h"
+#include "timeline.h"
 
 #define CROWD 50000
 #define GATES 20
@@ -28,7 +28,7 @@
     struct clock clock;
     struct random_seeded seeded;
     struct random_source random;
-    struct events *events;
+    struct timeline *events;
     struct gate *gates[GATES];
     bool spread; ///< false: a fixed Retry-After, as a baseline
     uint32_t arrivals[SECONDS + 1];
@@ -40,11 +40,11 @@
 static void
 add_event(struct bench *bench, int64_t delay_us, int type, int gate)
 {
-    events_add(bench->events, (struct timed_event){
-                                  .at_us = bench->manual.now_us + delay_us,
-                                  .type = type,
-                                  .a = gate,
-                              });
+    timeline_add(bench->events, (struct timed_event){
+                                    .at_us = bench->manual.now_us + delay_us,
+                                    .type = type,
+                                    .a = gate,
+                                });
 }
 
 static void
@@ -125,7 +125,7 @@
     bench->seeded.state = options->seed;
     bench->clock = manual_clock_interface(&bench->manual);
     bench->random = random_seeded_interface(&bench->seeded);
-    bench->events = events_new();
+    bench->events = timeline_new();
     for (int i = 0; i < GATES; i++) {
         const struct gate_options gate = {
             .clock = &bench->clock,
@@ -178,7 +178,7 @@
 
     bench = (struct bench){.spread = spread};
     start(&bench, options);
-    while (bench.served < CROWD && events_next(bench.events, &event) &&
+    while (bench.served < CROWD && timeline_next(bench.events, &event) &&
            event.at_us < SECONDS * 1000000LL) {
         bench.manual.now_us = event.at_us;
         handle(&bench, &event);
@@ -197,7 +197,7 @@
     for (int i = 0; i < GATES; i++) {
         gate_free(bench.gates[i]);
     }
-    events_free(bench.events);
+    timeline_free(bench.events);
 }
 
 int
--- a/measure/fleet.c
+++ b/measure/fleet.c
@@ -16,7 +16,7 @@
 #include "dandelionvalve/members.h"
 #include "dandelionvalve/retry.h"
 #include "dandelionvalve/route.h"
-#include "events.h"
+#include "timeline.h"
 #include "key_cache.h"
 
 #define SERVICE_MEAN_US 2000000.0
@@ -115,7 +115,7 @@
     struct random_source random;
     gsl_rng *rng;
     gsl_ran_discrete_t *zipf;
-    struct events *events;
+    struct timeline *events;
     struct engine *engines;
     struct router *routers;
     uint64_t running;
@@ -133,13 +133,13 @@
 add_event(struct fleet *fleet, int64_t delay_us, enum event_type type, int a,
           int b, void *data)
 {
-    events_add(fleet->events, (struct timed_event){
-                                  .at_us = fleet->manual.now_us + delay_us,
-                                  .type = (int)type,
-                                  .a = a,
-                                  .b = b,
-                                  .data = data,
-                              });
+    timeline_add(fleet->events, (struct timed_event){
+                                    .at_us = fleet->manual.now_us + delay_us,
+                                    .type = (int)type,
+                                    .a = a,
+                                    .b = b,
+                                    .data = data,
+                                });
 }
 
 static int64_t
@@ -972,7 +972,7 @@
     }
     fleet->zipf = gsl_ran_discrete_preproc(options->keys, weights);
     free(weights);
-    fleet->events = events_new();
+    fleet->events = timeline_new();
     fleet->hints = xcalloc(options->keys, sizeof(*fleet->hints));
     for (size_t i = 0; i < options->keys; i++) {
         fleet->hints[i] = -1;
@@ -1028,7 +1028,7 @@
         members_free(fleet->routers[i].members);
         route_free(fleet->routers[i].route);
     }
-    events_free(fleet->events);
+    timeline_free(fleet->events);
     gsl_ran_discrete_free(fleet->zipf);
     gsl_rng_free(fleet->rng);
     free(fleet->hints);
@@ -1066,11 +1066,11 @@
     INVARIANT(options->engines <= ENGINES_MAX);
     fleet_start(&fleet);
     fleet_schedule(&fleet);
-    while (events_next(fleet.events, &event)) {
+    while (timeline_next(fleet.events, &event)) {
         // Admissions are counted while callers come, not while the last
         // answers run out.
         if (event.at_us > options->duration_us) {
-            events_add(fleet.events, event);
+            timeline_add(fleet.events, event);
             break;
         }
         fleet.manual.now_us = event.at_us;
--- a/measure/measure.h
+++ b/measure/measure.h
@@ -19,5 +19,6 @@
 int measure_crowd(const struct measure_options *options);
 int measure_claims(const struct measure_options *options);
 int measure_control(const struct measure_options *options);
+int measure_hop(const struct measure_options *options);
 int measure_overload(const struct measure_options *options);
 int measure_slopes(const struct measure_options *options);
--- a/measure/pool.c
+++ b/measure/pool.c
@@ -291,6 +291,7 @@
     pool->random = random_seeded_interface(&pool->seeded);
     for (pool->now_ms = 1; pool->now_ms < options->run_ms; pool->now_ms++) {
         double due = rate_at(options, pool->now_ms) / 1000;
+        size_t whole = (size_t)due;
 
         for (size_t at = 0; at < options->endpoints; at++) {
             end_runs(pool, at);
@@ -302,10 +303,11 @@
             tick(pool);
         }
         come_back(pool);
-        for (; due > 0; due -= 1) {
-            if (random_unit(&pool->random) < due) {
-                ask(pool);
-            }
+        for (size_t i = 0; i < whole; i++) {
+            ask(pool);
+        }
+        if (random_unit(&pool->random) < due - (double)whole) {
+            ask(pool);
         }
     }
     for (size_t at = 0; at < options->endpoints; at++) {
--- a/measure/quarantine.c
+++ b/measure/quarantine.c
@@ -8,7 +8,7 @@
 
 #include "core/xmalloc.h"
 #include "dandelionvalve/quarantine.h"
-#include "events.h"
+#include "timeline.h"
 
 #define ENGINES 20
 #define ROUTERS 6
@@ -50,7 +50,7 @@
     struct clock clock;
     struct random_seeded seeded;
     struct random_source random;
-    struct events *events;
+    struct timeline *events;
     bool enabled;
     struct engine engines[ENGINES];
     struct quarantine *routers[ROUTERS];
@@ -70,13 +70,13 @@
 add_event(struct bench *bench, int64_t delay_us, int type, int a, int b,
           void *data)
 {
-    events_add(bench->events, (struct timed_event){
-                                  .at_us = bench->manual.now_us + delay_us,
-                                  .type = type,
-                                  .a = a,
-                                  .b = b,
-                                  .data = data,
-                              });
+    timeline_add(bench->events, (struct timed_event){
+                                    .at_us = bench->manual.now_us + delay_us,
+                                    .type = type,
+                                    .a = a,
+                                    .b = b,
+                                    .data = data,
+                                });
 }
 
 /// The agent tells its router at once; the others hear it by and by.
@@ -238,7 +238,7 @@
     bench->seeded.state = options->seed;
     bench->clock = manual_clock_interface(&bench->manual);
     bench->random = random_seeded_interface(&bench->seeded);
-    bench->events = events_new();
+    bench->events = timeline_new();
     for (int i = 0; i < ENGINES + ROUTERS; i++) {
         const struct quarantine_options quarantine = {
             .clock = &bench->clock,
@@ -261,12 +261,12 @@
                   NULL);
     }
     add_event(bench, 0, EVENT_INNOCENT, 0, 0, NULL);
-    while (events_next(bench->events, &event) &&
+    while (timeline_next(bench->events, &event) &&
            event.at_us < SECONDS * 1000000LL) {
         bench->manual.now_us = event.at_us;
         handle(bench, &event);
     }
-    while (events_next(bench->events, &event)) {
+    while (timeline_next(bench->events, &event)) {
         if (event.type == EVENT_HEAR) {
             free(event.data);
         }
@@ -280,7 +280,7 @@
     for (int i = 0; i < ROUTERS; i++) {
         quarantine_free(bench->routers[i]);
     }
-    events_free(bench->events);
+    timeline_free(bench->events);
 }
 
 int
--- a/measure/events.c
+++ b/measure/timeline.c
@@ -1,24 +1,24 @@
-#include "events.h"
+#include "timeline.h"
 
 #include <stdlib.h>
 
 #include "core/xmalloc.h"
 
-struct events {
+struct timeline {
     struct timed_event *heap;
     size_t count;
     size_t room;
     uint64_t added;
 };
 
-struct events *
-events_new(void)
+struct timeline *
+timeline_new(void)
 {
-    return xcalloc(1, sizeof(struct events));
+    return xcalloc(1, sizeof(struct timeline));
 }
 
 void
-events_free(struct events *events)
+timeline_free(struct timeline *events)
 {
     free(events->heap);
     free(events);
@@ -41,7 +41,7 @@
 }
 
 void
-events_add(struct events *events, struct timed_event event)
+timeline_add(struct timeline *events, struct timed_event event)
 {
     size_t i = events->count++;
 
@@ -59,7 +59,7 @@
 }
 
 static void
-sift_down(struct events *events)
+sift_down(struct timeline *events)
 {
     size_t i = 0;
 
@@ -81,7 +81,7 @@
 }
 
 bool
-events_next(struct events *events, struct timed_event *event)
+timeline_next(struct timeline *events, struct timed_event *event)
 {
     if (events->count == 0) {
         return false;
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -224,8 +224,7 @@
         }
         direct_harness_start_router(harness, i);
     }
-    CU_ASSERT_FATAL(
-        direct_harness_wait(harness, all_ready, harness, READY_MS));
+    INVARIANT(direct_harness_wait(harness, all_ready, harness, READY_MS));
 }
 
 void
