soak: no two addresses of a fleet get the same port

Cause: ports were found by binding and closing, so that the same one could be given again before its owner had bound it. Ruled out: the router (the port was taken before it started). Ports are now given one after the other, on a loopback address that no connection comes from. Test: reserved ports (fails before).

--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -167,9 +167,8 @@
 static void
 ask_endpoint(struct contexts *contexts, struct endpoint *endpoint)
 {
-    const struct channel_handler handler = {on_head, on_data, on_end, NULL};
-    struct channel_handler own = handler;
     struct query *query = xcalloc(1, sizeof(*query));
+    const struct channel_handler handler = {on_head, on_data, on_end, query};
     struct evbuffer *out = evbuffer_new();
     const struct channel_request request = {.bytes = out};
 
@@ -178,9 +177,8 @@
     query->body = evbuffer_new();
     query->until_ms = clock_ms(contexts->options.clock) + QUERY_MS;
     DL_APPEND(contexts->queries, query);
-    own.ctx = query;
     contexts->options.wire->write_contexts_query(out);
-    query->channel = channel_send(endpoint->pool, &request, &own);
+    query->channel = channel_send(endpoint->pool, &request, &handler);
     evbuffer_free(out);
     if (query->channel == NULL) {
         on_end(query, CHANNEL_UNSENT, "no connection");
--- a/measure/overload.c
+++ b/measure/overload.c
@@ -6,11 +6,6 @@
 
 #include "pool.h"
 
-#define SLOTS 6
-#define WORK_MS 60
-#define ENDPOINTS 3
-/// What the pool can end in a second.
-#define CAPACITY_PER_S (1000.0 / WORK_MS * SLOTS * ENDPOINTS)
 /// Of what the pool can do, this share is to be in time under any excess.
 #define IN_TIME_TARGET 0.70
 /// Below two thirds of the load nothing is refused, but for one in 200.
@@ -19,36 +14,17 @@
 /// Once the excess has been over for 1.5 s, at most this share is refused.
 #define RECOVERED_TARGET 0.05
 
-static struct pool_options
-pool_options_of(const struct measure_options *options, size_t routers,
-                double load, bool shedding)
-{
-    return (struct pool_options){
-        .seed = options->seed,
-        .routers = routers,
-        .endpoints = ENDPOINTS,
-        .slots = SLOTS,
-        .queue = 24,
-        .work_ms = WORK_MS,
-        .objective_ms = 300,
-        .deadline_ms = 1500,
-        .per_s = load * CAPACITY_PER_S,
-        .run_ms = 20000,
-        .report_ms = 430,
-        .shedding = shedding,
-    };
-}
-
 static bool
 print(const struct measure_options *options, size_t routers, double load,
       bool shedding)
 {
-    const struct pool_options pool =
-        pool_options_of(options, routers, load, shedding);
+    struct pool_options pool =
+        pool_plain_service(options->seed, routers, load);
     struct pool_result result;
     double asked, possible, in_time, refused;
     bool missed;
 
+    pool.shedding = shedding;
     pool_run(&pool, &result);
     asked = (double)result.asked;
     possible = load < 1 ? asked : asked / load;
@@ -76,10 +52,11 @@
 static bool
 print_recovery(const struct measure_options *options, size_t routers)
 {
-    struct pool_options pool = pool_options_of(options, routers, 0.5, true);
+    struct pool_options pool = pool_plain_service(options->seed, routers, 0.5);
     struct pool_result whole, before;
 
-    pool.excess_per_s = 3 * CAPACITY_PER_S;
+    pool.shedding = true;
+    pool.excess_per_s = 3 * pool_capacity_per_s(&pool);
     pool.excess_from_ms = 4000;
     pool.excess_until_ms = 8000;
     pool.run_ms = 9500;
@@ -101,11 +78,11 @@
     static const double loads[] = {0.66, 1.2, 2, 5};
     int missed = 0;
 
-    printf("three plain endpoints of %d slots, %d ms a call, objective 300 "
-           "ms; seed %" PRIu64 "\n"
+    printf("three plain endpoints of 6 slots, 60 ms a call, objective 300 ms; "
+           "seed %" PRIu64 "\n"
            "in-time: of what the pool can do; returned: served of those that "
            "came back; full: offers that an endpoint refused\n",
-           SLOTS, WORK_MS, options->seed);
+           options->seed);
     printf("%7s %5s %-9s %8s %8s %8s %9s %9s\n", "routers", "load", "way",
            "in-time", "late", "refused", "returned", "full");
     if (options->csv != NULL) {
--- a/measure/pool.c
+++ b/measure/pool.c
@@ -45,6 +45,33 @@
     int64_t now_ms;
 };
 
+struct pool_options
+pool_plain_service(uint64_t seed, size_t routers, double load)
+{
+    struct pool_options options = {
+        .seed = seed,
+        .routers = routers,
+        .endpoints = 3,
+        .slots = 6,
+        .queue = 24,
+        .work_ms = 60,
+        .objective_ms = 300,
+        .deadline_ms = 1500,
+        .run_ms = 20000,
+        .report_ms = 430,
+    };
+
+    options.per_s = load * pool_capacity_per_s(&options);
+    return options;
+}
+
+double
+pool_capacity_per_s(const struct pool_options *options)
+{
+    return 1000.0 * (double)(options->slots * options->endpoints) /
+           (double)options->work_ms;
+}
+
 static void
 start_run(struct pool *pool, struct request *request)
 {
--- a/measure/pool.h
+++ b/measure/pool.h
@@ -44,4 +44,12 @@
     uint64_t runs; ///< ends of runs, in time or not
 };
 
+/// Three endpoints of six slots, 60 ms a call, objective 300 ms, with `load`
+/// times what they can do for 20 s.
+struct pool_options pool_plain_service(uint64_t seed, size_t routers,
+                                       double load);
+
+/// Calls that the endpoints can end in a second.
+double pool_capacity_per_s(const struct pool_options *options);
+
 void pool_run(const struct pool_options *options, struct pool_result *result);
--- a/standin/ports.c
+++ b/standin/ports.c
@@ -1,13 +1,17 @@
 #include "ports.h"
 
-#include <errno.h>
-#include <string.h>
+#include <stdbool.h>
+#include <stdlib.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/xmalloc.h"
 
+/// Ports that are given one after the other.
+#define PORT_FIRST 10000
+#define PORT_LAST 30000
+
 struct address
 ports_any(void)
 {
@@ -20,17 +24,39 @@
     return address;
 }
 
+/// False if the port is taken.
+static bool
+try_port(struct address *address, unsigned port)
+{
+    // Connections come from 127.0.0.1, so that none can take a port of another
+    // loopback address while its owner is down.
+    unsigned pid = (unsigned)getpid();
+    char *text = xasprintf("127.%u.%u.%u:%u", 64 + (pid >> 16) % 64,
+                           (pid >> 8) % 256, 1 + pid % 250, port);
+    struct err err = {0};
+    bool valid = address_parse(str_from(text), address, &err);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bool taken =
+        bind(fd, (struct sockaddr *)&address->storage, address->len) != 0;
+
+    INVARIANT(valid && fd >= 0);
+    close(fd);
+    free(text);
+    return !taken;
+}
+
 struct address
 ports_free(void)
 {
-    struct address address = ports_any();
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // A port that was given once is not given again, even if its owner has not
+    // bound it yet.
+    static unsigned next = PORT_FIRST;
+    struct address address = {0};
 
-    if (fd < 0 ||
-        bind(fd, (struct sockaddr *)&address.storage, address.len) != 0) {
-        BUG("no free port: %s", strerror(errno));
+    while (next <= PORT_LAST) {
+        if (try_port(&address, next++)) {
+            return address;
+        }
     }
-    address_of_socket(fd, &address);
-    close(fd);
-    return address;
+    BUG("no free port");
 }
--- a/standin/ports.h
+++ b/standin/ports.h
@@ -6,5 +6,6 @@
 /// Any port.
 struct address ports_any(void);
 
-/// A port that is free now, for addresses that must be known beforehand.
+/// A port that is free now and that no connection can take, for addresses that
+/// must be known beforehand.
 struct address ports_free(void);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -7,6 +7,7 @@
 
 #include "core/toml.h"
 #include "daemon/settings.h"
+#include "standin/ports.h"
 #include "suites.h"
 
 #define COMMON                                                                \
@@ -74,6 +75,26 @@
     CU_ASSERT(strstr(err.message, "No such file") != NULL);
 }
 
+/// Soak seed 520: two addresses of the fleet had the same port, since neither
+/// was bound yet when the other was given.
+static void
+test_reserved_ports(void)
+{
+    static bool given[65536];
+    struct address first = ports_free();
+
+    given[first.port] = true;
+    for (int i = 0; i < 2000; i++) {
+        struct address address = ports_free();
+
+        CU_ASSERT(!given[address.port]);
+        CU_ASSERT(!strcmp(address.ip, first.ip));
+        given[address.port] = true;
+    }
+    // Connections come from here, and could take a port whose owner is down.
+    CU_ASSERT(strcmp(first.ip, "127.0.0.1") != 0);
+}
+
 void
 suite_settings(void)
 {
@@ -81,4 +102,5 @@
 
     CU_add_test(suite, "good settings", test_good_settings);
     CU_add_test(suite, "bad settings", test_bad_settings);
+    CU_add_test(suite, "reserved ports", test_reserved_ports);
 }
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -7,40 +7,19 @@
 #include "measure/pool.h"
 #include "suites.h"
 
-#define SLOTS 6
-#define ENDPOINTS 3
-#define WORK_MS 60
-#define CAPACITY_PER_S (1000.0 * SLOTS * ENDPOINTS / WORK_MS)
+#define SEED 3
 #define OBJECTIVE_MS 300
 /// Stated in measure/overload.c as well.
 #define IN_TIME_TARGET 0.70
 
-static struct pool_options
-pool_of(size_t routers, double load, bool shedding)
-{
-    return (struct pool_options){
-        .seed = 3,
-        .routers = routers,
-        .endpoints = ENDPOINTS,
-        .slots = SLOTS,
-        .queue = 24,
-        .work_ms = WORK_MS,
-        .objective_ms = OBJECTIVE_MS,
-        .deadline_ms = 1500,
-        .per_s = load * CAPACITY_PER_S,
-        .run_ms = 20000,
-        .report_ms = 430,
-        .shedding = shedding,
-    };
-}
-
 /// Answers in time, of what the endpoints can do.
 static double
 in_time_share(size_t routers, double load, bool shedding)
 {
-    const struct pool_options options = pool_of(routers, load, shedding);
+    struct pool_options options = pool_plain_service(SEED, routers, load);
     struct pool_result result;
 
+    options.shedding = shedding;
     pool_run(&options, &result);
     return (double)result.in_time /
            ((double)result.asked / (load < 1 ? 1 : load));
@@ -65,9 +44,10 @@
 static void
 test_below_capacity(void)
 {
-    const struct pool_options options = pool_of(31, 0.66, true);
+    struct pool_options options = pool_plain_service(SEED, 31, 0.66);
     struct pool_result result;
 
+    options.shedding = true;
     pool_run(&options, &result);
     CU_ASSERT(result.refused + result.returned <= result.asked / 200);
 }
@@ -77,10 +57,11 @@
 static void
 test_excess_ends(void)
 {
-    struct pool_options options = pool_of(31, 0.5, true);
+    struct pool_options options = pool_plain_service(SEED, 31, 0.5);
     struct pool_result before, whole;
 
-    options.excess_per_s = 3 * CAPACITY_PER_S;
+    options.shedding = true;
+    options.excess_per_s = 3 * pool_capacity_per_s(&options);
     options.excess_from_ms = 4000;
     options.excess_until_ms = 8000;
     options.run_ms = 10000;
