--- a/core/message.c
+++ b/core/message.c
@@ -159,6 +159,8 @@
         [MESSAGE_REACHED] = 2,       [MESSAGE_STRIKE] = 2,
         [MESSAGE_PLACED] = 1,        [MESSAGE_DOWN] = 1,
         [MESSAGE_WANT_CONTEXTS] = 0, [MESSAGE_CONTEXTS] = 1,
+        [MESSAGE_BEATS] = 1,         [MESSAGE_WANT_SMALL] = 2,
+        [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
     };
 
     return counts[type];
@@ -188,6 +190,19 @@
     }
 }
 
+static void
+put_beats(msgpack_packer *packer, const struct message_beat *items,
+          size_t count)
+{
+    msgpack_pack_array(packer, 4 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].id);
+        put_uint(packer, items[i].beat);
+        put_bool(packer, items[i].reads);
+        put_uint(packer, items[i].recovered_age_ms);
+    }
+}
+
 static void
 put_placed(msgpack_packer *packer, const struct message_placed *items,
            size_t count)
@@ -226,6 +241,8 @@
         put_bool(packer, m->known.reads_store);
         return;
     case MESSAGE_WANT:
+    case MESSAGE_WANT_SMALL:
+    case MESSAGE_OVERSIZE:
     case MESSAGE_REACHED:
         put_uint(packer, m->position.topic);
         put_uint(packer, m->position.offset);
@@ -237,6 +254,13 @@
         put_str(packer, m->record.key);
         put_str(packer, m->record.value);
         return;
+    case MESSAGE_PACKED:
+        put_uint(packer, m->packed.topic);
+        put_uint(packer, m->packed.offset);
+        put_str(packer, m->packed.key);
+        put_str(packer, m->packed.value);
+        put_uint(packer, m->packed.value_bytes);
+        return;
     case MESSAGE_PLACED:
         put_placed(packer, m->placed.items, m->placed.count);
         return;
@@ -245,6 +269,9 @@
     case MESSAGE_CONTEXTS:
         put_contexts(packer, m->contexts.items, m->contexts.count);
         return;
+    case MESSAGE_BEATS:
+        put_beats(packer, m->beats.items, m->beats.count);
+        return;
     case MESSAGE_DOWN:
         put_uint(packer, m->down.endpoint);
         return;
@@ -536,6 +563,25 @@
     m->contexts.count = count;
 }
 
+static void
+get_beats(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = begin_groups(cursor, 4, MESSAGE_BEATS_MAX, &fields);
+    struct message_beat *items =
+        allocate(cursor, (count + 1) * sizeof(*items));
+
+    for (size_t i = 0; i < count && items != NULL; i++) {
+        items[i].id = get_uint(&fields, UINT64_MAX);
+        items[i].beat = get_u32(&fields);
+        items[i].reads = get_bool(&fields);
+        items[i].recovered_age_ms = get_u32(&fields);
+    }
+    cursor->failed = cursor->failed || fields.failed;
+    m->beats.items = items;
+    m->beats.count = count;
+}
+
 static void
 get_placed(struct cursor *cursor, struct message *m)
 {
@@ -587,6 +633,8 @@
         m->known.reads_store = get_bool(cursor);
         return;
     case MESSAGE_WANT:
+    case MESSAGE_WANT_SMALL:
+    case MESSAGE_OVERSIZE:
     case MESSAGE_REACHED:
         m->position.topic =
             (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
@@ -599,6 +647,13 @@
         m->record.key = get_str(cursor);
         m->record.value = get_str(cursor);
         return;
+    case MESSAGE_PACKED:
+        m->packed.topic = (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
+        m->packed.offset = get_uint(cursor, INT64_MAX);
+        m->packed.key = get_str(cursor);
+        m->packed.value = get_str(cursor);
+        m->packed.value_bytes = get_uint(cursor, UINT64_MAX);
+        return;
     case MESSAGE_PLACED:
         get_placed(cursor, m);
         return;
@@ -607,6 +662,9 @@
     case MESSAGE_CONTEXTS:
         get_contexts(cursor, m);
         return;
+    case MESSAGE_BEATS:
+        get_beats(cursor, m);
+        return;
     case MESSAGE_DOWN:
         m->down.endpoint = get_uint(cursor, UINT64_MAX);
         return;
@@ -856,6 +914,10 @@
         [MESSAGE_CONTEXTS] = "contexts",
         [MESSAGE_PLACED] = "placed",
         [MESSAGE_DOWN] = "down",
+        [MESSAGE_BEATS] = "beats",
+        [MESSAGE_WANT_SMALL] = "want-small",
+        [MESSAGE_OVERSIZE] = "oversize",
+        [MESSAGE_PACKED] = "packed",
     };
 
     return names[type];
--- a/daemon/peer.c
+++ b/daemon/peer.c
@@ -225,7 +225,7 @@
         return;
     }
     event_del(peer->reopen_timer);
-    peer->link = link_connect(&peer->peers->link_options, &address);
+    peer->link = link_connect(&peer->peers->link_options, &address, 0);
     link_set_user(peer->link, peer);
 }
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -253,6 +253,8 @@
                     err);
     toml_get_int(bounds, "retry_slack", 0, 1000000, &settings->budget_slack,
                  err);
+    toml_get_int(bounds, "store_settle_ms", 100, 3600000, &settings->settle_ms,
+                 err);
     toml_get_double(bounds, "load_cap_factor", 1, 100, &settings->cap_factor,
                     err);
     settings->grace_ms = (int64_t)(1000 * grace_s);
@@ -271,6 +273,7 @@
     }
     *settings = (struct settings_direct){
         .grace_ms = 8000,
+        .settle_ms = 3000,
         .budget_window_ms = 10000,
         .budget_ratio = 0.1,
         .cap_factor = 2,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -65,6 +65,7 @@
     int64_t budget_window_ms;
     double budget_ratio;  ///< retries as a share of the requests
     int64_t budget_slack; ///< further retries, shared by all routers
+    int64_t settle_ms;    ///< of the store after a disruption
     double cap_factor;    ///< load bound of an endpoint over the mean load
 };
 
--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -181,6 +181,17 @@
 direct_store_recovered(struct direct *direct)
 {
     direct->store_recovered_ms = clock_ms(direct->options.clock);
+    if (direct->mesh != NULL) {
+        mesh_store_recovered(direct->mesh);
+    }
+}
+
+void
+direct_fetch_failed(struct direct *direct, enum record_topic topic)
+{
+    if (direct->mesh != NULL) {
+        mesh_fetch_failed(direct->mesh, topic);
+    }
 }
 
 void
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -126,14 +126,9 @@
     if (direct_has_deployment(direct)) {
         contexts_tick(direct->contexts);
     }
-    if (direct->mesh != NULL && direct->has_endpoints) {
-        bool should_read = mesh_should_read(direct->mesh);
-
-        direct->options.store->set_reading(direct->store, RECORDS_ENDPOINTS,
-                                           should_read);
-        direct->options.store->set_long_wait(
-            direct->store, RECORDS_CONFIGURATION, !should_read);
-    }
+    direct->options.store->set_role(
+        direct->store, direct->mesh != NULL ? mesh_update_role(direct->mesh)
+                                            : READERS_PRIMARY);
     if (ready != direct->was_ready) {
         LOG_INFO("event=%s", ready ? "ready" : "not-ready");
         direct->was_ready = ready;
@@ -295,6 +290,9 @@
     direct->draining = true;
     direct->drain_ms = clock_ms(direct->options.clock);
     caller_server_drain(direct->callers);
+    if (direct->mesh != NULL) {
+        mesh_set_draining(direct->mesh);
+    }
     LOG_INFO("event=stop requests=%u connections=%zu grace_ms=%lld",
              HASH_COUNT(direct->exchanges),
              caller_server_connections(direct->callers),
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -6,7 +6,9 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 
+#include "core/readers.h"
 #include "core/records.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
@@ -30,13 +32,15 @@
     void (*announce)(void *store, struct str key, struct str value);
     bool (*is_reachable)(const void *store, enum record_topic topic);
     bool (*is_failing)(const void *store, enum record_topic topic);
-    /// Starts or stops reading a topic. While it is not read, peers send its
-    /// records.
-    void (*set_reading)(void *store, enum record_topic topic, bool reading);
-    /// Sets whether reads of the topic may wait long for a record, since peers
-    /// send the records that such reads miss.
-    void (*set_long_wait)(void *store, enum record_topic topic,
-                          bool long_wait);
+    /// Sets whether and how this router reads the store for all.
+    void (*set_role)(void *store, enum readers_role role);
+    /// Reads the new records of a topic once, without a wait; reports a
+    /// failure by direct_fetch_failed().
+    void (*fetch)(void *store, enum record_topic topic);
+    /// Peers have sent newer records than a read in progress begins at.
+    void (*catch_up)(void *store, enum record_topic topic);
+    /// Prints metrics of the calls to the store.
+    void (*print)(const void *store, FILE *out);
     void *ctx;
 };
 
@@ -76,6 +80,9 @@
 /// entries that are missing from it may have lapsed in the outage.
 void direct_store_recovered(struct direct *direct);
 
+/// The read that `fetch` began has failed.
+void direct_fetch_failed(struct direct *direct, enum record_topic topic);
+
 /// New records of a topic have been read.
 void direct_records_read(struct direct *direct, enum record_topic topic);
 
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -8,8 +8,11 @@
 #include <event2/listener.h>
 #include <utlist.h>
 
+#include "core/readers.h"
 #include "core/xmalloc.h"
+#include "mesh_private.h"
 #include "net/log.h"
+#include "relay.h"
 
 #define LOG_MODULE "mesh"
 
@@ -25,60 +28,14 @@
 #define FLEET_SIZE_HOLD_MS 30000
 #define LISTEN_BACKLOG 64
 
-/// An address where another router accepts links.
-struct target {
-    char text[ADDRESS_TEXT_BYTES];
-    struct address address;
-    struct link *link; ///< dialed by this router, in any state
-    int64_t dial_ms;   ///< when to dial next
-    int64_t backoff_ms;
-    int64_t last_seen_ms; ///< when last linked or announced
-    uint64_t rank;        ///< dialing order; lower values first
-    struct target *next;
-};
-
-/// A link that has completed its handshake.
-struct peer {
-    struct link *link;
-    char address[ADDRESS_TEXT_BYTES]; ///< where the peer accepts links
-    uint64_t id;
-    uint64_t ends[RECORDS_TOPIC_COUNT];
-    int64_t ends_reported_ms; ///< when `ends` was last received
-    bool reads_endpoints;
-    struct peer *next;
-};
-
-struct mesh {
-    struct mesh_options options;
-    struct link_options link_options;
-    struct evconnlistener *listener;
-    struct event *tick;
-    struct target *targets;
-    struct peer *peers;
-    size_t peer_count;
-    size_t fleet_size;
-    int64_t fleet_size_ms;
-    int64_t next_report_ms;
-    int64_t behind_since_ms[RECORDS_TOPIC_COUNT]; ///< 0: not behind
-    int64_t requested_ms[RECORDS_TOPIC_COUNT];    ///< 0: no request pending
-    size_t round_robin; ///< selects one of equal peers for a request
-    struct message_load loads[MESSAGE_LOADS_MAX];
-    struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
-    size_t placed_count;
-    char own_address[ADDRESS_TEXT_BYTES];
-    uint64_t rank_seed; ///< differs between routers
-};
-
-static void request_records(struct mesh *mesh, size_t topic);
-
-static int64_t
-now_of(const struct mesh *mesh)
+int64_t
+mesh_now_ms(const struct mesh *mesh)
 {
     return clock_ms(mesh->options.clock);
 }
 
-static struct peer *
-find_peer(const struct mesh *mesh, const struct link *link)
+struct peer *
+mesh_find_peer(const struct mesh *mesh, const struct link *link)
 {
     struct peer *peer;
 
@@ -86,19 +43,24 @@
     return peer;
 }
 
-static int64_t
-report_interval_ms(const struct mesh *mesh)
+int64_t
+mesh_report_interval_ms(const struct mesh *mesh)
 {
     return MESH_REPORT_MS +
            MESH_REPORT_MS_PER_PEER * (int64_t)mesh->peer_count;
 }
 
-static bool
-is_active_reader(const struct mesh *mesh, const struct peer *peer)
+bool
+mesh_is_current(const struct peer *peer)
 {
-    return peer->reads_endpoints &&
-           now_of(mesh) - peer->ends_reported_ms <
-               2 * report_interval_ms(mesh) + MESH_REPORT_MARGIN_MS;
+    return link_version(peer->link) >= MESSAGE_VERSION_ROUTERS;
+}
+
+/// Identifies a router's process.
+static uint64_t
+process_id(struct str name, uint64_t incarnation)
+{
+    return str_hash(name, incarnation);
 }
 
 static bool
@@ -124,20 +86,6 @@
                     });
 }
 
-static void
-send_topic_ends(struct mesh *mesh, struct link *link)
-{
-    struct message message = {.type = MESSAGE_KNOWN};
-
-    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
-        message.known.end_offsets[i] =
-            (uint64_t)records_end(mesh->options.records, (enum record_topic)i);
-    }
-    message.known.reads_store =
-        mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
-    link_send(link, &message);
-}
-
 static void
 on_ready(void *ctx, struct link *link)
 {
@@ -146,10 +94,10 @@
     const struct peer *other;
 
     peer->link = link;
-    peer->id = str_hash(link_peer_name(link), link_peer_incarnation(link));
+    peer->id = process_id(link_peer_name(link), link_peer_incarnation(link));
     link_set_busy(link, true);
     send_own_address(mesh, link);
-    send_topic_ends(mesh, link);
+    relay_peer_ready(mesh, link);
     LL_FOREACH(mesh->peers, other)
     {
         if (other->address[0] != '\0') {
@@ -166,18 +114,32 @@
 static void
 remove_link(struct mesh *mesh, struct link *link)
 {
-    struct peer *peer = find_peer(mesh, link);
+    struct peer *peer = mesh_find_peer(mesh, link);
     struct target *target;
 
     LL_SEARCH_SCALAR(mesh->targets, target, link, link);
     if (target != NULL) {
+        bool refused = peer == NULL && target->version == 0 &&
+                       link_version(link) >= MESSAGE_VERSION &&
+                       link_version(link) < MESSAGE_VERSION_ROUTERS;
+
+        // A peer of an earlier version refuses the present one. It is offered
+        // again when its link has been lost: it may have been replaced.
+        target->version = refused ? link_version(link) : 0;
         target->link = NULL;
-        target->dial_ms = now_of(mesh) + target->backoff_ms;
+        target->dial_ms =
+            mesh_now_ms(mesh) + (refused ? 0 : target->backoff_ms);
     }
     if (peer != NULL) {
+        uint64_t id = peer->id;
+
         LL_DELETE(mesh->peers, peer);
         mesh->peer_count--;
         free(peer);
+        LL_SEARCH_SCALAR(mesh->peers, peer, id, id);
+        if (peer == NULL) {
+            relay_peer_lost(mesh, id);
+        }
     }
 }
 
@@ -185,7 +147,7 @@
 on_closed(void *ctx, struct link *link, const struct err *err)
 {
     struct mesh *mesh = ctx;
-    const struct peer *peer = find_peer(mesh, link);
+    const struct peer *peer = mesh_find_peer(mesh, link);
     char address[ADDRESS_TEXT_BYTES] = "";
 
     if (peer != NULL) {
@@ -231,7 +193,7 @@
 static void
 handle_router(struct mesh *mesh, struct link *link, struct str text)
 {
-    struct peer *peer = find_peer(mesh, link);
+    struct peer *peer = mesh_find_peer(mesh, link);
     struct address address;
     struct err err = {0};
     char copy[ADDRESS_TEXT_BYTES];
@@ -253,75 +215,15 @@
     mesh_add(mesh, &address);
 }
 
-static void
-handle_known(struct mesh *mesh, struct link *link,
-             const struct message *message)
-{
-    struct peer *peer = find_peer(mesh, link);
-
-    if (peer == NULL) {
-        return;
-    }
-    memcpy(peer->ends, message->known.end_offsets, sizeof(peer->ends));
-    peer->reads_endpoints = message->known.reads_store;
-    peer->ends_reported_ms = now_of(mesh);
-    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
-        request_records(mesh, i);
-    }
-}
-
-static void
-send_record(void *ctx, const struct record *record)
-{
-    link_send(ctx, &(struct message){
-                       .type = MESSAGE_RECORD,
-                       .record.topic = (uint32_t)record->topic,
-                       .record.offset = (uint64_t)record->offset,
-                       .record.removed = record->removed,
-                       .record.key = record->key,
-                       .record.value = record->value,
-                   });
-}
-
-static void
-send_records(struct mesh *mesh, struct link *link, uint32_t topic,
-             uint64_t offset)
-{
-    const struct records *records = mesh->options.records;
-
-    records_each_since(records, (enum record_topic)topic, (int64_t)offset,
-                       send_record, link);
-    link_send(link, &(struct message){
-                        .type = MESSAGE_REACHED,
-                        .position.topic = topic,
-                        .position.offset = (uint64_t)records_end(
-                            records, (enum record_topic)topic),
-                    });
-}
-
-static void
-handle_reached(struct mesh *mesh, struct link *link, uint32_t topic,
-               uint64_t offset)
-{
-    LOG_INFO("event=records-from-peer peer=" STR_FMT " topic=%s before=%lld "
-             "offset=%llu",
-             STR_ARG(link_peer_name(link)),
-             record_topic_name((enum record_topic)topic),
-             (long long)records_end(mesh->options.records,
-                                    (enum record_topic)topic),
-             (unsigned long long)offset);
-    records_set_end(mesh->options.records, (enum record_topic)topic,
-                    (int64_t)offset);
-    mesh->requested_ms[topic] = 0;
-    mesh->options.caught_up(mesh->options.ctx, (enum record_topic)topic);
-}
-
 static void
 on_message(void *ctx, struct link *link, const struct message *message)
 {
     struct mesh *mesh = ctx;
-    const struct peer *peer = find_peer(mesh, link);
+    const struct peer *peer = mesh_find_peer(mesh, link);
 
+    if (relay_message(mesh, link, message)) {
+        return;
+    }
     switch (message->type) {
     case MESSAGE_ROUTER:
         handle_router(mesh, link, message->router.address);
@@ -332,27 +234,6 @@
                                 message->loads.items, message->loads.count);
         }
         return;
-    case MESSAGE_KNOWN:
-        handle_known(mesh, link, message);
-        return;
-    case MESSAGE_WANT:
-        send_records(mesh, link, message->position.topic,
-                     message->position.offset);
-        return;
-    case MESSAGE_RECORD:
-        records_apply(mesh->options.records,
-                      &(struct record){
-                          .topic = (enum record_topic)message->record.topic,
-                          .key = message->record.key,
-                          .offset = (int64_t)message->record.offset,
-                          .removed = message->record.removed,
-                          .value = message->record.value,
-                      });
-        return;
-    case MESSAGE_REACHED:
-        handle_reached(mesh, link, message->position.topic,
-                       message->position.offset);
-        return;
     case MESSAGE_PLACED:
         for (size_t i = 0; i < message->placed.count; i++) {
             mesh->options.placement(mesh->options.ctx,
@@ -396,7 +277,8 @@
     target->dial_ms = now_ms + target->backoff_ms / 2 +
                       (int64_t)random_below(mesh->options.random,
                                             (uint64_t)target->backoff_ms);
-    target->link = link_connect(&mesh->link_options, &target->address);
+    target->link =
+        link_connect(&mesh->link_options, &target->address, target->version);
 }
 
 /// Updates which addresses are linked and drops expired ones. Returns the
@@ -446,7 +328,7 @@
 static void
 dial(struct mesh *mesh)
 {
-    int64_t now_ms = now_of(mesh);
+    int64_t now_ms = mesh_now_ms(mesh);
     size_t address_count;
     size_t dialed = refresh_targets(mesh, now_ms, &address_count);
     size_t wanted = address_count <= MESH_FULL_ROUTERS_MAX ? address_count
@@ -463,58 +345,6 @@
     }
 }
 
-/// The peer whose end of the topic is highest; rotates among equal ones.
-static struct peer *
-most_advanced_peer(struct mesh *mesh, size_t topic)
-{
-    struct peer *peer, *best = NULL;
-    size_t at = 0;
-
-    mesh->round_robin++;
-    LL_FOREACH(mesh->peers, peer)
-    {
-        at++;
-        if (best == NULL || peer->ends[topic] > best->ends[topic] ||
-            (peer->ends[topic] == best->ends[topic] &&
-             at == mesh->round_robin % mesh->peer_count)) {
-            best = peer;
-        }
-    }
-    return best;
-}
-
-static void
-request_records(struct mesh *mesh, size_t topic)
-{
-    int64_t now_ms = now_of(mesh);
-    int64_t end = records_end(mesh->options.records, (enum record_topic)topic);
-    struct peer *peer = most_advanced_peer(mesh, topic);
-    bool store_answers;
-
-    if (peer == NULL || (int64_t)peer->ends[topic] <= end) {
-        mesh->behind_since_ms[topic] = 0;
-        return;
-    }
-    if (mesh->behind_since_ms[topic] == 0) {
-        mesh->behind_since_ms[topic] = now_ms;
-    }
-    store_answers = mesh->options.store_answers(mesh->options.ctx,
-                                                (enum record_topic)topic);
-    if ((store_answers &&
-         now_ms - mesh->behind_since_ms[topic] < MESH_BEHIND_GRACE_MS) ||
-        (mesh->requested_ms[topic] != 0 &&
-         now_ms - mesh->requested_ms[topic] < MESH_REQUEST_TIMEOUT_MS)) {
-        return;
-    }
-    mesh->requested_ms[topic] = now_ms;
-    mesh->behind_since_ms[topic] = 0;
-    link_send(peer->link, &(struct message){
-                              .type = MESSAGE_WANT,
-                              .position.topic = (uint32_t)topic,
-                              .position.offset = (uint64_t)end,
-                          });
-}
-
 static void
 send_reports(struct mesh *mesh)
 {
@@ -529,8 +359,8 @@
         if (message.loads.count > 0) {
             link_send(peer->link, &message);
         }
-        send_topic_ends(mesh, peer->link);
     }
+    mesh_send_topic_ends(mesh);
 }
 
 static void
@@ -569,18 +399,16 @@
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
     struct mesh *mesh = ctx;
-    int64_t now_ms = now_of(mesh);
+    int64_t now_ms = mesh_now_ms(mesh);
 
     (void)fd;
     (void)events;
     dial(mesh);
     flush_placements(mesh);
     update_fleet_size(mesh, now_ms);
-    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
-        request_records(mesh, i);
-    }
+    relay_tick(mesh);
     if (now_ms >= mesh->next_report_ms) {
-        mesh->next_report_ms = now_ms + report_interval_ms(mesh);
+        mesh->next_report_ms = now_ms + mesh_report_interval_ms(mesh);
         send_reports(mesh);
     }
 }
@@ -609,6 +437,9 @@
 
     mesh->options = *options;
     mesh->fleet_size = 1;
+    mesh->started_ms = clock_ms(options->clock);
+    mesh->id = process_id(str_from(options->name), options->incarnation);
+    mesh->readers = readers_new(mesh->id);
     mesh->link_options = (struct link_options){
         .base = options->base,
         .clock = options->clock,
@@ -618,6 +449,7 @@
         .role = "router",
         .peer_role = "router",
         .incarnation = options->incarnation,
+        .version = MESSAGE_VERSION_ROUTERS,
         .keys = options->keys,
         .heartbeat_interval_ms = LINK_HEARTBEAT_INTERVAL_MS,
         .receive_timeout_ms = LINK_RECEIVE_TIMEOUT_MS,
@@ -640,6 +472,7 @@
         err_set(err, ERR_IO, "bind", options->address.ip,
                 "cannot listen for routers at %s:%u", options->address.ip,
                 options->address.port);
+        readers_free(mesh->readers);
         free(mesh);
         return NULL;
     }
@@ -676,6 +509,8 @@
         }
         free(target);
     }
+    readers_free(mesh->readers);
+    free((char *)mesh->packed.value.data);
     free(mesh);
 }
 
@@ -692,14 +527,14 @@
     LL_FOREACH(mesh->targets, target)
     {
         if (!strcmp(target->text, text)) {
-            target->last_seen_ms = now_of(mesh);
+            target->last_seen_ms = mesh_now_ms(mesh);
             return;
         }
     }
     target = xcalloc(1, sizeof(*target));
     target->address = *address;
     target->backoff_ms = DIAL_BACKOFF_MIN_MS;
-    target->last_seen_ms = now_of(mesh);
+    target->last_seen_ms = mesh_now_ms(mesh);
     target->rank = str_hash(str_from(text), mesh->rank_seed);
     snprintf(target->text, sizeof(target->text), "%s", text);
     LL_PREPEND(mesh->targets, target);
@@ -790,54 +625,6 @@
     return before < count;
 }
 
-void
-mesh_send_topic_ends(struct mesh *mesh)
-{
-    struct peer *peer;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        send_topic_ends(mesh, peer->link);
-    }
-}
-
-size_t
-mesh_reader_count(const struct mesh *mesh)
-{
-    const struct peer *peer;
-    size_t count = 0;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        count += is_active_reader(mesh, peer) ? 1 : 0;
-    }
-    return count;
-}
-
-/// Rank of a router in the choice of the MESH_READERS readers.
-static uint64_t
-reader_rank(const char *address)
-{
-    return str_hash(str_from(address), 0);
-}
-
-bool
-mesh_should_read(const struct mesh *mesh)
-{
-    uint64_t own = reader_rank(mesh->own_address);
-    const struct peer *peer;
-    size_t before = 0;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (peer->address[0] != '\0' && is_active_reader(mesh, peer) &&
-            reader_rank(peer->address) < own) {
-            before++;
-        }
-    }
-    return before < MESH_READERS;
-}
-
 void
 mesh_queue_placement(struct mesh *mesh, const struct message_placed *placed)
 {
@@ -847,6 +634,12 @@
     mesh->placed[mesh->placed_count++] = *placed;
 }
 
+void
+mesh_set_draining(struct mesh *mesh)
+{
+    mesh->draining = true;
+}
+
 size_t
 mesh_linked_count(const struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/readers.h"
 #include "core/records.h"
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
@@ -32,10 +33,8 @@
 /// Time-out of a request for records; then it is sent again, to another peer
 /// if several have the records.
 #define MESH_REQUEST_TIMEOUT_MS 600
-/// Routers that read the entries of endpoints for all. Few, since calls to the
-/// store are billed; two, since one may be cut off from the store.
-#define MESH_READERS 2
-/// A report expires after two intervals plus this margin.
+/// A report of a peer of version 1 expires after two intervals plus this
+/// margin.
 #define MESH_REPORT_MARGIN_MS 400
 /// Up to this number of routers the mesh is full. In a larger deployment each
 /// router dials a few, chosen by hash, and records are relayed to the others:
@@ -74,6 +73,12 @@
                      size_t count);
     /// A peer has sent all its records of a topic.
     void (*caught_up)(void *ctx, enum record_topic topic);
+    /// The records of a topic are too large for peers: read them once from the
+    /// store, or call mesh_fetch_failed().
+    void (*fetch)(void *ctx, enum record_topic topic);
+    /// The store has answered again at this time, after it had failed for all
+    /// routers.
+    void (*recovered)(void *ctx, int64_t at_ms);
     /// True while the store answers reads of the topic.
     bool (*store_answers)(void *ctx, enum record_topic topic);
     void *ctx;
@@ -113,11 +118,17 @@
 /// Sends the end of each topic to all peers at once, ahead of the next report.
 void mesh_send_topic_ends(struct mesh *mesh);
 
-/// Number of linked routers whose reads of the endpoint entries succeed.
-size_t mesh_reader_count(const struct mesh *mesh);
+/// How this router reads the store from now on.
+enum readers_role mesh_update_role(struct mesh *mesh);
 
-/// True unless MESH_READERS routers of lower rank read for all.
-bool mesh_should_read(const struct mesh *mesh);
+/// This router shuts down and no longer reads for others.
+void mesh_set_draining(struct mesh *mesh);
+
+/// The store answers this router again after a failure.
+void mesh_store_recovered(struct mesh *mesh);
+
+/// The store has not sent the records that `fetch` was called for.
+void mesh_fetch_failed(struct mesh *mesh, enum record_topic topic);
 
 /// Number of routers that are linked now; a router with two links counts once.
 size_t mesh_linked_count(const struct mesh *mesh);
--- /dev/null
+++ b/direct/mesh_private.h
@@ -0,0 +1,88 @@
+/// State of the links between routers, private to the files that implement
+/// them.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mesh.h"
+
+struct evconnlistener;
+struct event;
+struct readers;
+
+/// An address where another router accepts links.
+struct target {
+    char text[ADDRESS_TEXT_BYTES];
+    struct address address;
+    struct link *link; ///< dialed by this router, in any state
+    int64_t dial_ms;   ///< when to dial next
+    int64_t backoff_ms;
+    int64_t last_seen_ms; ///< when last linked or announced
+    uint64_t rank;        ///< dialing order; lower values first
+    uint32_t version;     ///< to offer; 0: the highest
+    struct target *next;
+};
+
+/// A link that has completed its handshake.
+struct peer {
+    struct link *link;
+    char address[ADDRESS_TEXT_BYTES]; ///< where the peer accepts links
+    uint64_t id;
+    uint64_t ends[RECORDS_TOPIC_COUNT];
+    int64_t ends_reported_ms; ///< when `ends` was last received
+    bool reads_endpoints;     ///< as a peer of version 1 states
+    struct peer *next;
+};
+
+/// How far the records of a topic are behind those of a peer.
+struct relay_topic {
+    int64_t behind_since_ms; ///< 0: not behind
+    int64_t requested_ms;    ///< 0: no request pending
+    /// Until then records are requested from peers whatever their size, since
+    /// the store has failed to send them.
+    int64_t any_size_until_ms;
+};
+
+struct mesh {
+    struct mesh_options options;
+    struct link_options link_options;
+    struct evconnlistener *listener;
+    struct event *tick;
+    struct target *targets;
+    struct peer *peers;
+    size_t peer_count;
+    size_t fleet_size;
+    int64_t fleet_size_ms;
+    int64_t started_ms;
+    int64_t next_report_ms;
+    uint64_t id; ///< of this process, as peers compute it
+    struct relay_topic topics[RECORDS_TOPIC_COUNT];
+    bool ends_changed; ///< peers have not been sent the present ends
+    struct {
+        enum record_topic topic;
+        int64_t offset;
+        struct str value;
+    } packed; ///< the record that was compressed last
+    struct readers *readers;
+    enum readers_role role;
+    bool draining;
+    size_t round_robin; ///< selects one of equal peers for a request
+    struct message_load loads[MESSAGE_LOADS_MAX];
+    struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
+    size_t placed_count;
+    char own_address[ADDRESS_TEXT_BYTES];
+    uint64_t rank_seed; ///< differs between routers
+};
+
+int64_t mesh_now_ms(const struct mesh *mesh);
+
+/// Interval of the reports to peers.
+int64_t mesh_report_interval_ms(const struct mesh *mesh);
+
+/// NULL if the link has not completed its handshake.
+struct peer *mesh_find_peer(const struct mesh *mesh, const struct link *link);
+
+/// True if the peer supports the messages of MESSAGE_VERSION_ROUTERS.
+bool mesh_is_current(const struct peer *peer);
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -121,6 +121,9 @@
                 eject_is_blocked(&endpoint->eject, now_ms, 0));
     }
     services_print(direct->services, out);
+    if (direct->store != NULL) {
+        direct->options.store->print(direct->store, out);
+    }
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
             direct->mesh != NULL ? mesh_linked_count(direct->mesh) : 0,
             direct->catalog != NULL);
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -68,6 +68,27 @@
     if (topic == RECORDS_ENDPOINTS) {
         direct->has_endpoints = true;
     }
+    if (direct->store != NULL) {
+        direct->options.store->catch_up(direct->store, topic);
+    }
+}
+
+static void
+on_fetch(void *ctx, enum record_topic topic)
+{
+    const struct direct *direct = ctx;
+
+    direct->options.store->fetch(direct->store, topic);
+}
+
+static void
+on_recovered(void *ctx, int64_t at_ms)
+{
+    struct direct *direct = ctx;
+
+    if (at_ms > direct->store_recovered_ms) {
+        direct->store_recovered_ms = at_ms;
+    }
 }
 
 static void
@@ -152,6 +173,8 @@
         .contexts_requested = on_contexts_requested,
         .contexts = on_contexts,
         .caught_up = on_peer_caught_up,
+        .fetch = on_fetch,
+        .recovered = on_recovered,
         .store_answers = on_store_answers,
         .ctx = direct,
     };
--- /dev/null
+++ b/direct/relay.c
@@ -0,0 +1,477 @@
+#include <stdbool.h>
+
+#include "relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "core/pack.h"
+#include "core/readers.h"
+#include "mesh_private.h"
+#include "net/log.h"
+
+#define LOG_MODULE "relay"
+
+/// Values that are longer are sent compressed.
+#define PACK_BYTES_MIN 1024
+
+/// Records of a topic that are sent to a peer which can read the store itself.
+/// Many peers request a record at once: a larger one would fill the link of
+/// the router that has read it.
+#define SMALL_BYTES_MAX (16 * 1024)
+/// Time in which a router that could not read a large record itself requests
+/// records of any size.
+#define ANY_SIZE_MS 5000
+
+static void
+send_topic_ends(struct mesh *mesh, struct link *link)
+{
+    struct message message = {.type = MESSAGE_KNOWN};
+
+    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
+        message.known.end_offsets[i] =
+            (uint64_t)records_end(mesh->options.records, (enum record_topic)i);
+    }
+    message.known.reads_store =
+        mesh->role != READERS_IDLE &&
+        mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
+    link_send(link, &message);
+}
+
+void
+mesh_send_topic_ends(struct mesh *mesh)
+{
+    struct peer *peer;
+
+    mesh->ends_changed = false;
+    LL_FOREACH(mesh->peers, peer)
+    {
+        send_topic_ends(mesh, peer->link);
+    }
+}
+
+void
+relay_peer_ready(struct mesh *mesh, struct link *link)
+{
+    send_topic_ends(mesh, link);
+}
+
+void
+relay_peer_lost(struct mesh *mesh, uint64_t id)
+{
+    readers_remove(mesh->readers, id);
+}
+
+/// The peer whose end of the topic is highest; rotates among equal ones.
+static struct peer *
+most_advanced_peer(struct mesh *mesh, size_t topic)
+{
+    struct peer *peer, *best = NULL;
+    size_t equal = 0;
+
+    mesh->round_robin++;
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (best == NULL || peer->ends[topic] > best->ends[topic]) {
+            best = peer;
+            equal = 1;
+        }
+        else if (peer->ends[topic] == best->ends[topic]) {
+            equal++;
+        }
+    }
+    if (equal < 2) {
+        return best;
+    }
+    equal = mesh->round_robin % equal;
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (peer->ends[topic] == best->ends[topic] && equal-- == 0) {
+            return peer;
+        }
+    }
+    return best;
+}
+
+static void
+request_records(struct mesh *mesh, size_t index)
+{
+    enum record_topic topic = (enum record_topic)index;
+    struct relay_topic *state = &mesh->topics[index];
+    int64_t now_ms = mesh_now_ms(mesh);
+    int64_t end = records_end(mesh->options.records, topic);
+    struct peer *peer = most_advanced_peer(mesh, index);
+    bool any_size;
+
+    if (peer == NULL || (int64_t)peer->ends[index] <= end) {
+        state->behind_since_ms = 0;
+        return;
+    }
+    if (state->behind_since_ms == 0) {
+        state->behind_since_ms = now_ms;
+    }
+    if ((mesh->options.store_answers(mesh->options.ctx, topic) &&
+         now_ms - state->behind_since_ms < MESH_BEHIND_GRACE_MS) ||
+        (state->requested_ms != 0 &&
+         now_ms - state->requested_ms < MESH_REQUEST_TIMEOUT_MS)) {
+        return;
+    }
+    any_size = now_ms < state->any_size_until_ms || !mesh_is_current(peer) ||
+               readers_active(mesh->readers, now_ms) == 0;
+    state->requested_ms = now_ms;
+    state->behind_since_ms = 0;
+    link_send(peer->link,
+              &(struct message){
+                  .type = any_size ? MESSAGE_WANT : MESSAGE_WANT_SMALL,
+                  .position.topic = (uint32_t)topic,
+                  .position.offset = (uint64_t)end,
+              });
+}
+
+static void
+handle_known(struct mesh *mesh, struct link *link,
+             const struct message *message)
+{
+    struct peer *peer = mesh_find_peer(mesh, link);
+
+    if (peer == NULL) {
+        return;
+    }
+    memcpy(peer->ends, message->known.end_offsets, sizeof(peer->ends));
+    peer->reads_endpoints = message->known.reads_store;
+    peer->ends_reported_ms = mesh_now_ms(mesh);
+    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
+        request_records(mesh, i);
+    }
+}
+
+static bool
+is_packed(const struct peer *peer, const struct record *record)
+{
+    return mesh_is_current(peer) && !record->removed &&
+           record->value.len >= PACK_BYTES_MIN;
+}
+
+/// The compressed value of a record. The last one is kept, since many peers
+/// request the same record.
+static struct str
+packed_value(struct mesh *mesh, const struct record *record)
+{
+    if (mesh->packed.value.data == NULL ||
+        mesh->packed.topic != record->topic ||
+        mesh->packed.offset != record->offset) {
+        free((char *)mesh->packed.value.data);
+        mesh->packed.topic = record->topic;
+        mesh->packed.offset = record->offset;
+        mesh->packed.value = pack_compress(record->value);
+    }
+    return mesh->packed.value;
+}
+
+/// Records of a topic on their way to a peer.
+struct transfer {
+    struct mesh *mesh;
+    const struct peer *peer;
+    size_t bytes;
+};
+
+static void
+add_bytes(void *ctx, const struct record *record)
+{
+    struct transfer *transfer = ctx;
+
+    transfer->bytes += is_packed(transfer->peer, record)
+                           ? packed_value(transfer->mesh, record).len
+                           : record->value.len;
+}
+
+static void
+send_record(void *ctx, const struct record *record)
+{
+    const struct transfer *transfer = ctx;
+
+    if (is_packed(transfer->peer, record)) {
+        link_send(transfer->peer->link,
+                  &(struct message){
+                      .type = MESSAGE_PACKED,
+                      .packed.topic = (uint32_t)record->topic,
+                      .packed.offset = (uint64_t)record->offset,
+                      .packed.key = record->key,
+                      .packed.value = packed_value(transfer->mesh, record),
+                      .packed.value_bytes = record->value.len,
+                  });
+        return;
+    }
+    link_send(transfer->peer->link,
+              &(struct message){
+                  .type = MESSAGE_RECORD,
+                  .record.topic = (uint32_t)record->topic,
+                  .record.offset = (uint64_t)record->offset,
+                  .record.removed = record->removed,
+                  .record.key = record->key,
+                  .record.value = record->value,
+              });
+}
+
+static void
+send_records(struct mesh *mesh, const struct link *link,
+             const struct message *request)
+{
+    const struct records *records = mesh->options.records;
+    enum record_topic topic = (enum record_topic)request->position.topic;
+    int64_t offset = (int64_t)request->position.offset;
+    struct transfer transfer = {mesh, mesh_find_peer(mesh, link), 0};
+
+    if (transfer.peer == NULL) {
+        return;
+    }
+    records_each_since(records, topic, offset, add_bytes, &transfer);
+    if (request->type == MESSAGE_WANT_SMALL &&
+        transfer.bytes > SMALL_BYTES_MAX) {
+        link_send(transfer.peer->link, &(struct message){
+                                           .type = MESSAGE_OVERSIZE,
+                                           .position = request->position,
+                                       });
+        return;
+    }
+    records_each_since(records, topic, offset, send_record, &transfer);
+    link_send(transfer.peer->link,
+              &(struct message){
+                  .type = MESSAGE_REACHED,
+                  .position.topic = (uint32_t)topic,
+                  .position.offset = (uint64_t)records_end(records, topic),
+              });
+}
+
+static void
+handle_packed(struct mesh *mesh, const struct link *link,
+              const struct message *message)
+{
+    struct str value;
+
+    if (!pack_expand(message->packed.value, message->packed.value_bytes,
+                     &value)) {
+        LOG_WARNING(
+            "event=record-rejected peer=" STR_FMT " topic=%s "
+            "offset=%llu detail=\"cannot expand %zu bytes to %llu\"",
+            STR_ARG(link_peer_name(link)),
+            record_topic_name((enum record_topic)message->packed.topic),
+            (unsigned long long)message->packed.offset,
+            message->packed.value.len,
+            (unsigned long long)message->packed.value_bytes);
+        return;
+    }
+    records_apply(mesh->options.records,
+                  &(struct record){
+                      .topic = (enum record_topic)message->packed.topic,
+                      .key = message->packed.key,
+                      .offset = (int64_t)message->packed.offset,
+                      .value = value,
+                  });
+    free((char *)value.data);
+}
+
+static void
+handle_reached(struct mesh *mesh, struct link *link, enum record_topic topic,
+               uint64_t offset)
+{
+    int64_t before = records_end(mesh->options.records, topic);
+
+    LOG_INFO("event=records-from-peer peer=" STR_FMT " topic=%s before=%lld "
+             "offset=%llu",
+             STR_ARG(link_peer_name(link)), record_topic_name(topic),
+             (long long)before, (unsigned long long)offset);
+    records_set_end(mesh->options.records, topic, (int64_t)offset);
+    mesh->topics[topic].requested_ms = 0;
+    if (records_end(mesh->options.records, topic) > before) {
+        mesh->ends_changed = true;
+    }
+    mesh->options.caught_up(mesh->options.ctx, topic);
+}
+
+void
+mesh_fetch_failed(struct mesh *mesh, enum record_topic topic)
+{
+    struct relay_topic *state = &mesh->topics[topic];
+
+    state->any_size_until_ms = mesh_now_ms(mesh) + ANY_SIZE_MS;
+    state->requested_ms = 0;
+    request_records(mesh, topic);
+}
+
+static void
+send_beats(struct mesh *mesh, const struct message_beat *items, size_t count,
+           const struct link *except)
+{
+    const struct message message = {
+        .type = MESSAGE_BEATS,
+        .beats.items = items,
+        .beats.count = count,
+    };
+    struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (peer->link != except && mesh_is_current(peer)) {
+            link_send(peer->link, &message);
+        }
+    }
+}
+
+static void
+forward_beats(struct mesh *mesh, const struct link *from)
+{
+    struct message_beat beats[READERS_TRACKED_MAX];
+    size_t count =
+        readers_take_forwards(mesh->readers, mesh_now_ms(mesh), beats);
+
+    if (count > 0) {
+        send_beats(mesh, beats, count, from);
+    }
+}
+
+static void
+handle_beats(struct mesh *mesh, struct link *link,
+             const struct message *message)
+{
+    int64_t recovered_ms = readers_recovered_ms(mesh->readers);
+    bool any_urgent = false;
+
+    for (size_t i = 0; i < message->beats.count; i++) {
+        bool urgent;
+
+        readers_receive(mesh->readers, &message->beats.items[i],
+                        mesh_now_ms(mesh), &urgent);
+        any_urgent = any_urgent || urgent;
+    }
+    if (readers_recovered_ms(mesh->readers) != recovered_ms) {
+        mesh->options.recovered(mesh->options.ctx,
+                                readers_recovered_ms(mesh->readers));
+    }
+    if (any_urgent) {
+        forward_beats(mesh, link);
+    }
+}
+
+bool
+relay_message(struct mesh *mesh, struct link *link,
+              const struct message *message)
+{
+    switch (message->type) {
+    case MESSAGE_KNOWN:
+        handle_known(mesh, link, message);
+        return true;
+    case MESSAGE_WANT:
+    case MESSAGE_WANT_SMALL:
+        send_records(mesh, link, message);
+        return true;
+    case MESSAGE_OVERSIZE:
+        mesh->options.fetch(mesh->options.ctx,
+                            (enum record_topic)message->position.topic);
+        return true;
+    case MESSAGE_RECORD:
+        records_apply(mesh->options.records,
+                      &(struct record){
+                          .topic = (enum record_topic)message->record.topic,
+                          .key = message->record.key,
+                          .offset = (int64_t)message->record.offset,
+                          .removed = message->record.removed,
+                          .value = message->record.value,
+                      });
+        return true;
+    case MESSAGE_PACKED:
+        handle_packed(mesh, link, message);
+        return true;
+    case MESSAGE_REACHED:
+        handle_reached(mesh, link, (enum record_topic)message->position.topic,
+                       message->position.offset);
+        return true;
+    case MESSAGE_BEATS:
+        handle_beats(mesh, link, message);
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// True while this router reads the store for others.
+static bool
+reads_for_all(const struct mesh *mesh)
+{
+    return mesh->role != READERS_IDLE && !mesh->draining &&
+           mesh->options.store_answers(mesh->options.ctx,
+                                       RECORDS_CONFIGURATION) &&
+           mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
+}
+
+void
+mesh_store_recovered(struct mesh *mesh)
+{
+    int64_t now_ms = mesh_now_ms(mesh);
+    struct message_beat beat;
+
+    // While others read, the failure was not one of the store.
+    if (readers_active(mesh->readers, now_ms) > 0) {
+        return;
+    }
+    readers_set_recovered(mesh->readers, now_ms);
+    readers_make_beat(mesh->readers, reads_for_all(mesh), now_ms, &beat);
+    send_beats(mesh, &beat, 1, NULL);
+}
+
+void
+relay_tick(struct mesh *mesh)
+{
+    struct message_beat beat;
+
+    if (readers_next_beat(mesh->readers, reads_for_all(mesh),
+                          mesh_now_ms(mesh), &beat)) {
+        send_beats(mesh, &beat, 1, NULL);
+    }
+    forward_beats(mesh, NULL);
+    if (mesh->ends_changed) {
+        mesh_send_topic_ends(mesh);
+    }
+    for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
+        request_records(mesh, i);
+    }
+}
+
+/// Peers of version 1 that read and are answered.
+static size_t
+count_reading_others(const struct mesh *mesh)
+{
+    const struct peer *peer;
+    size_t count = 0;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (!mesh_is_current(peer) && peer->reads_endpoints &&
+            mesh_now_ms(mesh) - peer->ends_reported_ms <
+                2 * mesh_report_interval_ms(mesh) + MESH_REPORT_MARGIN_MS) {
+            count++;
+        }
+    }
+    return count;
+}
+
+enum readers_role
+mesh_update_role(struct mesh *mesh)
+{
+    struct readers_view view = {
+        .now_ms = mesh_now_ms(mesh),
+        .age_ms = mesh_now_ms(mesh) - mesh->started_ms,
+        .has_targets = mesh->targets != NULL,
+        .others = count_reading_others(mesh),
+    };
+    const struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        view.lower_ids += mesh_is_current(peer) && peer->id < mesh->id ? 1 : 0;
+    }
+    mesh->role = readers_update(mesh->readers, &view);
+    return mesh->role;
+}
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -9,7 +9,11 @@
 #include "dandelionvalve/err.h"
 #include "dandelionvalve/str.h"
 
+/// Version of the messages between routers and agents, and the oldest one
+/// between routers.
 #define MESSAGE_VERSION 1
+/// Version of the messages between routers.
+#define MESSAGE_VERSION_ROUTERS 2
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -44,6 +48,11 @@
     MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_WANT_CONTEXTS, ///< requests all contexts of a router
     MESSAGE_CONTEXTS, ///< some of those contexts; an empty message ends them
+    // Version 2:
+    MESSAGE_BEATS,      ///< liveness of the routers that read for all
+    MESSAGE_WANT_SMALL, ///< MESSAGE_WANT of a router that can read the store
+    MESSAGE_PACKED,     ///< MESSAGE_RECORD with a compressed value
+    MESSAGE_OVERSIZE,   ///< answer: the records are to be read from the store
     MESSAGE_TYPE_END,
 };
 
@@ -154,6 +163,19 @@
 #define MESSAGE_PLACED_MAX 64
 #define MESSAGE_PLACED_PARTS_MAX 4
 
+/// Beats in one MESSAGE_BEATS.
+#define MESSAGE_BEATS_MAX 16
+
+/// Liveness of a router that reads the platform's store for others.
+struct message_beat {
+    uint64_t id;   ///< of the router's process
+    uint32_t beat; ///< counts up
+    bool reads;    ///< false: its calls fail, or it is shutting down
+    /// Milliseconds since the store answered again after it had failed for all
+    /// routers; 0: no recent failure.
+    uint32_t recovered_age_ms;
+};
+
 /// Requests of a router in flight at one endpoint.
 struct message_load {
     uint64_t endpoint; ///< hash of its id
@@ -256,7 +278,7 @@
         struct {
             uint32_t topic;
             uint64_t offset;
-        } position; ///< MESSAGE_WANT and MESSAGE_REACHED
+        } position; ///< MESSAGE_WANT, _WANT_SMALL, _OVERSIZE and _REACHED
         struct {
             uint32_t topic;
             uint64_t offset;
@@ -264,6 +286,13 @@
             struct str key;
             struct str value;
         } record;
+        struct {
+            uint32_t topic;
+            uint64_t offset;
+            struct str key;
+            struct str value;     ///< compressed
+            uint64_t value_bytes; ///< when expanded
+        } packed;
         struct {
             const struct message_placed *items;
             size_t count;
@@ -272,6 +301,10 @@
             const struct message_context *items;
             size_t count;
         } contexts;
+        struct {
+            const struct message_beat *items;
+            size_t count;
+        } beats;
         struct {
             uint64_t endpoint; ///< hash of its id
         } down;
--- a/net/link.c
+++ b/net/link.c
@@ -40,6 +40,9 @@
     char peer_address[ADDRESS_TEXT_BYTES];
     struct str peer_name;
     uint64_t peer_incarnation;
+    uint32_t offered_version; ///< by the connecting end
+    uint32_t version;         ///< stated in the own hello; 0: not yet sent
+    uint32_t peer_version;    ///< stated by the peer; 0: not yet received
     unsigned char nonce[MESSAGE_NONCE_BYTES];
     unsigned char peer_nonce[MESSAGE_NONCE_BYTES];
     int64_t opened_ms;
@@ -139,14 +142,15 @@
     link->sent_ms = clock_ms(link->options->clock);
 }
 
+/// Starts the handshake with this version of the messages.
 static void
-send_hello(struct link *link)
+send_hello(struct link *link, uint32_t version)
 {
     const struct message hello = {
         .type = MESSAGE_HELLO,
         .hello =
             {
-                .version = MESSAGE_VERSION,
+                .version = version,
                 .name = str_from(link->options->name),
                 .role = str_from(link->options->role),
                 .incarnation = link->options->incarnation,
@@ -154,7 +158,7 @@
             },
     };
 
-    link->state = LINK_HANDSHAKE;
+    link->version = version;
     write_frame(link, &hello);
 }
 
@@ -177,6 +181,12 @@
     crypto_auth_hmacsha512256_final(&state, mac);
 }
 
+static uint32_t
+version_max(const struct link_options *options)
+{
+    return options->version != 0 ? options->version : MESSAGE_VERSION;
+}
+
 static bool
 handle_hello(struct link *link, const struct message_hello *hello,
              struct err *err)
@@ -184,10 +194,20 @@
     unsigned char mac[MESSAGE_MAC_BYTES];
     struct message proof = {.type = MESSAGE_PROOF};
 
-    if (hello->version != MESSAGE_VERSION) {
+    link->peer_version = hello->version;
+    if (hello->version < MESSAGE_VERSION ||
+        (link->version != 0 && hello->version > link->version)) {
         return err_set(err, ERR_PROTOCOL, "hello", link->peer_address,
                        "peer has message version %u, expected %u",
-                       hello->version, MESSAGE_VERSION);
+                       hello->version, link->version);
+    }
+    if (link->version == 0) {
+        uint32_t own = version_max(link->options);
+
+        send_hello(link, hello->version < own ? hello->version : own);
+    }
+    else {
+        link->version = hello->version;
     }
     if (!str_equal_c(hello->role, link->options->peer_role) ||
         hello->nonce.len != MESSAGE_NONCE_BYTES || hello->name.len == 0 ||
@@ -362,7 +382,8 @@
     if (events & BEV_EVENT_CONNECTED) {
         setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &one,
                    sizeof(one));
-        send_hello(link);
+        link->state = LINK_HANDSHAKE;
+        send_hello(link, link->offered_version);
         bufferevent_enable(bev, EV_READ);
         return;
     }
@@ -459,10 +480,13 @@
 }
 
 struct link *
-link_connect(const struct link_options *options, const struct address *address)
+link_connect(const struct link_options *options, const struct address *address,
+             uint32_t version)
 {
     struct link *link = link_new(options, -1);
 
+    link->offered_version = version != 0 ? version : version_max(options);
+
     address_format((const struct sockaddr *)&address->storage,
                    link->peer_address);
     // The callbacks are set afterwards, so that on_timer reports a connect
@@ -487,7 +511,8 @@
     address_format(peer, link->peer_address);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     set_callbacks(link);
-    send_hello(link);
+    // The hello follows that of the peer, whose version it states.
+    link->state = LINK_HANDSHAKE;
     bufferevent_enable(link->bev, EV_READ);
     return link;
 }
@@ -559,6 +584,13 @@
     return link->peer_address;
 }
 
+uint32_t
+link_version(const struct link *link)
+{
+    return link->version < link->peer_version ? link->version
+                                              : link->peer_version;
+}
+
 void
 link_set_user(struct link *link, void *user)
 {
--- a/net/link.h
+++ b/net/link.h
@@ -41,6 +41,9 @@
     const char *role;      ///< own role in the handshake
     const char *peer_role; ///< a peer with another role is rejected
     uint64_t incarnation;
+    /// Highest version of the messages; 0: MESSAGE_VERSION. A link uses the
+    /// lower one of both ends.
+    uint32_t version;
     const struct link_keys *keys;
     int64_t heartbeat_interval_ms; ///< idle time before a ping while busy
     int64_t receive_timeout_ms;    ///< no input while busy
@@ -61,9 +64,11 @@
 };
 
 /// Starts to connect; the callbacks report the result. The link frees itself
-/// after `closed`.
+/// after `closed`. `version` 0: that of the options. Builds that know version
+/// 1 only close a link that offers a higher one: connect again with the
+/// version that link_version() returns in `closed`.
 struct link *link_connect(const struct link_options *options,
-                          const struct address *address);
+                          const struct address *address, uint32_t version);
 
 /// Takes over an accepted socket.
 struct link *link_accept(const struct link_options *options, int fd,
@@ -94,6 +99,10 @@
 uint64_t link_peer_incarnation(const struct link *link);
 const char *link_peer_address(const struct link *link);
 
+/// The lower one of the versions that both ends have stated; 0: the peer has
+/// stated none yet.
+uint32_t link_version(const struct link *link);
+
 /// Data of the link's owner.
 void link_set_user(struct link *link, void *user);
 void *link_user(const struct link *link);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,7 +6,7 @@
 PACKAGES="build-essential meson ninja-build pkg-config libevent-dev
   libhttp-parser-dev libmsgpack-dev liblog4c-dev libpopt-dev libcunit1-dev libxxhash-dev
   uthash-dev libsodium-dev libjansson-dev libgsl-dev libtomlplusplus-dev
-  librapidcheck-dev scdoc"
+  librapidcheck-dev zlib1g-dev scdoc"
 PIDS=()
 
 install_packages() {
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -139,6 +139,7 @@
         .counters = &harness->counters[index],
         .store = keyed_store_address(isolated ? harness->empty_store
                                               : harness->store),
+        .settle_ms = 3000,
     };
     harness->stores[index] = platform_bind(&harness->bindings[index]);
     harness->drained[index] = false;
--- a/tests/main.c
+++ b/tests/main.c
@@ -21,7 +21,8 @@
     {"orders", suite_orders},     {"settings", suite_settings},
     {"requests", suite_requests}, {"failures", suite_failures},
     {"shutdown", suite_shutdown}, {"catalog", suite_catalog},
-    {"records", suite_records},   {"place", suite_place},
+    {"records", suite_records},   {"readers", suite_readers},
+    {"link", suite_link},         {"place", suite_place},
     {"shed", suite_shed},         {"wire", suite_wire},
     {"direct", suite_direct},     {"direct-store", suite_direct_store},
 };
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -1,11 +1,14 @@
 /// Configuration, API keys and endpoints from the store and from peers, also
 /// with a faulty store.
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <CUnit/CUnit.h>
 
+#include "core/xmalloc.h"
 #include "direct_harness.h"
+#include "standin/platform_document.h"
 #include "suites.h"
 
 /// Limits of the operators' pages: from the acknowledgement of a configuration
@@ -350,6 +353,80 @@
     direct_harness_stop(&harness);
 }
 
+/// A configuration costs the two readers a call each, and idle time only the
+/// primary. All routers apply it.
+static void
+test_configuration_call_rate(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 4, 0);
+    direct_harness_run(&harness, 2500);
+    before = keyed_store_calls(harness.store);
+    for (int i = 0; i < 6; i++) {
+        direct_harness_configure(&harness, "key", i % 2 == 0, 800);
+        direct_harness_run(&harness, 500);
+        for (size_t j = 0; j < 4; j++) {
+            CU_ASSERT(status_of(&harness, j, "/added/") ==
+                      (i % 2 == 0 ? 200 : 404));
+        }
+    }
+    CU_ASSERT(keyed_store_calls(harness.store) - before <= 2 * 6 + 8);
+    direct_harness_stop(&harness);
+}
+
+/// Publishes a configuration that is large also when compressed.
+static void
+publish_large(struct direct_harness *harness)
+{
+    static char padding[300001];
+    char *text, *large;
+    size_t len;
+
+    for (size_t i = 0; i + 1 < sizeof(padding); i++) {
+        padding[i] = (char)('!' + random_below(&random_system, 90));
+        padding[i] =
+            padding[i] == '"' || padding[i] == '\\' ? '-' : padding[i];
+    }
+    harness->version += 3;
+    text = platform_document(harness->version, "key", true, 800, 3000);
+    len = strlen(text) + sizeof(padding) + 32;
+    large = xmalloc(len);
+    snprintf(large, len, "{\"padding\":\"%s\",%s", padding, text + 1);
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_OPERATOR, "config",
+                    str_from(large));
+    free(large);
+    free(text);
+}
+
+/// A large configuration is read from the store by each router, since it would
+/// fill the links; a router that the store refuses receives it from a peer.
+static void
+test_large_configuration(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 4, 1);
+    direct_harness_run(&harness, 1500);
+    before = counter_get(&harness.counters[0], COUNTER_LINK_BYTES_OUT) +
+             counter_get(&harness.counters[1], COUNTER_LINK_BYTES_OUT) +
+             counter_get(&harness.counters[2], COUNTER_LINK_BYTES_OUT);
+    publish_large(&harness);
+    direct_harness_run(&harness, IN_FORCE_MS - 200);
+    for (size_t i = 0; i < 4; i++) {
+        CU_ASSERT(status_of(&harness, i, "/added/") == 200);
+    }
+    // One copy, for the router that the store refuses.
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_LINK_BYTES_OUT) +
+                  counter_get(&harness.counters[1], COUNTER_LINK_BYTES_OUT) +
+                  counter_get(&harness.counters[2], COUNTER_LINK_BYTES_OUT) -
+                  before <
+              450000);
+    direct_harness_stop(&harness);
+}
+
 /// Routers that read the entries for all stop: another router reads in time.
 static void
 test_reader_is_replaced(void)
@@ -394,5 +471,8 @@
     CU_add_test(suite, "entry becomes malformed",
                 test_entry_becomes_malformed);
     CU_add_test(suite, "store call rate", test_store_call_rate);
+    CU_add_test(suite, "configuration call rate",
+                test_configuration_call_rate);
+    CU_add_test(suite, "large configuration", test_large_configuration);
     CU_add_test(suite, "reader is replaced", test_reader_is_replaced);
 }
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -1,8 +1,10 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <CUnit/CUnit.h>
 
+#include "core/pack.h"
 #include "dandelionvalve/message.h"
 #include "suites.h"
 
@@ -127,6 +129,61 @@
     message_codec_free(codec);
 }
 
+static void
+test_beats_round_trip(void)
+{
+    const struct message_beat items[] = {
+        {UINT64_MAX, 7, true, 0},
+        {1, UINT32_MAX, false, 1800},
+    };
+    const struct message message = {
+        .type = MESSAGE_BEATS,
+        .beats = {items, 2},
+    };
+    struct message_codec *codec = message_codec_new();
+    struct message decoded;
+    struct err err = {0};
+
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT_FATAL(decoded.beats.count == 2);
+    for (size_t i = 0; i < 2; i++) {
+        CU_ASSERT(decoded.beats.items[i].id == items[i].id);
+        CU_ASSERT(decoded.beats.items[i].beat == items[i].beat);
+        CU_ASSERT(decoded.beats.items[i].reads == items[i].reads);
+        CU_ASSERT(decoded.beats.items[i].recovered_age_ms ==
+                  items[i].recovered_age_ms);
+    }
+    message_codec_free(codec);
+}
+
+/// Large values are sent compressed; what expands to another length, or not
+/// at all, is rejected.
+static void
+test_packed_values(void)
+{
+    static char text[500000];
+    struct str value = {text, sizeof(text)};
+    struct str packed, expanded;
+
+    for (size_t i = 0; i < sizeof(text); i++) {
+        text[i] = (char)('a' + i * i % 23);
+    }
+    packed = pack_compress(value);
+    CU_ASSERT(packed.len < value.len / 4);
+    CU_ASSERT_FATAL(pack_expand(packed, value.len, &expanded));
+    CU_ASSERT(str_equal(expanded, value));
+    free((char *)expanded.data);
+    CU_ASSERT(!pack_expand(packed, value.len - 1, &expanded));
+    CU_ASSERT(!pack_expand(packed, value.len + 1, &expanded));
+    CU_ASSERT(!pack_expand(packed, (size_t)PACK_BYTES_MAX + 1, &expanded));
+    for (size_t len = 0; len < packed.len; len += 97) {
+        CU_ASSERT(!pack_expand((struct str){packed.data, len}, value.len,
+                               &expanded));
+    }
+    free((char *)packed.data);
+}
+
 void
 suite_message(void)
 {
@@ -134,6 +191,8 @@
 
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
+    CU_add_test(suite, "beats round trip", test_beats_round_trip);
+    CU_add_test(suite, "packed values", test_packed_values);
     CU_add_test(suite, "bad frames", test_bad_frames);
     CU_add_test(suite, "every truncation is refused",
                 test_every_truncation_is_refused);
