settings: bounds may be fractions

Change: all bounds of a direct router are read as numbers; the slack is rounded down. The test fails without the change.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -243,6 +243,8 @@
     struct toml_table *bounds = toml_subtable(root, "bounds", err);
     double grace_s = (double)settings->grace_ms / 1000;
     double window_s = (double)settings->budget_window_ms / 1000;
+    double slack = (double)settings->budget_slack;
+    double settle_ms = (double)settings->settle_ms;
 
     if (bounds == NULL) {
         return;
@@ -251,14 +253,14 @@
     toml_get_double(bounds, "retry_window_s", 0.1, 3600, &window_s, err);
     toml_get_double(bounds, "retry_ratio", 0, 10, &settings->budget_ratio,
                     err);
-    toml_get_int(bounds, "retry_slack", 0, 1000000, &settings->budget_slack,
-                 err);
-    toml_get_int(bounds, "store_settle_ms", 100, 3600000, &settings->settle_ms,
-                 err);
+    toml_get_double(bounds, "retry_slack", 0, 1000000, &slack, err);
+    toml_get_double(bounds, "store_settle_ms", 100, 3600000, &settle_ms, err);
     toml_get_double(bounds, "load_cap_factor", 1, 100, &settings->cap_factor,
                     err);
     settings->grace_ms = (int64_t)(1000 * grace_s);
     settings->budget_window_ms = (int64_t)(1000 * window_s);
+    settings->budget_slack = (int64_t)slack;
+    settings->settle_ms = (int64_t)settle_ms;
 }
 
 bool
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -18,18 +18,26 @@
     "00000000000000000000000000000000\"]\n"
 #define CALLERS "[callers]\naddress = \"127.0.0.1:0\"\n"
 
+/// Writes a file whose name replaces the template `name`.
+static void
+write_file(char *name, const char *text)
+{
+    int fd = mkstemp(name);
+
+    CU_ASSERT_FATAL(fd >= 0);
+    CU_ASSERT(write(fd, text, strlen(text)) == (ssize_t)strlen(text));
+    close(fd);
+}
+
 static bool
 read_text(const char *text, struct err *err)
 {
     char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
-    int fd = mkstemp(name);
     struct settings_router settings;
     struct toml_doc *doc = NULL;
     bool ok;
 
-    CU_ASSERT_FATAL(fd >= 0);
-    CU_ASSERT(write(fd, text, strlen(text)) == (ssize_t)strlen(text));
-    close(fd);
+    write_file(name, text);
     ok = settings_read_router(name, &settings, &doc, err);
     if (ok) {
         toml_free(doc);
@@ -75,6 +83,29 @@
     CU_ASSERT(strstr(err.message, "No such file") != NULL);
 }
 
+/// A platform states its bounds as whole numbers or as fractions.
+static void
+test_fractional_bounds(void)
+{
+    char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
+    struct settings_direct settings;
+    struct toml_doc *doc = NULL;
+    struct err err = {0};
+
+    write_file(name, "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"
+                     "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+                     "[bounds]\ngrace_s = 7.5\nstore_settle_ms = 2999.5\n"
+                     "retry_window_s = 9.5\nretry_ratio = 1\n"
+                     "retry_slack = 24.6\nload_cap_factor = 2\n");
+    CU_ASSERT_FATAL(settings_read_direct(name, &settings, &doc, &err));
+    CU_ASSERT(settings.grace_ms == 7500);
+    CU_ASSERT(settings.settle_ms == 2999);
+    CU_ASSERT(settings.budget_window_ms == 9500);
+    CU_ASSERT(settings.budget_slack == 24);
+    toml_free(doc);
+    unlink(name);
+}
+
 /// ports_unused() must not return a port twice while it is still unbound: two
 /// addresses of a soak's fleet (seed 520) got the same port that way.
 static void
@@ -103,6 +134,7 @@
 
     CU_add_test(suite, "valid settings", test_valid_settings);
     CU_add_test(suite, "invalid settings", test_invalid_settings);
+    CU_add_test(suite, "fractional bounds", test_fractional_bounds);
     CU_add_test(suite, "free ports are distinct",
                 test_free_ports_are_distinct);
 }
