attempt, channel: bound bytes that are no answer and do not end

Cause: an endpoint in trouble may send bytes without end. An event without an end was buffered (resumable) or passed on (others) until the time limit; interim and other requests' answers were skipped without a limit; plain answers were limited one by one, not together. Progress of a stream was counted in bytes, so a byte now and then kept it alive. Ruled out: heads, chunk extensions and trailers (the parser ends them at 80 KB), excess bytes (the connection is closed): tests show both.

--- a/core/sse.c
+++ b/core/sse.c
@@ -5,6 +5,27 @@
 
 #include "xmalloc.h"
 
+bool
+sse_scan_bytes(struct sse_scan *scan, const char *bytes, size_t len)
+{
+    uint64_t before = scan->events;
+
+    for (size_t i = 0; i < len; i++) {
+        scan->open_bytes++;
+        if (bytes[i] == '\n') {
+            if (!scan->line_has_bytes) {
+                scan->events++;
+                scan->open_bytes = 0;
+            }
+            scan->line_has_bytes = false;
+        }
+        else if (bytes[i] != '\r') {
+            scan->line_has_bytes = true;
+        }
+    }
+    return scan->events > before;
+}
+
 void
 sse_buffer_init(struct sse_buffer *buffer)
 {
--- a/core/sse.h
+++ b/core/sse.h
@@ -4,10 +4,24 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "dandelionvalve/str.h"
 
 #define SSE_ID_BYTES_MAX 64
+/// An event that is longer is not one: the endpoint sends bytes without end.
+#define SSE_EVENT_BYTES_MAX (256 * 1024)
+
+/// Finds the ends of events in a stream that is passed on unchanged.
+/// Zero-initialise before use.
+struct sse_scan {
+    uint64_t events;   ///< complete ones
+    size_t open_bytes; ///< since the last complete event
+    bool line_has_bytes;
+};
+
+/// Scans received bytes; true if an event is complete in them.
+bool sse_scan_bytes(struct sse_scan *scan, const char *bytes, size_t len);
 
 struct sse_buffer {
     char *bytes;
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -24,6 +24,8 @@
 /// An answer that is not a stream is buffered before it is passed on; a longer
 /// one fails the attempt.
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
+/// All buffered answers together; many endpoints may send too much at once.
+#define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
 /// A request with less time left is not retried: its answer would be late.
 #define REMAINING_MIN_MS 10
 
@@ -105,6 +107,13 @@
     }
 }
 
+void
+attempt_release_buffered(struct exchange *exchange)
+{
+    direct_add_buffered(exchange->direct, -(int64_t)exchange->buffered_bytes);
+    exchange->buffered_bytes = 0;
+}
+
 void
 attempt_reset(struct exchange *exchange)
 {
@@ -112,6 +121,8 @@
     exchange->status = 0;
     exchange->not_executed = false;
     evbuffer_drain(exchange->body, evbuffer_get_length(exchange->body));
+    attempt_release_buffered(exchange);
+    exchange->scan = (struct sse_scan){0};
     if (!exchange->response_started) {
         evbuffer_drain(exchange->fields,
                        evbuffer_get_length(exchange->fields));
@@ -271,30 +282,57 @@
     caller_send_data(exchange->caller, bytes, len);
 }
 
+/// Ends an attempt whose endpoint sends more than an answer can have.
+static void
+fail_too_long(struct exchange *exchange, const char *reason, size_t bytes)
+{
+    LOG_WARNING("event=answer-too-long id=%s endpoint=" STR_FMT
+                " reason=\"%s\" bytes=%zu all_buffered=%zu",
+                exchange->id, STR_ARG(exchange->endpoint->id), reason, bytes,
+                direct_buffered_bytes(exchange->direct));
+    attempt_record_failure(exchange, reason);
+    channel_cancel(exchange->channel);
+    exchange->channel = NULL;
+    attempt_failed(exchange, ATTEMPT_FAILED, reason);
+}
+
+static void
+handle_stream_data(struct exchange *exchange, const char *bytes, size_t len)
+{
+    if (sse_scan_bytes(&exchange->scan, bytes, len)) {
+        exchange->progress_ms = exchange_now(exchange);
+    }
+    if (exchange->scan.open_bytes > SSE_EVENT_BYTES_MAX) {
+        fail_too_long(exchange, "an event does not end",
+                      exchange->scan.open_bytes);
+        return;
+    }
+    sse_buffer_append(&exchange->events, bytes, len);
+    forward_events(exchange, exchange->route->kind != ROUTE_RESUMABLE);
+}
+
 static void
 on_data(void *ctx, const char *bytes, size_t len)
 {
     struct exchange *exchange = ctx;
 
-    exchange->progress_ms = exchange_now(exchange);
     if (exchange->caller == NULL) {
         return;
     }
     if (exchange->is_stream) {
-        sse_buffer_append(&exchange->events, bytes, len);
-        forward_events(exchange, exchange->route->kind != ROUTE_RESUMABLE);
+        handle_stream_data(exchange, bytes, len);
         return;
     }
-    if (evbuffer_get_length(exchange->body) + len <= RESPONSE_BYTES_MAX) {
-        evbuffer_add(exchange->body, bytes, len);
-    }
-    else {
-        LOG_WARNING("event=answer-too-long id=%s limit=%d", exchange->id,
-                    RESPONSE_BYTES_MAX);
-        channel_cancel(exchange->channel);
-        exchange->channel = NULL;
-        attempt_failed(exchange, ATTEMPT_FAILED, "answer too long");
+    exchange->progress_ms = exchange_now(exchange);
+    if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX ||
+        direct_buffered_bytes(exchange->direct) + len > BUFFERED_BYTES_MAX) {
+        fail_too_long(exchange, "answer too long",
+                      exchange->buffered_bytes + len);
+        return;
     }
+    evbuffer_add(exchange->body, bytes, len);
+    exchange->buffered_bytes += len;
+    direct_add_buffered(exchange->direct, (int64_t)len);
 }
 
 /// Handles a complete answer: passes it to the caller, or retries.
--- a/direct/attempt.h
+++ b/direct/attempt.h
@@ -21,6 +21,9 @@
 /// Passes the delay of this attempt's answer to load shedding, once.
 void attempt_record_delay(struct exchange *exchange);
 
+/// Removes the answer of this request from the router's buffered bytes.
+void attempt_release_buffered(struct exchange *exchange);
+
 /// Discards the partial answer and releases the endpoint before a retry.
 void attempt_reset(struct exchange *exchange);
 
--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -113,7 +113,12 @@
 
     if (evbuffer_get_length(query->body) + len <= RESPONSE_BYTES_MAX) {
         evbuffer_add(query->body, bytes, len);
+        return;
     }
+    LOG_WARNING("event=contexts-query-failed endpoint=" STR_FMT
+                " detail=\"answer over %d bytes\"",
+                STR_ARG(query->endpoint->id), RESPONSE_BYTES_MAX);
+    free_query(query);
 }
 
 static void
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -463,6 +463,18 @@
         PREFILL_SAMPLE_WEIGHT * (speed - direct->prefill_tokens_per_ms);
 }
 
+size_t
+direct_buffered_bytes(const struct direct *direct)
+{
+    return direct->buffered_bytes;
+}
+
+void
+direct_add_buffered(struct direct *direct, int64_t bytes)
+{
+    direct->buffered_bytes += (size_t)bytes;
+}
+
 void
 direct_add_exchange(struct direct *direct, struct exchange *exchange)
 {
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -55,6 +55,7 @@
     bool draining;
     int64_t drain_ms; ///< when draining began
     double prefill_tokens_per_ms;
+    size_t buffered_bytes;               ///< of answers
     struct histogram first[ROUTE_KINDS]; ///< ms to the first byte of an answer
     struct histogram total[ROUTE_KINDS]; ///< ms to the end of an answer
 };
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -50,6 +50,7 @@
     direct_remove_exchange(exchange->direct, exchange);
     event_free(exchange->timer);
     evbuffer_free(exchange->fields);
+    attempt_release_buffered(exchange);
     evbuffer_free(exchange->body);
     sse_buffer_destroy(&exchange->events);
     catalog_unref(exchange->catalog);
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -44,7 +44,7 @@
     size_t deliveries; ///< endpoints that may have received it
     size_t runs;       ///< endpoints that may have run it
     int64_t offered_ms;
-    int64_t progress_ms;   ///< when the endpoint last sent something
+    int64_t progress_ms;   ///< of a stream: when an event was complete
     double backlog_tokens; ///< its part of the endpoint's backlog
     uint32_t uncached_tokens;
     bool delay_recorded;       ///< counted for this attempt
@@ -58,6 +58,8 @@
     struct evbuffer *fields;
     struct evbuffer *body;
     struct sse_buffer events;
+    struct sse_scan scan;
+    size_t buffered_bytes; ///< its part of the router's buffered answers
     int64_t first_ms;
     struct event *timer;
 };
--- a/net/channel.c
+++ b/net/channel.c
@@ -14,6 +14,9 @@
 #include "http1.h"
 #include "timer.h"
 
+/// Interim answers and answers to other requests that may come before the
+/// answer of a request.
+#define SKIPPED_BYTES_MAX (256 * 1024)
 #define READ_BYTES_MAX 65536
 
 enum channel_state {
@@ -32,6 +35,7 @@
     struct evbuffer *pending_request; ///< until the TCP handshake is done
     struct event *timer;
     bool skipping;
+    size_t skipped_bytes; ///< before the answer to this request
     bool rejected;
     int64_t idle_since_ms;
     int64_t idle_max_ms;
@@ -258,10 +262,17 @@
             finish(channel, CHANNEL_MALFORMED, "malformed response");
             return false;
         }
+        skipped = channel->skipping;
+        if (skipped) {
+            channel->skipped_bytes += consumed;
+        }
+        if (channel->skipped_bytes > SKIPPED_BYTES_MAX) {
+            finish(channel, CHANNEL_MALFORMED, "too many other answers");
+            return false;
+        }
         if (!channel->http.ended) {
             continue;
         }
-        skipped = channel->skipping;
         if (!skipped) {
             become_idle(channel);
             return false;
@@ -426,6 +437,7 @@
         return NULL;
     }
     channel->handler = *handler;
+    channel->skipped_bytes = 0;
     channel->http.no_body = request->no_body;
     if (channel->state == CHANNEL_IDLE) {
         event_del(channel->timer);
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -18,6 +18,10 @@
 #define HEAD_BYTES_MAX 65536
 #define RUNS_MAX 20000
 #define FIELD_BYTES 256
+/// Endless bytes are written in pieces of this size, and end after a limit.
+#define ENDLESS_PIECE_BYTES (64 * 1024)
+#define ENDLESS_BYTES_MAX (256 * 1024 * 1024)
+#define TRICKLE_US 50000
 #define ID_FIELD "Dandelionvalve-Request-Id"
 #define SIGNATURE_FIELD "Dandelionvalve-Server-Signature"
 #define LOAD_FIELD "Dandelionvalve-Instance-Load"
@@ -30,6 +34,8 @@
     char id[64];
     bool running;
     bool is_stream;
+    const char *filler; ///< repeated until the connection is closed
+    uint64_t filler_bytes;
     size_t next_event;
     size_t body_bytes;
     struct conn *prev;
@@ -49,6 +55,7 @@
     uint64_t runs;
     uint64_t cancelled;
     uint64_t connections;
+    uint64_t endless_bytes;
     struct http1 last_request; ///< copy of the last head's text and fields
     char last_field[FIELD_BYTES];
     size_t last_body_bytes;
@@ -185,6 +192,12 @@
         reset_conn(conn);
         return;
     }
+    if (origin->fault == ORIGIN_TRICKLES &&
+        conn->next_event > origin->options.events / 2) {
+        evbuffer_add_printf(out, "1\r\nd\r\n");
+        set_timer(conn, TRICKLE_US);
+        return;
+    }
     evbuffer_add_printf(out, "%x\r\n%s\r\n", len, event);
     if (conn->next_event++ < origin->options.events) {
         set_timer(conn, origin->options.work_us);
@@ -194,11 +207,82 @@
     reset_request(conn);
 }
 
+/// Continues endless bytes when the last piece has been written.
+static void
+on_written(struct bufferevent *bufferevent, void *ctx)
+{
+    struct evbuffer *out = bufferevent_get_output(bufferevent);
+    struct conn *conn = ctx;
+    size_t len;
+
+    if (conn->filler == NULL || conn->filler_bytes >= ENDLESS_BYTES_MAX) {
+        return;
+    }
+    len = strlen(conn->filler);
+    for (size_t sent = 0; sent < ENDLESS_PIECE_BYTES; sent += len) {
+        evbuffer_add(out, conn->filler, len);
+        conn->filler_bytes += len;
+        conn->origin->endless_bytes += len;
+    }
+}
+
+struct endless {
+    const char *status; ///< NULL: starts without a head
+    const char *fields; ///< after the id and the signature
+    const char *start;
+    const char *filler;
+};
+
+static const struct endless endless[ORIGIN_FAULT_COUNT] = {
+    [ORIGIN_ENDLESS_FIELD] = {"200", "X-Long: ", "", "aaaaaaaa"},
+    [ORIGIN_ENDLESS_FIELDS] = {"200", "", "", "X-Field: b\r\n"},
+    [ORIGIN_ENDLESS_INTERIM] = {NULL, "", "", "HTTP/1.1 100 X\r\n\r\n"},
+    [ORIGIN_ENDLESS_STALE] = {NULL, "", "",
+                              "HTTP/1.1 200 X\r\n" ID_FIELD
+                              ": another\r\n" SIGNATURE_FIELD
+                              ": s\r\nContent-Length: 4\r\n\r\nbody"},
+    [ORIGIN_ENDLESS_BODY] = {"200", "\r\n", "", "bbbbbbbb"},
+    [ORIGIN_ENDLESS_ERROR] = {"500", "Transfer-Encoding: chunked\r\n\r\n", "",
+                              "8\r\nbbbbbbbb\r\n"},
+    [ORIGIN_ENDLESS_EXTENSION] = {"200", "Transfer-Encoding: chunked\r\n\r\n",
+                                  "5;x=", "eeeeeeee"},
+    [ORIGIN_ENDLESS_TRAILER] = {"200", "Transfer-Encoding: chunked\r\n\r\n",
+                                "2\r\nok\r\n0\r\n", "X-Field: b\r\n"},
+    [ORIGIN_ENDLESS_EXCESS] = {"200", "Content-Length: 2\r\n\r\n", "ok",
+                               "excess  "},
+    [ORIGIN_ENDLESS_EVENT] = {"200",
+                              "Content-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n",
+                              "1b\r\nid: 1\ndata: one\n\nid: 2\ndata\r\n",
+                              "8\r\ndddddddd\r\n"},
+};
+
+static void
+answer_endlessly(struct conn *conn)
+{
+    const struct endless *bytes = &endless[conn->origin->fault];
+    struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
+
+    if (bytes->status != NULL) {
+        evbuffer_add_printf(out,
+                            "HTTP/1.1 %s X\r\n" ID_FIELD
+                            ": %s\r\n" SIGNATURE_FIELD ": s\r\n",
+                            bytes->status, conn->id);
+    }
+    evbuffer_add_printf(out, "%s%s", bytes->fields, bytes->start);
+    conn->filler = bytes->filler;
+    on_written(conn->bufferevent, conn);
+}
+
 static void
 answer(struct conn *conn)
 {
     struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
 
+    if (endless[conn->origin->fault].filler != NULL) {
+        answer_endlessly(conn);
+        return;
+    }
     switch (conn->origin->fault) {
     case ORIGIN_FAILS:
         write_answer(conn, conn->id, 500, SIGNATURE_FIELD ": s\r\n", "failed");
@@ -282,6 +366,7 @@
     switch (fault) {
     case ORIGIN_OK:
     case ORIGIN_RESETS_IN_EVENT:
+    case ORIGIN_TRICKLES:
     case ORIGIN_TRUNCATES:
     case ORIGIN_UNFRAMED:
     case ORIGIN_UNFRAMED_RESET:
@@ -424,7 +509,7 @@
                                                BEV_OPT_CLOSE_ON_FREE);
     conn->timer = event_new(origin->options.base, -1, 0, on_timer, conn);
     http1_init(&conn->http, HTTP_REQUEST, HEAD_BYTES_MAX, &callbacks, conn);
-    bufferevent_setcb(conn->bufferevent, on_read, NULL, on_event, conn);
+    bufferevent_setcb(conn->bufferevent, on_read, on_written, on_event, conn);
     bufferevent_enable(conn->bufferevent, EV_READ | EV_WRITE);
     DL_APPEND(origin->conns, conn);
     origin->connections++;
@@ -525,6 +610,12 @@
     return origin->cancelled;
 }
 
+uint64_t
+origin_endless_bytes(const struct origin *origin)
+{
+    return origin->endless_bytes;
+}
+
 uint64_t
 origin_connections(const struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -30,6 +30,19 @@
     ORIGIN_MISDIRECTED,     ///< 421 without a run: the address was reassigned
     ORIGIN_EARLY_ANSWER,    ///< 400 before the body, which is still read
     ORIGIN_RESETS_IN_EVENT, ///< resets a stream within an event, once
+    ORIGIN_TRICKLES,        ///< a stream's later half is a byte now and then
+    // Bytes without end, until the connection is closed:
+    ORIGIN_ENDLESS_FIELD,     ///< a field value
+    ORIGIN_ENDLESS_FIELDS,    ///< field lines
+    ORIGIN_ENDLESS_INTERIM,   ///< interim answers (100)
+    ORIGIN_ENDLESS_STALE,     ///< answers with another request id
+    ORIGIN_ENDLESS_BODY,      ///< a body without a length
+    ORIGIN_ENDLESS_ERROR,     ///< a chunked body of a 500
+    ORIGIN_ENDLESS_EXTENSION, ///< a chunk extension
+    ORIGIN_ENDLESS_TRAILER,   ///< trailer lines
+    ORIGIN_ENDLESS_EXCESS,    ///< bytes behind a complete answer
+    ORIGIN_ENDLESS_EVENT,     ///< a line of an event
+    ORIGIN_FAULT_COUNT,
 };
 
 struct origin_options {
@@ -63,6 +76,9 @@
 uint64_t origin_cancelled(const struct origin *origin);
 uint64_t origin_connections(const struct origin *origin);
 
+/// Bytes sent under the endless faults.
+uint64_t origin_endless_bytes(const struct origin *origin);
+
 /// Runs of requests with this id.
 uint64_t origin_runs_of(const struct origin *origin, const char *id);
 
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -15,6 +15,7 @@
 void suite_failures(void);
 void suite_shutdown(void);
 void suite_catalog(void);
+void suite_endless(void);
 void suite_link(void);
 void suite_readers(void);
 void suite_records(void);
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -322,6 +322,63 @@
            0;
 }
 
+/// A stream of which only a byte comes now and then makes no progress: it is
+/// continued at another endpoint, or ends by the caller's deadline.
+static void
+test_trickling_stream(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 2);
+    origin_set_fault(harness.origins[0], ORIGIN_TRICKLES);
+    for (int i = 0; i < 8 && origin_runs(harness.origins[0]) == 0; i++) {
+        char id[16];
+        int64_t begin_ms = clock_ms(&clock_monotonic);
+
+        snprintf(id, sizeof(id), "id-%d", i);
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", id, NULL,
+                       "x");
+        CU_ASSERT(clock_ms(&clock_monotonic) - begin_ms < 3000);
+        CU_ASSERT(call.status == 200 && call.end == CHANNEL_COMPLETE);
+        CU_ASSERT(strstr(call.body, "id: 8\n") != NULL);
+        direct_call_free(&call);
+    }
+    CU_ASSERT(origin_runs(harness.origins[0]) == 1);
+    origin_set_fault(harness.origins[1], ORIGIN_TRICKLES);
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "draft",
+                   "Dandelionvalve-Deadline-Ms: 1500\r\n", "x");
+    CU_ASSERT(call.end != CHANNEL_COMPLETE);
+    CU_ASSERT(origin_runs_of(harness.origins[0], "draft") +
+                  origin_runs_of(harness.origins[1], "draft") ==
+              1);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
+/// A stream whose events come slower than the route's target is not cut, and
+/// runs once.
+static void
+test_slow_stream(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 1,
+                                       .events = 4,
+                                       .work_us = 900000,
+                                   });
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "slow", NULL,
+                   "x");
+    CU_ASSERT(call.status == 200 && call.end == CHANNEL_COMPLETE);
+    CU_ASSERT(strstr(call.body, "id: 4\n") != NULL);
+    CU_ASSERT(origin_runs(harness.origins[0]) == 1);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
 static bool
 is_cancelled(void *ctx)
 {
@@ -867,6 +924,8 @@
     CU_add_test(suite, "extra answers", test_extra_answers);
     CU_add_test(suite, "stream is resumed", test_stream_is_resumed);
     CU_add_test(suite, "stream is aborted", test_stream_is_aborted);
+    CU_add_test(suite, "trickling stream", test_trickling_stream);
+    CU_add_test(suite, "slow stream", test_slow_stream);
     CU_add_test(suite, "caller disconnects", test_caller_disconnects);
     CU_add_test(suite, "early answer", test_early_answer);
     CU_add_test(suite, "timeout status", test_timeout_status);
