program: signals act from the first line of main to the end

Ruled out: handlers earlier (they need the event loop, which is made after the settings are read). Conclusion: between exec and the first line of main a signal still ends the process; only the starting program could block it there.

--- a/daemon/program.c
+++ b/daemon/program.c
@@ -19,6 +19,27 @@
     bool terminating;
 };
 
+/// SIGTERM, SIGINT and SIGHUP, which are blocked except while their handlers
+/// are installed: by default they end the process, also one that has just been
+/// started or has drained.
+static void
+handled_signals(sigset_t *set)
+{
+    sigemptyset(set);
+    sigaddset(set, SIGTERM);
+    sigaddset(set, SIGINT);
+    sigaddset(set, SIGHUP);
+}
+
+static void
+block_signals(bool block)
+{
+    sigset_t set;
+
+    handled_signals(&set);
+    sigprocmask(block ? SIG_BLOCK : SIG_UNBLOCK, &set, NULL);
+}
+
 bool
 program_parse(struct program *program, int argc, const char **argv,
               int *status)
@@ -33,11 +54,13 @@
         {"version", 0, POPT_ARG_NONE, &version, 0, "print the version", NULL},
         POPT_AUTOHELP POPT_TABLEEND,
     };
-    poptContext context =
-        poptGetContext(program->name, argc, argv, options, 0);
-    int result = poptGetNextOpt(context);
+    poptContext context;
+    int result;
     bool proceed = false;
 
+    block_signals(true);
+    context = poptGetContext(program->name, argc, argv, options, 0);
+    result = poptGetNextOpt(context);
     *status = EXIT_BAD_INPUT;
     if (result < -1) {
         fprintf(stderr, "%s: %s: %s\n", program->name,
@@ -63,6 +86,9 @@
     }
     free(config);
     poptFreeContext(context);
+    if (!proceed || program->check_only) {
+        block_signals(false);
+    }
     if (proceed && sodium_init() < 0) {
         BUG("libsodium cannot be initialised");
     }
@@ -113,7 +139,9 @@
     signal(SIGPIPE, SIG_IGN);
     event_add(term, NULL);
     event_add(interrupt, NULL);
+    block_signals(false);
     event_base_dispatch(base);
+    block_signals(true);
     event_free(term);
     event_free(interrupt);
 }
--- a/daemon/program.h
+++ b/daemon/program.h
@@ -19,6 +19,8 @@
 };
 
 /// Parses the command line. False if the program should end with *status.
+/// Otherwise, unless only the settings are checked, SIGTERM, SIGINT and SIGHUP
+/// stay blocked until program_run(): they act then.
 bool program_parse(struct program *program, int argc, const char **argv,
                    int *status);
 void program_destroy(struct program *program);
@@ -28,7 +30,7 @@
 
 /// Runs the loop until event_base_loopbreak(); `terminate` is called on
 /// the first SIGTERM or SIGINT. A further SIGINT ends the loop at once, a
-/// further SIGTERM has no effect.
+/// further SIGTERM has no effect, also after the loop has ended.
 void program_run(struct event_base *base, void (*terminate)(void *ctx),
                  void *ctx);
 
