mesh, readers: budget divided by all routers; candidates wait after a start

Cause: (1) beyond 40 routers the retry budget was divided by the linked ones: 103 routers with some 21 links each could spend five times the slack. (2) Candidates counted the time without readers from the start of the process, so that all of four began when the 500 ms for links had passed. Ruled out: (1) by beats of all routers (traffic for a number that changes rarely).

--- a/core/readers.c
+++ b/core/readers.c
@@ -188,6 +188,12 @@
     return READERS_STAGGER_MS * (((int64_t)1 << level) - 1);
 }
 
+static bool
+is_held(const struct readers_view *view)
+{
+    return view->has_targets && view->age_ms < READERS_START_HOLD_MS;
+}
+
 static enum readers_role
 choose_role(struct readers *readers, const struct readers_view *view)
 {
@@ -198,17 +204,13 @@
         readers->missing_since_ms = 0;
         return READERS_IDLE;
     }
-    if (readers->missing_since_ms == 0) {
+    if (readers->missing_since_ms == 0 || is_held(view)) {
         readers->missing_since_ms = view->now_ms;
     }
-    if (readers->role == READERS_IDLE) {
-        if (view->has_targets && view->age_ms < READERS_START_HOLD_MS) {
-            return READERS_IDLE;
-        }
-        if (view->now_ms - readers->missing_since_ms <
-            stagger_ms(view->lower_ids)) {
-            return READERS_IDLE;
-        }
+    if (readers->role == READERS_IDLE &&
+        (is_held(view) || view->now_ms - readers->missing_since_ms <
+                              stagger_ms(view->lower_ids))) {
+        return READERS_IDLE;
     }
     if (active > 0) {
         return READERS_STANDBY;
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -386,7 +386,10 @@
 static void
 update_fleet_size(struct mesh *mesh, int64_t now_ms)
 {
-    size_t count = mesh_linked_count(mesh) + 1;
+    size_t known = mesh_known_count(mesh);
+    // Beyond a full mesh the links show only some of the routers.
+    size_t count =
+        known > MESH_FULL_ROUTERS_MAX ? known : mesh_linked_count(mesh) + 1;
 
     if (count >= mesh->fleet_size ||
         now_ms - mesh->fleet_size_ms > FLEET_SIZE_HOLD_MS) {
@@ -659,6 +662,16 @@
     return count;
 }
 
+size_t
+mesh_known_count(const struct mesh *mesh)
+{
+    const struct target *target;
+    size_t count;
+
+    LL_COUNT(mesh->targets, target, count);
+    return count + 1;
+}
+
 size_t
 mesh_fleet_size(const struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -133,6 +133,9 @@
 /// Number of routers that are linked now; a router with two links counts once.
 size_t mesh_linked_count(const struct mesh *mesh);
 
-/// Highest number of linked routers, this one included, within about the last
-/// 30 s.
+/// Number of routers that are known, linked or not, this one included.
+size_t mesh_known_count(const struct mesh *mesh);
+
+/// Highest number of routers, this one included, within about the last 30 s:
+/// linked ones in a full mesh, known ones in a larger deployment.
 size_t mesh_fleet_size(const struct mesh *mesh);
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -13,6 +13,8 @@
 /// Topics written by the operator and by the endpoints.
 #define KEYED_STORE_TOPIC_OPERATOR "keyed.op"
 #define KEYED_STORE_TOPIC_ENDPOINTS "keyed.servers"
+/// Topic written by the routers.
+#define KEYED_STORE_TOPIC_ROUTERS "keyed.status"
 
 struct event_base;
 struct keyed_store;
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -7,6 +7,7 @@
 #include <CUnit/CUnit.h>
 
 #include "core/xmalloc.h"
+#include "direct/direct_state.h"
 #include "direct_harness.h"
 #include "standin/platform_document.h"
 #include "suites.h"
@@ -376,6 +377,66 @@
     direct_harness_stop(&harness);
 }
 
+/// Writes the records of routers that have no links to the others.
+static void
+put_unlinked_routers(struct direct_harness *harness, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        char key[16], value[32];
+
+        snprintf(key, sizeof(key), "u-%zu", i);
+        snprintf(value, sizeof(value), "127.0.0.1:%zu", 1 + i);
+        keyed_store_put(harness->store, KEYED_STORE_TOPIC_ROUTERS, key,
+                        str_from(value));
+    }
+}
+
+static void
+restart_all(struct direct_harness *harness, size_t routers)
+{
+    for (size_t i = 0; i < routers; i++) {
+        direct_harness_stop_router(harness, i);
+    }
+    for (size_t i = 0; i < routers; i++) {
+        direct_harness_start_router(harness, i);
+    }
+}
+
+/// After a loss of power a router lists each topic and announces itself once,
+/// and candidates begin to read one after the other.
+static void
+test_restart_call_rate(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 4, 0);
+    direct_harness_run(&harness, 2500);
+    before = keyed_store_calls(harness.store);
+    restart_all(&harness, 4);
+    direct_harness_run(&harness, 2500);
+    // Four calls each, and the waiting reads of the two readers.
+    CU_ASSERT(keyed_store_calls(harness.store) - before <= 4 * 4 + 8);
+    direct_harness_stop(&harness);
+}
+
+/// In a deployment that is too large for a full mesh, the retry budget is
+/// divided by all routers, not by the linked ones.
+static void
+test_large_deployment(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 2, 0);
+    put_unlinked_routers(&harness, 98);
+    restart_all(&harness, 2);
+    direct_harness_run(&harness, 2000);
+    for (size_t i = 0; i < 2; i++) {
+        CU_ASSERT(direct_router_count(harness.routers[i]) == 100);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// Publishes a configuration that is large also when compressed.
 static void
 publish_large(struct direct_harness *harness)
@@ -474,5 +535,7 @@
     CU_add_test(suite, "configuration call rate",
                 test_configuration_call_rate);
     CU_add_test(suite, "large configuration", test_large_configuration);
+    CU_add_test(suite, "restart call rate", test_restart_call_rate);
+    CU_add_test(suite, "large deployment", test_large_deployment);
     CU_add_test(suite, "reader is replaced", test_reader_is_replaced);
 }
