readers: late beats of stopped readers do not count

Cause: an expired reader was forgotten, so that its last beat, passed on by a router that had been frozen meanwhile, counted as new on every router for another 1.3 s: with two such readers nobody read the store for that time. Found by reading; a process that was paused acted on what had run out. Change: expired entries stay as long as there is space, with their beat. Figures: tests/test_readers.c 'stale beats' failed without it (two checks). Conclusion: only a beat that is higher than the last one known renews a reader.

--- a/core/readers.c
+++ b/core/readers.c
@@ -48,28 +48,14 @@
     return now_ms - tracked->received_ms < READERS_EXPIRY_MS;
 }
 
-static void
-remove_at(struct readers *readers, size_t index)
-{
-    readers->tracked[index] = readers->tracked[--readers->count];
-}
-
-static void
-remove_expired(struct readers *readers, int64_t now_ms)
-{
-    for (size_t i = readers->count; i > 0; i--) {
-        if (!is_fresh(&readers->tracked[i - 1], now_ms)) {
-            remove_at(readers, i - 1);
-        }
-    }
-}
-
-/// The entry of a reader, an unused one, or the one with the highest id, which
-/// matters least; NULL if all have lower ids.
+/// The entry of a reader, an unused one, the one that has expired first, or
+/// the one with the highest id, which matters least; NULL if all count and
+/// have lower ids. Expired entries stay while there is space: a beat that a
+/// paused router forwards late is known by them.
 static struct tracked *
-find_place(struct readers *readers, uint64_t id)
+find_place(struct readers *readers, uint64_t id, int64_t now_ms)
 {
-    struct tracked *highest = NULL;
+    struct tracked *oldest = NULL, *highest = NULL;
 
     for (size_t i = 0; i < readers->count; i++) {
         struct tracked *tracked = &readers->tracked[i];
@@ -77,6 +63,9 @@
         if (tracked->beat.id == id) {
             return tracked;
         }
+        if (oldest == NULL || tracked->received_ms < oldest->received_ms) {
+            oldest = tracked;
+        }
         if (highest == NULL || tracked->beat.id > highest->beat.id) {
             highest = tracked;
         }
@@ -85,6 +74,10 @@
         readers->tracked[readers->count] = (struct tracked){0};
         return &readers->tracked[readers->count++];
     }
+    if (!is_fresh(oldest, now_ms)) {
+        *oldest = (struct tracked){0};
+        return oldest;
+    }
     if (highest->beat.id < id) {
         return NULL;
     }
@@ -122,11 +115,10 @@
     bool was_known;
 
     *urgent = false;
-    remove_expired(readers, now_ms);
     if (beat->id == readers->own_id) {
         return false;
     }
-    tracked = find_place(readers, beat->id);
+    tracked = find_place(readers, beat->id, now_ms);
     if (tracked == NULL) {
         return false;
     }
@@ -134,7 +126,7 @@
     if (was_known && beat->beat <= tracked->beat.beat) {
         return false;
     }
-    *urgent = !was_known || tracked->beat.reads != beat->reads;
+    *urgent = !is_fresh(tracked, now_ms) || tracked->beat.reads != beat->reads;
     *urgent = learn_recovery(readers, beat, now_ms) || *urgent;
     tracked->beat = *beat;
     tracked->received_ms = now_ms;
@@ -147,7 +139,7 @@
 {
     for (size_t i = 0; i < readers->count; i++) {
         if (readers->tracked[i].beat.id == id) {
-            remove_at(readers, i);
+            readers->tracked[i].beat.reads = false;
             return;
         }
     }
@@ -222,7 +214,6 @@
 enum readers_role
 readers_update(struct readers *readers, const struct readers_view *view)
 {
-    remove_expired(readers, view->now_ms);
     readers->role = choose_role(readers, view);
     return readers->role;
 }
--- a/core/readers.h
+++ b/core/readers.h
@@ -30,8 +30,8 @@
 #define READERS_STAGGER_MS 300
 /// After the start, time in which links are set up and beats come in.
 #define READERS_START_HOLD_MS 500
-/// Readers that a router keeps track of.
-#define READERS_TRACKED_MAX 8 // at most MESSAGE_BEATS_MAX
+/// Readers that a router keeps track of; at most MESSAGE_BEATS_MAX.
+#define READERS_TRACKED_MAX 8
 
 enum readers_role {
     READERS_IDLE,       ///< peers send the records
@@ -58,7 +58,7 @@
 bool readers_receive(struct readers *readers, const struct message_beat *beat,
                      int64_t now_ms, bool *urgent);
 
-/// Removes a reader whose link has closed.
+/// The link of a reader has closed: it counts again upon its next beat.
 void readers_remove(struct readers *readers, uint64_t id);
 
 /// The role of this router from now on.
--- a/tests/test_readers.c
+++ b/tests/test_readers.c
@@ -314,6 +314,11 @@
     CU_ASSERT(readers_update(readers, &view) == READERS_STANDBY);
     view.now_ms = 10000 + READERS_EXPIRY_MS;
     CU_ASSERT(readers_update(readers, &view) == READERS_PRIMARY);
+    // Both have stopped; a router that was frozen for a while passes their
+    // last beats on when it wakes.
+    beat = (struct message_beat){.id = 1, .beat = 7, .reads = true};
+    CU_ASSERT(!readers_receive(readers, &beat, view.now_ms, &urgent));
+    CU_ASSERT(readers_update(readers, &view) == READERS_PRIMARY);
     readers_free(readers);
 }
 
