--- a/tests/suites.h
+++ b/tests/suites.h
@@ -17,6 +17,7 @@
 void suite_catalog(void);
 void suite_endless(void);
 void suite_link(void);
+void suite_store(void);
 void suite_signals(void);
 void suite_readers(void);
 void suite_records(void);
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,179 @@
+/// The client of the platform's store, without a router.
+#include <stdlib.h>
+
+#include <CUnit/CUnit.h>
+#include <event2/event.h>
+
+#include "net/loop.h"
+#include "platform/store.h"
+#include "standin/keyed_store.h"
+#include "standin/ports.h"
+#include "suites.h"
+
+struct fixture {
+    struct event_base *base;
+    struct keyed_store *standin;
+    struct counters counters;
+    struct records *records;
+    struct store *store;
+    int applied;
+    int fetch_failures;
+};
+
+static void
+on_changed(void *ctx, const struct record *record)
+{
+    (void)record;
+    ((struct fixture *)ctx)->applied++;
+}
+
+static void
+on_recovered(void *ctx)
+{
+    (void)ctx;
+}
+
+static void
+on_records_read(void *ctx, enum record_topic topic)
+{
+    (void)ctx;
+    (void)topic;
+}
+
+static void
+on_fetch_failed(void *ctx, enum record_topic topic)
+{
+    (void)topic;
+    ((struct fixture *)ctx)->fetch_failures++;
+}
+
+static void
+on_caught_up(void *ctx, enum record_topic topic, int64_t outage_ms)
+{
+    (void)ctx;
+    (void)topic;
+    (void)outage_ms;
+}
+
+static void
+stop_loop(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    event_base_loopbreak(ctx);
+}
+
+static void
+run(struct fixture *fixture, int64_t ms)
+{
+    const struct timeval delay = {ms / 1000, ms % 1000 * 1000};
+    struct event *event =
+        event_new(fixture->base, -1, 0, stop_loop, fixture->base);
+
+    event_add(event, &delay);
+    event_base_dispatch(fixture->base);
+    event_free(event);
+}
+
+static void
+start(struct fixture *fixture)
+{
+    struct err err = {0};
+
+    *fixture = (struct fixture){.base = event_base_new()};
+    fixture->standin = keyed_store_new(
+        &(struct keyed_store_options){
+            .base = fixture->base,
+            .clock = &clock_monotonic,
+            .address = ports_any(),
+        },
+        &err);
+    CU_ASSERT_FATAL(fixture->standin != NULL);
+    keyed_store_put(fixture->standin, KEYED_STORE_TOPIC_OPERATOR, "config",
+                    STR_LITERAL("{}"));
+    fixture->records = records_new(&(struct records_options){
+        .changed = on_changed,
+        .ctx = fixture,
+    });
+    fixture->store = store_new(&(struct store_options){
+        .base = fixture->base,
+        .clock = &clock_monotonic,
+        .random = &random_system,
+        .address = keyed_store_address(fixture->standin),
+        .settle_ms = 3000,
+        .counters = &fixture->counters,
+        .records = fixture->records,
+        .recovered = on_recovered,
+        .records_read = on_records_read,
+        .fetch_failed = on_fetch_failed,
+        .caught_up = on_caught_up,
+        .ctx = fixture,
+    });
+    store_set_role(fixture->store, READERS_IDLE);
+    run(fixture, 300);
+    CU_ASSERT(fixture->applied == 1);
+}
+
+static void
+stop(struct fixture *fixture)
+{
+    store_free(fixture->store);
+    records_free(fixture->records);
+    keyed_store_free(fixture->standin);
+    loop_free(fixture->base);
+}
+
+/// An idle router makes no calls, but for a single read that is asked for.
+static void
+test_idle_and_fetch(void)
+{
+    struct fixture fixture;
+    uint64_t before;
+
+    start(&fixture);
+    before = counter_get(&fixture.counters, COUNTER_LOG_READS);
+    keyed_store_put(fixture.standin, KEYED_STORE_TOPIC_OPERATOR, "config",
+                    STR_LITERAL("{\"version\":2}"));
+    run(&fixture, 500);
+    CU_ASSERT(fixture.applied == 1);
+    CU_ASSERT(counter_get(&fixture.counters, COUNTER_LOG_READS) == before);
+    store_fetch(fixture.store, RECORDS_CONFIGURATION);
+    run(&fixture, 300);
+    CU_ASSERT(fixture.applied == 2);
+    CU_ASSERT(counter_get(&fixture.counters, COUNTER_LOG_READS) == before + 1);
+    keyed_store_set_fault(fixture.standin, KEYED_STORE_BUSY);
+    store_fetch(fixture.store, RECORDS_CONFIGURATION);
+    run(&fixture, 300);
+    CU_ASSERT(fixture.fetch_failures == 1);
+    CU_ASSERT(counter_get(&fixture.counters, COUNTER_LOG_READS) == before + 2);
+    stop(&fixture);
+}
+
+/// A router becomes a reader while a single read is in progress: one read of
+/// each topic continues, not two.
+static void
+test_role_during_fetch(void)
+{
+    struct fixture fixture;
+    uint64_t before;
+
+    start(&fixture);
+    store_fetch(fixture.store, RECORDS_CONFIGURATION);
+    store_set_role(fixture.store, READERS_PRIMARY);
+    run(&fixture, 200);
+    before = counter_get(&fixture.counters, COUNTER_LOG_READS);
+    run(&fixture, 2600);
+    // Two topics with waits of 1.2 s.
+    CU_ASSERT(counter_get(&fixture.counters, COUNTER_LOG_READS) - before <= 5);
+    CU_ASSERT(store_is_reachable(fixture.store, RECORDS_CONFIGURATION));
+    stop(&fixture);
+}
+
+void
+suite_store(void)
+{
+    CU_pSuite suite = CU_add_suite("store", NULL, NULL);
+
+    CU_add_test(suite, "idle and fetch", test_idle_and_fetch);
+    CU_add_test(suite, "role during fetch", test_role_during_fetch);
+}
