deployment: serve from the first page of the endpoints' list on

Ruled out: links (serving does not need them); at 100 routers, two pages, 500 ms. Change: a router has endpoints as soon as the first page is applied; the rest follows. Up to 500 entries nothing changes. The stand-in store sends lists in pages, so that the client's paging is tested at all. Properties for scans of events, packed values and beats (any order, doubled).

--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -177,6 +177,17 @@
     resume_waiting(direct);
 }
 
+void
+direct_topic_partly_listed(struct direct *direct, enum record_topic topic)
+{
+    if (topic == RECORDS_ENDPOINTS && !direct->has_endpoints) {
+        LOG_INFO("event=endpoints-partly-listed endpoints=%zu",
+                 endpoints_count(direct->endpoints));
+        direct->has_endpoints = true;
+        resume_waiting(direct);
+    }
+}
+
 void
 direct_store_recovered(struct direct *direct)
 {
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -76,6 +76,11 @@
 void direct_topic_caught_up(struct direct *direct, enum record_topic topic,
                             int64_t outage_ms);
 
+/// Part of a topic has been listed; the rest follows. Requests are served with
+/// the endpoints that are known by then.
+void direct_topic_partly_listed(struct direct *direct,
+                                enum record_topic topic);
+
 /// The store answers again; called before its records are applied, since
 /// entries that are missing from it may have lapsed in the outage.
 void direct_store_recovered(struct direct *direct);
--- a/standin/keyed_store.c
+++ b/standin/keyed_store.c
@@ -19,6 +19,7 @@
 #define TOPICS_MAX 8
 #define RECORDS_MAX 20000
 #define POLL_MS 5
+/// Records in one page of a list.
 #define LIST_MAX 500
 
 struct record {
@@ -131,38 +132,64 @@
     return topic->records[index].value.len > 0;
 }
 
+struct listed {
+    const struct record *record;
+};
+
+static int
+compare_keys(const void *a, const void *b)
+{
+    const struct listed *left = a, *right = b;
+
+    return strcmp(left->record->key, right->record->key);
+}
+
+static json_t *
+list_item(const struct topic *topic, const struct record *record)
+{
+    size_t size = sodium_base64_ENCODED_LEN(record->value.len,
+                                            sodium_base64_VARIANT_ORIGINAL);
+    char *encoded = xmalloc(size);
+    json_t *item;
+
+    sodium_bin2base64(encoded, size, (const unsigned char *)record->value.data,
+                      record->value.len, sodium_base64_VARIANT_ORIGINAL);
+    item = json_pack("{s:s, s:s, s:I}", "key", record->key, "value", encoded,
+                     "offset", (json_int_t)(record - topic->records));
+    free(encoded);
+    return item;
+}
+
+/// Sends the newest records with keys above `after`, a page at most.
 static void
-send_newest(struct caller *caller, const struct topic *topic)
+send_newest(struct caller *caller, const struct topic *topic,
+            const char *after)
 {
+    struct listed *newest = xcalloc(topic->count + 1, sizeof(*newest));
     struct evbuffer *body = evbuffer_new();
     json_t *items = json_array();
+    size_t count = 0;
+    size_t sent = 0;
     json_t *root;
     char *text;
 
     for (size_t i = 0; i < topic->count; i++) {
-        const struct record *record = &topic->records[i];
-        size_t size = sodium_base64_ENCODED_LEN(
-            record->value.len, sodium_base64_VARIANT_ORIGINAL);
-        char *encoded;
-
-        if (!is_newest(topic, i)) {
-            continue;
+        if (is_newest(topic, i) &&
+            (after == NULL || strcmp(topic->records[i].key, after) > 0)) {
+            newest[count++].record = &topic->records[i];
         }
-        encoded = xmalloc(size);
-        sodium_bin2base64(encoded, size,
-                          (const unsigned char *)record->value.data,
-                          record->value.len, sodium_base64_VARIANT_ORIGINAL);
-        json_array_append_new(items, json_pack("{s:s, s:s, s:I}", "key",
-                                               record->key, "value", encoded,
-                                               "offset", (json_int_t)i));
-        free(encoded);
     }
-    root = json_pack("{s:o, s:b, s:I}", "items", items, "more_pages", 0, "end",
-                     (json_int_t)topic->count);
+    qsort(newest, count, sizeof(*newest), compare_keys);
+    while (sent < count && sent < LIST_MAX) {
+        json_array_append_new(items, list_item(topic, newest[sent++].record));
+    }
+    root = json_pack("{s:o, s:b, s:I}", "items", items, "more_pages",
+                     sent < count, "end", (json_int_t)topic->count);
     text = json_dumps(root, JSON_COMPACT);
     evbuffer_add(body, text, strlen(text));
     free(text);
     json_decref(root);
+    free(newest);
     reply(caller, 200, body);
 }
 
@@ -248,7 +275,7 @@
         goto out;
     }
     if (!strncmp(target, "/v1/log-newest", 14)) {
-        send_newest(caller, topic);
+        send_newest(caller, topic, evhttp_find_header(&query, "after"));
     }
     else if (!strncmp(target, "/v1/log-read", 12)) {
         handle_read(store, caller, topic, &query);
--- a/tests/properties.cpp
+++ b/tests/properties.cpp
@@ -13,8 +13,10 @@
 #include <sodium.h>
 #include <xxhash.h>
 
+#include "core/pack.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "core/readers.h"
 #include "core/shed.h"
 #include "core/sse.h"
 #include "dandelionvalve/answer.h"
@@ -872,6 +874,103 @@
     http1_destroy(&http);
 }
 
+// The scan counts the events of a stream, and the bytes of the open one,
+// however it is fragmented.
+static void
+scans_survive_any_fragmentation()
+{
+    const auto count = *rc::gen::inRange(0, 12);
+    const auto open = *rc::gen::inRange<size_t>(0, 40);
+    const std::string ending = *rc::gen::element<std::string>("\n", "\r\n");
+    std::string stream;
+    struct sse_scan scan = {};
+    size_t at = 0;
+
+    for (int i = 1; i <= count; i++) {
+        stream +=
+            "id: " + std::to_string(i) + ending + "data: x" + ending + ending;
+    }
+    stream += std::string(open, 'y');
+    while (at < stream.size()) {
+        const size_t fragment =
+            std::min(*rc::gen::inRange<size_t>(1, 30), stream.size() - at);
+        const uint64_t before = scan.events;
+
+        const bool is_complete =
+            sse_scan_bytes(&scan, stream.data() + at, fragment);
+
+        RC_ASSERT(is_complete == (scan.events > before));
+        at += fragment;
+    }
+    RC_ASSERT(scan.events == (uint64_t)count);
+    RC_ASSERT(scan.open_bytes == open);
+}
+
+// A compressed value expands to itself; changed or cut bytes never expand to
+// another value of the stated length without an error.
+static void
+packed_values_are_whole()
+{
+    const auto text =
+        *rc::gen::container<std::string>(rc::gen::inRange('a', 'f'));
+    const struct str value = {text.data(), text.size()};
+    struct str packed = pack_compress(value);
+    struct str expanded;
+
+    RC_ASSERT(pack_expand(packed, value.len, &expanded));
+    RC_ASSERT(str_equal(expanded, value));
+    free((char *)expanded.data);
+    RC_ASSERT(!pack_expand(packed, value.len + 1, &expanded));
+    std::string changed(packed.data, packed.len);
+    const size_t at = *rc::gen::inRange<size_t>(0, changed.size());
+
+    changed[at] = (char)(changed[at] ^ (1 << *rc::gen::inRange(0, 8)));
+    if (pack_expand({changed.data(), changed.size()}, value.len, &expanded)) {
+        RC_ASSERT(str_equal(expanded, value));
+        free((char *)expanded.data);
+    }
+    free((char *)packed.data);
+}
+
+// Beats that are lost, doubled and reordered leave the same as the highest
+// beat of each reader alone, if it is the last that arrives in time.
+static void
+beats_are_order_free()
+{
+    const auto ids = *rc::gen::inRange<uint64_t>(1, READERS_TRACKED_MAX);
+    const auto count = *rc::gen::inRange(1, 40);
+    struct readers *readers = readers_new(1000);
+    std::map<uint64_t, struct message_beat> newest;
+    int64_t now_ms = 100000;
+    size_t active = 0;
+
+    for (int i = 0; i < count; i++) {
+        const struct message_beat beat = {
+            *rc::gen::inRange<uint64_t>(1, ids + 1),
+            *rc::gen::inRange<uint32_t>(1, 20),
+            *rc::gen::arbitrary<bool>(),
+            0,
+        };
+        const bool is_newer =
+            newest.count(beat.id) == 0 || beat.beat > newest[beat.id].beat;
+        bool urgent;
+
+        RC_ASSERT(readers_receive(readers, &beat, now_ms, &urgent) ==
+                  is_newer);
+        RC_ASSERT(is_newer || !urgent);
+        if (is_newer) {
+            newest[beat.id] = beat;
+        }
+    }
+    for (const auto &item : newest) {
+        active += item.second.reads ? 1 : 0;
+    }
+    RC_ASSERT(readers_active(readers, now_ms) == active);
+    now_ms += READERS_EXPIRY_MS;
+    RC_ASSERT(readers_active(readers, now_ms) == 0);
+    readers_free(readers);
+}
+
 int
 main()
 {
@@ -892,6 +991,9 @@
           events_survive_any_fragmentation);
     check("answers survive any fragmentation",
           answers_survive_any_fragmentation);
+    check("scans survive any fragmentation", scans_survive_any_fragmentation);
+    check("packed values are whole", packed_values_are_whole);
+    check("beats are order free", beats_are_order_free);
     printf("properties: %d passed, %d failed\n", passed, failed);
     return failed == 0 ? 0 : 1;
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,4 +1,5 @@
 /// The client of the platform's store, without a router.
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <CUnit/CUnit.h>
@@ -18,8 +19,21 @@
     struct store *store;
     int applied;
     int fetch_failures;
+    int pages;              ///< that others follow
+    int applied_first_page; ///< records when the first page was applied
 };
 
+static void
+on_partly_listed(void *ctx, enum record_topic topic)
+{
+    struct fixture *fixture = ctx;
+
+    (void)topic;
+    if (fixture->pages++ == 0) {
+        fixture->applied_first_page = fixture->applied;
+    }
+}
+
 static void
 on_changed(void *ctx, const struct record *record)
 {
@@ -76,7 +90,19 @@
 }
 
 static void
-start(struct fixture *fixture)
+put_entries(struct keyed_store *standin, int count)
+{
+    for (int i = 0; i < count; i++) {
+        char key[16];
+
+        snprintf(key, sizeof(key), "e-%04d", i);
+        keyed_store_put(standin, KEYED_STORE_TOPIC_ENDPOINTS, key,
+                        STR_LITERAL("{}"));
+    }
+}
+
+static void
+start(struct fixture *fixture, int entries)
 {
     struct err err = {0};
 
@@ -91,6 +117,7 @@
     CU_ASSERT_FATAL(fixture->standin != NULL);
     keyed_store_put(fixture->standin, KEYED_STORE_TOPIC_OPERATOR, "config",
                     STR_LITERAL("{}"));
+    put_entries(fixture->standin, entries);
     fixture->records = records_new(&(struct records_options){
         .changed = on_changed,
         .ctx = fixture,
@@ -106,12 +133,13 @@
         .recovered = on_recovered,
         .records_read = on_records_read,
         .fetch_failed = on_fetch_failed,
+        .partly_listed = on_partly_listed,
         .caught_up = on_caught_up,
         .ctx = fixture,
     });
     store_set_role(fixture->store, READERS_IDLE);
     run(fixture, 300);
-    CU_ASSERT(fixture->applied == 1);
+    CU_ASSERT(fixture->applied == 1 + entries);
 }
 
 static void
@@ -130,7 +158,7 @@
     struct fixture fixture;
     uint64_t before;
 
-    start(&fixture);
+    start(&fixture, 0);
     before = counter_get(&fixture.counters, COUNTER_LOG_READS);
     keyed_store_put(fixture.standin, KEYED_STORE_TOPIC_OPERATOR, "config",
                     STR_LITERAL("{\"version\":2}"));
@@ -157,7 +185,7 @@
     struct fixture fixture;
     uint64_t before;
 
-    start(&fixture);
+    start(&fixture, 0);
     store_fetch(fixture.store, RECORDS_CONFIGURATION);
     store_set_role(fixture.store, READERS_PRIMARY);
     run(&fixture, 200);
@@ -169,6 +197,20 @@
     stop(&fixture);
 }
 
+/// Load pattern: all routers return at once to a store that shares its
+/// bandwidth between them. A router can serve from the first page on.
+static void
+test_list_in_pages(void)
+{
+    struct fixture fixture;
+
+    start(&fixture, 1200);
+    CU_ASSERT(fixture.pages == 2);
+    CU_ASSERT(fixture.applied_first_page >= 500);
+    CU_ASSERT(fixture.applied_first_page < 1200);
+    stop(&fixture);
+}
+
 void
 suite_store(void)
 {
@@ -176,4 +218,5 @@
 
     CU_add_test(suite, "idle and fetch", test_idle_and_fetch);
     CU_add_test(suite, "role during fetch", test_role_during_fetch);
+    CU_add_test(suite, "list in pages", test_list_in_pages);
 }
