caller, deployment: log connection time-outs and what a configuration takes

Added: event=connection-timeout (reason, requests, elapsed, limit, unread bytes; a warning if bytes are unread), idle_timeout_ms, head_timeout_ms and took_ms in event=configuration.

--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -15,9 +15,11 @@
 apply_catalog(struct direct *direct, const struct record *record)
 {
     struct err err = {0};
+    int64_t started_ms = clock_ms(direct->options.clock);
     struct catalog *catalog =
         direct->options.wire->read_catalog(record->value, &err);
     const struct catalog_limits *limits;
+    int64_t before;
 
     if (catalog == NULL) {
         counter_add(direct->options.counters, COUNTER_CONF_REJECTED, 1);
@@ -35,17 +37,10 @@
         catalog_unref(catalog);
         return;
     }
-    LOG_INFO("event=configuration version=%lld before=%lld offset=%lld "
-             "routes=%zu bytes=%zu",
-             (long long)catalog_version(catalog),
-             direct->catalog != NULL
-                 ? (long long)catalog_version(direct->catalog)
-                 : -1,
-             (long long)record->offset, catalog_route_count(catalog),
-             record->value.len);
     counter_add(direct->options.counters, COUNTER_CONF_ACCEPTED, 1);
     counter_set(direct->options.counters, COUNTER_CONF_VERSION,
                 (uint64_t)catalog_version(catalog));
+    before = direct->catalog != NULL ? catalog_version(direct->catalog) : -1;
     catalog_unref(direct->catalog);
     direct->catalog = catalog;
     limits = catalog_limits(catalog);
@@ -56,6 +51,14 @@
                              .head_timeout_ms = limits->head_timeout_ms,
                              .idle_timeout_ms = limits->idle_timeout_ms,
                          });
+    LOG_INFO("event=configuration version=%lld before=%lld offset=%lld "
+             "routes=%zu bytes=%zu idle_timeout_ms=%lld head_timeout_ms=%lld "
+             "took_ms=%lld",
+             (long long)catalog_version(catalog), (long long)before,
+             (long long)record->offset, catalog_route_count(catalog),
+             record->value.len, (long long)limits->idle_timeout_ms,
+             (long long)limits->head_timeout_ms,
+             (long long)(clock_ms(direct->options.clock) - started_ms));
 }
 
 struct entry_context {
--- a/net/caller.c
+++ b/net/caller.c
@@ -9,14 +9,18 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
 #include "core/xmalloc.h"
 #include "http.h"
 #include "http1.h"
+#include "log.h"
 #include "timer.h"
 
+#define LOG_MODULE "caller"
+
 #define BACKLOG 1024
 #define READ_BYTES_MAX 65536
 /// TCP_USER_TIMEOUT, which detects a caller that is no longer reachable.
@@ -41,6 +45,9 @@
     struct event *timer;
     void *user;
     int64_t started_ms;
+    int64_t timer_started_ms;
+    int64_t timer_ms;
+    size_t requests; ///< received complete on this connection
     bool chunked;
     bool close_after_response;
     bool body_too_large;
@@ -110,6 +117,40 @@
     }
 }
 
+static void
+start_timer(struct caller *caller, int64_t ms)
+{
+    caller->timer_started_ms = clock_ms(caller->server->options.clock);
+    caller->timer_ms = ms;
+    timer_start(caller->timer, ms);
+}
+
+/// Received bytes that have not been parsed, in the buffer or in the socket.
+static size_t
+count_unread(const struct caller *caller)
+{
+    size_t buffered =
+        evbuffer_get_length(bufferevent_get_input(caller->bufferevent));
+    int waiting = 0;
+
+    ioctl(bufferevent_getfd(caller->bufferevent), FIONREAD, &waiting);
+    return buffered + (waiting > 0 ? (size_t)waiting : 0);
+}
+
+static void
+log_timeout(const struct caller *caller, const char *reason)
+{
+    int64_t elapsed_ms =
+        clock_ms(caller->server->options.clock) - caller->timer_started_ms;
+    size_t unread = count_unread(caller);
+
+    log_line(unread > 0 ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, LOG_MODULE,
+             "event=connection-timeout reason=%s requests=%zu "
+             "elapsed_ms=%lld limit_ms=%lld unread=%zu",
+             reason, caller->requests, (long long)elapsed_ms,
+             (long long)caller->timer_ms, unread);
+}
+
 static void
 reject_request(struct caller *caller, int status)
 {
@@ -130,10 +171,15 @@
         return;
     }
     if (caller->state == CALLER_READING && caller->http.started) {
+        log_timeout(caller, "head");
         reject_request(caller, 408);
         return;
     }
-    if (caller->state == CALLER_READING || caller->state == CALLER_CLOSING) {
+    if (caller->state == CALLER_READING) {
+        log_timeout(caller, "idle");
+        close_caller(caller);
+    }
+    else if (caller->state == CALLER_CLOSING) {
         close_caller(caller);
     }
 }
@@ -188,7 +234,7 @@
     caller->body_too_large = false;
     evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
     http1_reset(&caller->http);
-    timer_start(caller->timer, caller->server->options.limits.idle_timeout_ms);
+    start_timer(caller, caller->server->options.limits.idle_timeout_ms);
     read_request(caller);
 }
 
@@ -199,6 +245,7 @@
 
     event_del(caller->timer);
     caller->state = CALLER_PROCESSING;
+    caller->requests++;
     caller->close_after_response = !http1_keeps_alive(&caller->http);
     server->options.request(server->options.ctx, caller);
 }
@@ -216,7 +263,7 @@
 
         if (!caller->http.started) {
             caller->started_ms = clock_ms(caller->server->options.clock);
-            timer_start(caller->timer,
+            start_timer(caller,
                         caller->server->options.limits.head_timeout_ms);
         }
         consumed = http1_feed(&caller->http, bytes, len);
@@ -301,7 +348,7 @@
     bufferevent_enable(caller->bufferevent, EV_READ | EV_WRITE);
     DL_APPEND(server->callers, caller);
     server->connections++;
-    timer_start(caller->timer, server->options.limits.idle_timeout_ms);
+    start_timer(caller, server->options.limits.idle_timeout_ms);
 }
 
 struct caller_server *
