caller: received bytes are read before a time-out counts

Cause: after a pause of the process (a configuration of 200 KB takes 100 to 211 ms on a small VM) the loop runs expired timers before the deferred read callbacks, and the idle timer looked at the parser only. A connection whose next request waited in the socket or in the buffer was closed as idle. The head timer answered 408 to requests whose rest had arrived; closing idle connections at a stop looked at the buffer, not at the socket.

Change: input_unread() counts what waits in buffer and socket; while there is any, both time-outs and caller_server_close_idle() leave the connection open. What is read changes the state or runs into the limits of head and body, so the time-out is not put off for ever.

Before, tests caller: 4 of 5 failed ('requests == 2', '!closed', 'answers == 1' twice). After: 5 of 5, three runs. Conclusion: the stall no longer cuts requests.

--- a/net/caller.c
+++ b/net/caller.c
@@ -9,13 +9,13 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
 #include "core/xmalloc.h"
 #include "http.h"
 #include "http1.h"
+#include "input.h"
 #include "log.h"
 #include "timer.h"
 
@@ -47,7 +47,8 @@
     int64_t started_ms;
     int64_t timer_started_ms;
     int64_t timer_ms;
-    size_t requests; ///< received complete on this connection
+    size_t requests;       ///< received complete on this connection
+    bool timeout_deferred; ///< of the running timer
     bool chunked;
     bool close_after_response;
     bool body_too_large;
@@ -122,33 +123,41 @@
 {
     caller->timer_started_ms = clock_ms(caller->server->options.clock);
     caller->timer_ms = ms;
+    caller->timeout_deferred = false;
     timer_start(caller->timer, ms);
 }
 
-/// Received bytes that have not been parsed, in the buffer or in the socket.
-static size_t
-count_unread(const struct caller *caller)
+static void
+log_timeout(const struct caller *caller, const char *reason)
 {
-    size_t buffered =
-        evbuffer_get_length(bufferevent_get_input(caller->bufferevent));
-    int waiting = 0;
-
-    ioctl(bufferevent_getfd(caller->bufferevent), FIONREAD, &waiting);
-    return buffered + (waiting > 0 ? (size_t)waiting : 0);
+    LOG_INFO("event=connection-timeout reason=%s requests=%zu "
+             "elapsed_ms=%lld limit_ms=%lld",
+             reason, caller->requests,
+             (long long)(clock_ms(caller->server->options.clock) -
+                         caller->timer_started_ms),
+             (long long)caller->timer_ms);
 }
 
-static void
-log_timeout(const struct caller *caller, const char *reason)
+/// True if received bytes are to be read before the time-out counts.
+static bool
+defer_timeout(struct caller *caller)
 {
-    int64_t elapsed_ms =
-        clock_ms(caller->server->options.clock) - caller->timer_started_ms;
-    size_t unread = count_unread(caller);
+    size_t unread = input_unread(caller->bufferevent);
 
-    log_line(unread > 0 ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, LOG_MODULE,
-             "event=connection-timeout reason=%s requests=%zu "
-             "elapsed_ms=%lld limit_ms=%lld unread=%zu",
-             reason, caller->requests, (long long)elapsed_ms,
-             (long long)caller->timer_ms, unread);
+    if (unread == 0) {
+        return false;
+    }
+    if (!caller->timeout_deferred) {
+        caller->timeout_deferred = true;
+        LOG_WARNING("event=connection-timeout-deferred requests=%zu "
+                    "elapsed_ms=%lld limit_ms=%lld unread=%zu",
+                    caller->requests,
+                    (long long)(clock_ms(caller->server->options.clock) -
+                                caller->timer_started_ms),
+                    (long long)caller->timer_ms, unread);
+    }
+    timer_start(caller->timer, 0);
+    return true;
 }
 
 static void
@@ -170,6 +179,9 @@
         disconnect_caller(caller);
         return;
     }
+    if (caller->state == CALLER_READING && defer_timeout(caller)) {
+        return;
+    }
     if (caller->state == CALLER_READING && caller->http.started) {
         log_timeout(caller, "head");
         reject_request(caller, 408);
@@ -424,8 +436,7 @@
     DL_FOREACH_SAFE(server->callers, caller, next)
     {
         if (caller->state == CALLER_READING && !caller->http.started &&
-            evbuffer_get_length(bufferevent_get_input(caller->bufferevent)) ==
-                0) {
+            input_unread(caller->bufferevent) == 0) {
             close_caller(caller);
         }
     }
--- a/tests/main.c
+++ b/tests/main.c
@@ -30,6 +30,7 @@
     {"catalog", suite_catalog},
     {"records", suite_records},
     {"readers", suite_readers},
+    {"caller", suite_caller},
     {"link", suite_link},
     {"place", suite_place},
     {"endless", suite_endless},
--- /dev/null
+++ b/tests/test_caller.c
@@ -0,0 +1,229 @@
+/// Callers' connections whose time-outs expire while the process is busy and
+/// bytes that arrive meanwhile are not yet read.
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <CUnit/CUnit.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include "core/xmalloc.h"
+#include "net/caller.h"
+#include "suites.h"
+
+#define IDLE_TIMEOUT_MS 300
+#define HEAD_TIMEOUT_MS 300
+/// Longer than what remains of a time-out when the process becomes busy.
+#define BUSY_MS 400
+#define RUN_STEP_US 5000
+
+static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct fixture {
+    struct event_base *base;
+    struct caller_server *server;
+    int client;
+    size_t requests;
+    char received[4096];
+    size_t received_len;
+    bool closed;
+};
+
+static void
+on_request(void *ctx, struct caller *caller)
+{
+    struct fixture *fixture = ctx;
+
+    fixture->requests++;
+    caller_reply(caller, 200, (struct str){0}, NULL);
+}
+
+static void
+on_disconnected(void *ctx, void *user)
+{
+    (void)ctx;
+    (void)user;
+}
+
+static void
+start(struct fixture *fixture)
+{
+    struct err err = {0};
+    struct caller_server_options options = {
+        .clock = &clock_monotonic,
+        .limits = {4096, 4096, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS},
+        .request = on_request,
+        .disconnected = on_disconnected,
+        .ctx = fixture,
+    };
+    struct address address;
+
+    *fixture = (struct fixture){.base = event_base_new()};
+    options.base = fixture->base;
+    CU_ASSERT_FATAL(
+        address_parse(str_from("127.0.0.1:0"), &options.address, &err));
+    fixture->server = caller_server_new(&options, &err);
+    CU_ASSERT_FATAL(fixture->server != NULL);
+    address = caller_server_address(fixture->server);
+    fixture->client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    CU_ASSERT_FATAL(connect(fixture->client,
+                            (const struct sockaddr *)&address.storage,
+                            (socklen_t)address.len) == 0);
+}
+
+static void
+stop(struct fixture *fixture)
+{
+    close(fixture->client);
+    caller_server_free(fixture->server);
+    event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+    event_base_free(fixture->base);
+}
+
+static void
+receive(struct fixture *fixture)
+{
+    ssize_t len = recv(
+        fixture->client, fixture->received + fixture->received_len,
+        sizeof(fixture->received) - 1 - fixture->received_len, MSG_DONTWAIT);
+
+    if (len > 0) {
+        fixture->received_len += (size_t)len;
+    }
+    fixture->closed = fixture->closed || len == 0;
+}
+
+static void
+run(struct fixture *fixture, int64_t ms)
+{
+    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
+
+    while (clock_ms(&clock_monotonic) < end_ms) {
+        event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+        receive(fixture);
+        usleep(RUN_STEP_US);
+    }
+}
+
+static void
+send_bytes(struct fixture *fixture, const char *bytes, size_t len)
+{
+    CU_ASSERT(send(fixture->client, bytes, len, MSG_NOSIGNAL) == (ssize_t)len);
+}
+
+static size_t
+count_answers(const struct fixture *fixture)
+{
+    size_t count = 0;
+
+    for (const char *at = fixture->received;
+         (at = strstr(at, "HTTP/1.1 200")) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/// Issue 24: a router that took over a configuration closed the connection as
+/// idle, with the next request unread.
+static void
+test_request_during_idle_timeout(void)
+{
+    struct fixture fixture;
+
+    start(&fixture);
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, IDLE_TIMEOUT_MS / 3);
+    CU_ASSERT(fixture.requests == 1);
+    send_bytes(&fixture, request, strlen(request));
+    usleep(BUSY_MS * 1000);
+    run(&fixture, IDLE_TIMEOUT_MS / 3);
+    CU_ASSERT(fixture.requests == 2);
+    CU_ASSERT(count_answers(&fixture) == 2);
+    CU_ASSERT(!fixture.closed);
+    stop(&fixture);
+}
+
+static void
+test_first_request_during_idle_timeout(void)
+{
+    struct fixture fixture;
+
+    start(&fixture);
+    run(&fixture, IDLE_TIMEOUT_MS / 3);
+    send_bytes(&fixture, request, strlen(request));
+    usleep(BUSY_MS * 1000);
+    run(&fixture, IDLE_TIMEOUT_MS / 3);
+    CU_ASSERT(count_answers(&fixture) == 1);
+    stop(&fixture);
+}
+
+/// The rest of a request arrives before its time-out and is read after it.
+static void
+test_rest_during_head_timeout(void)
+{
+    struct fixture fixture;
+
+    start(&fixture);
+    send_bytes(&fixture, request, 10);
+    run(&fixture, HEAD_TIMEOUT_MS / 3);
+    send_bytes(&fixture, request + 10, strlen(request) - 10);
+    usleep(BUSY_MS * 1000);
+    run(&fixture, HEAD_TIMEOUT_MS / 3);
+    CU_ASSERT(fixture.requests == 1);
+    CU_ASSERT(count_answers(&fixture) == 1);
+    stop(&fixture);
+}
+
+/// A router that stops closes idle connections; one with a request that waits
+/// in the socket is not idle.
+static void
+test_request_during_close_idle(void)
+{
+    struct fixture fixture;
+
+    start(&fixture);
+    run(&fixture, IDLE_TIMEOUT_MS / 6);
+    caller_server_drain(fixture.server);
+    send_bytes(&fixture, request, strlen(request));
+    usleep(RUN_STEP_US);
+    caller_server_close_idle(fixture.server);
+    run(&fixture, IDLE_TIMEOUT_MS / 3);
+    CU_ASSERT(fixture.requests == 1);
+    CU_ASSERT(count_answers(&fixture) == 1);
+    stop(&fixture);
+}
+
+/// Connections without input still time out.
+static void
+test_timeouts_without_input(void)
+{
+    struct fixture fixture;
+
+    start(&fixture);
+    run(&fixture, IDLE_TIMEOUT_MS * 2);
+    CU_ASSERT(fixture.closed);
+    stop(&fixture);
+    start(&fixture);
+    send_bytes(&fixture, request, 10);
+    run(&fixture, HEAD_TIMEOUT_MS * 2);
+    CU_ASSERT(strstr(fixture.received, "HTTP/1.1 408") != NULL);
+    stop(&fixture);
+}
+
+void
+suite_caller(void)
+{
+    CU_pSuite suite = CU_add_suite("caller", NULL, NULL);
+
+    CU_add_test(suite, "a request that arrives in a pause is not cut as idle",
+                test_request_during_idle_timeout);
+    CU_add_test(suite, "nor the first request of a connection",
+                test_first_request_during_idle_timeout);
+    CU_add_test(suite, "the rest of a request arrives in a pause",
+                test_rest_during_head_timeout);
+    CU_add_test(suite, "a request in the socket when idle ones are closed",
+                test_request_during_close_idle);
+    CU_add_test(suite, "connections without input time out",
+                test_timeouts_without_input);
+}
