caller: answers state how long the connection may be idle

Callers saw: requests on a connection that had been idle for as long as the router keeps it open ended without an answer.

Cause: the request crosses the close. The router closed at idle_timeout_ms and did not tell callers when; those that reuse connections for as long as they are open sent into the close. A request that may run once cannot be sent again safely then. During a pause of the process the window grows from the network's delay to the pause.

Change: answers that keep the connection open carry Keep-Alive with 80% of the idle time-out in whole seconds; callers stop to reuse it before the router closes it.

Test 'caller: the idle time that callers may use is stated' failed before.

--- a/net/caller.c
+++ b/net/caller.c
@@ -25,6 +25,9 @@
 #define READ_BYTES_MAX 65536
 /// TCP_USER_TIMEOUT, which detects a caller that is no longer reachable.
 #define USER_TIMEOUT_MS 5000
+/// Share of the idle time-out that callers are told: a request that is sent
+/// later could cross the close.
+#define KEEP_ALIVE_PERCENT 80
 /// Time for the caller to close after the last response; until then its input,
 /// such as the rest of a rejected request, is discarded.
 #define LINGER_MS 1000
@@ -489,6 +492,20 @@
     }
 }
 
+/// States how long the connection may be idle before it is reused, in whole
+/// seconds; nothing if that is less than one.
+static void
+write_keep_alive(const struct caller *caller, struct evbuffer *out)
+{
+    int64_t seconds = caller->server->options.limits.idle_timeout_ms *
+                      KEEP_ALIVE_PERCENT / 100 / 1000;
+
+    if (seconds > 0) {
+        evbuffer_add_printf(out, "Keep-Alive: timeout=%lld\r\n",
+                            (long long)seconds);
+    }
+}
+
 static void
 write_head(struct caller *caller, int status, struct str fields)
 {
@@ -503,6 +520,9 @@
     if (caller->close_after_response) {
         evbuffer_add_printf(out, "Connection: close\r\n");
     }
+    else {
+        write_keep_alive(caller, out);
+    }
 }
 
 void
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -17,6 +17,7 @@
 /// Longer than what remains of a time-out when the process becomes busy.
 #define BUSY_MS 400
 #define RUN_STEP_US 5000
+#define RUN_MS 100
 
 static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -211,6 +212,31 @@
     stop(&fixture);
 }
 
+/// Issue 24: callers were not told the idle time-out, and requests on
+/// connections that had been idle for as long crossed the close.
+static void
+test_stated_idle_time(void)
+{
+    struct fixture fixture;
+    struct caller_limits limits = {4096, 4096, HEAD_TIMEOUT_MS, 15000};
+
+    start(&fixture);
+    caller_server_set_limits(fixture.server, &limits);
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "\r\nKeep-Alive: timeout=12\r\n") !=
+              NULL);
+    stop(&fixture);
+    start(&fixture);
+    caller_server_set_limits(fixture.server, &limits);
+    caller_server_drain(fixture.server);
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "\r\nConnection: close\r\n") != NULL);
+    CU_ASSERT(strstr(fixture.received, "Keep-Alive") == NULL);
+    stop(&fixture);
+}
+
 void
 suite_caller(void)
 {
@@ -224,6 +250,8 @@
                 test_rest_during_head_timeout);
     CU_add_test(suite, "a request in the socket when idle ones are closed",
                 test_request_during_close_idle);
+    CU_add_test(suite, "the idle time that callers may use is stated",
+                test_stated_idle_time);
     CU_add_test(suite, "connections without input time out",
                 test_timeouts_without_input);
 }
