--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -1,5 +1,6 @@
 #include "attempt.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -29,6 +30,9 @@
 /// A request with less time left is not retried: its answer would be late.
 #define REMAINING_MIN_MS 10
 
+/// Hashes of the parts of a prompt in a log line.
+#define PARTS_TEXT_BYTES (PREFIX_PARTS_MAX * 9 + 1)
+
 /// Removes this prompt from the endpoint's backlog.
 static void
 release_backlog(struct exchange *exchange)
@@ -158,10 +162,27 @@
     return true;
 }
 
+/// The parts of a prompt that other requests share, as hexadecimal hashes.
+static const char *
+format_parts(const struct prefix *prefix, char text[PARTS_TEXT_BYTES])
+{
+    size_t at = 0;
+
+    text[0] = '\0';
+    for (size_t i = 0; i + 1 < prefix->count; i++) {
+        at +=
+            (size_t)snprintf(text + at, PARTS_TEXT_BYTES - at, "%s%08x",
+                             i > 0 ? "," : "", (uint32_t)prefix->parts[i].id);
+    }
+    return text;
+}
+
 void
 attempt_failed(struct exchange *exchange, enum attempt_end end,
                const char *reason)
 {
+    char parts[PARTS_TEXT_BYTES];
+
     if (exchange->caller == NULL) {
         exchange_free(exchange);
         return;
@@ -170,11 +191,11 @@
         end = ATTEMPT_CUT;
     }
     LOG_INFO("event=attempt-failed id=%s endpoint=" STR_FMT
-             " end=%s reason=\"%s\" after_ms=%lld status=%d",
+             " end=%s reason=\"%s\" after_ms=%lld status=%d parts=%s",
              exchange->id, STR_ARG(exchange->endpoint->id),
              outcome_attempt_name(end), reason,
              (long long)(exchange_now(exchange) - exchange->offered_ms),
-             exchange->status);
+             exchange->status, format_parts(&exchange->facts.prefix, parts));
     if (retry_elsewhere(exchange, end)) {
         return;
     }
