message: evidence against parts of prompts between routers, version 3

MESSAGE_BLAMES and MESSAGE_ANSWERED come with message version 3 between routers; peers of versions 1 and 2 are linked as before (MESSAGE_VERSION_BEATS names what version 2 brought) and get neither. The decoder enters arrays of items with different lengths in one place.

--- a/core/message.c
+++ b/core/message.c
@@ -161,6 +161,7 @@
         [MESSAGE_WANT_CONTEXTS] = 0, [MESSAGE_CONTEXTS] = 1,
         [MESSAGE_BEATS] = 1,         [MESSAGE_WANT_SMALL] = 2,
         [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
+        [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
     };
 
     return counts[type];
@@ -203,6 +204,36 @@
     }
 }
 
+static void
+put_blames(msgpack_packer *packer, const struct message_blame *items,
+           size_t count)
+{
+    size_t numbers = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        numbers += 4 + items[i].part_count;
+    }
+    msgpack_pack_array(packer, numbers);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].crash_id);
+        put_uint(packer, items[i].age_ms);
+        put_bool(packer, items[i].begun);
+        put_uint(packer, items[i].part_count);
+        for (size_t j = 0; j < items[i].part_count; j++) {
+            put_uint(packer, items[i].parts[j]);
+        }
+    }
+}
+
+static void
+put_answered(msgpack_packer *packer, const uint64_t *parts, size_t count)
+{
+    msgpack_pack_array(packer, count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, parts[i]);
+    }
+}
+
 static void
 put_placed(msgpack_packer *packer, const struct message_placed *items,
            size_t count)
@@ -272,6 +303,12 @@
     case MESSAGE_BEATS:
         put_beats(packer, m->beats.items, m->beats.count);
         return;
+    case MESSAGE_BLAMES:
+        put_blames(packer, m->blames.items, m->blames.count);
+        return;
+    case MESSAGE_ANSWERED:
+        put_answered(packer, m->answered.parts, m->answered.count);
+        return;
     case MESSAGE_DOWN:
         put_uint(packer, m->down.endpoint);
         return;
@@ -582,23 +619,77 @@
     m->beats.count = count;
 }
 
+/// Enters an array whose items have different lengths.
+static bool
+begin_items(struct cursor *cursor, struct cursor *fields)
+{
+    const msgpack_object *array = next_element(cursor, MSGPACK_OBJECT_ARRAY);
+
+    if (array == NULL) {
+        cursor->failed = true;
+        return false;
+    }
+    fields->next = array->via.array.ptr;
+    fields->end = fields->next + array->via.array.size;
+    fields->failed = false;
+    return true;
+}
+
+static void
+get_blames(struct cursor *cursor, struct message *m)
+{
+    struct message_blame *items =
+        allocate(cursor, MESSAGE_BLAMES_MAX * sizeof(*items));
+    struct cursor fields;
+    size_t count = 0;
+
+    if (items == NULL || !begin_items(cursor, &fields)) {
+        return;
+    }
+    while (!fields.failed && fields.next != fields.end &&
+           count < MESSAGE_BLAMES_MAX) {
+        struct message_blame *item = &items[count++];
+
+        item->crash_id = get_u32(&fields);
+        item->age_ms = get_u32(&fields);
+        item->begun = get_bool(&fields);
+        item->part_count = get_uint(&fields, MESSAGE_PARTS_MAX);
+        for (size_t i = 0; i < item->part_count; i++) {
+            item->parts[i] = get_uint(&fields, UINT64_MAX);
+        }
+    }
+    cursor->failed =
+        cursor->failed || fields.failed || fields.next != fields.end;
+    m->blames.items = items;
+    m->blames.count = count;
+}
+
+static void
+get_answered(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = begin_groups(cursor, 1, MESSAGE_ANSWERED_MAX, &fields);
+    uint64_t *parts = allocate(cursor, (count + 1) * sizeof(*parts));
+
+    for (size_t i = 0; i < count && parts != NULL; i++) {
+        parts[i] = get_uint(&fields, UINT64_MAX);
+    }
+    cursor->failed = cursor->failed || fields.failed;
+    m->answered.parts = parts;
+    m->answered.count = count;
+}
+
 static void
 get_placed(struct cursor *cursor, struct message *m)
 {
-    const msgpack_object *array = next_element(cursor, MSGPACK_OBJECT_ARRAY);
-    struct message_placed *items;
+    struct message_placed *items =
+        allocate(cursor, MESSAGE_PLACED_MAX * sizeof(*items));
     struct cursor fields;
     size_t count = 0;
 
-    items =
-        msgpack_zone_malloc(cursor->zone, MESSAGE_PLACED_MAX * sizeof(*items));
-    if (array == NULL || items == NULL) {
-        cursor->failed = true;
+    if (items == NULL || !begin_items(cursor, &fields)) {
         return;
     }
-    fields.next = array->via.array.ptr;
-    fields.end = fields.next + array->via.array.size;
-    fields.failed = false;
     while (!fields.failed && fields.next != fields.end &&
            count < MESSAGE_PLACED_MAX) {
         struct message_placed *item = &items[count++];
@@ -665,6 +756,12 @@
     case MESSAGE_BEATS:
         get_beats(cursor, m);
         return;
+    case MESSAGE_BLAMES:
+        get_blames(cursor, m);
+        return;
+    case MESSAGE_ANSWERED:
+        get_answered(cursor, m);
+        return;
     case MESSAGE_DOWN:
         m->down.endpoint = get_uint(cursor, UINT64_MAX);
         return;
@@ -918,6 +1015,8 @@
         [MESSAGE_WANT_SMALL] = "want-small",
         [MESSAGE_OVERSIZE] = "oversize",
         [MESSAGE_PACKED] = "packed",
+        [MESSAGE_BLAMES] = "blames",
+        [MESSAGE_ANSWERED] = "answered",
     };
 
     return names[type];
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -12,8 +12,10 @@
 /// Version of the messages between routers and agents, and the oldest one
 /// between routers.
 #define MESSAGE_VERSION 1
-/// Version of the messages between routers.
-#define MESSAGE_VERSION_ROUTERS 2
+/// Version of the messages between routers, and the first one with beats and
+/// compressed records.
+#define MESSAGE_VERSION_ROUTERS 3
+#define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -53,6 +55,9 @@
     MESSAGE_WANT_SMALL, ///< MESSAGE_WANT of a router that can read the store
     MESSAGE_PACKED,     ///< MESSAGE_RECORD with a compressed value
     MESSAGE_OVERSIZE,   ///< answer: the records are to be read from the store
+    // Version 3:
+    MESSAGE_BLAMES,   ///< parts of prompts whose requests crashed endpoints
+    MESSAGE_ANSWERED, ///< blamed parts with which answers have begun
     MESSAGE_TYPE_END,
 };
 
@@ -194,6 +199,21 @@
     } parts[MESSAGE_PLACED_PARTS_MAX];
 };
 
+/// Shared parts of one prompt that are blamed for a crash.
+#define MESSAGE_PARTS_MAX 15
+/// Blames in one MESSAGE_BLAMES, parts in one MESSAGE_ANSWERED.
+#define MESSAGE_BLAMES_MAX 64
+#define MESSAGE_ANSWERED_MAX 64
+
+/// A request that an endpoint crashed with.
+struct message_blame {
+    uint32_t crash_id; ///< equal for one crash that several routers observe
+    uint32_t age_ms;   ///< since the crash
+    bool begun;        ///< its answer had begun: it is a likely cause
+    uint64_t parts[MESSAGE_PARTS_MAX]; ///< hashes, in the prompt's order
+    size_t part_count;
+};
+
 /// Contexts in one MESSAGE_CONTEXTS; further ones follow in the next.
 #define MESSAGE_CONTEXTS_MAX 500
 
@@ -305,6 +325,14 @@
             const struct message_beat *items;
             size_t count;
         } beats;
+        struct {
+            const struct message_blame *items;
+            size_t count;
+        } blames;
+        struct {
+            const uint64_t *parts; ///< hashes
+            size_t count;
+        } answered;
         struct {
             uint64_t endpoint; ///< hash of its id
         } down;
