--- a/tests/main.c
+++ b/tests/main.c
@@ -37,6 +37,7 @@
     {"signals", suite_signals},
     {"store", suite_store},
     {"shed", suite_shed},
+    {"suspects", suite_suspects},
     {"wire", suite_wire},
     {"direct", suite_direct},
     {"direct-store", suite_direct_store},
