direct: requests with a part of the prompt that crashes endpoints are held

Cause: the quarantine knows a request by its account, path and body; requests that share only a part of the prompt are never counted together. Ruled out: strikes that do not reach the other routers (0.1 s), a cause that cannot be told from the requests beside it (the head of an answer without events marks it in 43 of 43 crashes).

Change: a crash is evidence against the shared parts of the request (blame), two events or a whole answer are evidence for them. Routers send each other both in batches of a tick and forward what is new. Admission and retries refuse what is held.

--- a/direct/admission.c
+++ b/direct/admission.c
@@ -6,6 +6,7 @@
 
 #include "core/catalog.h"
 #include "dandelionvalve/quarantine.h"
+#include "blame.h"
 #include "direct_state.h"
 #include "exchange_state.h"
 #include "net/caller.h"
@@ -113,5 +114,11 @@
                                 "the request has crashed several endpoints");
         return false;
     }
+    if (blame_holds(direct, &exchange->facts.prefix, exchange->id)) {
+        counter_add(direct_counters(direct), COUNTER_QUARANTINED, 1);
+        exchange_refuse_not_run(
+            exchange, "a part of the prompt has crashed several endpoints");
+        return false;
+    }
     return true;
 }
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -1,6 +1,5 @@
 #include "attempt.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include <event2/buffer.h>
@@ -10,6 +9,7 @@
 #include "dandelionvalve/outcome.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
+#include "blame.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -27,12 +27,12 @@
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
 /// All buffered answers together; many endpoints may send too much at once.
 #define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
+/// Events of a stream after which its answer has begun without a crash of the
+/// endpoint.
+#define BEGUN_EVENTS_MIN 2
 /// A request with less time left is not retried: its answer would be late.
 #define REMAINING_MIN_MS 10
 
-/// Hashes of the parts of a prompt in a log line.
-#define PARTS_TEXT_BYTES (PREFIX_PARTS_MAX * 9 + 1)
-
 /// Removes this prompt from the endpoint's backlog.
 static void
 release_backlog(struct exchange *exchange)
@@ -127,6 +127,7 @@
     evbuffer_drain(exchange->body, evbuffer_get_length(exchange->body));
     attempt_release_buffered(exchange);
     exchange->scan = (struct sse_scan){0};
+    exchange->answer_recorded = false;
     if (!exchange->response_started) {
         evbuffer_drain(exchange->fields,
                        evbuffer_get_length(exchange->fields));
@@ -143,7 +144,9 @@
         outcome_allows_retry(end, exchange_is_repeatable(exchange)) ||
         (end == ATTEMPT_CUT && exchange->route->kind == ROUTE_RESUMABLE);
 
-    if (!allowed || exchange->offers >= EXCHANGE_OFFERS_MAX ||
+    if (!allowed ||
+        blame_holds(exchange->direct, &exchange->facts.prefix, exchange->id) ||
+        exchange->offers >= EXCHANGE_OFFERS_MAX ||
         exchange->deliveries >= exchange->route->endpoints_max ||
         exchange->expires_ms - exchange_now(exchange) < REMAINING_MIN_MS) {
         return false;
@@ -162,26 +165,13 @@
     return true;
 }
 
-/// The parts of a prompt that other requests share, as hexadecimal hashes.
-static const char *
-format_parts(const struct prefix *prefix, char text[PARTS_TEXT_BYTES])
-{
-    size_t at = 0;
-
-    text[0] = '\0';
-    for (size_t i = 0; i + 1 < prefix->count; i++) {
-        at +=
-            (size_t)snprintf(text + at, PARTS_TEXT_BYTES - at, "%s%08x",
-                             i > 0 ? "," : "", (uint32_t)prefix->parts[i].id);
-    }
-    return text;
-}
-
 void
 attempt_failed(struct exchange *exchange, enum attempt_end end,
                const char *reason)
 {
-    char parts[PARTS_TEXT_BYTES];
+    uint64_t parts[MESSAGE_PARTS_MAX];
+    size_t part_count = suspects_shared_parts(&exchange->facts.prefix, parts);
+    char text[BLAME_PARTS_TEXT_BYTES];
 
     if (exchange->caller == NULL) {
         exchange_free(exchange);
@@ -195,7 +185,7 @@
              exchange->id, STR_ARG(exchange->endpoint->id),
              outcome_attempt_name(end), reason,
              (long long)(exchange_now(exchange) - exchange->offered_ms),
-             exchange->status, format_parts(&exchange->facts.prefix, parts));
+             exchange->status, blame_format_parts(parts, part_count, text));
     if (retry_elsewhere(exchange, end)) {
         return;
     }
@@ -317,12 +307,25 @@
     attempt_failed(exchange, ATTEMPT_FAILED, reason);
 }
 
+/// Records once that the endpoint answers this prompt without a crash.
+static void
+record_answer_begun(struct exchange *exchange)
+{
+    if (!exchange->answer_recorded) {
+        exchange->answer_recorded = true;
+        blame_record_answer(exchange->direct, &exchange->facts.prefix);
+    }
+}
+
 static void
 handle_stream_data(struct exchange *exchange, const char *bytes, size_t len)
 {
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
     }
+    if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
+        record_answer_begun(exchange);
+    }
     if (exchange->scan.open_bytes > SSE_EVENT_BYTES_MAX) {
         fail_too_long(exchange, "an event does not end",
                       exchange->scan.open_bytes);
@@ -378,6 +381,9 @@
         attempt_failed(exchange, ATTEMPT_REFUSED, "refused by the endpoint");
         return;
     }
+    if (status < 500) {
+        record_answer_begun(exchange);
+    }
     if (exchange->is_stream) {
         record_success(exchange);
         forward_events(exchange, true);
@@ -430,6 +436,20 @@
            (uint32_t)(now_ms / 2000);
 }
 
+/// Records that the endpoint may have crashed with this request.
+static void
+record_crash(struct exchange *exchange)
+{
+    uint32_t crash_id =
+        make_crash_id(exchange->endpoint, exchange_now(exchange));
+
+    direct_record_strike(exchange->direct, exchange->fingerprint, crash_id);
+    if (!exchange->answer_recorded) {
+        blame_record_crash(exchange->direct, &exchange->facts.prefix, crash_id,
+                           exchange->status != 0);
+    }
+}
+
 static void
 on_end(void *ctx, enum channel_end end, const char *detail)
 {
@@ -448,9 +468,7 @@
         return;
     case CHANNEL_LOST:
         attempt_record_failure(exchange, detail);
-        direct_record_strike(
-            exchange->direct, exchange->fingerprint,
-            make_crash_id(exchange->endpoint, exchange_now(exchange)));
+        record_crash(exchange);
         attempt_failed(exchange, ATTEMPT_LOST, detail);
         return;
     case CHANNEL_MALFORMED:
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -10,6 +10,7 @@
 #include "core/histogram.h"
 #include "core/records.h"
 #include "core/xmalloc.h"
+#include "blame.h"
 #include "contexts.h"
 #include "daemon/admin.h"
 #include "dandelionvalve/quarantine.h"
@@ -235,6 +236,7 @@
         .hold_ms = QUARANTINE_MS,
         .requests_max = QUARANTINE_REQUESTS_MAX,
     });
+    blame_init(direct);
     direct->tick = event_new(options->base, -1, EV_PERSIST, on_tick, direct);
     event_add(direct->tick, &tick);
     direct->name = str_dup(direct->settings.name);
@@ -277,6 +279,7 @@
     endpoints_free(direct->endpoints);
     records_free(direct->records);
     quarantine_free(direct->quarantine);
+    blame_destroy(direct);
     catalog_unref(direct->catalog);
     services_free(direct->services);
     event_free(direct->tick);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -10,6 +10,7 @@
 #include "core/catalog.h"
 #include "core/histogram.h"
 #include "core/records.h"
+#include "blame.h"
 #include "direct.h"
 
 struct admin;
@@ -43,6 +44,7 @@
     struct mesh *mesh;
     struct contexts *contexts;
     struct quarantine *quarantine;
+    struct blame blame;
     struct services *services;
     struct exchange_entry *exchanges;
     struct event *tick;
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -48,6 +48,7 @@
     double backlog_tokens; ///< its part of the endpoint's backlog
     uint32_t uncached_tokens;
     bool delay_recorded;       ///< counted for this attempt
+    bool answer_recorded;      ///< as begun, for this attempt
     bool stalled;              ///< counted as a failure of this attempt
     bool waits_for_deployment; ///< for configuration and entries
 
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -52,6 +52,12 @@
 
 bool
 mesh_is_current(const struct peer *peer)
+{
+    return link_version(peer->link) >= MESSAGE_VERSION_BEATS;
+}
+
+static bool
+takes_blames(const struct peer *peer)
 {
     return link_version(peer->link) >= MESSAGE_VERSION_ROUTERS;
 }
@@ -109,6 +115,8 @@
     }
     LL_PREPEND(mesh->peers, peer);
     mesh->peer_count++;
+    // The peer may have just started, or been cut off.
+    mesh->options.peer_ready(mesh->options.ctx);
 }
 
 static void
@@ -250,6 +258,15 @@
     case MESSAGE_DOWN:
         mesh->options.unreachable(mesh->options.ctx, message->down.endpoint);
         return;
+    case MESSAGE_BLAMES:
+        for (size_t i = 0; i < message->blames.count; i++) {
+            mesh->options.blame(mesh->options.ctx, &message->blames.items[i]);
+        }
+        return;
+    case MESSAGE_ANSWERED:
+        mesh->options.answered(mesh->options.ctx, message->answered.parts,
+                               message->answered.count);
+        return;
     case MESSAGE_STRIKE:
         mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
                              message->strike.crash_id);
@@ -383,6 +400,34 @@
     mesh->placed_count = 0;
 }
 
+static void
+flush_blames(struct mesh *mesh)
+{
+    const struct message blames = {
+        .type = MESSAGE_BLAMES,
+        .blames.items = mesh->blames,
+        .blames.count = mesh->blame_count,
+    };
+    const struct message answered = {
+        .type = MESSAGE_ANSWERED,
+        .answered.parts = mesh->answered,
+        .answered.count = mesh->answered_count,
+    };
+    struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (mesh->blame_count > 0 && takes_blames(peer)) {
+            link_send(peer->link, &blames);
+        }
+        if (mesh->answered_count > 0 && takes_blames(peer)) {
+            link_send(peer->link, &answered);
+        }
+    }
+    mesh->blame_count = 0;
+    mesh->answered_count = 0;
+}
+
 static void
 update_fleet_size(struct mesh *mesh, int64_t now_ms)
 {
@@ -408,6 +453,7 @@
     (void)events;
     dial(mesh);
     flush_placements(mesh);
+    flush_blames(mesh);
     update_fleet_size(mesh, now_ms);
     relay_tick(mesh);
     if (now_ms >= mesh->next_report_ms) {
@@ -637,6 +683,26 @@
     mesh->placed[mesh->placed_count++] = *placed;
 }
 
+void
+mesh_queue_blame(struct mesh *mesh, const struct message_blame *blame)
+{
+    if (mesh->blame_count == MESSAGE_BLAMES_MAX) {
+        flush_blames(mesh);
+    }
+    mesh->blames[mesh->blame_count++] = *blame;
+}
+
+void
+mesh_queue_answered(struct mesh *mesh, const uint64_t *parts, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (mesh->answered_count == MESSAGE_ANSWERED_MAX) {
+            flush_blames(mesh);
+        }
+        mesh->answered[mesh->answered_count++] = parts[i];
+    }
+}
+
 void
 mesh_set_draining(struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -65,6 +65,12 @@
     /// A peer reports that an endpoint accepts no connections.
     void (*unreachable)(void *ctx, uint64_t endpoint);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t crash_id);
+    /// A link to a peer is ready.
+    void (*peer_ready)(void *ctx);
+    /// A peer reports a request that an endpoint crashed with.
+    void (*blame)(void *ctx, const struct message_blame *blame);
+    /// A peer reports that answers to prompts with these parts have begun.
+    void (*answered)(void *ctx, const uint64_t *parts, size_t count);
     /// A peer requests all contexts that this router has stored; answered by
     /// mesh_send_contexts() within the callback.
     void (*contexts_requested)(void *ctx, struct link *link);
@@ -102,6 +108,14 @@
 void mesh_send_strike(struct mesh *mesh, uint64_t fingerprint,
                       uint32_t crash_id);
 
+/// Queues evidence against parts of prompts, which the next tick sends to the
+/// peers.
+void mesh_queue_blame(struct mesh *mesh, const struct message_blame *blame);
+
+/// Queues blamed parts that have been answered, likewise.
+void mesh_queue_answered(struct mesh *mesh, const uint64_t *parts,
+                         size_t count);
+
 /// Requests all contexts from one peer, chosen at random; false if no peer is
 /// linked.
 bool mesh_request_contexts(struct mesh *mesh);
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -72,6 +72,10 @@
     struct message_load loads[MESSAGE_LOADS_MAX];
     struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
     size_t placed_count;
+    struct message_blame blames[MESSAGE_BLAMES_MAX]; ///< to be sent
+    size_t blame_count;
+    uint64_t answered[MESSAGE_ANSWERED_MAX]; ///< to be sent
+    size_t answered_count;
     char own_address[ADDRESS_TEXT_BYTES];
     uint64_t rank_seed; ///< differs between routers
 };
@@ -84,5 +88,5 @@
 /// NULL if the link has not completed its handshake.
 struct peer *mesh_find_peer(const struct mesh *mesh, const struct link *link);
 
-/// True if the peer supports the messages of MESSAGE_VERSION_ROUTERS.
+/// True if the peer supports the messages of MESSAGE_VERSION_BEATS.
 bool mesh_is_current(const struct peer *peer);
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -124,6 +124,8 @@
     if (direct->store != NULL) {
         direct->options.store->print(direct->store, out);
     }
+    fprintf(out, "prompt_parts_held %zu\n",
+            suspects_held_count(direct->blame.suspects));
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
             direct->mesh != NULL ? mesh_linked_count(direct->mesh) : 0,
             direct->catalog != NULL);
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -1,4 +1,5 @@
 /// Connects the router's state with the messages of its peers.
+#include "blame.h"
 #include "contexts.h"
 #include "core/prefix.h"
 #include "dandelionvalve/quarantine.h"
@@ -60,6 +61,24 @@
     quarantine_strike(direct->quarantine, fingerprint, crash_id);
 }
 
+static void
+on_peer_ready(void *ctx)
+{
+    blame_send_held(ctx);
+}
+
+static void
+on_blame(void *ctx, const struct message_blame *blame)
+{
+    blame_receive(ctx, blame);
+}
+
+static void
+on_answered(void *ctx, const uint64_t *parts, size_t count)
+{
+    blame_receive_answered(ctx, parts, count);
+}
+
 static void
 on_peer_caught_up(void *ctx, enum record_topic topic)
 {
@@ -170,6 +189,9 @@
         .placement = on_placement,
         .unreachable = on_unreachable,
         .strike = on_strike,
+        .peer_ready = on_peer_ready,
+        .blame = on_blame,
+        .answered = on_answered,
         .contexts_requested = on_contexts_requested,
         .contexts = on_contexts,
         .caught_up = on_peer_caught_up,
