tests: ends of answers without a length, on the direct path

Tests added (suite endings, direct router): - a plain body that the connection's end delimits is complete, runs once, and its connection is not used again; - the same for streams, with LF and with CR LF; - a stream without events, and JSON on a streaming route, are complete; - a reset between two events is not an end: a resumable stream goes on at another endpoint, any other is aborted; - core/sse: which bytes are within an event. Resets of plain bodies were covered ('once route under faults', 'repeatable is retried').

Not recognised as the end of a line: a CR without an LF (legal in an event stream).

--- a/standin/origin.c
+++ b/standin/origin.c
@@ -156,6 +156,15 @@
     }
 }
 
+static bool
+is_unframed_stream(enum origin_fault fault)
+{
+    return fault == ORIGIN_STREAM_UNFRAMED ||
+           fault == ORIGIN_STREAM_UNFRAMED_CRLF ||
+           fault == ORIGIN_STREAM_UNFRAMED_CLOSED ||
+           fault == ORIGIN_STREAM_UNFRAMED_RESET;
+}
+
 static void
 start_stream(struct conn *conn)
 {
@@ -172,8 +181,76 @@
     if (conn->origin->load != NULL) {
         evbuffer_add_printf(out, LOAD_FIELD ": %s\r\n", conn->origin->load);
     }
-    evbuffer_add_printf(out, "Content-Type: text/event-stream\r\n"
-                             "Transfer-Encoding: chunked\r\n\r\n");
+    evbuffer_add_printf(out, "Content-Type: text/event-stream\r\n");
+    if (is_unframed_stream(conn->origin->fault)) {
+        evbuffer_add_printf(out, "\r\n");
+    }
+    else if (conn->origin->fault != ORIGIN_STREAM_LENGTH_CUT) {
+        evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+    }
+}
+
+static int
+format_event(const struct conn *conn, char *event, size_t size)
+{
+    const char *end =
+        conn->origin->fault == ORIGIN_STREAM_UNFRAMED_CRLF ? "\r\n" : "\n";
+
+    return snprintf(event, size, "id: %zu%sdata: %s/%zu%s%s", conn->next_event,
+                    end, conn->id, conn->next_event, end, end);
+}
+
+/// Writes the next event of a stream without chunks, or its end.
+static void
+write_unframed_event(struct conn *conn)
+{
+    const struct origin_options *options = &conn->origin->options;
+    enum origin_fault fault = conn->origin->fault;
+    bool is_late = conn->next_event > options->events / 2;
+    char event[128];
+    int len = format_event(conn, event, sizeof(event));
+
+    if (is_late && fault == ORIGIN_STREAM_UNFRAMED_RESET) {
+        reset_conn(conn);
+        return;
+    }
+    if (is_late && fault == ORIGIN_STREAM_UNFRAMED_CLOSED) {
+        write_immediately(conn, "%.*s", len / 2, event);
+        close_conn(conn);
+        return;
+    }
+    if (conn->next_event++ >= options->events) {
+        write_immediately(conn, "%s", event);
+        close_conn(conn);
+        return;
+    }
+    evbuffer_add(bufferevent_get_output(conn->bufferevent), event,
+                 (size_t)len);
+    set_timer(conn, options->work_us);
+}
+
+/// Writes the first half of a stream and a part of the next event, as a body
+/// with a length.
+static void
+write_cut_body(struct conn *conn)
+{
+    struct evbuffer *body = evbuffer_new();
+    char event[128];
+    int len;
+
+    while (conn->next_event <= conn->origin->options.events / 2) {
+        len = format_event(conn, event, sizeof(event));
+        evbuffer_add(body, event, (size_t)len);
+        conn->next_event++;
+    }
+    len = format_event(conn, event, sizeof(event));
+    evbuffer_add(body, event, (size_t)len / 2);
+    evbuffer_add_printf(bufferevent_get_output(conn->bufferevent),
+                        "Content-Length: %zu\r\n\r\n",
+                        evbuffer_get_length(body));
+    evbuffer_add_buffer(bufferevent_get_output(conn->bufferevent), body);
+    evbuffer_free(body);
+    reset_request(conn);
 }
 
 static void
@@ -182,9 +259,20 @@
     struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
     struct origin *origin = conn->origin;
     char event[128];
-    int len = snprintf(event, sizeof(event), "id: %zu\ndata: %s/%zu\n\n",
-                       conn->next_event, conn->id, conn->next_event);
+    int len = format_event(conn, event, sizeof(event));
 
+    if (origin->fault == ORIGIN_STREAM_EMPTY) {
+        evbuffer_add_printf(out, "0\r\n\r\n");
+        reset_request(conn);
+        return;
+    }
+    if (origin->fault == ORIGIN_STREAM_CHUNKS_CUT &&
+        conn->next_event > origin->options.events / 2) {
+        evbuffer_add_printf(out, "%x\r\n%.*s\r\n0\r\n\r\n", len / 2, len / 2,
+                            event);
+        reset_request(conn);
+        return;
+    }
     if (origin->fault == ORIGIN_RESETS_IN_EVENT &&
         conn->next_event > origin->options.events / 2) {
         origin->fault = ORIGIN_OK;
@@ -323,6 +411,13 @@
         write_answer(conn, conn->id, 200, "", "unsigned");
         reset_request(conn);
         return;
+    case ORIGIN_OTHER_TYPE:
+        write_answer(conn, conn->id, 200,
+                     SIGNATURE_FIELD ": s\r\nContent-Type: "
+                                     "application/json\r\n",
+                     "{}");
+        reset_request(conn);
+        return;
     case ORIGIN_CONTENT_ENCODED:
         write_answer(conn, conn->id, 200,
                      SIGNATURE_FIELD ": s\r\nContent-Encoding: gzip\r\n",
@@ -341,7 +436,14 @@
 
     (void)fd;
     (void)events;
-    if (conn->is_stream) {
+    if (conn->is_stream && is_unframed_stream(conn->origin->fault)) {
+        write_unframed_event(conn);
+    }
+    else if (conn->is_stream &&
+             conn->origin->fault == ORIGIN_STREAM_LENGTH_CUT) {
+        write_cut_body(conn);
+    }
+    else if (conn->is_stream) {
         write_event(conn);
     }
     else {
@@ -358,8 +460,7 @@
     reset_request(conn);
 }
 
-/// True if streams are sent under this fault. Of these faults, only
-/// ORIGIN_RESETS_IN_EVENT affects streams.
+/// True if streams are sent under this fault.
 static bool
 can_stream(enum origin_fault fault)
 {
@@ -367,6 +468,13 @@
     case ORIGIN_OK:
     case ORIGIN_RESETS_IN_EVENT:
     case ORIGIN_TRICKLES:
+    case ORIGIN_STREAM_EMPTY:
+    case ORIGIN_STREAM_UNFRAMED:
+    case ORIGIN_STREAM_UNFRAMED_CRLF:
+    case ORIGIN_STREAM_UNFRAMED_CLOSED:
+    case ORIGIN_STREAM_UNFRAMED_RESET:
+    case ORIGIN_STREAM_CHUNKS_CUT:
+    case ORIGIN_STREAM_LENGTH_CUT:
     case ORIGIN_TRUNCATES:
     case ORIGIN_UNFRAMED:
     case ORIGIN_UNFRAMED_RESET:
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -31,6 +31,15 @@
     ORIGIN_EARLY_ANSWER,    ///< 400 before the body, which is still read
     ORIGIN_RESETS_IN_EVENT, ///< resets a stream within an event, once
     ORIGIN_TRICKLES,        ///< a stream's later half is a byte now and then
+    // Streams with another end:
+    ORIGIN_STREAM_EMPTY,           ///< no event
+    ORIGIN_STREAM_UNFRAMED,        ///< delimited by the connection's end
+    ORIGIN_STREAM_UNFRAMED_CRLF,   ///< the same, lines end with CR LF
+    ORIGIN_STREAM_UNFRAMED_CLOSED, ///< the same, closed within an event
+    ORIGIN_STREAM_UNFRAMED_RESET,  ///< the same, reset between two events
+    ORIGIN_STREAM_CHUNKS_CUT,      ///< the last chunk comes within an event
+    ORIGIN_STREAM_LENGTH_CUT,      ///< its length ends within an event
+    ORIGIN_OTHER_TYPE, ///< a 200 with JSON, also where a stream is expected
     // Bytes without end, until the connection is closed:
     ORIGIN_ENDLESS_FIELD,     ///< a field value
     ORIGIN_ENDLESS_FIELDS,    ///< field lines
--- /dev/null
+++ b/tests/test_endings.c
@@ -0,0 +1,241 @@
+/// Ends of answers: bodies without a length, streams that end within an event.
+#include <stdio.h>
+#include <string.h>
+
+#include <CUnit/CUnit.h>
+
+#include "core/sse.h"
+#include "direct_harness.h"
+#include "suites.h"
+
+#define EVENTS 8
+
+static const char *const stream_paths[] = {"/stream/chat/", "/stream/draft/"};
+
+static void
+start(struct direct_harness *harness, size_t origins, enum origin_fault fault)
+{
+    direct_harness_start(harness, &(struct direct_harness_options){
+                                      .routers = 1,
+                                      .origins = origins,
+                                      .events = EVENTS,
+                                      .work_us = 3000,
+                                  });
+    origin_set_fault(harness->origins[0], fault);
+    origin_set_fault(harness->orders, fault);
+}
+
+static void
+format_stream(char *text, size_t size, const char *id, const char *line_end)
+{
+    size_t len = 0;
+
+    for (int i = 1; i <= EVENTS; i++) {
+        len +=
+            (size_t)snprintf(text + len, size - len, "id: %d%sdata: %s/%d%s%s",
+                             i, line_end, id, i, line_end, line_end);
+    }
+}
+
+/// Scans a stream that ends with `text`; true if it ends within an event.
+static bool
+ends_within_event(const char *text)
+{
+    struct sse_scan scan = {0};
+
+    sse_scan_bytes(&scan, "id: 1\ndata: a\n\n", 15);
+    sse_scan_bytes(&scan, text, strlen(text));
+    return scan.open_bytes > 0;
+}
+
+/// Only an empty line ends an event; further empty lines begin none.
+static void
+test_ends_of_events(void)
+{
+    CU_ASSERT(!ends_within_event(""));
+    CU_ASSERT(!ends_within_event("id: 2\ndata: b\n\n"));
+    CU_ASSERT(!ends_within_event("id: 2\r\ndata: b\r\n\r\n"));
+    CU_ASSERT(!ends_within_event("\n\n"));
+    CU_ASSERT(!ends_within_event("\r\n"));
+    CU_ASSERT(!ends_within_event(": comment\n\n"));
+    CU_ASSERT(ends_within_event("i"));
+    CU_ASSERT(ends_within_event("id: 2\ndata: b"));
+    CU_ASSERT(ends_within_event("id: 2\ndata: b\n"));
+    CU_ASSERT(ends_within_event("id: 2\r\ndata: b\r\n"));
+    CU_ASSERT(ends_within_event("id: 2\r\ndata: b\r\n\r"));
+    CU_ASSERT(ends_within_event("id: 2\n\nid: 3\n"));
+}
+
+/// A body without a length that the connection's end delimits is passed on
+/// whole, and its connection is not used again.
+static void
+test_unframed_answers(void)
+{
+    static const char *const paths[] = {"/book/", "/look/"};
+    struct direct_harness harness;
+
+    start(&harness, 1, ORIGIN_UNFRAMED);
+    for (size_t i = 0; i < 2; i++) {
+        const struct origin *origin =
+            i == 0 ? harness.orders : harness.origins[0];
+        uint64_t connections = origin_connections(origin);
+
+        for (int j = 0; j < 5; j++) {
+            struct direct_call call = {0};
+            char id[16], expected[64];
+
+            snprintf(id, sizeof(id), "id-%d", j);
+            snprintf(expected, sizeof(expected), "answer to %s, 1 bytes", id);
+            direct_call_do(&harness, 0, &call, "POST", paths[i], id, NULL,
+                           "b");
+            CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 200);
+            CU_ASSERT_STRING_EQUAL(call.body, expected);
+            CU_ASSERT(origin_runs_of(origin, id) == 1);
+            direct_call_free(&call);
+        }
+        CU_ASSERT(origin_connections(origin) >= connections + 4);
+    }
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_DONE) == 10);
+    direct_harness_stop(&harness);
+}
+
+/// A stream without length and chunks that ends after an event is complete,
+/// and its connection is not used again.
+static void
+test_unframed_streams(void)
+{
+    static const enum origin_fault faults[] = {ORIGIN_STREAM_UNFRAMED,
+                                               ORIGIN_STREAM_UNFRAMED_CRLF};
+
+    for (size_t i = 0; i < 2; i++) {
+        struct direct_harness harness;
+        char expected[512];
+        uint64_t connections;
+
+        start(&harness, 1, faults[i]);
+        connections = origin_connections(harness.origins[0]);
+        format_stream(expected, sizeof(expected), "id",
+                      faults[i] == ORIGIN_STREAM_UNFRAMED ? "\n" : "\r\n");
+        for (size_t j = 0; j < 6; j++) {
+            struct direct_call call = {0};
+
+            direct_call_do(&harness, 0, &call, "POST", stream_paths[j % 2],
+                           "id", NULL, "x");
+            CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 200);
+            CU_ASSERT_STRING_EQUAL(call.body, expected);
+            direct_call_free(&call);
+        }
+        CU_ASSERT(origin_runs(harness.origins[0]) == 6);
+        CU_ASSERT(origin_connections(harness.origins[0]) >= connections + 5);
+        CU_ASSERT(counter_get(&harness.counters[0], COUNTER_DONE) == 6);
+        direct_harness_stop(&harness);
+    }
+}
+
+/// A stream without events ends within none.
+static void
+test_empty_streams(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 1, ORIGIN_STREAM_EMPTY);
+    for (size_t i = 0; i < 2; i++) {
+        struct direct_call call = {0};
+
+        direct_call_do(&harness, 0, &call, "POST", stream_paths[i], "id", NULL,
+                       "x");
+        CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 200);
+        CU_ASSERT(call.body_len == 0);
+        direct_call_free(&call);
+    }
+    CU_ASSERT(origin_runs(harness.origins[0]) == 2);
+    direct_harness_stop(&harness);
+}
+
+/// An answer that is no stream of events has none that could be incomplete.
+static void
+test_other_type_on_streaming_route(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 1, ORIGIN_OTHER_TYPE);
+    for (size_t i = 0; i < 2; i++) {
+        struct direct_call call = {0};
+
+        direct_call_do(&harness, 0, &call, "POST", stream_paths[i], "id", NULL,
+                       "x");
+        CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 200);
+        CU_ASSERT_STRING_EQUAL(call.body, "{}");
+        direct_call_free(&call);
+    }
+    CU_ASSERT(origin_runs(harness.origins[0]) == 2);
+    direct_harness_stop(&harness);
+}
+
+/// Calls until one has reached the endpoint whose streams break. Each answer
+/// must be the whole stream, and that call must run twice.
+static void
+check_resumed(enum origin_fault fault)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    char expected[512];
+    uint64_t calls = 0;
+
+    start(&harness, 2, fault);
+    format_stream(expected, sizeof(expected), "id", "\n");
+    while (origin_runs(harness.origins[0]) == 0 && calls < 60) {
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
+                       "x");
+        CU_ASSERT(call.status == 200 && call.end == CHANNEL_COMPLETE);
+        CU_ASSERT_STRING_EQUAL(call.body, expected);
+        direct_call_free(&call);
+        calls++;
+    }
+    CU_ASSERT(direct_harness_runs(&harness) == calls + 1);
+    CU_ASSERT_STRING_EQUAL(
+        origin_last_field(harness.origins[1], "Last-Event-Id"), "4");
+    direct_harness_stop(&harness);
+}
+
+/// A stream that may not be resumed runs once, and the caller sees that its
+/// answer is incomplete.
+static void
+check_aborted(enum origin_fault fault)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 1, fault);
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id", NULL,
+                   "x");
+    CU_ASSERT(call.end != CHANNEL_COMPLETE);
+    CU_ASSERT(origin_runs(harness.origins[0]) == 1);
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_DONE) == 0);
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_ANSWERS_BROKEN) == 1);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
+/// A reset is not the end of a body, not even after a complete event.
+static void
+test_reset_of_unframed_stream(void)
+{
+    check_resumed(ORIGIN_STREAM_UNFRAMED_RESET);
+    check_aborted(ORIGIN_STREAM_UNFRAMED_RESET);
+}
+
+void
+suite_endings(void)
+{
+    CU_pSuite suite = CU_add_suite("endings", NULL, NULL);
+
+    CU_add_test(suite, "ends of events", test_ends_of_events);
+    CU_add_test(suite, "unframed answers", test_unframed_answers);
+    CU_add_test(suite, "unframed streams", test_unframed_streams);
+    CU_add_test(suite, "empty streams", test_empty_streams);
+    CU_add_test(suite, "other type on a streaming route",
+                test_other_type_on_streaming_route);
+    CU_add_test(suite, "reset of an unframed stream",
+                test_reset_of_unframed_stream);
+}
