attempt: a stream that ends within an event is broken off

Callers saw: a stream whose endpoint stopped within an event ended as complete, with a part of an event as its last bytes. A resumable stream was not resumed; the endpoint's answer counted as a success, and the request as done.

Cause: handle_response() forwarded what was left of a stream and ended the answer whenever the HTTP message was complete.

Change: if bytes follow the last empty line when the message ends, the attempt counts as a failure of the endpoint and goes the way of a lost one: a resumable stream goes on with Last-Event-Id at another endpoint without the partial event, any other is aborted. An answer that states a Content-Type other than text/event-stream has no events and is passed on as before.

Conclusion: such streams are resumed, or seen as incomplete.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -1,6 +1,7 @@
 #include "attempt.h"
 
 #include <string.h>
+#include <strings.h>
 
 #include <event2/buffer.h>
 
@@ -189,6 +190,19 @@
     }
 }
 
+/// Streaming routes answer with events; an answer that states another type is
+/// passed on as it is.
+static bool
+has_event_type(const struct http1 *head)
+{
+    static const char type[] = "text/event-stream";
+    struct str value = http1_value(head, "Content-Type");
+
+    return value.len == 0 ||
+           (value.len >= sizeof(type) - 1 &&
+            !strncasecmp(value.data, type, sizeof(type) - 1));
+}
+
 static enum channel_verdict
 on_head(void *ctx, const struct http1 *head)
 {
@@ -223,6 +237,7 @@
     exchange->is_stream =
         status == 200 && (exchange->route->kind == ROUTE_STREAM ||
                           exchange->route->kind == ROUTE_RESUMABLE);
+    exchange->has_events = exchange->is_stream && has_event_type(head);
     if (!exchange->response_started) {
         direct_wire(exchange->direct)->write_answer(head, exchange->fields);
     }
@@ -357,6 +372,12 @@
         attempt_failed(exchange, ATTEMPT_REFUSED, "refused by the endpoint");
         return;
     }
+    if (exchange->has_events && exchange->scan.open_bytes > 0) {
+        attempt_record_failure(exchange, "the stream ended within an event");
+        attempt_failed(exchange, ATTEMPT_LOST,
+                       "the stream ended within an event");
+        return;
+    }
     if (exchange->is_stream) {
         record_success(exchange);
         forward_events(exchange, true);
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -12,6 +12,14 @@
 
 static const char *const stream_paths[] = {"/stream/chat/", "/stream/draft/"};
 
+static const enum origin_fault cut_faults[] = {
+    ORIGIN_STREAM_UNFRAMED_CLOSED,
+    ORIGIN_STREAM_CHUNKS_CUT,
+    ORIGIN_STREAM_LENGTH_CUT,
+};
+
+#define CUT_FAULTS (sizeof(cut_faults) / sizeof(cut_faults[0]))
+
 static void
 start(struct direct_harness *harness, size_t origins, enum origin_fault fault)
 {
@@ -225,6 +233,62 @@
     check_aborted(ORIGIN_STREAM_UNFRAMED_RESET);
 }
 
+static void
+test_stream_ends_within_event(void)
+{
+    for (size_t i = 0; i < CUT_FAULTS; i++) {
+        check_resumed(cut_faults[i]);
+        check_aborted(cut_faults[i]);
+    }
+}
+
+/// The caller of a resumable stream gets none of the partial event if no
+/// endpoint continues the stream.
+static void
+test_partial_event_is_not_sent(void)
+{
+    for (size_t i = 0; i < CUT_FAULTS; i++) {
+        struct direct_harness harness;
+        struct direct_call call = {0};
+
+        start(&harness, 1, cut_faults[i]);
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
+                       "x");
+        CU_ASSERT(call.end != CHANNEL_COMPLETE);
+        CU_ASSERT(call.body_len == 0 ||
+                  !strcmp(call.body + call.body_len - 2, "\n\n"));
+        direct_call_free(&call);
+        direct_harness_stop(&harness);
+    }
+}
+
+/// An endpoint whose streams end within an event is ejected: it receives
+/// fewer requests than the other one.
+static void
+test_endpoint_that_cuts_streams(void)
+{
+    for (size_t i = 0; i < CUT_FAULTS; i++) {
+        struct direct_harness harness;
+
+        start(&harness, 2, cut_faults[i]);
+        for (int j = 0; j < 30; j++) {
+            struct direct_call call = {0};
+            char id[16];
+
+            snprintf(id, sizeof(id), "id-%d", j);
+            direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", id,
+                           NULL, "x");
+            direct_call_free(&call);
+        }
+        if (origin_runs(harness.origins[0]) > 8) {
+            printf("fault %d: %d of 30 requests\n", (int)cut_faults[i],
+                   (int)origin_runs(harness.origins[0]));
+            CU_FAIL("the endpoint was not ejected");
+        }
+        direct_harness_stop(&harness);
+    }
+}
+
 void
 suite_endings(void)
 {
@@ -238,4 +302,10 @@
                 test_other_type_on_streaming_route);
     CU_add_test(suite, "reset of an unframed stream",
                 test_reset_of_unframed_stream);
+    CU_add_test(suite, "stream ends within an event",
+                test_stream_ends_within_event);
+    CU_add_test(suite, "partial event is not sent",
+                test_partial_event_is_not_sent);
+    CU_add_test(suite, "endpoint that cuts streams",
+                test_endpoint_that_cuts_streams);
 }
