run: a stream that ends within an event is incomplete

Callers saw: through router and agent, a stream that its endpoint ended within an event (last chunk, or end of the length) came as a complete answer with a part of an event at its end. The breaker counted a success.

Cause: the agent judged answers by the HTTP message alone.

Before, suite agent-endings: 'stream ends within an event' failed (1 of 3): two of the three calls ended HTTP_CALL_COMPLETE (the third, closed without a length, was incomplete as all answers without a length are so far), ANSWERS_BROKEN was 1 of 3, and the endpoint was still used afterwards. Right already: streams that end after an event, without events, or JSON; a reset of a body without a length, and an end before the length ('complete streams', 'reset of an unframed answer').

Change: runs scan answers that state text/event-stream; if bytes follow the last empty line at the end, the run fails as incomplete: the router resets the caller's connection, the endpoint's breaker counts a failure and the request gets a strike, as with any incomplete answer.

Not run: soak, sanitizers. Conclusion: such streams reach callers as incomplete. This path does not resume streams at another endpoint; it has no resumable routes.

--- a/daemon/run.c
+++ b/daemon/run.c
@@ -9,11 +9,13 @@
 #include <uthash.h>
 
 #include "claimlog.h"
+#include "core/sse.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/claim.h"
 #include "dandelionvalve/gate.h"
 #include "dandelionvalve/quarantine.h"
 #include "answer_buffer.h"
+#include "net/http1.h"
 #include "net/http_client.h"
 #include "net/link.h"
 #include "net/log.h"
@@ -55,6 +57,8 @@
     int64_t link_lost_ms; ///< time of the link's loss, or 0
     int64_t tombstone_expiry_ms;
     struct answer_buffer answer;
+    bool has_events; ///< the answer is a stream of events
+    struct sse_scan scan;
     struct evbuffer *claim_body;
     bool failed;
     enum fail_reason fail_reason;
@@ -358,6 +362,22 @@
     set_timer(run);
 }
 
+static bool
+has_event_type(const struct message_header *headers, size_t count)
+{
+    static const char type[] = "text/event-stream";
+
+    for (size_t i = 0; i < count; i++) {
+        struct str value = headers[i].value;
+
+        if (str_equal_nocase(headers[i].name, "Content-Type")) {
+            return value.len >= sizeof(type) - 1 &&
+                   !strncasecmp(value.data, type, sizeof(type) - 1);
+        }
+    }
+    return false;
+}
+
 static void
 on_head(void *ctx, int status, const struct message_header *headers,
         size_t count)
@@ -365,6 +385,7 @@
     struct run *run = ctx;
 
     run->last_activity_ms = clock_ms(run->runs->options.clock);
+    run->has_events = has_event_type(headers, count);
     answer_buffer_set_head(&run->answer, status, headers, count);
     send_head(run);
 }
@@ -405,6 +426,9 @@
         struct str bytes = {(char *)evbuffer_pullup(data, (ev_ssize_t)len),
                             len};
 
+        if (run->has_events) {
+            sse_scan_bytes(&run->scan, bytes.data, bytes.len);
+        }
         forward_answer(run, bytes);
         evbuffer_drain(data, len);
         left -= len;
@@ -454,6 +478,10 @@
     struct runs *runs = run->runs;
 
     run->call = NULL;
+    if (end == HTTP_CALL_COMPLETE && run->scan.open_bytes > 0) {
+        // The stream ends within an event.
+        end = HTTP_CALL_INCOMPLETE;
+    }
     if (end == HTTP_CALL_UNSENT) {
         if (run->key.len > 0) {
             claimlog_release(runs->options.claimlog, run->key, run);
--- a/tests/main.c
+++ b/tests/main.c
@@ -33,6 +33,7 @@
     {"caller", suite_caller},
     {"link", suite_link},
     {"place", suite_place},
+    {"agent-endings", suite_agent_endings},
     {"endings", suite_endings},
     {"endless", suite_endless},
     {"signals", suite_signals},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -15,6 +15,7 @@
 void suite_failures(void);
 void suite_shutdown(void);
 void suite_catalog(void);
+void suite_agent_endings(void);
 void suite_endings(void);
 void suite_endless(void);
 void suite_caller(void);
--- /dev/null
+++ b/tests/test_agent_endings.c
@@ -0,0 +1,183 @@
+/// Ends of endpoints' answers on the path through router and agent: bodies
+/// without a length, streams that end within an event.
+#include <stdio.h>
+#include <string.h>
+
+#include <CUnit/CUnit.h>
+#include <event2/buffer.h>
+
+#include "core/xmalloc.h"
+#include "harness.h"
+#include "standin/origin.h"
+#include "standin/ports.h"
+#include "suites.h"
+
+#define EVENTS 8
+#define READY_MS 5000
+
+static const char document[] =
+    "[[pool]]\nname = \"plain\"\nkind = \"service\"\n"
+    "[[route]]\nname = \"stream\"\npath = \"/stream\"\n"
+    "methods = [\"POST\"]\npool = \"plain\"\nrepeatable = false\n"
+    "[[route]]\nname = \"orders\"\npath = \"/orders\"\n"
+    "methods = [\"POST\"]\npool = \"plain\"\nrepeatable = false\n"
+    "[[route]]\nname = \"look\"\npath = \"/look\"\n"
+    "methods = [\"POST\"]\npool = \"plain\"\nrepeatable = true\n";
+
+struct fixture {
+    struct harness harness;
+    struct origin *origin;
+    size_t calls;
+};
+
+static bool
+serves(void *ctx)
+{
+    struct fixture *fixture = ctx;
+    struct harness_call call;
+    bool done;
+
+    harness_call_and_wait(&fixture->harness, 0, &call, "POST", "/orders", NULL,
+                          "first");
+    done = call.status == 200;
+    harness_call_free(&call);
+    harness_run_for(&fixture->harness, 20);
+    return done;
+}
+
+/// Starts a router and an agent whose endpoint is an origin.
+static void
+start(struct fixture *fixture)
+{
+    struct harness *harness = &fixture->harness;
+    struct err err = {0};
+
+    fixture->calls = 0;
+    harness_start(harness, &(struct harness_options){
+                               .services = 1,
+                               .routers = 1,
+                               .slots = 16,
+                               .document = document,
+                           });
+    fixture->origin = origin_new(
+        &(struct origin_options){
+            .base = harness->base,
+            .address = ports_any(),
+            .name = "o-0",
+            .work_us = 3000,
+            .events = EVENTS,
+        },
+        &err);
+    INVARIANT(fixture->origin != NULL);
+    harness_crash_agent(harness, 0);
+    harness->agent_settings[0].endpoint = origin_address(fixture->origin);
+    harness_start_agent(harness, 0);
+    CU_ASSERT(harness_wait(harness, serves, fixture, READY_MS));
+}
+
+static void
+stop(struct fixture *fixture)
+{
+    // The agent closes its connections to the origin first.
+    harness_crash_agent(&fixture->harness, 0);
+    origin_free(fixture->origin);
+    harness_stop(&fixture->harness);
+}
+
+/// Each call has another body, so that none is quarantined.
+static void
+call_with_fault(struct fixture *fixture, enum origin_fault fault,
+                const char *path, struct harness_call *call)
+{
+    char body[32];
+
+    snprintf(body, sizeof(body), "body %04zu", fixture->calls++);
+    origin_set_fault(fixture->origin, fault);
+    harness_call_and_wait(&fixture->harness, 0, call, "POST", path, NULL,
+                          body);
+    origin_set_fault(fixture->origin, ORIGIN_OK);
+}
+
+static void
+test_complete_streams(void)
+{
+    static const enum origin_fault faults[] = {ORIGIN_OK, ORIGIN_STREAM_EMPTY,
+                                               ORIGIN_OTHER_TYPE};
+    struct fixture fixture;
+    struct harness_call call;
+
+    start(&fixture);
+    for (int i = 0; i < 3; i++) {
+        call_with_fault(&fixture, faults[i], "/stream", &call);
+        CU_ASSERT(call.status == 200 && call.result == HTTP_CALL_COMPLETE);
+        harness_call_free(&call);
+    }
+    CU_ASSERT(harness_agent_counter(&fixture.harness, COUNTER_STRIKES) == 0);
+    stop(&fixture);
+}
+
+/// A reset, or an end before the length, is not the end of a body.
+static void
+test_reset_of_unframed_answer(void)
+{
+    static const struct {
+        enum origin_fault fault;
+        const char *path;
+    } cases[] = {
+        {ORIGIN_UNFRAMED_RESET, "/orders"},
+        {ORIGIN_TRUNCATES, "/orders"},
+        {ORIGIN_STREAM_UNFRAMED_RESET, "/stream"},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct fixture fixture;
+        struct harness_call call;
+
+        start(&fixture);
+        call_with_fault(&fixture, cases[i].fault, cases[i].path, &call);
+        CU_ASSERT(call.result != HTTP_CALL_COMPLETE || call.status == 502);
+        harness_call_free(&call);
+        CU_ASSERT(harness_router_counter(&fixture.harness, COUNTER_UNKNOWN) ==
+                  1);
+        stop(&fixture);
+    }
+}
+
+/// A stream that ends within an event is not passed on as complete, and counts
+/// as a failure of the endpoint: the third in a row makes it unusable.
+static void
+test_stream_ends_within_event(void)
+{
+    static const enum origin_fault faults[] = {
+        ORIGIN_STREAM_UNFRAMED_CLOSED,
+        ORIGIN_STREAM_CHUNKS_CUT,
+        ORIGIN_STREAM_LENGTH_CUT,
+    };
+    struct fixture fixture;
+    struct harness_call call;
+
+    start(&fixture);
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        call_with_fault(&fixture, faults[i], "/stream", &call);
+        CU_ASSERT(call.result != HTTP_CALL_COMPLETE);
+        harness_call_free(&call);
+    }
+    CU_ASSERT(
+        harness_router_counter(&fixture.harness, COUNTER_ANSWERS_BROKEN) == 3);
+    call_with_fault(&fixture, ORIGIN_OK, "/orders", &call);
+    CU_ASSERT(call.status == 503 && !strcmp(call.outcome, "not-run"));
+    harness_call_free(&call);
+    stop(&fixture);
+}
+
+void
+suite_agent_endings(void)
+{
+    CU_pSuite suite = CU_add_suite("agent endings", NULL, NULL);
+
+    CU_add_test(suite, "complete streams", test_complete_streams);
+    CU_add_test(suite, "reset of an unframed answer",
+                test_reset_of_unframed_answer);
+    CU_add_test(suite, "stream ends within an event",
+                test_stream_ends_within_event);
+}
