http_client: an endpoint's answer may end with its connection

Callers saw: through router and agent, an endpoint's answer without length and chunks never counted as complete: the caller's connection was reset, the request got a strike, the endpoint's breaker a failure. A health answer of that kind made the endpoint unusable.

Cause: the client took such a response as incomplete whatever ended it.

Change: http_call_options.accepts_unframed, set for runs, health checks and orders, the calls to endpoints. Other calls (platform's log, operators' command) take such a response as incomplete as before: a truncated document must not be taken for a whole one. If the head has neither length nor chunks, the client treats it as Connection: close.

Not run: soak, sanitizers.

--- a/daemon/placement.c
+++ b/daemon/placement.c
@@ -121,6 +121,7 @@
         .method = STR_LITERAL("POST"),
         .uri = STR_LITERAL(ORDERS_PATH),
         .body = str_from(text),
+        .accepts_unframed = true,
         .head = on_head,
         .end = on_end,
         .ctx = placement,
--- a/daemon/probe.c
+++ b/daemon/probe.c
@@ -142,6 +142,7 @@
         .uri = STR_LITERAL(PROBE_PATH),
         .body = STR_LITERAL(""),
         .fresh_connection = true,
+        .accepts_unframed = true,
         .head = on_head,
         .end = on_end,
         .ctx = probe,
--- a/daemon/run.c
+++ b/daemon/run.c
@@ -566,6 +566,7 @@
         .header_count = run->offer.header_count,
         .body = {run->body, run->offer.body_bytes},
         .fresh_connection = !run->offer.repeatable,
+        .accepts_unframed = true,
         .head = on_head,
         .data = on_data,
         .end = on_end,
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -42,6 +42,7 @@
     struct event *pause_event;
     bool sent;
     bool has_head;
+    bool accepts_unframed;
     bool framed;
     bool paused;
     void (*head)(void *, int, const struct message_header *, size_t);
@@ -210,6 +211,12 @@
     if (call->head != NULL) {
         call->head(call->ctx, status, headers, count);
     }
+    if (!call->framed) {
+        // Otherwise evhttp takes the body as empty if the response keeps the
+        // connection alive.
+        evhttp_remove_header(input, "Connection");
+        evhttp_add_header(input, "Connection", "close");
+    }
     return true;
 }
 
@@ -266,7 +273,9 @@
         finish(call, failure_result(call));
         return;
     }
-    finish(call, call->framed ? HTTP_CALL_COMPLETE : HTTP_CALL_INCOMPLETE);
+    finish(call, call->framed || call->accepts_unframed
+                     ? HTTP_CALL_COMPLETE
+                     : HTTP_CALL_INCOMPLETE);
 }
 
 static void
@@ -307,6 +316,7 @@
     call->data = options->data;
     call->end = options->end;
     call->ctx = options->ctx;
+    call->accepts_unframed = options->accepts_unframed;
     call->pause_event = event_new(client->options.base, -1, 0, on_pause, call);
     call->request = evhttp_request_new(on_done, call);
     if (call->pause_event == NULL || call->request == NULL) {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -17,7 +17,7 @@
     HTTP_CALL_COMPLETE,    ///< complete response
     HTTP_CALL_UNSENT,      ///< no byte of the request was sent
     HTTP_CALL_NO_RESPONSE, ///< sent, but no response head was received
-    HTTP_CALL_INCOMPLETE,  ///< truncated, or neither length nor chunked
+    HTTP_CALL_INCOMPLETE,  ///< truncated; see accepts_unframed
 };
 
 struct http_client_options {
@@ -40,6 +40,10 @@
     /// server may close an idle one while the request is sent, and the outcome
     /// would be unknown.
     bool fresh_connection;
+    /// A response with neither length nor chunks is complete when the server
+    /// closes the connection. Otherwise it is incomplete, since a crash of the
+    /// server may look the same.
+    bool accepts_unframed;
     void (*head)(void *ctx, int status, const struct message_header *headers,
                  size_t header_count);
     void (*data)(void *ctx, struct evbuffer *data);
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -142,13 +142,16 @@
 }
 
 static void
-answer_unframed(struct conn *conn, bool reset)
-{
-    write_immediately(conn,
-                      "HTTP/1.1 200 X\r\n" ID_FIELD ": %s\r\n" SIGNATURE_FIELD
-                      ": s\r\n\r\nanswer to %s, %zu bytes",
-                      conn->id, conn->id, conn->body_bytes);
-    if (reset) {
+answer_unframed(struct conn *conn, enum origin_fault fault)
+{
+    write_immediately(
+        conn,
+        "HTTP/1.1 200 X\r\n" ID_FIELD ": %s\r\n" SIGNATURE_FIELD
+        ": s\r\n%s\r\nanswer to %s, %zu bytes",
+        conn->id,
+        fault == ORIGIN_UNFRAMED_KEPT ? "Connection: keep-alive\r\n" : "",
+        conn->id, conn->body_bytes);
+    if (fault == ORIGIN_UNFRAMED_RESET) {
         reset_conn(conn);
     }
     else {
@@ -393,7 +396,8 @@
         return;
     case ORIGIN_UNFRAMED:
     case ORIGIN_UNFRAMED_RESET:
-        answer_unframed(conn, conn->origin->fault == ORIGIN_UNFRAMED_RESET);
+    case ORIGIN_UNFRAMED_KEPT:
+        answer_unframed(conn, conn->origin->fault);
         return;
     case ORIGIN_STALE_ANSWER:
         write_answer(conn, "another-request", 200, SIGNATURE_FIELD ": s\r\n",
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -39,7 +39,8 @@
     ORIGIN_STREAM_UNFRAMED_RESET,  ///< the same, reset between two events
     ORIGIN_STREAM_CHUNKS_CUT,      ///< the last chunk comes within an event
     ORIGIN_STREAM_LENGTH_CUT,      ///< its length ends within an event
-    ORIGIN_OTHER_TYPE, ///< a 200 with JSON, also where a stream is expected
+    ORIGIN_UNFRAMED_KEPT, ///< like ORIGIN_UNFRAMED, Connection: keep-alive
+    ORIGIN_OTHER_TYPE,    ///< a 200 with JSON, also where a stream is expected
     // Bytes without end, until the connection is closed:
     ORIGIN_ENDLESS_FIELD,     ///< a field value
     ORIGIN_ENDLESS_FIELDS,    ///< field lines
--- a/tests/test_agent_endings.c
+++ b/tests/test_agent_endings.c
@@ -98,6 +98,75 @@
     origin_set_fault(fixture->origin, ORIGIN_OK);
 }
 
+static bool
+ends_with(const char *text, const char *end)
+{
+    size_t len = strlen(text), end_len = strlen(end);
+
+    return len >= end_len && !strcmp(text + len - end_len, end);
+}
+
+/// A body without a length that the connection's end delimits is complete, and
+/// its connection is not used again, also where connections are reused.
+static void
+test_unframed_answers(void)
+{
+    static const enum origin_fault faults[] = {ORIGIN_UNFRAMED,
+                                               ORIGIN_UNFRAMED_KEPT};
+    static const char *const paths[] = {"/orders", "/look"};
+    struct fixture fixture;
+    struct harness_call call;
+    uint64_t connections;
+
+    start(&fixture);
+    connections = origin_connections(fixture.origin);
+    for (size_t i = 0; i < 20; i++) {
+        call_with_fault(&fixture, faults[i % 2], paths[i / 2 % 2], &call);
+        CU_ASSERT(call.status == 200 && call.result == HTTP_CALL_COMPLETE);
+        CU_ASSERT(ends_with(harness_response_body(&call), ", 9 bytes"));
+        harness_call_free(&call);
+    }
+    CU_ASSERT(origin_connections(fixture.origin) >= connections + 20);
+    CU_ASSERT(harness_agent_counter(&fixture.harness, COUNTER_STRIKES) == 0);
+    stop(&fixture);
+}
+
+/// A health answer without a length does not make the endpoint unusable.
+static void
+test_unframed_health_answer(void)
+{
+    struct fixture fixture;
+    struct harness_call call;
+
+    start(&fixture);
+    origin_set_fault(fixture.origin, ORIGIN_UNFRAMED);
+    harness_run_for(&fixture.harness, 1500);
+    call_with_fault(&fixture, ORIGIN_OK, "/orders", &call);
+    CU_ASSERT(call.status == 200);
+    harness_call_free(&call);
+    stop(&fixture);
+}
+
+static void
+test_unframed_streams(void)
+{
+    static const enum origin_fault faults[] = {ORIGIN_STREAM_UNFRAMED,
+                                               ORIGIN_STREAM_UNFRAMED_CRLF};
+    struct fixture fixture;
+    struct harness_call call;
+
+    start(&fixture);
+    for (int i = 0; i < 4; i++) {
+        call_with_fault(&fixture, faults[i % 2], "/stream", &call);
+        CU_ASSERT(call.status == 200 && call.result == HTTP_CALL_COMPLETE);
+        CU_ASSERT(ends_with(harness_response_body(&call),
+                            i % 2 == 0 ? "/8\n\n" : "/8\r\n\r\n"));
+        harness_call_free(&call);
+    }
+    CU_ASSERT(harness_agent_counter(&fixture.harness, COUNTER_STRIKES) == 0);
+    stop(&fixture);
+}
+
 static void
 test_complete_streams(void)
 {
@@ -178,6 +247,9 @@
     CU_add_test(suite, "complete streams", test_complete_streams);
     CU_add_test(suite, "reset of an unframed answer",
                 test_reset_of_unframed_answer);
+    CU_add_test(suite, "unframed answers", test_unframed_answers);
+    CU_add_test(suite, "unframed health answer", test_unframed_health_answer);
+    CU_add_test(suite, "unframed streams", test_unframed_streams);
     CU_add_test(suite, "stream ends within an event",
                 test_stream_ends_within_event);
 }
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -82,19 +82,20 @@
     static const char *const paths[] = {"/book/", "/look/"};
     struct direct_harness harness;
 
-    start(&harness, 1, ORIGIN_UNFRAMED);
-    for (size_t i = 0; i < 2; i++) {
-        const struct origin *origin =
-            i == 0 ? harness.orders : harness.origins[0];
-        uint64_t connections = origin_connections(origin);
+    for (size_t i = 0; i < 4; i++) {
+        const struct origin *origin;
+        uint64_t connections;
 
+        start(&harness, 1, i < 2 ? ORIGIN_UNFRAMED : ORIGIN_UNFRAMED_KEPT);
+        origin = i % 2 == 0 ? harness.orders : harness.origins[0];
+        connections = origin_connections(origin);
         for (int j = 0; j < 5; j++) {
             struct direct_call call = {0};
             char id[16], expected[64];
 
             snprintf(id, sizeof(id), "id-%d", j);
             snprintf(expected, sizeof(expected), "answer to %s, 1 bytes", id);
-            direct_call_do(&harness, 0, &call, "POST", paths[i], id, NULL,
+            direct_call_do(&harness, 0, &call, "POST", paths[i % 2], id, NULL,
                            "b");
             CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 200);
             CU_ASSERT_STRING_EQUAL(call.body, expected);
@@ -102,9 +103,9 @@
             direct_call_free(&call);
         }
         CU_ASSERT(origin_connections(origin) >= connections + 4);
+        CU_ASSERT(counter_get(&harness.counters[0], COUNTER_DONE) == 5);
+        direct_harness_stop(&harness);
     }
-    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_DONE) == 10);
-    direct_harness_stop(&harness);
 }
 
 /// A stream without length and chunks that ends after an event is complete,
