attempt: a stream without a length that is cut within an event may be a crash

Callers saw: a request on a streaming route whose endpoints crash within an event was never held if they send streams without length and chunks; each repetition could crash another endpoint.

Cause: strikes and evidence against parts of the prompt are recorded where the connection ends before the HTTP message. Without a length the same close ends the message.

Change: where the message ends with its connection, a stream that ends within an event is recorded as a crash. The last chunk or the end of a length within an event is not: the endpoint lived to send it; the test checks that too.

Conclusion: such requests are held as those with chunks are. Open: a stream without a length that is closed before its first event still counts as complete.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -249,6 +249,7 @@
         status == 200 && (exchange->route->kind == ROUTE_STREAM ||
                           exchange->route->kind == ROUTE_RESUMABLE);
     exchange->has_events = exchange->is_stream && has_event_type(head);
+    exchange->ends_with_connection = http1_ends_with_connection(head);
     if (!exchange->response_started) {
         direct_wire(exchange->direct)->write_answer(head, exchange->fields);
     }
@@ -374,6 +375,29 @@
     direct_add_buffered(exchange->direct, (int64_t)len);
 }
 
+/// Identifies one crash of an endpoint, so that it is counted once: equal on
+/// routers that observe it in the same 2 s interval of a common clock.
+static uint32_t
+make_crash_id(const struct endpoint *endpoint, int64_t now_ms)
+{
+    return (uint32_t)endpoint->hash ^ (uint32_t)endpoint->incarnation ^
+           (uint32_t)(now_ms / 2000);
+}
+
+/// Records that the endpoint may have crashed with this request.
+static void
+record_crash(struct exchange *exchange)
+{
+    uint32_t crash_id =
+        make_crash_id(exchange->endpoint, exchange_now(exchange));
+
+    direct_record_strike(exchange->direct, exchange->fingerprint, crash_id);
+    if (!exchange->answer_recorded) {
+        blame_record_crash(exchange->direct, &exchange->facts.prefix, crash_id,
+                           exchange->status != 0);
+    }
+}
+
 /// Handles a complete answer: passes it to the caller, or retries.
 static void
 handle_response(struct exchange *exchange)
@@ -398,6 +422,9 @@
     }
     if (exchange->has_events && exchange->scan.open_bytes > 0) {
         attempt_record_failure(exchange, "the stream ended within an event");
+        if (exchange->ends_with_connection) {
+            record_crash(exchange);
+        }
         attempt_failed(exchange, ATTEMPT_LOST,
                        "the stream ended within an event");
         return;
@@ -448,29 +475,6 @@
     exchange_finish(exchange);
 }
 
-/// Identifies one crash of an endpoint, so that it is counted once: equal on
-/// routers that observe it in the same 2 s interval of a common clock.
-static uint32_t
-make_crash_id(const struct endpoint *endpoint, int64_t now_ms)
-{
-    return (uint32_t)endpoint->hash ^ (uint32_t)endpoint->incarnation ^
-           (uint32_t)(now_ms / 2000);
-}
-
-/// Records that the endpoint may have crashed with this request.
-static void
-record_crash(struct exchange *exchange)
-{
-    uint32_t crash_id =
-        make_crash_id(exchange->endpoint, exchange_now(exchange));
-
-    direct_record_strike(exchange->direct, exchange->fingerprint, crash_id);
-    if (!exchange->answer_recorded) {
-        blame_record_crash(exchange->direct, &exchange->facts.prefix, crash_id,
-                           exchange->status != 0);
-    }
-}
-
 static void
 on_end(void *ctx, enum channel_end end, const char *detail)
 {
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -55,8 +55,9 @@
     int status;
     bool not_executed;
     bool is_stream;
-    bool has_events;       ///< a stream that does not state another type
-    bool response_started; ///< the head has been sent to the caller
+    bool has_events;           ///< a stream that does not state another type
+    bool ends_with_connection; ///< neither length nor chunks
+    bool response_started;     ///< the head has been sent to the caller
     struct evbuffer *fields;
     struct evbuffer *body;
     struct sse_buffer events;
--- a/net/http1.c
+++ b/net/http1.c
@@ -270,6 +270,13 @@
     return http_should_keep_alive(&http->parser) != 0;
 }
 
+bool
+http1_ends_with_connection(const struct http1 *http)
+{
+    return !http->no_body &&
+           !(http->parser.flags & (F_CHUNKED | F_CONTENTLENGTH));
+}
+
 static bool
 list_contains(struct str list, struct str name)
 {
--- a/net/http1.h
+++ b/net/http1.h
@@ -86,6 +86,10 @@
 /// True if the connection can be reused after this message.
 bool http1_keeps_alive(const struct http1 *http);
 
+/// True if the message has neither length nor chunks, so that the end of the
+/// connection ends its body.
+bool http1_ends_with_connection(const struct http1 *http);
+
 /// True if the field is hop-by-hop, so that it is not forwarded.
 bool http1_is_hop_by_hop(const struct http1 *http, struct str name);
 
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -290,6 +290,43 @@
     }
 }
 
+/// Sends one request again and again to endpoints with this fault; returns how
+/// often it was held as one that crashes endpoints.
+static uint64_t
+count_held(enum origin_fault fault)
+{
+    struct direct_harness harness;
+    uint64_t held;
+
+    start(&harness, 4, fault);
+    for (size_t i = 1; i < 4; i++) {
+        origin_set_fault(harness.origins[i], fault);
+    }
+    for (int i = 0; i < 30; i++) {
+        struct direct_call call = {0};
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%d", i);
+        direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", id, NULL,
+                       "poison");
+        direct_call_free(&call);
+    }
+    held = counter_get(&harness.counters[0], COUNTER_QUARANTINED);
+    direct_harness_stop(&harness);
+    return held;
+}
+
+/// A connection that is closed within an event of a stream without a length
+/// may be a crash; the last chunk or the end of a length is sent by an
+/// endpoint that lives.
+static void
+test_crash_within_unframed_stream(void)
+{
+    CU_ASSERT(count_held(ORIGIN_STREAM_UNFRAMED_CLOSED) > 0);
+    CU_ASSERT(count_held(ORIGIN_STREAM_CHUNKS_CUT) == 0);
+    CU_ASSERT(count_held(ORIGIN_STREAM_UNFRAMED) == 0);
+}
+
 void
 suite_endings(void)
 {
@@ -309,4 +346,6 @@
                 test_partial_event_is_not_sent);
     CU_add_test(suite, "endpoint that cuts streams",
                 test_endpoint_that_cuts_streams);
+    CU_add_test(suite, "crash within an unframed stream",
+                test_crash_within_unframed_stream);
 }
