attempt: an answer of another type does not continue a stream

Callers saw: if the endpoint that a broken stream was continued at answered 200 with another Content-Type, its body came behind the events, and the answer ended as complete.

Cause: a 200 on a streaming route was taken as events whatever it states.

Before, suite endings: 'other type after events' failed (1 of 11): the caller got the events of one endpoint and '{}' of the other, CHANNEL_COMPLETE.

Change: once events have been sent, an answer of another type fails the attempt as malformed: the stream goes on elsewhere or is aborted.

After: endings 11 of 11 and direct 25 of 25, five runs. Conclusion: answers of two kinds are not joined.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -250,6 +250,10 @@
                           exchange->route->kind == ROUTE_RESUMABLE);
     exchange->has_events = exchange->is_stream && has_event_type(head);
     exchange->ends_with_connection = http1_ends_with_connection(head);
+    if (exchange->response_started && exchange->is_stream &&
+        !exchange->has_events) {
+        return CHANNEL_REJECT;
+    }
     if (!exchange->response_started) {
         direct_wire(exchange->direct)->write_answer(head, exchange->fields);
     }
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -290,6 +290,29 @@
     }
 }
 
+/// An answer of another type does not continue a stream.
+static void
+test_other_type_after_events(void)
+{
+    struct direct_harness harness;
+    bool broken = false;
+
+    start(&harness, 2, ORIGIN_STREAM_CHUNKS_CUT);
+    origin_set_fault(harness.origins[1], ORIGIN_OTHER_TYPE);
+    for (int i = 0; i < 60 && !broken; i++) {
+        struct direct_call call = {0};
+
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
+                       "x");
+        broken = origin_runs(harness.origins[0]) > 0;
+        CU_ASSERT((call.end == CHANNEL_COMPLETE) == !broken);
+        CU_ASSERT(!broken || strstr(call.body, "{}") == NULL);
+        direct_call_free(&call);
+    }
+    CU_ASSERT(broken);
+    direct_harness_stop(&harness);
+}
+
 /// Sends one request again and again to endpoints with this fault; returns how
 /// often it was held as one that crashes endpoints.
 static uint64_t
@@ -346,6 +369,8 @@
                 test_partial_event_is_not_sent);
     CU_add_test(suite, "endpoint that cuts streams",
                 test_endpoint_that_cuts_streams);
+    CU_add_test(suite, "other type after events",
+                test_other_type_after_events);
     CU_add_test(suite, "crash within an unframed stream",
                 test_crash_within_unframed_stream);
 }
