attempt: a stream without a length that ends before an event is broken off

Cause: an answer may have neither a length nor chunks and end with its connection; an endpoint that crashes behind the head of such a stream closes the connection, which is the end of an empty body.

Change: such a stream without any event counts as lost, as a crash does, unless it continues an earlier one. It is retried if the route allows it, else 502.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -402,6 +402,20 @@
     }
 }
 
+/// True if a stream ended within an event, or, without a length, before the
+/// first one: an endpoint that crashes behind the head of its answer does so.
+static bool
+is_broken_stream(const struct exchange *exchange)
+{
+    bool is_resumed =
+        exchange->response_started || exchange->facts.last_event_id.len > 0;
+
+    return exchange->has_events &&
+           (exchange->scan.open_bytes > 0 ||
+            (exchange->scan.events == 0 && exchange->ends_with_connection &&
+             !is_resumed));
+}
+
 /// Handles a complete answer: passes it to the caller, or retries.
 static void
 handle_response(struct exchange *exchange)
@@ -424,13 +438,16 @@
         attempt_failed(exchange, ATTEMPT_REFUSED, "refused by the endpoint");
         return;
     }
-    if (exchange->has_events && exchange->scan.open_bytes > 0) {
-        attempt_record_failure(exchange, "the stream ended within an event");
+    if (is_broken_stream(exchange)) {
+        const char *reason = exchange->scan.open_bytes > 0
+                                 ? "the stream ended within an event"
+                                 : "the stream ended before an event";
+
+        attempt_record_failure(exchange, reason);
         if (exchange->ends_with_connection) {
             record_crash(exchange);
         }
-        attempt_failed(exchange, ATTEMPT_LOST,
-                       "the stream ended within an event");
+        attempt_failed(exchange, ATTEMPT_LOST, reason);
         return;
     }
     if (status < 500) {
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -165,6 +165,7 @@
     return fault == ORIGIN_STREAM_UNFRAMED ||
            fault == ORIGIN_STREAM_UNFRAMED_CRLF ||
            fault == ORIGIN_STREAM_UNFRAMED_CLOSED ||
+           fault == ORIGIN_STREAM_UNFRAMED_NONE ||
            fault == ORIGIN_STREAM_UNFRAMED_RESET;
 }
 
@@ -213,6 +214,10 @@
     char event[128];
     int len = format_event(conn, event, sizeof(event));
 
+    if (fault == ORIGIN_STREAM_UNFRAMED_NONE) {
+        close_conn(conn);
+        return;
+    }
     if (is_late && fault == ORIGIN_STREAM_UNFRAMED_RESET) {
         reset_conn(conn);
         return;
@@ -476,6 +481,7 @@
     case ORIGIN_STREAM_UNFRAMED:
     case ORIGIN_STREAM_UNFRAMED_CRLF:
     case ORIGIN_STREAM_UNFRAMED_CLOSED:
+    case ORIGIN_STREAM_UNFRAMED_NONE:
     case ORIGIN_STREAM_UNFRAMED_RESET:
     case ORIGIN_STREAM_CHUNKS_CUT:
     case ORIGIN_STREAM_LENGTH_CUT:
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -36,6 +36,7 @@
     ORIGIN_STREAM_UNFRAMED,        ///< delimited by the connection's end
     ORIGIN_STREAM_UNFRAMED_CRLF,   ///< the same, lines end with CR LF
     ORIGIN_STREAM_UNFRAMED_CLOSED, ///< the same, closed within an event
+    ORIGIN_STREAM_UNFRAMED_NONE,   ///< the same, closed before an event
     ORIGIN_STREAM_UNFRAMED_RESET,  ///< the same, reset between two events
     ORIGIN_STREAM_CHUNKS_CUT,      ///< the last chunk comes within an event
     ORIGIN_STREAM_LENGTH_CUT,      ///< its length ends within an event
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -226,6 +226,23 @@
     direct_harness_stop(&harness);
 }
 
+/// Nothing of the answer was sent yet: the caller gets a status that promises
+/// nothing.
+static void
+check_aborted_early(enum origin_fault fault)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 1, fault);
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id", NULL,
+                   "x");
+    CU_ASSERT(call.end == CHANNEL_COMPLETE && call.status == 502);
+    CU_ASSERT(origin_runs(harness.origins[0]) == 1);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
 /// A reset is not the end of a body, not even after a complete event.
 static void
 test_reset_of_unframed_stream(void)
@@ -346,10 +363,35 @@
 test_crash_within_unframed_stream(void)
 {
     CU_ASSERT(count_held(ORIGIN_STREAM_UNFRAMED_CLOSED) > 0);
+    CU_ASSERT(count_held(ORIGIN_STREAM_UNFRAMED_NONE) > 0);
     CU_ASSERT(count_held(ORIGIN_STREAM_CHUNKS_CUT) == 0);
     CU_ASSERT(count_held(ORIGIN_STREAM_UNFRAMED) == 0);
 }
 
+/// An endpoint that crashes behind the head of a stream without a length looks
+/// as if the stream were empty and complete.
+static void
+test_unframed_stream_without_events(void)
+{
+    struct direct_harness harness;
+    uint64_t calls = 0;
+
+    check_aborted_early(ORIGIN_STREAM_UNFRAMED_NONE);
+    start(&harness, 2, ORIGIN_STREAM_UNFRAMED_NONE);
+    while (origin_runs(harness.origins[0]) == 0 && calls < 60) {
+        struct direct_call call = {0};
+
+        direct_call_do(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
+                       "x");
+        CU_ASSERT(call.status == 200 && call.end == CHANNEL_COMPLETE);
+        CU_ASSERT(call.body_len > 0);
+        direct_call_free(&call);
+        calls++;
+    }
+    CU_ASSERT(direct_harness_runs(&harness) == calls + 1);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_endings(void)
 {
@@ -363,6 +405,8 @@
                 test_other_type_on_streaming_route);
     CU_add_test(suite, "reset of an unframed stream",
                 test_reset_of_unframed_stream);
+    CU_add_test(suite, "unframed stream without events",
+                test_unframed_stream_without_events);
     CU_add_test(suite, "stream ends within an event",
                 test_stream_ends_within_event);
     CU_add_test(suite, "partial event is not sent",
