caller: endless bytes no longer put off a time-out

Callers saw: nothing yet. Found in the review of: a caller whose bytes are never all read, such as chunk extensions, which no limit counts, is never answered with 408. The time-out is put off for as long as anything is unread.

Change: input_defer_timeout() puts a time-out off only until the bytes are read that had arrived when it expired. It counts them, so it does not depend on how much a pass of the event loop reads.

Conclusion: the head time-out holds for any sender again.

--- a/net/caller.c
+++ b/net/caller.c
@@ -50,8 +50,8 @@
     int64_t started_ms;
     int64_t timer_started_ms;
     int64_t timer_ms;
-    size_t requests;       ///< received complete on this connection
-    bool timeout_deferred; ///< of the running timer
+    size_t requests; ///< received complete on this connection
+    struct input_deferral deferral;
     bool chunked;
     bool close_after_response;
     bool body_too_large;
@@ -126,7 +126,7 @@
 {
     caller->timer_started_ms = clock_ms(caller->server->options.clock);
     caller->timer_ms = ms;
-    caller->timeout_deferred = false;
+    caller->deferral.until_bytes = 0;
     timer_start(caller->timer, ms);
 }
 
@@ -145,19 +145,19 @@
 static bool
 defer_timeout(struct caller *caller)
 {
-    size_t unread = input_unread(caller->bufferevent);
+    bool is_first = caller->deferral.until_bytes == 0;
 
-    if (unread == 0) {
+    if (!input_defer_timeout(&caller->deferral, caller->bufferevent)) {
         return false;
     }
-    if (!caller->timeout_deferred) {
-        caller->timeout_deferred = true;
+    if (is_first) {
         LOG_WARNING("event=connection-timeout-deferred requests=%zu "
                     "elapsed_ms=%lld limit_ms=%lld unread=%zu",
                     caller->requests,
                     (long long)(clock_ms(caller->server->options.clock) -
                                 caller->timer_started_ms),
-                    (long long)caller->timer_ms, unread);
+                    (long long)caller->timer_ms,
+                    input_unread(caller->bufferevent));
     }
     timer_start(caller->timer, 0);
     return true;
@@ -283,6 +283,7 @@
         }
         consumed = http1_feed(&caller->http, bytes, len);
         evbuffer_drain(input, consumed);
+        caller->deferral.read_bytes += consumed;
         if (caller->http.error != HTTP1_OK) {
             reject_request(caller, caller->http.error == HTTP1_HEAD_TOO_LARGE
                                        ? 431
--- a/net/input.c
+++ b/net/input.c
@@ -15,3 +15,19 @@
     }
     return buffered + (size_t)waiting;
 }
+
+bool
+input_defer_timeout(struct input_deferral *deferral,
+                    struct bufferevent *bufferevent)
+{
+    size_t unread = input_unread(bufferevent);
+
+    if (deferral->until_bytes == 0 && unread > 0) {
+        deferral->until_bytes = deferral->read_bytes + unread;
+    }
+    if (unread > 0 && deferral->read_bytes < deferral->until_bytes) {
+        return true;
+    }
+    deferral->until_bytes = 0;
+    return false;
+}
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -17,6 +17,9 @@
 /// Longer than what remains of a time-out when the process becomes busy.
 #define BUSY_MS 400
 #define RUN_STEP_US 5000
+/// What a bufferevent reads at once.
+#define READ_BYTES 4096
+#define BODY_BYTES_MAX 1000000
 #define RUN_MS 100
 
 static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -25,6 +28,7 @@
     struct event_base *base;
     struct caller_server *server;
     int client;
+    struct event *sender;
     size_t requests;
     char received[4096];
     size_t received_len;
@@ -212,6 +216,47 @@
     stop(&fixture);
 }
 
+/// Sends a chunk with one byte of body in each pass of the event loop.
+static void
+send_chunk(evutil_socket_t fd, short events, void *ctx)
+{
+    const struct timeval next_pass = {0};
+    struct fixture *fixture = ctx;
+    char chunk[READ_BYTES];
+
+    (void)fd;
+    (void)events;
+    memset(chunk, 'x', sizeof(chunk));
+    memcpy(chunk, "1;", 2);
+    memcpy(chunk + sizeof(chunk) - 5, "\r\na\r\n", 5);
+    send(fixture->client, chunk, sizeof(chunk), MSG_NOSIGNAL | MSG_DONTWAIT);
+    event_add(fixture->sender, &next_pass);
+}
+
+/// Some bytes are always unread, and no limit counts chunk extensions.
+static void
+test_head_timeout_under_endless_bytes(void)
+{
+    static const char head[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+    const struct caller_limits limits = {4096, BODY_BYTES_MAX, HEAD_TIMEOUT_MS,
+                                         IDLE_TIMEOUT_MS};
+    const struct timeval limit = {.tv_usec = HEAD_TIMEOUT_MS * 3 * 1000};
+    struct fixture fixture;
+
+    start(&fixture);
+    fixture.sender = event_new(fixture.base, -1, 0, send_chunk, &fixture);
+    caller_server_set_limits(fixture.server, &limits);
+    send_bytes(&fixture, head, strlen(head));
+    send_chunk(-1, 0, &fixture);
+    event_base_loopexit(fixture.base, &limit);
+    event_base_dispatch(fixture.base);
+    receive(&fixture);
+    CU_ASSERT(strstr(fixture.received, "HTTP/1.1 408") != NULL);
+    event_free(fixture.sender);
+    stop(&fixture);
+}
+
 /// Issue 24: callers were not told the idle time-out, and requests on
 /// connections that had been idle for as long crossed the close.
 static void
@@ -250,6 +295,8 @@
                 test_rest_during_head_timeout);
     CU_add_test(suite, "a request in the socket when idle ones are closed",
                 test_request_during_close_idle);
+    CU_add_test(suite, "endless bytes do not put off the head time-out",
+                test_head_timeout_under_endless_bytes);
     CU_add_test(suite, "the idle time that callers may use is stated",
                 test_stated_idle_time);
     CU_add_test(suite, "connections without input time out",
