exchange: an answer that has arrived is read before a time-out counts

The timer of the exchange runs before the deferred read callback of the connection to the endpoint, and looks at what was read last.

Change: channel_defer_timeout() is asked first; the timer runs again in the next pass of the event loop until the bytes are read that had arrived when it expired. An endpoint that sends without end still meets both time-outs.

Conclusion: a pause no longer turns an answer into a failure.

--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -268,6 +268,11 @@
 
     (void)fd;
     (void)events;
+    if (exchange->channel != NULL &&
+        channel_defer_timeout(exchange->channel)) {
+        timer_start(exchange->timer, 0);
+        return;
+    }
     if (exchange->waits_for_deployment) {
         exchange_refuse_not_run(exchange,
                                 "configuration or endpoints not received yet");
--- a/net/channel.c
+++ b/net/channel.c
@@ -12,6 +12,7 @@
 
 #include "core/xmalloc.h"
 #include "http1.h"
+#include "input.h"
 #include "timer.h"
 
 /// Interim answers and answers to other requests that may come before the
@@ -34,6 +35,7 @@
     enum channel_state state;
     struct evbuffer *pending_request; ///< until the TCP handshake is done
     struct event *timer;
+    struct input_deferral deferral;
     bool skipping;
     size_t skipped_bytes; ///< before the answer to this request
     bool rejected;
@@ -258,6 +260,7 @@
             return false;
         }
         evbuffer_drain(input, consumed);
+        channel->deferral.read_bytes += consumed;
         if (channel->http.error != HTTP1_OK || channel->rejected) {
             finish(channel, CHANNEL_MALFORMED, "malformed response");
             return false;
@@ -438,6 +441,7 @@
     }
     channel->handler = *handler;
     channel->skipped_bytes = 0;
+    channel->deferral.until_bytes = 0;
     channel->http.no_body = request->no_body;
     if (channel->state == CHANNEL_IDLE) {
         event_del(channel->timer);
@@ -469,6 +473,13 @@
     return channel->state != CHANNEL_CONNECTING;
 }
 
+bool
+channel_defer_timeout(struct channel *channel)
+{
+    return channel->state == CHANNEL_BUSY &&
+           input_defer_timeout(&channel->deferral, channel->bufferevent);
+}
+
 size_t
 channel_pool_connections(const struct channel_pool *pool)
 {
--- a/net/channel.h
+++ b/net/channel.h
@@ -88,5 +88,10 @@
 /// True once bytes of the request may have been sent.
 bool channel_was_sent(const struct channel *channel);
 
+/// Called when a time-out of the user has expired: true if bytes that have
+/// arrived are to be read first, and the time-out is to be checked again in
+/// the next pass of the event loop.
+bool channel_defer_timeout(struct channel *channel);
+
 size_t channel_pool_connections(const struct channel_pool *pool);
 size_t channel_pool_connections_total(const struct channel_pool *pool);
--- a/tests/main.c
+++ b/tests/main.c
@@ -34,6 +34,7 @@
     {"link", suite_link},
     {"place", suite_place},
     {"endless", suite_endless},
+    {"pause", suite_pause},
     {"signals", suite_signals},
     {"store", suite_store},
     {"shed", suite_shed},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -16,6 +16,7 @@
 void suite_shutdown(void);
 void suite_catalog(void);
 void suite_endless(void);
+void suite_pause(void);
 void suite_caller(void);
 void suite_link(void);
 void suite_store(void);
--- /dev/null
+++ b/tests/test_pause.c
@@ -0,0 +1,206 @@
+/// Time-outs that expire while the process does nothing else, although what
+/// they wait for has arrived.
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <CUnit/CUnit.h>
+#include <sys/socket.h>
+
+#include "direct_harness.h"
+#include "net/http1.h"
+#include "standin/ports.h"
+#include "suites.h"
+
+/// The plain routes of the harness: "book" may run once and is served by the
+/// paused endpoint alone, "look" is repeatable and served by two.
+#define TIMEOUT_MS 800
+/// 120% of the routes' objective of 300 ms.
+#define SILENCE_MS 360
+#define PAUSE_MARGIN_MS 100
+#define WAIT_MS 2000
+#define ATTEMPTS_MAX 60
+
+/// An endpoint outside the event loop, so that it can answer while the loop
+/// is blocked.
+struct outside {
+    struct direct_harness *harness;
+    int listener;
+    int fd; ///< the connection with the request; -1: none
+    char id[32];
+    char request[4096];
+    size_t request_len;
+};
+
+static void
+outside_start(struct outside *outside, struct direct_harness *harness,
+              const char *service)
+{
+    struct address address = ports_any();
+    char text[512];
+
+    *outside = (struct outside){.harness = harness, .fd = -1};
+    outside->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    CU_ASSERT_FATAL(bind(outside->listener,
+                         (const struct sockaddr *)&address.storage,
+                         (socklen_t)address.len) == 0);
+    CU_ASSERT_FATAL(listen(outside->listener, 8) == 0);
+    address_of_socket(outside->listener, &address);
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
+             "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+             "\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
+             service, address.ip, address.port);
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, "outside",
+                    str_from(text));
+    direct_harness_run(harness, 500);
+}
+
+static void
+outside_stop(struct outside *outside)
+{
+    if (outside->fd >= 0) {
+        close(outside->fd);
+    }
+    close(outside->listener);
+}
+
+static void
+drop_connection(struct outside *outside)
+{
+    close(outside->fd);
+    outside->fd = -1;
+    outside->request_len = 0;
+    memset(outside->request, 0, sizeof(outside->request));
+}
+
+/// Takes a request; true once it is complete. A query of contexts is dropped.
+static bool
+outside_has_request(void *ctx)
+{
+    struct outside *outside = ctx;
+    ssize_t len;
+
+    if (outside->fd < 0) {
+        outside->fd = accept4(outside->listener, NULL, NULL, SOCK_NONBLOCK);
+    }
+    if (outside->fd < 0) {
+        return false;
+    }
+    len = recv(outside->fd, outside->request + outside->request_len,
+               sizeof(outside->request) - 1 - outside->request_len, 0);
+    if (len > 0) {
+        outside->request_len += (size_t)len;
+    }
+    if (len == 0 || strstr(outside->request, "GET /v1/") != NULL) {
+        drop_connection(outside);
+    }
+    return strstr(outside->request, "\r\n\r\n") != NULL;
+}
+
+static void
+outside_answer(struct outside *outside, const char *id, const char *rest)
+{
+    char text[512];
+    int len = snprintf(text, sizeof(text),
+                       "HTTP/1.1 200 OK\r\nDandelionvalve-Request-Id: %s\r\n"
+                       "Dandelionvalve-Server-Signature: s\r\n%s",
+                       id, rest);
+
+    CU_ASSERT(send(outside->fd, text, (size_t)len, MSG_NOSIGNAL) == len);
+}
+
+static void
+start(struct direct_harness *harness)
+{
+    direct_harness_start(harness, &(struct direct_harness_options){
+                                      .routers = 1,
+                                      .origins = 1,
+                                      .events = 8,
+                                      .work_us = 3000,
+                                  });
+}
+
+static void
+block(int64_t ms)
+{
+    usleep((useconds_t)((ms + PAUSE_MARGIN_MS) * 1000));
+}
+
+/// Starts calls until the outside endpoint has received one.
+static void
+call_outside(struct outside *outside, struct direct_call *call,
+             const char *method, const char *path)
+{
+    for (int i = 0; i < ATTEMPTS_MAX; i++) {
+        snprintf(outside->id, sizeof(outside->id), "id-%d", i);
+        direct_call_start(outside->harness, 0, call, method, path, outside->id,
+                          NULL, NULL);
+        while (!outside_has_request(outside) && !call->ended) {
+            direct_harness_run(outside->harness, 1);
+        }
+        if (!call->ended) {
+            return;
+        }
+        direct_call_free(call);
+    }
+    CU_FAIL_FATAL("the endpoint is not chosen");
+}
+
+/// The answer arrived within the time limit, and the caller got 504.
+static void
+test_answer_at_time_limit(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    struct outside outside;
+
+    start(&harness);
+    direct_harness_put_entry(&harness, "o-0", harness.orders, "orders", NULL);
+    outside_start(&outside, &harness, "orders");
+    call_outside(&outside, &call, "POST", "/book/");
+    outside_answer(&outside, outside.id, "Content-Length: 2\r\n\r\nok");
+    block(TIMEOUT_MS);
+    CU_ASSERT(
+        direct_harness_wait(&harness, direct_call_ended, &call, WAIT_MS));
+    CU_ASSERT(call.status == 200);
+    CU_ASSERT_STRING_EQUAL(call.body, "ok");
+    direct_call_free(&call);
+    outside_stop(&outside);
+    direct_harness_stop(&harness);
+}
+
+/// The endpoint had answered, and the request was sent to another one.
+static void
+test_answer_at_silence_timeout(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    struct outside outside;
+
+    start(&harness);
+    outside_start(&outside, &harness, "models");
+    call_outside(&outside, &call, "GET", "/look/");
+    outside_answer(&outside, outside.id, "Content-Length: 2\r\n\r\nok");
+    block(SILENCE_MS);
+    CU_ASSERT(
+        direct_harness_wait(&harness, direct_call_ended, &call, WAIT_MS));
+    CU_ASSERT(call.status == 200);
+    CU_ASSERT_STRING_EQUAL(call.body, "ok");
+    CU_ASSERT(origin_runs_of(harness.origins[0], outside.id) == 0);
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_RETRIES) == 0);
+    direct_call_free(&call);
+    outside_stop(&outside);
+    direct_harness_stop(&harness);
+}
+
+void
+suite_pause(void)
+{
+    CU_pSuite suite = CU_add_suite("pause", NULL, NULL);
+
+    CU_add_test(suite, "an answer that has arrived is not a 504",
+                test_answer_at_time_limit);
+    CU_add_test(suite, "an endpoint that has answered is not silent",
+                test_answer_at_silence_timeout);
+}
