channel: a finished handshake is seen before the connect time-out counts

The event loop reports a connection by a deferred callback, after the connect timer has run.

Change: the timer asks the socket; while the handshake has ended and the event loop has not seen it, the timer runs again in the next pass. The callback then stops it, so the connect time-out is put off by one pass or a few.

Conclusion: a pause no longer ejects an endpoint that accepts connections.

--- a/net/channel.c
+++ b/net/channel.c
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <utlist.h>
 
 #include "core/xmalloc.h"
@@ -129,6 +130,18 @@
     }
 }
 
+/// True if the TCP handshake has ended and the event loop has not seen it.
+static bool
+has_connected(const struct channel *channel)
+{
+    struct pollfd socket = {
+        .fd = bufferevent_getfd(channel->bufferevent),
+        .events = POLLOUT,
+    };
+
+    return poll(&socket, 1, 0) > 0;
+}
+
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -136,7 +149,10 @@
 
     (void)fd;
     (void)events;
-    if (channel->state == CHANNEL_CONNECTING) {
+    if (channel->state == CHANNEL_CONNECTING && has_connected(channel)) {
+        timer_start(channel->timer, 0);
+    }
+    else if (channel->state == CHANNEL_CONNECTING) {
         finish(channel, CHANNEL_UNSENT, "connect timeout");
     }
     else if (channel->state == CHANNEL_IDLE) {
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -5,10 +5,13 @@
 #include <unistd.h>
 
 #include <CUnit/CUnit.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
 #include <sys/socket.h>
 
 #include "direct_harness.h"
 #include "net/http1.h"
+#include "net/loop.h"
 #include "standin/ports.h"
 #include "suites.h"
 
@@ -20,11 +23,14 @@
 #define PAUSE_MARGIN_MS 100
 #define WAIT_MS 2000
 #define ATTEMPTS_MAX 60
+/// Of the event loop after a pause.
+#define PASSES 4
 
 /// An endpoint outside the event loop, so that it can answer while the loop
 /// is blocked.
 struct outside {
     struct direct_harness *harness;
+    struct address address;
     int listener;
     int fd; ///< the connection with the request; -1: none
     char id[32];
@@ -33,24 +39,32 @@
 };
 
 static void
-outside_start(struct outside *outside, struct direct_harness *harness,
-              const char *service)
+outside_listen(struct outside *outside)
 {
     struct address address = ports_any();
-    char text[512];
 
-    *outside = (struct outside){.harness = harness, .fd = -1};
+    *outside = (struct outside){.fd = -1};
     outside->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     CU_ASSERT_FATAL(bind(outside->listener,
                          (const struct sockaddr *)&address.storage,
                          (socklen_t)address.len) == 0);
     CU_ASSERT_FATAL(listen(outside->listener, 8) == 0);
-    address_of_socket(outside->listener, &address);
+    address_of_socket(outside->listener, &outside->address);
+}
+
+static void
+outside_start(struct outside *outside, struct direct_harness *harness,
+              const char *service)
+{
+    char text[512];
+
+    outside_listen(outside);
+    outside->harness = harness;
     snprintf(text, sizeof(text),
              "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
              "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
              "\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
-             service, address.ip, address.port);
+             service, outside->address.ip, outside->address.port);
     keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, "outside",
                     str_from(text));
     direct_harness_run(harness, 500);
@@ -194,6 +208,97 @@
     direct_harness_stop(&harness);
 }
 
+/// A request on a connection of its own, without a router.
+struct sending {
+    struct event_base *base;
+    struct channel_pool *pool;
+    const char *end; ///< detail of the end; NULL: not ended
+};
+
+static void
+on_end(void *ctx, enum channel_end end, const char *detail)
+{
+    (void)end;
+    ((struct sending *)ctx)->end = detail;
+}
+
+static void
+sending_start(struct sending *sending, const struct outside *outside)
+{
+    struct evbuffer *bytes = evbuffer_new();
+    const struct channel_handler handler = {.end = on_end, .ctx = sending};
+    const struct channel_request request = {.bytes = bytes};
+
+    *sending = (struct sending){.base = event_base_new()};
+    sending->pool = channel_pool_new(&(struct channel_pool_options){
+        .base = sending->base,
+        .clock = &clock_monotonic,
+        .address = outside->address,
+        .connect_timeout_ms = CHANNEL_CONNECT_TIMEOUT_MS,
+        .head_bytes_max = 4096,
+    });
+    evbuffer_add_printf(bytes, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CU_ASSERT_FATAL(channel_send(sending->pool, &request, &handler) != NULL);
+    evbuffer_free(bytes);
+}
+
+static void
+sending_run_after_pause(struct sending *sending)
+{
+    for (int i = 0; i < PASSES; i++) {
+        event_base_loop(sending->base, EVLOOP_NONBLOCK);
+    }
+}
+
+static void
+sending_stop(struct sending *sending)
+{
+    channel_pool_free(sending->pool);
+    loop_free(sending->base);
+}
+
+/// The endpoint was ejected as unreachable, for all routers, although it had
+/// accepted the connection.
+static void
+test_handshake_at_connect_timeout(void)
+{
+    struct outside outside;
+    struct sending sending;
+
+    outside_listen(&outside);
+    sending_start(&sending, &outside);
+    block(CHANNEL_CONNECT_TIMEOUT_MS);
+    sending_run_after_pause(&sending);
+    CU_ASSERT(outside_has_request(&outside));
+    CU_ASSERT(sending.end == NULL);
+    sending_stop(&sending);
+    outside_stop(&outside);
+}
+
+/// An endpoint whose queue of connections is full does not take one.
+static void
+test_no_handshake_at_connect_timeout(void)
+{
+    struct outside outside;
+    struct sending sending;
+    int queued;
+
+    outside_listen(&outside);
+    CU_ASSERT_FATAL(listen(outside.listener, 0) == 0);
+    queued = socket(AF_INET, SOCK_STREAM, 0);
+    CU_ASSERT_FATAL(connect(queued,
+                            (const struct sockaddr *)&outside.address.storage,
+                            (socklen_t)outside.address.len) == 0);
+    sending_start(&sending, &outside);
+    block(CHANNEL_CONNECT_TIMEOUT_MS);
+    sending_run_after_pause(&sending);
+    CU_ASSERT_FATAL(sending.end != NULL);
+    CU_ASSERT_STRING_EQUAL(sending.end, "connect timeout");
+    close(queued);
+    sending_stop(&sending);
+    outside_stop(&outside);
+}
+
 void
 suite_pause(void)
 {
@@ -203,4 +308,8 @@
                 test_answer_at_time_limit);
     CU_add_test(suite, "an endpoint that has answered is not silent",
                 test_answer_at_silence_timeout);
+    CU_add_test(suite, "an endpoint that has accepted is not unreachable",
+                test_handshake_at_connect_timeout);
+    CU_add_test(suite, "an endpoint that does not accept is unreachable",
+                test_no_handshake_at_connect_timeout);
 }
