exchange: silence counts from when the request was written

Cause: silence was counted from the choice of the endpoint. The request leaves in the next pass of the event loop, after the pause, on a new connection one pass later still; the timer ran before an answer was possible.

Change: the channel notes when the first bytes of a request are passed to the socket, and silence counts from then. A timer that expires while the handshake has ended and the loop has not seen it runs again in the next pass, unless the request's time is over. An endpoint that does not accept is still given up after the same time, and a body that is read slowly gains no time.

Conclusion: a pause before the request is written is not held against the endpoint.

--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -199,6 +199,17 @@
     });
 }
 
+/// The endpoint could answer from then on. The request may have been held back
+/// by a pause of this process.
+static int64_t
+silent_since_ms(const struct exchange *exchange)
+{
+    int64_t written_ms = channel_written_ms(exchange->channel);
+
+    return written_ms > exchange->progress_ms ? written_ms
+                                              : exchange->progress_ms;
+}
+
 void
 exchange_arm_timer(struct exchange *exchange)
 {
@@ -206,8 +217,8 @@
     int64_t at_ms = exchange->expires_ms;
 
     if (exchange->channel != NULL && !exchange->stalled &&
-        exchange->progress_ms + silence_timeout_ms(exchange) < at_ms) {
-        at_ms = exchange->progress_ms + silence_timeout_ms(exchange);
+        silent_since_ms(exchange) + silence_timeout_ms(exchange) < at_ms) {
+        at_ms = silent_since_ms(exchange) + silence_timeout_ms(exchange);
     }
     timer_start(exchange->timer, at_ms > now_ms ? at_ms - now_ms : 0);
 }
@@ -252,7 +263,7 @@
     LOG_INFO("event=attempt-failed id=%s endpoint=" STR_FMT
              " reason=silent silent_ms=%lld answering=%d",
              exchange->id, STR_ARG(exchange->endpoint->id),
-             (long long)(exchange_now(exchange) - exchange->progress_ms),
+             (long long)(exchange_now(exchange) - silent_since_ms(exchange)),
              exchange->response_started);
     channel_cancel(exchange->channel);
     exchange->channel = NULL;
@@ -268,7 +279,10 @@
 
     (void)fd;
     (void)events;
+    // A request whose time is over is not sent on a new connection.
     if (exchange->channel != NULL &&
+        (now_ms < exchange->expires_ms ||
+         channel_was_sent(exchange->channel)) &&
         channel_defer_timeout(exchange->channel)) {
         timer_start(exchange->timer, 0);
         return;
@@ -281,7 +295,8 @@
         handle_timeout(exchange);
     }
     else if (exchange->channel != NULL && !exchange->stalled &&
-             now_ms - exchange->progress_ms >= silence_timeout_ms(exchange)) {
+             now_ms - silent_since_ms(exchange) >=
+                 silence_timeout_ms(exchange)) {
         handle_stall(exchange);
     }
     else {
--- a/net/channel.c
+++ b/net/channel.c
@@ -37,6 +37,7 @@
     struct evbuffer *pending_request; ///< until the TCP handshake is done
     struct event *timer;
     struct input_deferral deferral;
+    int64_t written_ms; ///< first bytes of the request; 0: not yet
     bool skipping;
     size_t skipped_bytes; ///< before the answer to this request
     bool rejected;
@@ -384,6 +385,18 @@
                sizeof(user_timeout_ms));
 }
 
+static void
+on_output_changed(struct evbuffer *output, const struct evbuffer_cb_info *info,
+                  void *ctx)
+{
+    struct channel *channel = ctx;
+
+    (void)output;
+    if (info->n_deleted > 0 && channel->written_ms == 0) {
+        channel->written_ms = clock_ms(channel->pool->options.clock);
+    }
+}
+
 static struct channel *
 open_channel(struct channel_pool *pool)
 {
@@ -412,6 +425,8 @@
                                                       BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(channel->bufferevent, on_read, NULL, on_event, channel);
     bufferevent_setwatermark(channel->bufferevent, EV_READ, 0, READ_BYTES_MAX);
+    evbuffer_add_cb(bufferevent_get_output(channel->bufferevent),
+                    on_output_changed, channel);
     DL_APPEND(pool->channels, channel);
     pool->connections++;
     pool->connections_total++;
@@ -458,6 +473,7 @@
     channel->handler = *handler;
     channel->skipped_bytes = 0;
     channel->deferral.until_bytes = 0;
+    channel->written_ms = 0;
     channel->http.no_body = request->no_body;
     if (channel->state == CHANNEL_IDLE) {
         event_del(channel->timer);
@@ -492,10 +508,19 @@
 bool
 channel_defer_timeout(struct channel *channel)
 {
+    if (channel->state == CHANNEL_CONNECTING) {
+        return has_connected(channel);
+    }
     return channel->state == CHANNEL_BUSY &&
            input_defer_timeout(&channel->deferral, channel->bufferevent);
 }
 
+int64_t
+channel_written_ms(const struct channel *channel)
+{
+    return channel->written_ms;
+}
+
 size_t
 channel_pool_connections(const struct channel_pool *pool)
 {
--- a/net/channel.h
+++ b/net/channel.h
@@ -89,9 +89,13 @@
 bool channel_was_sent(const struct channel *channel);
 
 /// Called when a time-out of the user has expired: true if bytes that have
-/// arrived are to be read first, and the time-out is to be checked again in
-/// the next pass of the event loop.
+/// arrived are to be read first, or the request is to be sent on a connection
+/// that was made; the time-out is to be checked again in the next pass of the
+/// event loop.
 bool channel_defer_timeout(struct channel *channel);
 
+/// When the first bytes of the request were passed to the socket; 0: not yet.
+int64_t channel_written_ms(const struct channel *channel);
+
 size_t channel_pool_connections(const struct channel_pool *pool);
 size_t channel_pool_connections_total(const struct channel_pool *pool);
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -23,6 +23,7 @@
 #define PAUSE_MARGIN_MS 100
 #define WAIT_MS 2000
 #define ATTEMPTS_MAX 60
+#define HELD_REQUESTS 6
 /// Of the event loop after a pause.
 #define PASSES 4
 
@@ -208,6 +209,44 @@
     direct_harness_stop(&harness);
 }
 
+/// The router was paused between choosing the endpoint and writing the
+/// request, and took the endpoint as silent.
+static void
+test_request_held_back(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 2,
+                                       .events = 8,
+                                       .work_us = 3000,
+                                   });
+    // On new connections first, then on idle ones.
+    for (uint64_t i = 0; i < HELD_REQUESTS; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%d", (int)i);
+        direct_call_start(&harness, 0, &call, "GET", "/look/", id, NULL, NULL);
+        while (counter_get(&harness.counters[0], COUNTER_OFFERS) <= i) {
+            event_base_loop(harness.base, EVLOOP_ONCE);
+        }
+        block(SILENCE_MS);
+        CU_ASSERT(
+            direct_harness_wait(&harness, direct_call_ended, &call, WAIT_MS));
+        CU_ASSERT(call.status == 200);
+        CU_ASSERT(origin_runs_of(harness.origins[0], id) +
+                      origin_runs_of(harness.origins[1], id) ==
+                  1);
+        direct_call_free(&call);
+        CU_ASSERT_FATAL(counter_get(&harness.counters[0], COUNTER_OFFERS) ==
+                        i + 1);
+    }
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_RETRIES) == 0);
+    direct_harness_stop(&harness);
+}
+
 /// A request on a connection of its own, without a router.
 struct sending {
     struct event_base *base;
@@ -312,4 +351,6 @@
                 test_handshake_at_connect_timeout);
     CU_add_test(suite, "an endpoint that does not accept is unreachable",
                 test_no_handshake_at_connect_timeout);
+    CU_add_test(suite, "an endpoint is not silent before it was asked",
+                test_request_held_back);
 }
