--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -12,6 +12,7 @@
 #include "direct_harness.h"
 #include "net/http1.h"
 #include "net/loop.h"
+#include "platform/store.h"
 #include "standin/ports.h"
 #include "suites.h"
 
@@ -22,6 +23,9 @@
 #define SILENCE_MS 360
 #define PAUSE_MARGIN_MS 100
 #define WAIT_MS 2000
+/// Of a call to the store that does not wait for records.
+#define STORE_TIMEOUT_MS 1500
+#define FOLLOWED_TOPICS 2
 #define ATTEMPTS_MAX 60
 #define HELD_REQUESTS 6
 /// Of the event loop after a pause.
@@ -338,6 +342,80 @@
     outside_stop(&outside);
 }
 
+static void
+on_changed(void *ctx, const struct record *record)
+{
+    (void)ctx;
+    (void)record;
+}
+
+static void
+on_caught_up(void *ctx, enum record_topic topic, int64_t outage_ms)
+{
+    (void)topic;
+    (void)outage_ms;
+    ++*(int *)ctx;
+}
+
+/// Both lists of the store were answered; the router counted an outage and
+/// read again only after a delay.
+static void
+test_store_answer_at_timeout(void)
+{
+    static const char page[] = "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n"
+                               "{\"end\":0,\"items\":[],\"more_pages\":false}";
+    struct outside outside;
+    struct counters counters = {0};
+    int caught_up = 0;
+    struct event_base *base = event_base_new();
+    struct records *records =
+        records_new(&(struct records_options){.changed = on_changed});
+    struct store *store;
+    int fds[FOLLOWED_TOPICS];
+
+    outside_listen(&outside);
+    store = store_new(&(struct store_options){
+        .base = base,
+        .clock = &clock_monotonic,
+        .random = &random_system,
+        .address = outside.address,
+        .settle_ms = 3000,
+        .counters = &counters,
+        .records = records,
+        .caught_up = on_caught_up,
+        .ctx = &caught_up,
+    });
+    for (size_t i = 0; i < FOLLOWED_TOPICS; i++) {
+        char request[1024];
+
+        fds[i] = -1;
+        while (fds[i] < 0) {
+            event_base_loop(base, EVLOOP_NONBLOCK);
+            fds[i] = accept(outside.listener, NULL, NULL);
+        }
+        while (recv(fds[i], request, sizeof(request), MSG_DONTWAIT) <= 0) {
+            event_base_loop(base, EVLOOP_NONBLOCK);
+        }
+    }
+    for (size_t i = 0; i < FOLLOWED_TOPICS; i++) {
+        CU_ASSERT(send(fds[i], page, strlen(page), MSG_NOSIGNAL) ==
+                  (ssize_t)strlen(page));
+    }
+    block(STORE_TIMEOUT_MS);
+    for (int i = 0; i < PASSES; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+    }
+    CU_ASSERT(counter_get(&counters, COUNTER_LOG_FAILURES) == 0);
+    CU_ASSERT(caught_up == FOLLOWED_TOPICS);
+    for (size_t i = 0; i < FOLLOWED_TOPICS; i++) {
+        close(fds[i]);
+    }
+    store_free(store);
+    records_free(records);
+    outside_stop(&outside);
+    loop_free(base);
+}
+
 void
 suite_pause(void)
 {
@@ -353,4 +431,6 @@
                 test_no_handshake_at_connect_timeout);
     CU_add_test(suite, "an endpoint is not silent before it was asked",
                 test_request_held_back);
+    CU_add_test(suite, "a store that has answered is not failing",
+                test_store_answer_at_timeout);
 }
