link: a pause of this process is not the peer's silence

Cause: the time-outs are compared with the clock, and a pause between two checks counted as silence, although the process neither sent nor received in it. The callbacks of links are not deferred, so bytes that have arrived are read before the checks; what was missing is the time that the peer needs after the pause.

Change: a check that comes late moves the times of the handshake, of the last input and of the probe by the delay. A peer that stays silent is given up after the same time, without the pause.

Suite link before: 'a pause during the handshake is no time-out' and 'a pause during a probe is no time-out' failed, two runs of two; 'a silent peer is given up after a pause' passed. After: 5 of 5, three runs. Conclusion: a pause no longer costs links.

--- a/net/link.c
+++ b/net/link.c
@@ -20,6 +20,8 @@
 #define TICK_MS 100
 #define NAME_BYTES_MAX 64
 #define PROBE_MIN_IDLE_MS 1000
+/// A check that is later than this was held up by a pause of the process.
+#define LATE_MIN_MS 50
 
 enum link_state {
     LINK_CONNECTING,
@@ -45,9 +47,12 @@
     uint32_t peer_version;    ///< stated by the peer; 0: not yet received
     unsigned char nonce[MESSAGE_NONCE_BYTES];
     unsigned char peer_nonce[MESSAGE_NONCE_BYTES];
+    int64_t tick_ms;
+    int64_t checked_ms; ///< time of the last check
+    int64_t sent_ms;
+    // Moved by pauses of this process, which are no silence of the peer:
     int64_t opened_ms;
     int64_t received_ms;
-    int64_t sent_ms;
     int64_t probe_deadline_ms;
     void *user;
 };
@@ -418,6 +423,32 @@
     }
 }
 
+static int64_t
+earlier(int64_t a, int64_t b)
+{
+    return a < b ? a : b;
+}
+
+/// Takes pauses of this process, in which it neither sent nor received, out of
+/// the times of the peer.
+static void
+skip_pause(struct link *link, int64_t now)
+{
+    int64_t late_ms = now - link->checked_ms - link->tick_ms;
+
+    link->checked_ms = now;
+    if (late_ms < LATE_MIN_MS) {
+        return;
+    }
+    link->opened_ms = earlier(link->opened_ms + late_ms, now);
+    link->received_ms = earlier(link->received_ms + late_ms, now);
+    if (link->probe_deadline_ms > 0) {
+        link->probe_deadline_ms =
+            earlier(link->probe_deadline_ms + late_ms,
+                    now + link->options->probe_timeout_ms);
+    }
+}
+
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -426,6 +457,7 @@
 
     (void)fd;
     (void)events;
+    skip_pause(link, now);
     if (link->state != LINK_READY) {
         if (now - link->opened_ms >= link->options->handshake_timeout_ms) {
             link_fail_and_free(
@@ -454,8 +486,10 @@
     struct link *link = xcalloc(1, sizeof(*link));
 
     link->options = options;
+    link->tick_ms = tick_ms;
     link->codec = message_codec_new();
     link->opened_ms = clock_ms(options->clock);
+    link->checked_ms = link->opened_ms;
     link->received_ms = link->opened_ms;
     link->sent_ms = link->opened_ms;
     for (size_t i = 0; i < sizeof(link->nonce); i += sizeof(uint64_t)) {
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -15,6 +15,11 @@
 #include "suites.h"
 
 #define WAIT_MS 2000
+#define RUN_STEP_US 5000
+/// Longer than the time-outs of handshakes and probes.
+#define PAUSE_MS (LINK_HANDSHAKE_TIMEOUT_MS + 100)
+/// Idle time after which links are probed.
+#define IDLE_MS 1100
 
 struct end {
     struct link_options options;
@@ -127,16 +132,21 @@
     loop_free(pair->base);
 }
 
-/// Dials and waits until both ends are ready or one has closed.
 static void
-dial(struct pair *pair, uint32_t version)
+start_dial(struct pair *pair, uint32_t version)
 {
-    int64_t end_ms = clock_ms(&clock_monotonic) + WAIT_MS;
-
     pair->dialing.closed = false;
     pair->accepting.closed = false;
     pair->dialing.link =
         link_connect(&pair->dialing.options, &pair->address, version);
+}
+
+/// Waits until both ends are ready or one has closed.
+static void
+wait_for_dial(struct pair *pair)
+{
+    int64_t end_ms = clock_ms(&clock_monotonic) + WAIT_MS;
+
     while (clock_ms(&clock_monotonic) < end_ms && !pair->dialing.closed &&
            (pair->dialing.ready_version == 0 ||
             pair->accepting.ready_version == 0)) {
@@ -144,6 +154,24 @@
     }
 }
 
+static void
+dial(struct pair *pair, uint32_t version)
+{
+    start_dial(pair, version);
+    wait_for_dial(pair);
+}
+
+static void
+run(struct pair *pair, int64_t ms)
+{
+    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
+
+    while (clock_ms(&clock_monotonic) < end_ms) {
+        event_base_loop(pair->base, EVLOOP_NONBLOCK);
+        usleep(RUN_STEP_US);
+    }
+}
+
 static void
 test_versions_agree(void)
 {
@@ -215,6 +243,65 @@
     pair_stop(&pair);
 }
 
+/// A process that was paused while it dialed closed its links to peers that
+/// had accepted.
+static void
+test_pause_in_handshake(void)
+{
+    struct pair pair;
+
+    pair_start(&pair, 2, 2);
+    start_dial(&pair, 0);
+    usleep(PAUSE_MS * 1000);
+    wait_for_dial(&pair);
+    CU_ASSERT(!pair.dialing.closed);
+    CU_ASSERT(pair.dialing.ready_version == 2);
+    pair_stop(&pair);
+}
+
+/// The probe left the process only after its time-out.
+static void
+test_pause_in_probe(void)
+{
+    struct pair pair;
+
+    pair_start(&pair, 2, 2);
+    dial(&pair, 0);
+    run(&pair, IDLE_MS);
+    link_probe(pair.dialing.link);
+    usleep(PAUSE_MS * 1000);
+    run(&pair, LINK_PROBE_TIMEOUT_MS * 2);
+    CU_ASSERT(!pair.dialing.closed);
+    CU_ASSERT(!pair.accepting.closed);
+    pair_stop(&pair);
+}
+
+static void
+on_accept_silent(struct evconnlistener *listener, evutil_socket_t fd,
+                 struct sockaddr *address, int len, void *ctx)
+{
+    (void)listener;
+    (void)address;
+    (void)len;
+    ((struct end *)ctx)->fd = fd;
+}
+
+/// A peer that sends nothing is given up, with the pause counted out.
+static void
+test_silent_peer_after_pause(void)
+{
+    struct pair pair;
+
+    pair_start(&pair, 2, 2);
+    evconnlistener_set_cb(pair.listener, on_accept_silent, &pair.accepting);
+    start_dial(&pair, 0);
+    usleep(PAUSE_MS * 1000);
+    run(&pair, LINK_HANDSHAKE_TIMEOUT_MS + WAIT_MS / 4);
+    CU_ASSERT(pair.dialing.closed);
+    close(pair.accepting.fd);
+    pair_stop(&pair);
+}
+
 void
 suite_link(void)
 {
@@ -222,4 +309,10 @@
 
     CU_add_test(suite, "versions agree", test_versions_agree);
     CU_add_test(suite, "earlier peer", test_earlier_peer);
+    CU_add_test(suite, "a pause during the handshake is no time-out",
+                test_pause_in_handshake);
+    CU_add_test(suite, "a pause during a probe is no time-out",
+                test_pause_in_probe);
+    CU_add_test(suite, "a silent peer is given up after a pause",
+                test_silent_peer_after_pause);
 }
