channel: a connection that the server has closed is not reused

After a pause, or within one pass of the event loop, a request is sent before the close that has arrived is read; the age alone was looked at.

Change: an idle connection is asked for unread input or a close before it is reused, by one call of poll(), and closed if it has any.

Conclusion: no request is lost on a connection whose close has arrived.

--- a/net/channel.c
+++ b/net/channel.c
@@ -440,20 +440,40 @@
     return channel;
 }
 
+/// True if the server has closed the connection or sent unsolicited bytes, and
+/// the event loop has not seen it.
+static bool
+has_unseen_input(const struct channel *channel)
+{
+    struct pollfd socket = {
+        .fd = bufferevent_getfd(channel->bufferevent),
+        .events = POLLIN,
+    };
+
+    return poll(&socket, 1, 0) > 0 ||
+           evbuffer_get_length(bufferevent_get_input(channel->bufferevent)) >
+               0;
+}
+
+/// A connection that can carry a request; closes those found unusable.
 static struct channel *
 find_idle(struct channel_pool *pool, bool at_most_once)
 {
     int64_t now_ms = clock_ms(pool->options.clock);
-    struct channel *channel;
+    struct channel *channel, *next;
 
-    DL_FOREACH(pool->channels, channel)
+    DL_FOREACH_SAFE(pool->channels, channel, next)
     {
-        if (channel->state == CHANNEL_IDLE &&
-            now_ms - channel->idle_since_ms <
+        if (channel->state != CHANNEL_IDLE ||
+            now_ms - channel->idle_since_ms >=
                 (at_most_once ? CHANNEL_AT_MOST_ONCE_IDLE_MS
                               : channel->idle_max_ms)) {
+            continue;
+        }
+        if (!has_unseen_input(channel)) {
             return channel;
         }
+        close_channel(channel);
     }
     return NULL;
 }
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -266,12 +266,22 @@
 }
 
 static void
-sending_start(struct sending *sending, const struct outside *outside)
+sending_send(struct sending *sending)
 {
     struct evbuffer *bytes = evbuffer_new();
     const struct channel_handler handler = {.end = on_end, .ctx = sending};
-    const struct channel_request request = {.bytes = bytes};
+    const struct channel_request request = {.bytes = bytes,
+                                            .at_most_once = true};
 
+    sending->end = NULL;
+    evbuffer_add_printf(bytes, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CU_ASSERT_FATAL(channel_send(sending->pool, &request, &handler) != NULL);
+    evbuffer_free(bytes);
+}
+
+static void
+sending_start(struct sending *sending, const struct outside *outside)
+{
     *sending = (struct sending){.base = event_base_new()};
     sending->pool = channel_pool_new(&(struct channel_pool_options){
         .base = sending->base,
@@ -280,9 +290,7 @@
         .connect_timeout_ms = CHANNEL_CONNECT_TIMEOUT_MS,
         .head_bytes_max = 4096,
     });
-    evbuffer_add_printf(bytes, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-    CU_ASSERT_FATAL(channel_send(sending->pool, &request, &handler) != NULL);
-    evbuffer_free(bytes);
+    sending_send(sending);
 }
 
 static void
@@ -342,6 +350,33 @@
     outside_stop(&outside);
 }
 
+/// A request that may run once was lost on a connection that the endpoint had
+/// closed, and could not be sent again.
+static void
+test_closed_connection_is_not_reused(void)
+{
+    struct outside outside;
+    struct sending sending;
+
+    outside_listen(&outside);
+    sending_start(&sending, &outside);
+    while (!outside_has_request(&outside)) {
+        event_base_loop(sending.base, EVLOOP_NONBLOCK);
+    }
+    outside_answer(&outside, "id", "Content-Length: 2\r\n\r\nok");
+    while (sending.end == NULL) {
+        event_base_loop(sending.base, EVLOOP_NONBLOCK);
+    }
+    CU_ASSERT(channel_pool_connections(sending.pool) == 1);
+    drop_connection(&outside);
+    sending_send(&sending);
+    sending_run_after_pause(&sending);
+    CU_ASSERT(sending.end == NULL);
+    CU_ASSERT(outside_has_request(&outside));
+    sending_stop(&sending);
+    outside_stop(&outside);
+}
+
 static void
 on_changed(void *ctx, const struct record *record)
 {
@@ -433,4 +468,6 @@
                 test_request_held_back);
     CU_add_test(suite, "a store that has answered is not failing",
                 test_store_answer_at_timeout);
+    CU_add_test(suite, "a connection that was closed meanwhile is not reused",
+                test_closed_connection_is_not_reused);
 }
