input: an end that has arrived is reported before a time-out counts

The end of a connection leaves no unread bytes, and is reported by a deferred callback one pass after the last bytes are read; the timer runs in between.

Conclusion: a complete answer without a length is passed on after a pause.

--- a/net/caller.c
+++ b/net/caller.c
@@ -145,7 +145,8 @@
 static bool
 defer_timeout(struct caller *caller)
 {
-    bool is_first = caller->deferral.until_bytes == 0;
+    bool is_first =
+        caller->deferral.until_bytes == 0 && caller->deferral.end_passes == 0;
 
     if (!input_defer_timeout(&caller->deferral, caller->bufferevent)) {
         return false;
--- a/net/input.h
+++ b/net/input.h
@@ -8,10 +8,12 @@
 struct bufferevent;
 
 /// Puts off a time-out until the bytes are read that had arrived when it
-/// expired, so that a peer that sends without end still times out.
+/// expired, so that a peer that sends without end still times out, and until
+/// an end of the connection that has arrived is reported.
 struct input_deferral {
     uint64_t read_bytes;  ///< taken from the input buffer, counted by the user
     uint64_t until_bytes; ///< the time-out counts from here on; 0: no deferral
+    unsigned end_passes;  ///< that waited for the end of the connection
 };
 
 /// Bytes that have arrived and not been parsed, in the input buffer or in the
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -168,7 +168,7 @@
 
 /// The answer arrived within the time limit, and the caller got 504.
 static void
-test_answer_at_time_limit(void)
+check_answer_at_time_limit(const char *rest, bool closes)
 {
     struct direct_harness harness;
     struct direct_call call = {0};
@@ -178,7 +178,10 @@
     direct_harness_put_entry(&harness, "o-0", harness.orders, "orders", NULL);
     outside_start(&outside, &harness, "orders");
     call_outside(&outside, &call, "POST", "/book/");
-    outside_answer(&outside, outside.id, "Content-Length: 2\r\n\r\nok");
+    outside_answer(&outside, outside.id, rest);
+    if (closes) {
+        drop_connection(&outside);
+    }
     block(TIMEOUT_MS);
     CU_ASSERT(
         direct_harness_wait(&harness, direct_call_ended, &call, WAIT_MS));
@@ -189,6 +192,19 @@
     direct_harness_stop(&harness);
 }
 
+static void
+test_answer_at_time_limit(void)
+{
+    check_answer_at_time_limit("Content-Length: 2\r\n\r\nok", false);
+}
+
+/// An answer without a length is complete when its connection ends.
+static void
+test_unframed_answer_at_time_limit(void)
+{
+    check_answer_at_time_limit("\r\nok", true);
+}
+
 /// The endpoint had answered, and the request was sent to another one.
 static void
 test_answer_at_silence_timeout(void)
@@ -470,4 +486,6 @@
                 test_store_answer_at_timeout);
     CU_add_test(suite, "a connection that was closed meanwhile is not reused",
                 test_closed_connection_is_not_reused);
+    CU_add_test(suite, "an answer whose end has arrived is not a 504",
+                test_unframed_answer_at_time_limit);
 }
