caller: blank lines do not put off the idle time-out

Callers saw: nothing. A caller that sends one now and then keeps its connection for ever.

Change: the head time-out starts with the first byte of a request; until then the idle time-out goes on.

Conclusion: a connection without a request ends with the idle time-out.

--- a/net/caller.c
+++ b/net/caller.c
@@ -275,14 +275,14 @@
            evbuffer_get_length(input) > 0) {
         size_t len = evbuffer_get_contiguous_space(input);
         const char *bytes = (const char *)evbuffer_pullup(input, (ssize_t)len);
-        size_t consumed;
+        bool had_started = caller->http.started;
+        size_t consumed = http1_feed(&caller->http, bytes, len);
 
-        if (!caller->http.started) {
+        if (!had_started && caller->http.started) {
             caller->started_ms = clock_ms(caller->server->options.clock);
             start_timer(caller,
                         caller->server->options.limits.head_timeout_ms);
         }
-        consumed = http1_feed(&caller->http, bytes, len);
         evbuffer_drain(input, consumed);
         caller->deferral.read_bytes += consumed;
         if (caller->http.error != HTTP1_OK) {
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -257,6 +257,22 @@
     stop(&fixture);
 }
 
+/// Blank lines before a request are allowed and are no part of it.
+static void
+test_idle_timeout_under_blank_lines(void)
+{
+    struct fixture fixture;
+    int64_t end_ms = clock_ms(&clock_monotonic) + IDLE_TIMEOUT_MS * 2;
+
+    start(&fixture);
+    while (clock_ms(&clock_monotonic) < end_ms) {
+        send(fixture.client, "\r\n", 2, MSG_NOSIGNAL);
+        run(&fixture, IDLE_TIMEOUT_MS / 6);
+    }
+    CU_ASSERT(caller_server_connections(fixture.server) == 0);
+    stop(&fixture);
+}
+
 /// Issue 24: callers were not told the idle time-out, and requests on
 /// connections that had been idle for as long crossed the close.
 static void
@@ -297,6 +313,8 @@
                 test_request_during_close_idle);
     CU_add_test(suite, "endless bytes do not put off the head time-out",
                 test_head_timeout_under_endless_bytes);
+    CU_add_test(suite, "blank lines do not put off the idle time-out",
+                test_idle_timeout_under_blank_lines);
     CU_add_test(suite, "the idle time that callers may use is stated",
                 test_stated_idle_time);
     CU_add_test(suite, "connections without input time out",
