caller: the stated idle time outlasts a change of the limits

Callers saw: nothing yet. Found in the review of: the idle time is stated with the head of an answer, and the time-out was taken from the limits at its end. Beside a configuration that shortens it, the connection of a stream or a long answer was closed before the time that its caller had been told.

Change: the connection keeps the time-out that its last head was based on.

Conclusion: no connection is closed before the stated time, except when the router stops.

--- a/net/caller.c
+++ b/net/caller.c
@@ -50,7 +50,8 @@
     int64_t started_ms;
     int64_t timer_started_ms;
     int64_t timer_ms;
-    size_t requests; ///< received complete on this connection
+    int64_t idle_timeout_ms; ///< that the last answer was based on
+    size_t requests;         ///< received complete on this connection
     struct input_deferral deferral;
     bool chunked;
     bool close_after_response;
@@ -250,7 +251,7 @@
     caller->body_too_large = false;
     evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
     http1_reset(&caller->http);
-    start_timer(caller, caller->server->options.limits.idle_timeout_ms);
+    start_timer(caller, caller->idle_timeout_ms);
     read_request(caller);
 }
 
@@ -499,8 +500,8 @@
 static void
 write_keep_alive(const struct caller *caller, struct evbuffer *out)
 {
-    int64_t seconds = caller->server->options.limits.idle_timeout_ms *
-                      KEEP_ALIVE_PERCENT / 100 / 1000;
+    int64_t seconds =
+        caller->idle_timeout_ms * KEEP_ALIVE_PERCENT / 100 / 1000;
 
     if (seconds > 0) {
         evbuffer_add_printf(out, "Keep-Alive: timeout=%lld\r\n",
@@ -513,6 +514,7 @@
 {
     struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
 
+    caller->idle_timeout_ms = caller->server->options.limits.idle_timeout_ms;
     if (caller->server->draining) {
         caller->close_after_response = true;
     }
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -29,6 +29,8 @@
     struct caller_server *server;
     int client;
     struct event *sender;
+    bool streams;             ///< requests are answered by a stream
+    struct caller *streaming; ///< the last one
     size_t requests;
     char received[4096];
     size_t received_len;
@@ -41,6 +43,11 @@
     struct fixture *fixture = ctx;
 
     fixture->requests++;
+    if (fixture->streams) {
+        fixture->streaming = caller;
+        caller_send_head(caller, 200, (struct str){0});
+        return;
+    }
     caller_reply(caller, 200, (struct str){0}, NULL);
 }
 
@@ -199,6 +206,28 @@
     stop(&fixture);
 }
 
+/// A configuration with a shorter time-out came between head and end.
+static void
+test_stated_idle_time_is_kept(void)
+{
+    struct caller_limits limits = {4096, 4096, HEAD_TIMEOUT_MS, 2000};
+    struct fixture fixture;
+
+    start(&fixture);
+    fixture.streams = true;
+    caller_server_set_limits(fixture.server, &limits);
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "\r\nKeep-Alive: timeout=1\r\n") !=
+              NULL);
+    limits.idle_timeout_ms = IDLE_TIMEOUT_MS;
+    caller_server_set_limits(fixture.server, &limits);
+    caller_end_response(fixture.streaming);
+    run(&fixture, IDLE_TIMEOUT_MS * 2);
+    CU_ASSERT(!fixture.closed);
+    stop(&fixture);
+}
+
 /// Connections without input still time out.
 static void
 test_timeouts_without_input(void)
@@ -317,6 +346,8 @@
                 test_idle_timeout_under_blank_lines);
     CU_add_test(suite, "the idle time that callers may use is stated",
                 test_stated_idle_time);
+    CU_add_test(suite, "the stated idle time outlasts a change of the limits",
+                test_stated_idle_time_is_kept);
     CU_add_test(suite, "connections without input time out",
                 test_timeouts_without_input);
 }
