--- a/net/caller.c
+++ b/net/caller.c
@@ -50,8 +50,9 @@
     int64_t started_ms;
     int64_t timer_started_ms;
     int64_t timer_ms;
-    size_t requests;       ///< received complete on this connection
-    bool timeout_deferred; ///< of the running timer
+    int64_t idle_timeout_ms; ///< that the last answer was based on
+    size_t requests;         ///< received complete on this connection
+    struct input_deferral deferral;
     bool chunked;
     bool close_after_response;
     bool body_too_large;
@@ -126,7 +127,7 @@
 {
     caller->timer_started_ms = clock_ms(caller->server->options.clock);
     caller->timer_ms = ms;
-    caller->timeout_deferred = false;
+    caller->deferral.until_bytes = 0;
     timer_start(caller->timer, ms);
 }
 
@@ -145,19 +146,20 @@
 static bool
 defer_timeout(struct caller *caller)
 {
-    size_t unread = input_unread(caller->bufferevent);
+    bool is_first =
+        caller->deferral.until_bytes == 0 && caller->deferral.end_passes == 0;
 
-    if (unread == 0) {
+    if (!input_defer_timeout(&caller->deferral, caller->bufferevent)) {
         return false;
     }
-    if (!caller->timeout_deferred) {
-        caller->timeout_deferred = true;
+    if (is_first) {
         LOG_WARNING("event=connection-timeout-deferred requests=%zu "
                     "elapsed_ms=%lld limit_ms=%lld unread=%zu",
                     caller->requests,
                     (long long)(clock_ms(caller->server->options.clock) -
                                 caller->timer_started_ms),
-                    (long long)caller->timer_ms, unread);
+                    (long long)caller->timer_ms,
+                    input_unread(caller->bufferevent));
     }
     timer_start(caller->timer, 0);
     return true;
@@ -249,7 +251,7 @@
     caller->body_too_large = false;
     evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
     http1_reset(&caller->http);
-    start_timer(caller, caller->server->options.limits.idle_timeout_ms);
+    start_timer(caller, caller->idle_timeout_ms);
     read_request(caller);
 }
 
@@ -274,15 +276,16 @@
            evbuffer_get_length(input) > 0) {
         size_t len = evbuffer_get_contiguous_space(input);
         const char *bytes = (const char *)evbuffer_pullup(input, (ssize_t)len);
-        size_t consumed;
+        bool had_started = caller->http.started;
+        size_t consumed = http1_feed(&caller->http, bytes, len);
 
-        if (!caller->http.started) {
+        if (!had_started && caller->http.started) {
             caller->started_ms = clock_ms(caller->server->options.clock);
             start_timer(caller,
                         caller->server->options.limits.head_timeout_ms);
         }
-        consumed = http1_feed(&caller->http, bytes, len);
         evbuffer_drain(input, consumed);
+        caller->deferral.read_bytes += consumed;
         if (caller->http.error != HTTP1_OK) {
             reject_request(caller, caller->http.error == HTTP1_HEAD_TOO_LARGE
                                        ? 431
@@ -497,8 +500,8 @@
 static void
 write_keep_alive(const struct caller *caller, struct evbuffer *out)
 {
-    int64_t seconds = caller->server->options.limits.idle_timeout_ms *
-                      KEEP_ALIVE_PERCENT / 100 / 1000;
+    int64_t seconds =
+        caller->idle_timeout_ms * KEEP_ALIVE_PERCENT / 100 / 1000;
 
     if (seconds > 0) {
         evbuffer_add_printf(out, "Keep-Alive: timeout=%lld\r\n",
@@ -511,6 +514,7 @@
 {
     struct evbuffer *out = bufferevent_get_output(caller->bufferevent);
 
+    caller->idle_timeout_ms = caller->server->options.limits.idle_timeout_ms;
     if (caller->server->draining) {
         caller->close_after_response = true;
     }
--- a/net/channel.c
+++ b/net/channel.c
@@ -8,10 +8,12 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <utlist.h>
 
 #include "core/xmalloc.h"
 #include "http1.h"
+#include "input.h"
 #include "timer.h"
 
 /// Interim answers and answers to other requests that may come before the
@@ -34,6 +36,8 @@
     enum channel_state state;
     struct evbuffer *pending_request; ///< until the TCP handshake is done
     struct event *timer;
+    struct input_deferral deferral;
+    int64_t written_ms; ///< first bytes of the request; 0: not yet
     bool skipping;
     size_t skipped_bytes; ///< before the answer to this request
     bool rejected;
@@ -127,6 +131,18 @@
     }
 }
 
+/// True if the TCP handshake has ended and the event loop has not seen it.
+static bool
+has_connected(const struct channel *channel)
+{
+    struct pollfd socket = {
+        .fd = bufferevent_getfd(channel->bufferevent),
+        .events = POLLOUT,
+    };
+
+    return poll(&socket, 1, 0) > 0;
+}
+
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -134,7 +150,10 @@
 
     (void)fd;
     (void)events;
-    if (channel->state == CHANNEL_CONNECTING) {
+    if (channel->state == CHANNEL_CONNECTING && has_connected(channel)) {
+        timer_start(channel->timer, 0);
+    }
+    else if (channel->state == CHANNEL_CONNECTING) {
         finish(channel, CHANNEL_UNSENT, "connect timeout");
     }
     else if (channel->state == CHANNEL_IDLE) {
@@ -258,6 +277,7 @@
             return false;
         }
         evbuffer_drain(input, consumed);
+        channel->deferral.read_bytes += consumed;
         if (channel->http.error != HTTP1_OK || channel->rejected) {
             finish(channel, CHANNEL_MALFORMED, "malformed response");
             return false;
@@ -365,6 +385,18 @@
                sizeof(user_timeout_ms));
 }
 
+static void
+on_output_changed(struct evbuffer *output, const struct evbuffer_cb_info *info,
+                  void *ctx)
+{
+    struct channel *channel = ctx;
+
+    (void)output;
+    if (info->n_deleted > 0 && channel->written_ms == 0) {
+        channel->written_ms = clock_ms(channel->pool->options.clock);
+    }
+}
+
 static struct channel *
 open_channel(struct channel_pool *pool)
 {
@@ -393,6 +425,8 @@
                                                       BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(channel->bufferevent, on_read, NULL, on_event, channel);
     bufferevent_setwatermark(channel->bufferevent, EV_READ, 0, READ_BYTES_MAX);
+    evbuffer_add_cb(bufferevent_get_output(channel->bufferevent),
+                    on_output_changed, channel);
     DL_APPEND(pool->channels, channel);
     pool->connections++;
     pool->connections_total++;
@@ -406,20 +440,40 @@
     return channel;
 }
 
+/// True if the server has closed the connection or sent unsolicited bytes, and
+/// the event loop has not seen it.
+static bool
+has_unseen_input(const struct channel *channel)
+{
+    struct pollfd socket = {
+        .fd = bufferevent_getfd(channel->bufferevent),
+        .events = POLLIN,
+    };
+
+    return poll(&socket, 1, 0) > 0 ||
+           evbuffer_get_length(bufferevent_get_input(channel->bufferevent)) >
+               0;
+}
+
+/// A connection that can carry a request; closes those found unusable.
 static struct channel *
 find_idle(struct channel_pool *pool, bool at_most_once)
 {
     int64_t now_ms = clock_ms(pool->options.clock);
-    struct channel *channel;
+    struct channel *channel, *next;
 
-    DL_FOREACH(pool->channels, channel)
+    DL_FOREACH_SAFE(pool->channels, channel, next)
     {
-        if (channel->state == CHANNEL_IDLE &&
-            now_ms - channel->idle_since_ms <
+        if (channel->state != CHANNEL_IDLE ||
+            now_ms - channel->idle_since_ms >=
                 (at_most_once ? CHANNEL_AT_MOST_ONCE_IDLE_MS
                               : channel->idle_max_ms)) {
+            continue;
+        }
+        if (!has_unseen_input(channel)) {
             return channel;
         }
+        close_channel(channel);
     }
     return NULL;
 }
@@ -438,6 +492,8 @@
     }
     channel->handler = *handler;
     channel->skipped_bytes = 0;
+    channel->deferral.until_bytes = 0;
+    channel->written_ms = 0;
     channel->http.no_body = request->no_body;
     if (channel->state == CHANNEL_IDLE) {
         event_del(channel->timer);
@@ -469,6 +525,22 @@
     return channel->state != CHANNEL_CONNECTING;
 }
 
+bool
+channel_defer_timeout(struct channel *channel)
+{
+    if (channel->state == CHANNEL_CONNECTING) {
+        return has_connected(channel);
+    }
+    return channel->state == CHANNEL_BUSY &&
+           input_defer_timeout(&channel->deferral, channel->bufferevent);
+}
+
+int64_t
+channel_written_ms(const struct channel *channel)
+{
+    return channel->written_ms;
+}
+
 size_t
 channel_pool_connections(const struct channel_pool *pool)
 {
--- a/tests/main.c
+++ b/tests/main.c
@@ -36,6 +36,7 @@
     {"agent-endings", suite_agent_endings},
     {"endings", suite_endings},
     {"endless", suite_endless},
+    {"pause", suite_pause},
     {"signals", suite_signals},
     {"store", suite_store},
     {"shed", suite_shed},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -18,6 +18,7 @@
 void suite_agent_endings(void);
 void suite_endings(void);
 void suite_endless(void);
+void suite_pause(void);
 void suite_caller(void);
 void suite_link(void);
 void suite_store(void);
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -17,6 +17,9 @@
 /// Longer than what remains of a time-out when the process becomes busy.
 #define BUSY_MS 400
 #define RUN_STEP_US 5000
+/// What a bufferevent reads at once.
+#define READ_BYTES 4096
+#define BODY_BYTES_MAX 1000000
 #define RUN_MS 100
 
 static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -25,6 +28,9 @@
     struct event_base *base;
     struct caller_server *server;
     int client;
+    struct event *sender;
+    bool streams;             ///< requests are answered by a stream
+    struct caller *streaming; ///< the last one
     size_t requests;
     char received[4096];
     size_t received_len;
@@ -37,6 +43,11 @@
     struct fixture *fixture = ctx;
 
     fixture->requests++;
+    if (fixture->streams) {
+        fixture->streaming = caller;
+        caller_send_head(caller, 200, (struct str){0});
+        return;
+    }
     caller_reply(caller, 200, (struct str){0}, NULL);
 }
 
@@ -195,6 +206,28 @@
     stop(&fixture);
 }
 
+/// A configuration with a shorter time-out came between head and end.
+static void
+test_stated_idle_time_is_kept(void)
+{
+    struct caller_limits limits = {4096, 4096, HEAD_TIMEOUT_MS, 2000};
+    struct fixture fixture;
+
+    start(&fixture);
+    fixture.streams = true;
+    caller_server_set_limits(fixture.server, &limits);
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "\r\nKeep-Alive: timeout=1\r\n") !=
+              NULL);
+    limits.idle_timeout_ms = IDLE_TIMEOUT_MS;
+    caller_server_set_limits(fixture.server, &limits);
+    caller_end_response(fixture.streaming);
+    run(&fixture, IDLE_TIMEOUT_MS * 2);
+    CU_ASSERT(!fixture.closed);
+    stop(&fixture);
+}
+
 /// Connections without input still time out.
 static void
 test_timeouts_without_input(void)
@@ -212,6 +245,63 @@
     stop(&fixture);
 }
 
+/// Sends a chunk with one byte of body in each pass of the event loop.
+static void
+send_chunk(evutil_socket_t fd, short events, void *ctx)
+{
+    const struct timeval next_pass = {0};
+    struct fixture *fixture = ctx;
+    char chunk[READ_BYTES];
+
+    (void)fd;
+    (void)events;
+    memset(chunk, 'x', sizeof(chunk));
+    memcpy(chunk, "1;", 2);
+    memcpy(chunk + sizeof(chunk) - 5, "\r\na\r\n", 5);
+    send(fixture->client, chunk, sizeof(chunk), MSG_NOSIGNAL | MSG_DONTWAIT);
+    event_add(fixture->sender, &next_pass);
+}
+
+/// Some bytes are always unread, and no limit counts chunk extensions.
+static void
+test_head_timeout_under_endless_bytes(void)
+{
+    static const char head[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+    const struct caller_limits limits = {4096, BODY_BYTES_MAX, HEAD_TIMEOUT_MS,
+                                         IDLE_TIMEOUT_MS};
+    const struct timeval limit = {.tv_usec = HEAD_TIMEOUT_MS * 3 * 1000};
+    struct fixture fixture;
+
+    start(&fixture);
+    fixture.sender = event_new(fixture.base, -1, 0, send_chunk, &fixture);
+    caller_server_set_limits(fixture.server, &limits);
+    send_bytes(&fixture, head, strlen(head));
+    send_chunk(-1, 0, &fixture);
+    event_base_loopexit(fixture.base, &limit);
+    event_base_dispatch(fixture.base);
+    receive(&fixture);
+    CU_ASSERT(strstr(fixture.received, "HTTP/1.1 408") != NULL);
+    event_free(fixture.sender);
+    stop(&fixture);
+}
+
+/// Blank lines before a request are allowed and are no part of it.
+static void
+test_idle_timeout_under_blank_lines(void)
+{
+    struct fixture fixture;
+    int64_t end_ms = clock_ms(&clock_monotonic) + IDLE_TIMEOUT_MS * 2;
+
+    start(&fixture);
+    while (clock_ms(&clock_monotonic) < end_ms) {
+        send(fixture.client, "\r\n", 2, MSG_NOSIGNAL);
+        run(&fixture, IDLE_TIMEOUT_MS / 6);
+    }
+    CU_ASSERT(caller_server_connections(fixture.server) == 0);
+    stop(&fixture);
+}
+
 /// Issue 24: callers were not told the idle time-out, and requests on
 /// connections that had been idle for as long crossed the close.
 static void
@@ -250,8 +340,14 @@
                 test_rest_during_head_timeout);
     CU_add_test(suite, "a request in the socket when idle ones are closed",
                 test_request_during_close_idle);
+    CU_add_test(suite, "endless bytes do not put off the head time-out",
+                test_head_timeout_under_endless_bytes);
+    CU_add_test(suite, "blank lines do not put off the idle time-out",
+                test_idle_timeout_under_blank_lines);
     CU_add_test(suite, "the idle time that callers may use is stated",
                 test_stated_idle_time);
+    CU_add_test(suite, "the stated idle time outlasts a change of the limits",
+                test_stated_idle_time_is_kept);
     CU_add_test(suite, "connections without input time out",
                 test_timeouts_without_input);
 }
