--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -157,6 +157,198 @@
     message_codec_free(codec);
 }
 
+static void
+test_blames_round_trip(void)
+{
+    static const size_t counts[] = {0, 1, MESSAGE_BLAMES_MAX};
+    static struct message_blame items[MESSAGE_BLAMES_MAX];
+    struct message_codec *codec = message_codec_new();
+
+    // The numbers of parts vary from 0 to MESSAGE_PARTS_MAX.
+    for (size_t i = 0; i < MESSAGE_BLAMES_MAX; i++) {
+        items[i].crash_id = UINT32_MAX - (uint32_t)i;
+        items[i].age_ms = i == 0 ? UINT32_MAX : (uint32_t)i;
+        items[i].begun = i % 2 == 0;
+        items[i].part_count = MESSAGE_PARTS_MAX - i % (MESSAGE_PARTS_MAX + 1);
+        for (size_t j = 0; j < items[i].part_count; j++) {
+            items[i].parts[j] = UINT64_MAX - 100 * i - j;
+        }
+    }
+    for (size_t n = 0; n < sizeof(counts) / sizeof(counts[0]); n++) {
+        const struct message message = {
+            .type = MESSAGE_BLAMES,
+            .blames = {items, counts[n]},
+        };
+        struct message decoded;
+        struct err err = {0};
+
+        CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                       &decoded, &err));
+        CU_ASSERT(decoded.type == MESSAGE_BLAMES);
+        CU_ASSERT_FATAL(decoded.blames.count == counts[n]);
+        for (size_t i = 0; i < counts[n]; i++) {
+            const struct message_blame *blame = &decoded.blames.items[i];
+
+            CU_ASSERT(blame->crash_id == items[i].crash_id);
+            CU_ASSERT(blame->age_ms == items[i].age_ms);
+            CU_ASSERT(blame->begun == items[i].begun);
+            CU_ASSERT_FATAL(blame->part_count == items[i].part_count);
+            CU_ASSERT(!memcmp(blame->parts, items[i].parts,
+                              items[i].part_count * sizeof(uint64_t)));
+        }
+    }
+    message_codec_free(codec);
+}
+
+static void
+test_answered_round_trip(void)
+{
+    static const size_t counts[] = {0, 1, MESSAGE_ANSWERED_MAX};
+    struct message_codec *codec = message_codec_new();
+    uint64_t parts[MESSAGE_ANSWERED_MAX];
+
+    for (size_t i = 0; i < MESSAGE_ANSWERED_MAX; i++) {
+        parts[i] = UINT64_MAX - i;
+    }
+    for (size_t n = 0; n < sizeof(counts) / sizeof(counts[0]); n++) {
+        const struct message message = {
+            .type = MESSAGE_ANSWERED,
+            .answered = {parts, counts[n]},
+        };
+        struct message decoded;
+        struct err err = {0};
+
+        CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                       &decoded, &err));
+        CU_ASSERT(decoded.type == MESSAGE_ANSWERED);
+        CU_ASSERT_FATAL(decoded.answered.count == counts[n]);
+        CU_ASSERT(!memcmp(decoded.answered.parts, parts,
+                          counts[n] * sizeof(uint64_t)));
+    }
+    message_codec_free(codec);
+}
+
+static void
+check_rejected(struct message_codec *codec, const char *what, struct str frame)
+{
+    struct message message;
+    struct err err = {0};
+
+    if (message_decode(codec, frame, &message, &err) ||
+        err.code != ERR_PROTOCOL) {
+        printf("%s\n", what);
+        CU_FAIL("a malformed message was accepted");
+    }
+}
+
+/// A frame of one array of numbers.
+static struct str
+numbers_frame(char bytes[512], enum message_type type, const char *numbers,
+              size_t count)
+{
+    const char head[] = {'\x92', (char)type, '\xdc', (char)(count >> 8),
+                         (char)count};
+
+    memcpy(bytes, head, sizeof(head));
+    memcpy(bytes + sizeof(head), numbers, count);
+    return (struct str){bytes, sizeof(head) + count};
+}
+
+static void
+test_malformed_blames(void)
+{
+    // Crash, age, false, number of parts, parts; each is one byte.
+    static const char too_many_parts[] = {
+        1,  2,  '\xc2', MESSAGE_PARTS_MAX + 1,
+        1,  2,  3,      4,
+        5,  6,  7,      8,
+        9,  10, 11,     12,
+        13, 14, 15,     16};
+    static const char good[] = {1, 2, '\xc2', 2, 7, 8, 9};
+    static const char not_a_bool[] = {1, 2, 1, 1, 7};
+    static const char nested[] = {1, 2, '\xc2', 1, '\x90'};
+    char many[(MESSAGE_BLAMES_MAX + 1) * 4];
+    struct message_codec *codec = message_codec_new();
+    struct message message;
+    struct err err = {0};
+    char bytes[512];
+
+    CU_ASSERT_FATAL(message_decode(
+        codec, numbers_frame(bytes, MESSAGE_BLAMES, good, 6), &message, &err));
+    CU_ASSERT(message.blames.count == 1);
+    CU_ASSERT(message.blames.items[0].part_count == 2);
+    CU_ASSERT(message.blames.items[0].parts[1] == 8);
+    for (size_t count = 1; count < 6; count++) {
+        check_rejected(codec, "a truncated item",
+                       numbers_frame(bytes, MESSAGE_BLAMES, good, count));
+    }
+    check_rejected(codec, "trailing numbers",
+                   numbers_frame(bytes, MESSAGE_BLAMES, good, sizeof(good)));
+    check_rejected(codec, "too many parts",
+                   numbers_frame(bytes, MESSAGE_BLAMES, too_many_parts,
+                                 sizeof(too_many_parts)));
+    check_rejected(
+        codec, "a number as begun",
+        numbers_frame(bytes, MESSAGE_BLAMES, not_a_bool, sizeof(not_a_bool)));
+    check_rejected(
+        codec, "an array as a part",
+        numbers_frame(bytes, MESSAGE_BLAMES, nested, sizeof(nested)));
+    for (size_t i = 0; i < sizeof(many); i += 4) {
+        memcpy(many + i, "\x01\x02\xc2\x00", 4);
+    }
+    CU_ASSERT(message_decode(
+        codec, numbers_frame(bytes, MESSAGE_BLAMES, many, sizeof(many) - 4),
+        &message, &err));
+    check_rejected(codec, "too many items",
+                   numbers_frame(bytes, MESSAGE_BLAMES, many, sizeof(many)));
+    memset(many, 1, sizeof(many));
+    CU_ASSERT(message_decode(
+        codec,
+        numbers_frame(bytes, MESSAGE_ANSWERED, many, MESSAGE_ANSWERED_MAX),
+        &message, &err));
+    check_rejected(codec, "too many answered parts",
+                   numbers_frame(bytes, MESSAGE_ANSWERED, many,
+                                 MESSAGE_ANSWERED_MAX + 1));
+    many[1] = '\xc2';
+    check_rejected(codec, "a boolean as an answered part",
+                   numbers_frame(bytes, MESSAGE_ANSWERED, many, 3));
+    message_codec_free(codec);
+}
+
+/// What follows the only field, or is missing of it, is not accepted.
+static void
+test_incomplete_blames(void)
+{
+    static const struct message_blame blame = {
+        .crash_id = 70000, .age_ms = 300, .part_count = 2, .parts = {1, 2}};
+    static const uint64_t parts[] = {UINT64_MAX, 1};
+    const struct message messages[] = {
+        {.type = MESSAGE_BLAMES, .blames = {&blame, 1}},
+        {.type = MESSAGE_ANSWERED, .answered = {parts, 2}},
+    };
+    struct message_codec *codec = message_codec_new();
+
+    for (size_t i = 0; i < 2; i++) {
+        struct str encoded = message_encode(codec, &messages[i]);
+        char bytes[128];
+
+        CU_ASSERT_FATAL(encoded.len + 1 < sizeof(bytes));
+        memcpy(bytes, encoded.data, encoded.len);
+        for (size_t len = 0; len < encoded.len; len++) {
+            check_rejected(codec, "a truncated frame",
+                           (struct str){bytes, len});
+        }
+        bytes[encoded.len] = 1;
+        check_rejected(codec, "a trailing number",
+                       (struct str){bytes, encoded.len + 1});
+        CU_ASSERT(bytes[0] == '\x92');
+        bytes[0] = '\x93';
+        check_rejected(codec, "a surplus field",
+                       (struct str){bytes, encoded.len + 1});
+    }
+    message_codec_free(codec);
+}
+
 /// Large values are sent compressed; what expands to another length, or not
 /// at all, is rejected.
 static void
@@ -192,6 +384,10 @@
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
+    CU_add_test(suite, "blames round trip", test_blames_round_trip);
+    CU_add_test(suite, "answered round trip", test_answered_round_trip);
+    CU_add_test(suite, "malformed blames", test_malformed_blames);
+    CU_add_test(suite, "incomplete blames", test_incomplete_blames);
     CU_add_test(suite, "packed values", test_packed_values);
     CU_add_test(suite, "bad frames", test_bad_frames);
     CU_add_test(suite, "every truncation is refused",
