standin: endpoints crash at a part of a prompt

The endpoint sends the head of its answer, closes all its connections, refuses new ones for a while and comes back, with a new entry if the test writes one.

--- a/standin/origin.c
+++ b/standin/origin.c
@@ -25,6 +25,7 @@
 #define ID_FIELD "Dandelionvalve-Request-Id"
 #define SIGNATURE_FIELD "Dandelionvalve-Server-Signature"
 #define LOAD_FIELD "Dandelionvalve-Instance-Load"
+#define PARTS_FIELD "Dandelionvalve-Prefix-Hash"
 
 struct conn {
     struct origin *origin;
@@ -34,6 +35,7 @@
     char id[64];
     bool running;
     bool is_stream;
+    bool crashes;       ///< at the next timer
     const char *filler; ///< repeated until the connection is closed
     uint64_t filler_bytes;
     size_t next_event;
@@ -44,8 +46,14 @@
 
 struct origin {
     struct origin_options options;
-    struct evconnlistener *listener;
+    struct evconnlistener *listener; ///< NULL: crashed
     struct address address;
+    struct {
+        struct origin_crash_options options;
+        struct event *timer;
+        int bound_fd; ///< keeps the port of a crashed endpoint
+        uint64_t count;
+    } crash;
     struct conn *conns;
     enum origin_fault fault;
     const char *load;
@@ -438,6 +446,38 @@
     }
 }
 
+/// True if the prompt contains the part that crashes the endpoint.
+static bool
+has_crash_part(const struct conn *conn)
+{
+    const char *part = conn->origin->crash.options.part;
+    struct str rest = http1_value(&conn->http, PARTS_FIELD);
+
+    while (part != NULL && rest.len > 0) {
+        const char *comma = memchr(rest.data, ',', rest.len);
+        size_t len = comma != NULL ? (size_t)(comma - rest.data) : rest.len;
+        const char *colon = memchr(rest.data, ':', len);
+
+        if (colon != NULL &&
+            str_equal_c((struct str){rest.data, (size_t)(colon - rest.data)},
+                        part)) {
+            return true;
+        }
+        len += comma != NULL ? 1 : 0;
+        rest = (struct str){rest.data + len, rest.len - len};
+    }
+    return false;
+}
+
+static void
+write_crash_head(struct conn *conn)
+{
+    write_immediately(conn,
+                      "HTTP/1.1 200 X\r\n" ID_FIELD ": %s\r\n" SIGNATURE_FIELD
+                      ": s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                      conn->id);
+}
+
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
@@ -445,7 +485,10 @@
 
     (void)fd;
     (void)events;
-    if (conn->is_stream && is_unframed_stream(conn->origin->fault)) {
+    if (conn->crashes) {
+        origin_crash(conn->origin);
+    }
+    else if (conn->is_stream && is_unframed_stream(conn->origin->fault)) {
         write_unframed_event(conn);
     }
     else if (conn->is_stream &&
@@ -537,6 +580,12 @@
     INVARIANT(origin->runs < RUNS_MAX);
     origin->run_ids[origin->runs++] = xstrdup(conn->id);
     conn->running = true;
+    conn->crashes = has_crash_part(conn);
+    if (conn->crashes) {
+        write_crash_head(conn);
+        set_timer(conn, origin->options.work_us);
+        return;
+    }
     conn->is_stream = memmem(target.data, target.len, "stream", 6) != NULL &&
                       can_stream(origin->fault);
     if (origin->fault == ORIGIN_HANGS) {
@@ -633,6 +682,78 @@
     origin->connections++;
 }
 
+/// Binds the port without listening, so that connections are refused and no
+/// other socket takes it.
+static int
+bind_port(const struct address *address)
+{
+    static const int one = 1;
+    int fd = socket(address->storage.ss_family,
+                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    INVARIANT(fd >= 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    INVARIANT(bind(fd, (const struct sockaddr *)&address->storage,
+                   address->len) == 0);
+    return fd;
+}
+
+static void
+on_back(evutil_socket_t fd, short events, void *ctx)
+{
+    struct origin *origin = ctx;
+    const struct origin_crash_options *options = &origin->crash.options;
+
+    (void)fd;
+    (void)events;
+    origin->listener =
+        evconnlistener_new(origin->options.base, on_accept, origin,
+                           LEV_OPT_CLOSE_ON_FREE, -1, origin->crash.bound_fd);
+    INVARIANT(origin->listener != NULL);
+    origin->crash.bound_fd = -1;
+    if (options->back != NULL) {
+        options->back(options->ctx, origin);
+    }
+}
+
+void
+origin_set_crash(struct origin *origin,
+                 const struct origin_crash_options *options)
+{
+    origin->crash.options = *options;
+}
+
+void
+origin_crash(struct origin *origin)
+{
+    int64_t away_ms = origin->crash.options.away_ms;
+    const struct timeval away = {away_ms / 1000, away_ms % 1000 * 1000};
+
+    if (origin->listener == NULL) {
+        return;
+    }
+    origin->crash.count++;
+    evconnlistener_free(origin->listener);
+    origin->listener = NULL;
+    while (origin->conns != NULL) {
+        close_conn(origin->conns);
+    }
+    origin->crash.bound_fd = bind_port(&origin->address);
+    event_add(origin->crash.timer, &away);
+}
+
+uint64_t
+origin_crashes(const struct origin *origin)
+{
+    return origin->crash.count;
+}
+
+bool
+origin_is_up(const struct origin *origin)
+{
+    return origin->listener != NULL;
+}
+
 struct origin *
 origin_new(const struct origin_options *options, struct err *err)
 {
@@ -653,6 +774,8 @@
     }
     address_of_socket(evconnlistener_get_fd(origin->listener),
                       &origin->address);
+    origin->crash.bound_fd = -1;
+    origin->crash.timer = event_new(options->base, -1, 0, on_back, origin);
     return origin;
 }
 
@@ -665,7 +788,13 @@
     while (origin->conns != NULL) {
         close_conn(origin->conns);
     }
-    evconnlistener_free(origin->listener);
+    if (origin->listener != NULL) {
+        evconnlistener_free(origin->listener);
+    }
+    if (origin->crash.bound_fd >= 0) {
+        evutil_closesocket(origin->crash.bound_fd);
+    }
+    event_free(origin->crash.timer);
     for (size_t i = 0; i < origin->runs; i++) {
         free(origin->run_ids[i]);
     }
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -56,6 +56,17 @@
     ORIGIN_FAULT_COUNT,
 };
 
+/// What crashes an endpoint, and for how long it is away.
+struct origin_crash_options {
+    /// Id of a part in a request's prompt: the endpoint sends the head of the
+    /// answer and crashes before the first event. NULL: none. Not copied.
+    const char *part;
+    int64_t away_ms; ///< connections are refused meanwhile
+    /// The endpoint accepts connections again; may be NULL.
+    void (*back)(void *ctx, struct origin *origin);
+    void *ctx;
+};
+
 struct origin_options {
     struct event_base *base;
     struct address address;
@@ -70,6 +81,17 @@
 struct address origin_address(const struct origin *origin);
 void origin_set_fault(struct origin *origin, enum origin_fault fault);
 
+/// The options are copied.
+void origin_set_crash(struct origin *origin,
+                      const struct origin_crash_options *options);
+
+/// Crashes: closes all connections, and accepts none for `away_ms`.
+void origin_crash(struct origin *origin);
+
+/// Crashes, and whether the endpoint accepts connections now.
+uint64_t origin_crashes(const struct origin *origin);
+bool origin_is_up(const struct origin *origin);
+
 /// Sets the Dandelionvalve-Instance-Load value of streamed answers; NULL: no
 /// such field. The text is not copied.
 void origin_set_load(struct origin *origin, const char *load);
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -63,26 +63,42 @@
     free(text);
 }
 
+static void
+put_entry(struct direct_harness *harness, const char *topic_id,
+          const struct origin *origin, const char *service, const char *state,
+          uint64_t starts)
+{
+    struct address address = origin_address(origin);
+    char text[512];
+
+    snprintf(text, sizeof(text),
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
+             "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+             "\"cold_left_ms\":0,\"seq\":1,\"born\":%llu}",
+             service, address.ip, address.port, state,
+             (unsigned long long)starts);
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, topic_id,
+                    str_from(text));
+}
+
 void
 direct_harness_put_entry(struct direct_harness *harness, const char *topic_id,
                          const struct origin *origin, const char *service,
                          const char *state)
 {
-    struct address address = origin_address(origin);
-    char text[512];
-
     if (state == NULL) {
         keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, topic_id,
                         (struct str){0});
         return;
     }
-    snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
-             "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-             "\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
-             service, address.ip, address.port, state);
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, topic_id,
-                    str_from(text));
+    put_entry(harness, topic_id, origin, service, state, 1);
+}
+
+void
+direct_harness_put_start(struct direct_harness *harness, const char *topic_id,
+                         const struct origin *origin, uint64_t starts)
+{
+    put_entry(harness, topic_id, origin, "models", "ready", starts);
 }
 
 static struct keyed_store *
