--- a/tests/main.c
+++ b/tests/main.c
@@ -43,6 +43,7 @@
     {"suspects", suite_suspects},
     {"wire", suite_wire},
     {"direct", suite_direct},
+    {"blame", suite_blame},
     {"direct-store", suite_direct_store},
 };
 
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -30,4 +30,5 @@
 void suite_suspects(void);
 void suite_wire(void);
 void suite_direct(void);
+void suite_blame(void);
 void suite_direct_store(void);
