--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -66,7 +66,7 @@
 static void
 put_entry(struct direct_harness *harness, const char *topic_id,
           const struct origin *origin, const char *service, const char *state,
-          uint64_t starts)
+          int64_t born_ms)
 {
     struct address address = origin_address(origin);
     char text[512];
@@ -74,9 +74,8 @@
     snprintf(text, sizeof(text),
              "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
              "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-             "\"cold_left_ms\":0,\"seq\":1,\"born\":%llu}",
-             service, address.ip, address.port, state,
-             (unsigned long long)starts);
+             "\"cold_left_ms\":0,\"seq\":1,\"born\":%lld}",
+             service, address.ip, address.port, state, (long long)born_ms);
     keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, topic_id,
                     str_from(text));
 }
@@ -95,10 +94,11 @@
 }
 
 void
-direct_harness_put_start(struct direct_harness *harness, const char *topic_id,
-                         const struct origin *origin, uint64_t starts)
+direct_harness_put_restarted(struct direct_harness *harness,
+                             const char *topic_id, const struct origin *origin)
 {
-    put_entry(harness, topic_id, origin, "models", "ready", starts);
+    put_entry(harness, topic_id, origin, "models", "ready",
+              clock_ms(&clock_monotonic));
 }
 
 static struct keyed_store *
--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -79,11 +79,11 @@
                               const struct origin *origin, const char *service,
                               const char *state);
 
-/// Writes the entry of a ready endpoint of "models" that has started for the
-/// `starts`th time.
-void direct_harness_put_start(struct direct_harness *harness,
-                              const char *topic_id,
-                              const struct origin *origin, uint64_t starts);
+/// Writes the entry of a ready endpoint of "models" that has just started
+/// again.
+void direct_harness_put_restarted(struct direct_harness *harness,
+                                  const char *topic_id,
+                                  const struct origin *origin);
 
 /// Starts a call with additional field lines `fields`. The caller frees with
 /// direct_call_free().
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -31,7 +31,6 @@
 
 struct fleet {
     struct direct_harness harness;
-    uint64_t starts[ORIGINS];
     bool keeps_incarnation; ///< of endpoints that come back
     unsigned calls;
 };
@@ -45,8 +44,7 @@
         if (fleet->harness.origins[i] == origin) {
             char id[] = {'e', '-', (char)('0' + i), '\0'};
 
-            direct_harness_put_start(&fleet->harness, id, origin,
-                                     ++fleet->starts[i]);
+            direct_harness_put_restarted(&fleet->harness, id, origin);
         }
     }
 }
@@ -54,7 +52,7 @@
 static void
 fleet_start(struct fleet *fleet, size_t routers, int64_t work_us)
 {
-    *fleet = (struct fleet){.starts = {1, 1, 1, 1}};
+    *fleet = (struct fleet){0};
     direct_harness_start(&fleet->harness, &(struct direct_harness_options){
                                               .routers = routers,
                                               .origins = ORIGINS,
