tests: crashes of one incarnation are a test of their own

Crashes of one endpoint with the same incarnation within one 2 s interval have the same crash id and count once.

--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -222,41 +222,51 @@
     CU_ASSERT_FATAL(status == 503);
 }
 
+static void
+check_deadly_part(bool keeps_incarnation)
+{
+    struct fleet fleet;
+    int last_status = 0;
+
+    fleet_start(&fleet, 2, WORK_US);
+    fleet.keeps_incarnation = keeps_incarnation;
+    CU_ASSERT(wait_metric(&fleet, 0, "routers_linked", 1));
+    CU_ASSERT(wait_metric(&fleet, 1, "routers_linked", 1));
+    for (size_t i = 0; i < 14; i++) {
+        uint64_t before = crashes(&fleet);
+
+        CU_ASSERT(call_status(&fleet, i % 2, DRAFT, SOUND_PROMPT) == 200);
+        last_status = call_status(&fleet, i % 2, DRAFT, DEADLY_PROMPT);
+        CU_ASSERT(last_status == (crashes(&fleet) > before ? 502 : 503));
+        CU_ASSERT(call_status(&fleet, (i + 1) % 2, DRAFT, SOUND_PROMPT) ==
+                  200);
+        CU_ASSERT(call_status(&fleet, i % 2, DRAFT, SHARED) == 200);
+        direct_harness_run(&fleet.harness, PAUSE_MS);
+    }
+    CU_ASSERT(crashes(&fleet) > 0);
+    CU_ASSERT(crashes(&fleet) <= CRASHES_MAX);
+    CU_ASSERT(last_status == 503);
+    for (size_t i = 0; i < 2; i++) {
+        CU_ASSERT(metric(&fleet, i, "prompt_parts_held") == 1);
+        CU_ASSERT(call_status(&fleet, i, DRAFT, SOUND_PROMPT) == 200);
+    }
+    direct_harness_stop(&fleet.harness);
+}
+
 /// Guards against: deadly requests that are never alike crash one endpoint
 /// after the other, or sound ones that share parts with them are refused.
 static void
 test_deadly_part_spares_sound_requests(void)
 {
-    static const bool keeps[] = {false, true};
-
-    for (size_t n = 0; n < 2; n++) {
-        struct fleet fleet;
-        int last_status = 0;
+    check_deadly_part(false);
+}
 
-        fleet_start(&fleet, 2, WORK_US);
-        fleet.keeps_incarnation = keeps[n];
-        CU_ASSERT(wait_metric(&fleet, 0, "routers_linked", 1));
-        CU_ASSERT(wait_metric(&fleet, 1, "routers_linked", 1));
-        for (size_t i = 0; i < 14; i++) {
-            uint64_t before = crashes(&fleet);
-
-            CU_ASSERT(call_status(&fleet, i % 2, DRAFT, SOUND_PROMPT) == 200);
-            last_status = call_status(&fleet, i % 2, DRAFT, DEADLY_PROMPT);
-            CU_ASSERT(last_status == (crashes(&fleet) > before ? 502 : 503));
-            CU_ASSERT(call_status(&fleet, (i + 1) % 2, DRAFT, SOUND_PROMPT) ==
-                      200);
-            CU_ASSERT(call_status(&fleet, i % 2, DRAFT, SHARED) == 200);
-            direct_harness_run(&fleet.harness, PAUSE_MS);
-        }
-        CU_ASSERT(crashes(&fleet) > 0);
-        CU_ASSERT(crashes(&fleet) <= CRASHES_MAX);
-        CU_ASSERT(last_status == 503);
-        for (size_t i = 0; i < 2; i++) {
-            CU_ASSERT(metric(&fleet, i, "prompt_parts_held") == 1);
-            CU_ASSERT(call_status(&fleet, i, DRAFT, SOUND_PROMPT) == 200);
-        }
-        direct_harness_stop(&fleet.harness);
-    }
+/// Guards against: crashes of an endpoint that comes back within two seconds
+/// with the same incarnation are taken for one.
+static void
+test_crashes_of_one_incarnation(void)
+{
+    check_deadly_part(true);
 }
 
 /// Guards against: the parts of sound requests that are cut off beside deadly
@@ -585,6 +595,8 @@
 
     CU_add_test(suite, "deadly part spares sound requests",
                 test_deadly_part_spares_sound_requests);
+    CU_add_test(suite, "crashes of one incarnation",
+                test_crashes_of_one_incarnation);
     CU_add_test(suite, "requests beside deadly ones",
                 test_requests_beside_deadly_ones);
     CU_add_test(suite, "late router learns held part",
