--- a/core/suspects.c
+++ b/core/suspects.c
@@ -106,7 +106,8 @@
     return part;
 }
 
-/// Evicts the least recently used part that is not held.
+/// Evicts the least recently used part that is not blamed, or else the one
+/// that is.
 static void
 evict(struct suspects *suspects)
 {
@@ -114,11 +115,12 @@
 
     DL_FOREACH(suspects->by_use, part)
     {
-        if (part->evidence == NULL || part->evidence->held_ms == 0) {
+        if (part->evidence == NULL) {
             remove_part(suspects, part);
             return;
         }
     }
+    remove_part(suspects, suspects->by_use);
 }
 
 /// Finds or adds a part and marks it as used.
@@ -168,13 +170,22 @@
 static int64_t
 hold_duration_ms(const struct evidence *evidence)
 {
-    int64_t ms = SUSPECTS_HOLD_MS;
-
-    for (uint32_t i = 1; i < evidence->holds && ms < SUSPECTS_HOLD_MAX_MS;
-         i++) {
-        ms *= 2;
+    switch (evidence->holds) {
+    case 1:
+        return SUSPECTS_HOLD_MS;
+    case 2:
+        return SUSPECTS_HOLD_SECOND_MS;
+    default:
+        return SUSPECTS_HOLD_MAX_MS;
     }
-    return ms < SUSPECTS_HOLD_MAX_MS ? ms : SUSPECTS_HOLD_MAX_MS;
+}
+
+static bool
+is_trial_due(const struct evidence *evidence, int64_t now_ms)
+{
+    return !evidence->tried && evidence->holds <= 2 &&
+           now_ms - evidence->held_ms >=
+               hold_duration_ms(evidence) / SUSPECTS_TRIAL_DIVISOR;
 }
 
 /// A hold that has run out ends; the evidence stays, so that the next crash
@@ -327,13 +338,20 @@
     return part->evidence;
 }
 
+/// Begins a hold, or renews it after a crash of a request that was let
+/// through.
 static void
 begin_hold(struct suspects *suspects, struct evidence *evidence)
 {
-    evidence->held_ms = now(suspects);
-    evidence->holds++;
-    evidence->tried = false;
-    suspects->held_count++;
+    int64_t now_ms = now(suspects);
+    bool is_renewed = evidence->held_ms != 0;
+
+    if (!is_renewed || now_ms - evidence->held_ms >= SUSPECTS_CONFIRM_MS) {
+        evidence->holds++;
+        evidence->tried = false;
+    }
+    evidence->held_ms = now_ms > 0 ? now_ms : 1;
+    suspects->held_count += is_renewed ? 0 : 1;
 }
 
 /// Adds a crash to the evidence against a part; true if it is new.
@@ -356,8 +374,8 @@
         drop_old_strikes(evidence, now(suspects));
     }
     is_new = add_strike(evidence, strike);
-    if (is_new && !is_held(suspects, part) &&
-        sum_weights(evidence) >= evidence->hold_weight) {
+    is_held(suspects, part);
+    if (is_new && sum_weights(evidence) >= evidence->hold_weight) {
         begin_hold(suspects, evidence);
     }
     return is_new || narrowed;
@@ -477,14 +495,24 @@
         return SUSPECTS_CLEAR;
     }
     *id = part->id;
-    if (may_try && !part->evidence->tried &&
-        now(suspects) - part->evidence->held_ms >= SUSPECTS_TRIAL_MS) {
+    if (may_try && is_trial_due(part->evidence, now(suspects))) {
         part->evidence->tried = true;
         return SUSPECTS_TRIAL;
     }
     return SUSPECTS_HELD;
 }
 
+/// The age of a strike against a held part. It counts at the receiver however
+/// old it is, and as a crash of its own.
+static uint32_t
+stated_age_ms(int64_t age_ms, size_t index)
+{
+    int64_t max_ms =
+        SUSPECTS_EVIDENCE_MS / 2 + (int64_t)index * SUSPECTS_SPACING_MS;
+
+    return (uint32_t)(age_ms < max_ms ? age_ms : max_ms);
+}
+
 void
 suspects_each_held(struct suspects *suspects,
                    void (*visit)(void *ctx, const struct message_blame *blame),
@@ -508,7 +536,7 @@
             const struct strike *strike = &evidence->strikes[i];
 
             blame.crash_id = strike->crash_id;
-            blame.age_ms = (uint32_t)(now_ms - strike->at_ms);
+            blame.age_ms = stated_age_ms(now_ms - strike->at_ms, i);
             blame.begun = strike->weight == SUSPECTS_WEIGHT_BEGUN;
             visit(ctx, &blame);
         }
@@ -525,8 +553,16 @@
 }
 
 size_t
-suspects_held_count(const struct suspects *suspects)
+suspects_held_count(struct suspects *suspects)
 {
+    struct part *part;
+
+    if (suspects->held_count > 0) {
+        DL_FOREACH2(suspects->blamed, part, blamed_next)
+        {
+            is_held(suspects, part);
+        }
+    }
     return suspects->held_count;
 }
 
--- a/core/suspects.h
+++ b/core/suspects.h
@@ -36,11 +36,16 @@
 #define SUSPECTS_SPACING_MS 250
 /// Evidence that is older no longer counts.
 #define SUSPECTS_EVIDENCE_MS 600000
-/// A part is held for this long; each further time for twice as long, up to
-/// the maximum. In between, one request is let through as a trial.
+/// A part is held for this long, and longer after each crash that shows the
+/// hold to be right. In the first two holds one request is let through as a
+/// trial after a third of the time.
 #define SUSPECTS_HOLD_MS 60000
+#define SUSPECTS_HOLD_SECOND_MS 120000
 #define SUSPECTS_HOLD_MAX_MS 3600000
-#define SUSPECTS_TRIAL_MS 20000
+#define SUSPECTS_TRIAL_DIVISOR 3
+/// A crash that comes so long after the begin of a hold was no request that
+/// was on its way when it began.
+#define SUSPECTS_CONFIRM_MS 10000
 /// Interval of announcements that a blamed part was answered here.
 #define SUSPECTS_ANNOUNCE_MS 500
 
@@ -92,7 +97,7 @@
 uint32_t suspects_weight(const struct suspects *suspects, uint64_t part);
 
 /// Number of parts that are held now.
-size_t suspects_held_count(const struct suspects *suspects);
+size_t suspects_held_count(struct suspects *suspects);
 
 /// Writes the ids of the parts that requests share, all but the last,
 /// MESSAGE_PARTS_MAX at most; returns their number.
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -588,6 +588,80 @@
     direct_harness_stop(&fleet.harness);
 }
 
+static void
+set_faults(struct fleet *fleet, enum origin_fault fault, const char *part)
+{
+    for (size_t i = 0; i < ORIGINS; i++) {
+        origin_set_fault(fleet->harness.origins[i], fault);
+        origin_set_crash(fleet->harness.origins[i],
+                         &(struct origin_crash_options){
+                             .part = part,
+                             .away_ms = AWAY_MS,
+                             .back = on_back,
+                             .ctx = fleet,
+                         });
+    }
+}
+
+/// Guards against: reports about requests that only waited at a crashed
+/// endpoint use up the limit, and peers never learn which one was answered.
+static void
+test_deadly_request_among_many_waiting(void)
+{
+    struct fleet fleet;
+
+    fleet_start(&fleet, 2, 60000);
+    CU_ASSERT(wait_metric(&fleet, 0, "routers_linked", 1));
+    CU_ASSERT(wait_metric(&fleet, 1, "routers_linked", 1));
+    for (size_t round = 0; round < 4; round++) {
+        struct direct_call calls[CALLS_MAX + 1] = {{0}};
+
+        CU_ASSERT(call_status(&fleet, 0, DRAFT, SOUND_PROMPT) == 200);
+        set_faults(&fleet, ORIGIN_HANGS, DEADLY);
+        for (size_t i = 0; i < CALLS_MAX; i++) {
+            char parts[32];
+
+            snprintf(parts, sizeof(parts), "aa:100,%zx%zx:50", round, i);
+            call_start(&fleet, 0, &calls[i], "/look/", parts);
+        }
+        direct_harness_run(&fleet.harness, 30);
+        set_faults(&fleet, ORIGIN_OK, DEADLY);
+        call_start(&fleet, 0, &calls[CALLS_MAX], DRAFT, DEADLY_PROMPT);
+        for (size_t i = 0; i <= CALLS_MAX; i++) {
+            CU_ASSERT(direct_harness_wait(&fleet.harness, direct_call_ended,
+                                          &calls[i], WAIT_MS));
+            direct_call_free(&calls[i]);
+        }
+        direct_harness_run(&fleet.harness, PAUSE_MS);
+    }
+    CU_ASSERT(metric(&fleet, 0, "prompt_parts_held") == 1);
+    CU_ASSERT(metric(&fleet, 1, "prompt_parts_held") == 1);
+    CU_ASSERT(call_status(&fleet, 1, DRAFT, DEADLY_PROMPT) == 503);
+    direct_harness_stop(&fleet.harness);
+}
+
+/// Guards against: an endpoint that rejects a request before it runs it counts
+/// as an answer to its prompt, and clears the evidence.
+static void
+test_rejection_clears_no_evidence(void)
+{
+    struct fleet fleet;
+    int status = 0;
+
+    fleet_start(&fleet, 1, WORK_US);
+    for (size_t i = 0; i < 8; i++) {
+        set_faults(&fleet, ORIGIN_EARLY_ANSWER, NULL);
+        status = call_status(&fleet, 0, DRAFT, DEADLY_PROMPT);
+        CU_ASSERT(status == 400 || status == 503);
+        set_faults(&fleet, ORIGIN_OK, DEADLY);
+        status = call_status(&fleet, 0, DRAFT, DEADLY_PROMPT);
+        direct_harness_run(&fleet.harness, PAUSE_MS);
+    }
+    CU_ASSERT(status == 503);
+    CU_ASSERT(crashes(&fleet) <= CRASHES_MAX);
+    direct_harness_stop(&fleet.harness);
+}
+
 void
 suite_blame(void)
 {
@@ -609,4 +683,8 @@
                 test_last_part_is_never_held);
     CU_add_test(suite, "earlier version receives no reports",
                 test_earlier_version_receives_no_reports);
+    CU_add_test(suite, "deadly request among many waiting",
+                test_deadly_request_among_many_waiting);
+    CU_add_test(suite, "rejection clears no evidence",
+                test_rejection_clears_no_evidence);
 }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -251,7 +251,7 @@
     }
     CU_ASSERT(suspects_check(fleet.suspects, (const uint64_t[]){DEADLY}, 1,
                              true, &part) == SUSPECTS_HELD);
-    fleet.time.now_us += SUSPECTS_TRIAL_MS * 1000;
+    fleet.time.now_us += SUSPECTS_HOLD_MS / SUSPECTS_TRIAL_DIVISOR * 1000;
     CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
     CU_ASSERT(suspects_check(fleet.suspects, (const uint64_t[]){DEADLY}, 1,
                              true, &part) == SUSPECTS_TRIAL);
@@ -260,9 +260,11 @@
                              true, &part) == SUSPECTS_HELD);
     crash(&fleet, 1, (const uint64_t[]){DEADLY});
     fleet.time.now_us += SUSPECTS_HOLD_MS * 1000;
+    CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
+    fleet.time.now_us += SUSPECTS_HOLD_SECOND_MS * 1000;
     CU_ASSERT(!is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
     crash(&fleet, 1, (const uint64_t[]){DEADLY});
-    fleet.time.now_us += SUSPECTS_HOLD_MS * 1000;
+    fleet.time.now_us += SUSPECTS_HOLD_SECOND_MS * 1000;
     CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
     answer(&fleet, 1, (const uint64_t[]){DEADLY});
     CU_ASSERT(!is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
@@ -270,6 +272,46 @@
     stop(&fleet);
 }
 
+/// Requests with the part come once a second for an hour: after the fifth
+/// crash three more at most reach endpoints.
+static void
+test_deadly_part_for_an_hour(void)
+{
+    struct fleet fleet;
+    size_t crashes = 0;
+    uint64_t part = 0;
+
+    start(&fleet);
+    for (int i = 0; i < 3600; i++) {
+        if (suspects_check(fleet.suspects, (const uint64_t[]){DEADLY}, 1, true,
+                           &part) != SUSPECTS_HELD) {
+            blame(fleet.suspects, ++fleet.crash_id, true, 1,
+                  (const uint64_t[]){DEADLY});
+            crashes++;
+        }
+        fleet.time.now_us += 1000000;
+    }
+    CU_ASSERT(crashes <= 5 + 3);
+    stop(&fleet);
+}
+
+/// A crash of a request that was on its way renews the hold.
+static void
+test_crash_renews_hold(void)
+{
+    struct fleet fleet;
+
+    start(&fleet);
+    for (int i = 0; i < 3; i++) {
+        crash(&fleet, 1, (const uint64_t[]){DEADLY});
+    }
+    fleet.time.now_us += (SUSPECTS_HOLD_MS - 2000) * 1000;
+    crash(&fleet, 1, (const uint64_t[]){DEADLY});
+    fleet.time.now_us += 5000000;
+    CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
+    stop(&fleet);
+}
+
 static void
 copy_blame(void *ctx, const struct message_blame *item)
 {
@@ -299,6 +341,30 @@
     stop(&fleet);
 }
 
+/// The crashes were long ago: the hold still reaches a router that starts.
+static void
+test_old_hold_reaches_started_router(void)
+{
+    struct fleet fleet, started;
+    uint64_t part = 0;
+
+    start(&fleet);
+    start(&started);
+    for (int i = 0; i < 3600; i++) {
+        if (suspects_check(fleet.suspects, deadly_a, 3, true, &part) !=
+            SUSPECTS_HELD) {
+            blame(fleet.suspects, ++fleet.crash_id, true, 3, deadly_a);
+        }
+        fleet.time.now_us += 1000000;
+    }
+    CU_ASSERT(is_held(&fleet, 3, deadly_a));
+    started.time.now_us = fleet.time.now_us;
+    suspects_each_held(fleet.suspects, copy_blame, started.suspects);
+    CU_ASSERT(is_held(&started, 3, deadly_a));
+    stop(&started);
+    stop(&fleet);
+}
+
 /// Reports that come twice are not forwarded again, and a router where a part
 /// was answered announces it, at most twice a second.
 static void
@@ -324,19 +390,60 @@
     stop(&fleet);
 }
 
+/// Answers to other prompts evict neither the evidence nor the hold.
 static void
-test_parts_are_bounded(void)
+test_answers_evict_no_evidence(void)
 {
     struct fleet fleet;
 
     start(&fleet);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < 4; i++) {
+        for (uint64_t id = 100; id < 100 + 3 * PARTS_MAX; id++) {
+            answer(&fleet, 1, &id);
+        }
+        CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}) == (i == 3));
         crash(&fleet, 1, (const uint64_t[]){DEADLY});
     }
-    for (uint64_t i = 100; i < 100 + 3 * PARTS_MAX; i++) {
-        answer(&fleet, 1, &i);
+    stop(&fleet);
+}
+
+/// More parts are blamed and held than are kept, and no request asks for them
+/// again.
+static void
+test_held_parts_are_bounded(void)
+{
+    struct fleet fleet;
+
+    start(&fleet);
+    for (uint64_t id = 100; id < 100 + 2 * PARTS_MAX; id++) {
+        for (int i = 0; i < 3; i++) {
+            blame(fleet.suspects, ++fleet.crash_id, true, 1, &id);
+            fleet.time.now_us += (SUSPECTS_SPACING_MS + 1) * 1000;
+        }
     }
-    CU_ASSERT(is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
+    CU_ASSERT(suspects_held_count(fleet.suspects) <= PARTS_MAX);
+    fleet.time.now_us += SUSPECTS_HOLD_MAX_MS * 1000LL;
+    CU_ASSERT(suspects_held_count(fleet.suspects) == 0);
+    stop(&fleet);
+}
+
+/// A part that was answered just before a crash is not blamed for it.
+static void
+test_answered_part_is_immune(void)
+{
+    struct fleet fleet;
+
+    start(&fleet);
+    answer(&fleet, 1, (const uint64_t[]){POPULAR});
+    fleet.time.now_us += (SUSPECTS_IMMUNE_MS - 1) * 1000;
+    blame(fleet.suspects, 1, true, 3, deadly_a);
+    CU_ASSERT(suspects_weight(fleet.suspects, POPULAR) == 0);
+    CU_ASSERT(suspects_weight(fleet.suspects, DEADLY) ==
+              SUSPECTS_WEIGHT_BEGUN);
+    fleet.time.now_us += SUSPECTS_IMMUNE_MS * 1000;
+    blame(fleet.suspects, 2, true, 3, deadly_a);
+    CU_ASSERT(suspects_weight(fleet.suspects, POPULAR) ==
+              SUSPECTS_WEIGHT_BEGUN);
     stop(&fleet);
 }
 
@@ -374,6 +481,15 @@
     CU_add_test(suite, "a hold ends", test_hold_ends);
     CU_add_test(suite, "a started router", test_started_router);
     CU_add_test(suite, "reports of peers", test_reports_of_peers);
-    CU_add_test(suite, "parts are bounded", test_parts_are_bounded);
+    CU_add_test(suite, "an old hold reaches a started router",
+                test_old_hold_reaches_started_router);
+    CU_add_test(suite, "a deadly part for an hour",
+                test_deadly_part_for_an_hour);
+    CU_add_test(suite, "a crash renews the hold", test_crash_renews_hold);
+    CU_add_test(suite, "answers evict no evidence",
+                test_answers_evict_no_evidence);
+    CU_add_test(suite, "held parts are bounded", test_held_parts_are_bounded);
+    CU_add_test(suite, "an answered part is immune",
+                test_answered_part_is_immune);
     CU_add_test(suite, "the last part is private", test_last_part_is_private);
 }
