blame: waiting requests, rejections and equal crash ids hide no crash

Found by the same review: - Reports of requests that only waited at a crashed endpoint used up the limit, and the one that had begun was never sent: one of two routers held nothing. Ids of reports are random, crashes are told apart by time, and reports age while they wait to be forwarded. - A silent request was sent on to a second endpoint although its part is held. - The retry check could use up the trial of a part. - A new link made each router send what it holds to all peers, not to that one.

--- a/direct/admission.c
+++ b/direct/admission.c
@@ -114,7 +114,7 @@
                                 "the request has crashed several endpoints");
         return false;
     }
-    if (blame_holds(direct, &exchange->facts.prefix, exchange->id)) {
+    if (blame_holds(direct, &exchange->facts.prefix, exchange->id, true)) {
         counter_add(direct_counters(direct), COUNTER_QUARANTINED, 1);
         exchange_refuse_not_run(
             exchange, "a part of the prompt has crashed several endpoints");
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -28,6 +28,8 @@
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
 /// All buffered answers together; many endpoints may send too much at once.
 #define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
+/// Crashes of one incarnation in an interval of this length are one.
+#define CRASH_INTERVAL_MS 2000
 /// Events of a stream after which its answer has begun without a crash of the
 /// endpoint.
 #define BEGUN_EVENTS_MIN 2
@@ -146,7 +148,8 @@
         (end == ATTEMPT_CUT && exchange->route->kind == ROUTE_RESUMABLE);
 
     if (!allowed ||
-        blame_holds(exchange->direct, &exchange->facts.prefix, exchange->id) ||
+        blame_holds(exchange->direct, &exchange->facts.prefix, exchange->id,
+                    false) ||
         exchange->offers >= EXCHANGE_OFFERS_MAX ||
         exchange->deliveries >= exchange->route->endpoints_max ||
         exchange->expires_ms - exchange_now(exchange) < REMAINING_MIN_MS) {
@@ -380,12 +383,15 @@
 }
 
 /// Identifies one crash of an endpoint, so that it is counted once: equal on
-/// routers that observe it in the same 2 s interval of a common clock.
+/// routers that observe it in the same interval of a common clock.
 static uint32_t
 make_crash_id(const struct endpoint *endpoint, int64_t now_ms)
 {
-    return (uint32_t)endpoint->hash ^ (uint32_t)endpoint->incarnation ^
-           (uint32_t)(now_ms / 2000);
+    const uint64_t facts[] = {endpoint->hash, (uint64_t)endpoint->incarnation,
+                              (uint64_t)(now_ms / CRASH_INTERVAL_MS)};
+
+    return (uint32_t)str_hash((struct str){(const char *)facts, sizeof(facts)},
+                              0);
 }
 
 /// Records that the endpoint may have crashed with this request.
@@ -397,8 +403,11 @@
 
     direct_record_strike(exchange->direct, exchange->fingerprint, crash_id);
     if (!exchange->answer_recorded) {
-        blame_record_crash(exchange->direct, &exchange->facts.prefix, crash_id,
-                           exchange->status != 0);
+        // Requests that crashed together are known by the time of the crash.
+        blame_record_crash(
+            exchange->direct, &exchange->facts.prefix,
+            (uint32_t)random_next(direct_random(exchange->direct)),
+            exchange->status != 0);
     }
 }
 
@@ -450,7 +459,7 @@
         attempt_failed(exchange, ATTEMPT_LOST, reason);
         return;
     }
-    if (status < 500) {
+    if (status >= 200 && status < 300) {
         record_answer_begun(exchange);
     }
     if (exchange->is_stream) {
--- a/direct/blame.c
+++ b/direct/blame.c
@@ -10,12 +10,15 @@
 
 #define PARTS_KNOWN_MAX 10000
 /// Reports of crashes per second. When many endpoints crash at once, the
-/// reports of all routers would fill the links.
-#define SENDS_PER_S 40
-#define SENDS_BURST 8
-/// Share of the limit that a report takes if the answer had not begun: it
-/// shows little.
-#define SENDS_PER_WAITING 4
+/// reports of all routers would fill the links. Those about requests that only
+/// waited show little and have a limit of their own.
+#define BEGUN_SENDS_PER_S 40
+#define BEGUN_SENDS_BURST 16
+#define WAITING_SENDS_PER_S 10
+#define WAITING_SENDS_BURST 2
+/// Reports of peers that are forwarded per second.
+#define FORWARDS_PER_S 200
+#define FORWARDS_BURST 100
 
 void
 blame_init(struct direct *direct)
@@ -26,7 +29,12 @@
         .clock = clock,
         .parts_max = PARTS_KNOWN_MAX,
     });
-    bucket_init(&direct->blame.sends, clock, SENDS_PER_S, SENDS_BURST);
+    bucket_init(&direct->blame.begun_sends, clock, BEGUN_SENDS_PER_S,
+                BEGUN_SENDS_BURST);
+    bucket_init(&direct->blame.waiting_sends, clock, WAITING_SENDS_PER_S,
+                WAITING_SENDS_BURST);
+    bucket_init(&direct->blame.forwards, clock, FORWARDS_PER_S,
+                FORWARDS_BURST);
 }
 
 void
@@ -114,11 +122,12 @@
                    uint32_t crash_id, bool begun)
 {
     struct message_blame blame = {.crash_id = crash_id, .begun = begun};
+    struct bucket *sends =
+        begun ? &direct->blame.begun_sends : &direct->blame.waiting_sends;
 
     blame.part_count = suspects_shared_parts(prefix, blame.parts);
     if (blame.part_count > 0 && add_blame(direct, &blame, "own") &&
-        direct->mesh != NULL &&
-        bucket_take(&direct->blame.sends, begun ? 1 : SENDS_PER_WAITING)) {
+        direct->mesh != NULL && bucket_take(sends, 1)) {
         mesh_queue_blame(direct->mesh, &blame);
     }
 }
@@ -133,14 +142,13 @@
 
 bool
 blame_holds(struct direct *direct, const struct prefix *prefix,
-            const char *request_id)
+            const char *request_id, bool may_try)
 {
     uint64_t parts[MESSAGE_PARTS_MAX];
     size_t count = suspects_shared_parts(prefix, parts);
     struct suspects *suspects = direct->blame.suspects;
     enum suspects_verdict verdict;
     uint64_t part = 0;
-    bool may_try;
 
     if (suspects_held_count(suspects) == 0) {
         return false;
@@ -149,8 +157,8 @@
     if (verdict == SUSPECTS_CLEAR) {
         return false;
     }
-    may_try =
-        direct->mesh == NULL || mesh_is_ranked_among(direct->mesh, part, 1);
+    may_try = may_try && (direct->mesh == NULL ||
+                          mesh_is_ranked_among(direct->mesh, part, 1));
     verdict = suspects_check(suspects, parts, count, may_try, &part);
     LOG_INFO("event=part-%s id=%s part=%08x weight=%u",
              verdict == SUSPECTS_TRIAL ? "tried" : "held", request_id,
@@ -161,7 +169,8 @@
 void
 blame_receive(struct direct *direct, const struct message_blame *blame)
 {
-    if (blame->part_count > 0 && add_blame(direct, blame, "peer")) {
+    if (blame->part_count > 0 && add_blame(direct, blame, "peer") &&
+        bucket_take(&direct->blame.forwards, 1)) {
         mesh_queue_blame(direct->mesh, blame);
     }
 }
@@ -173,16 +182,29 @@
     add_answered(direct, parts, count, false);
 }
 
+/// The evidence against held parts, for one peer.
+struct held_list {
+    struct message_blame items[MESSAGE_BLAMES_MAX];
+    size_t count;
+};
+
 static void
-queue_blame(void *ctx, const struct message_blame *blame)
+list_blame(void *ctx, const struct message_blame *blame)
 {
-    const struct direct *direct = ctx;
+    struct held_list *list = ctx;
 
-    mesh_queue_blame(direct->mesh, blame);
+    if (list->count < MESSAGE_BLAMES_MAX) {
+        list->items[list->count++] = *blame;
+    }
 }
 
 void
-blame_send_held(struct direct *direct)
+blame_send_held(struct direct *direct, struct link *link)
 {
-    suspects_each_held(direct->blame.suspects, queue_blame, direct);
+    struct held_list list = {.count = 0};
+
+    suspects_each_held(direct->blame.suspects, list_blame, &list);
+    if (list.count > 0) {
+        mesh_send_blames(direct->mesh, link, list.items, list.count);
+    }
 }
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -13,6 +13,7 @@
 #include "dandelionvalve/retry.h"
 #include "admission.h"
 #include "attempt.h"
+#include "blame.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -249,6 +250,8 @@
     bool may_retry = exchange_is_repeatable(exchange) &&
                      exchange->caller != NULL &&
                      exchange->deliveries < exchange->route->endpoints_max &&
+                     !blame_holds(exchange->direct, &exchange->facts.prefix,
+                                  exchange->id, false) &&
                      endpoints_ready_count(direct_endpoints(exchange->direct),
                                            exchange->service) > 1;
 
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -115,8 +115,7 @@
     }
     LL_PREPEND(mesh->peers, peer);
     mesh->peer_count++;
-    // The peer may have just started, or been cut off.
-    mesh->options.peer_ready(mesh->options.ctx);
+    mesh->options.peer_ready(mesh->options.ctx, link);
 }
 
 static void
@@ -415,6 +414,10 @@
     };
     struct peer *peer;
 
+    for (size_t i = 0; i < mesh->blame_count; i++) {
+        mesh->blames[i].age_ms +=
+            (uint32_t)(mesh_now_ms(mesh) - mesh->blamed_ms[i]);
+    }
     LL_FOREACH(mesh->peers, peer)
     {
         if (mesh->blame_count > 0 && takes_blames(peer)) {
@@ -689,9 +692,25 @@
     if (mesh->blame_count == MESSAGE_BLAMES_MAX) {
         flush_blames(mesh);
     }
+    mesh->blamed_ms[mesh->blame_count] = mesh_now_ms(mesh);
     mesh->blames[mesh->blame_count++] = *blame;
 }
 
+void
+mesh_send_blames(struct mesh *mesh, const struct link *link,
+                 const struct message_blame *items, size_t count)
+{
+    const struct peer *peer = mesh_find_peer(mesh, link);
+
+    if (peer != NULL && takes_blames(peer)) {
+        link_send(peer->link, &(struct message){
+                                  .type = MESSAGE_BLAMES,
+                                  .blames.items = items,
+                                  .blames.count = count,
+                              });
+    }
+}
+
 void
 mesh_queue_answered(struct mesh *mesh, const uint64_t *parts, size_t count)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -65,8 +65,8 @@
     /// A peer reports that an endpoint accepts no connections.
     void (*unreachable)(void *ctx, uint64_t endpoint);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t crash_id);
-    /// A link to a peer is ready.
-    void (*peer_ready)(void *ctx);
+    /// A link to a peer is ready; it may have just started.
+    void (*peer_ready)(void *ctx, struct link *link);
     /// A peer reports a request that an endpoint crashed with.
     void (*blame)(void *ctx, const struct message_blame *blame);
     /// A peer reports that answers to prompts with these parts have begun.
@@ -112,6 +112,10 @@
 /// peers.
 void mesh_queue_blame(struct mesh *mesh, const struct message_blame *blame);
 
+/// Sends evidence to one peer, if it supports that.
+void mesh_send_blames(struct mesh *mesh, const struct link *link,
+                      const struct message_blame *items, size_t count);
+
 /// Queues blamed parts that have been answered, likewise.
 void mesh_queue_answered(struct mesh *mesh, const uint64_t *parts,
                          size_t count);
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -73,6 +73,7 @@
     struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
     size_t placed_count;
     struct message_blame blames[MESSAGE_BLAMES_MAX]; ///< to be sent
+    int64_t blamed_ms[MESSAGE_BLAMES_MAX];           ///< when queued
     size_t blame_count;
     uint64_t answered[MESSAGE_ANSWERED_MAX]; ///< to be sent
     size_t answered_count;
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -62,9 +62,9 @@
 }
 
 static void
-on_peer_ready(void *ctx)
+on_peer_ready(void *ctx, struct link *link)
 {
-    blame_send_held(ctx);
+    blame_send_held(ctx, link);
 }
 
 static void
