suspects: a held part may be evicted while it is blamed

Found in the read-through before the landing: suspects_blame() looked the held part up before it added the other parts of the prompt, which may evict it when all parts that are kept are blamed. And a late report of a crash from before the hold counted as one of a request that was let through, and lengthened it.

Change: the lookup follows; a crash renews a hold only if it came later.

--- a/core/suspects.c
+++ b/core/suspects.c
@@ -339,13 +339,17 @@
 }
 
 /// Begins a hold, or renews it after a crash of a request that was let
-/// through.
+/// through; a late report of an earlier crash does not.
 static void
-begin_hold(struct suspects *suspects, struct evidence *evidence)
+begin_hold(struct suspects *suspects, struct evidence *evidence,
+           int64_t crash_ms)
 {
     int64_t now_ms = now(suspects);
     bool is_renewed = evidence->held_ms != 0;
 
+    if (is_renewed && crash_ms <= evidence->held_ms) {
+        return;
+    }
     if (!is_renewed || now_ms - evidence->held_ms >= SUSPECTS_CONFIRM_MS) {
         evidence->holds++;
         evidence->tried = false;
@@ -376,7 +380,7 @@
     is_new = add_strike(evidence, strike);
     is_held(suspects, part);
     if (is_new && sum_weights(evidence) >= evidence->hold_weight) {
-        begin_hold(suspects, evidence);
+        begin_hold(suspects, evidence, strike->at_ms);
     }
     return is_new || narrowed;
 }
@@ -413,7 +417,7 @@
             blame->begun ? SUSPECTS_WEIGHT_BEGUN : SUSPECTS_WEIGHT_WAITING,
         .at_ms = now_ms - (int64_t)blame->age_ms,
     };
-    struct part *held = find_held(suspects, blame->parts, blame->part_count);
+    struct part *held;
     uint64_t open[MESSAGE_PARTS_MAX];
     size_t open_count = 0;
     bool is_new = false;
@@ -430,6 +434,7 @@
         }
     }
     // A held part explains the crash: its companions are not blamed further.
+    held = find_held(suspects, blame->parts, blame->part_count);
     if (held != NULL) {
         return blame_part(suspects, held, &strike, open, open_count);
     }
--- a/tests/test_suspects.c
+++ b/tests/test_suspects.c
@@ -427,6 +427,50 @@
     stop(&fleet);
 }
 
+/// The held part is the next to be evicted when it is blamed with a new one.
+static void
+test_held_part_is_evicted(void)
+{
+    struct fleet fleet;
+
+    start(&fleet);
+    for (int i = 0; i < 3; i++) {
+        crash(&fleet, 1, (const uint64_t[]){DEADLY});
+    }
+    for (uint64_t id = 100; id < 100 + PARTS_MAX - 1; id++) {
+        blame(fleet.suspects, ++fleet.crash_id, true, 1, &id);
+    }
+    crash(&fleet, 2, (const uint64_t[]){99, DEADLY});
+    CU_ASSERT(suspects_weight(fleet.suspects, DEADLY) >=
+              SUSPECTS_WEIGHT_BEGUN);
+    stop(&fleet);
+}
+
+/// A report of a crash before the hold comes late: the hold ends in time.
+static void
+test_late_report_renews_no_hold(void)
+{
+    struct fleet fleet;
+    struct message_blame item = {.crash_id = 1000,
+                                 .age_ms = 300000,
+                                 .begun = true,
+                                 .parts = {DEADLY},
+                                 .part_count = 1};
+    uint64_t answered[MESSAGE_PARTS_MAX];
+    size_t count;
+
+    start(&fleet);
+    fleet.time.now_us += 400000000;
+    for (int i = 0; i < 3; i++) {
+        crash(&fleet, 1, (const uint64_t[]){DEADLY});
+    }
+    fleet.time.now_us += SUSPECTS_HOLD_MS / 2 * 1000;
+    CU_ASSERT(suspects_blame(fleet.suspects, &item, answered, &count));
+    fleet.time.now_us += SUSPECTS_HOLD_MS / 2 * 1000;
+    CU_ASSERT(!is_held(&fleet, 1, (const uint64_t[]){DEADLY}));
+    stop(&fleet);
+}
+
 /// A part that was answered just before a crash is not blamed for it.
 static void
 test_answered_part_is_immune(void)
@@ -489,6 +533,9 @@
     CU_add_test(suite, "answers evict no evidence",
                 test_answers_evict_no_evidence);
     CU_add_test(suite, "held parts are bounded", test_held_parts_are_bounded);
+    CU_add_test(suite, "a held part is evicted", test_held_part_is_evicted);
+    CU_add_test(suite, "a late report renews no hold",
+                test_late_report_renews_no_hold);
     CU_add_test(suite, "an answered part is immune",
                 test_answered_part_is_immune);
     CU_add_test(suite, "the last part is private", test_last_part_is_private);
