catalog: a route without a prefix has no bytes to copy

No byte was copied. Change: nothing is copied if the prefix is empty. Before: runtime error in the sanitizer build; after: suites wire, catalog, suspects, message and caller pass there (50 of 50).

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -162,7 +162,9 @@
     for (size_t i = 0; i < host_len; i++) {
         out[i] = (char)tolower((unsigned char)host.data[i]);
     }
-    memcpy(out + host_len, prefix.data, prefix.len);
+    if (prefix.len > 0) {
+        memcpy(out + host_len, prefix.data, prefix.len);
+    }
     return (struct str){out, host_len + prefix.len};
 }
 
