--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,6 @@
 #!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case cannot run.
+# TROUBLE=0 leaves the disruption out.
+export TROUBLE=${TROUBLE:-1}
+command -v python3 >/dev/null || exit 2
 exec python3 "$(dirname "$0")/case.py"
