--- a/review/2/case.py
+++ b/review/2/case.py
@@ -109,8 +109,6 @@
                                                          self.router.name))
                 self.cut.append(request_id)
             if status != 200:
-                self.fleet.record("client: %s ended with %d" % (request_id,
-                                                                status))
                 await asyncio.sleep(0.2)
 
 
@@ -141,7 +139,6 @@
 
 async def case(fleet):
     sent = {}
-    fleet.records_runs = False
     fleet.configure(
         [f.route("look", "orders", "idempotent", attempts=2),
          f.route("chat", "models", "streaming", attempts=2, timeout_ms=15000,
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -351,8 +351,7 @@
 
     def note_run(self, request):
         self.runs.append((self.fleet.record.now(), request.id))
-        if self.fleet.records_runs:
-            self.fleet.record("engine %s: runs %s" % (self.id, request.id))
+        self.fleet.record("engine %s: runs %s" % (self.id, request.id))
 
 
 def signed(request_id):
@@ -494,7 +493,6 @@
         self.tasks = set()
         self.request_count = 0
         self.version = 0
-        self.records_runs = True
         self.settings = {
             "bounds.grace_s": 8, "bounds.contact_ms": 3000,
             "bounds.budget_window_s": 10, "bounds.retry_budget_ratio": 0.2,
@@ -651,6 +649,8 @@
                    request_id=None):
         """Status 0: the channel has ended without a complete answer."""
         request_id = request_id or self.fleet.next_id()
+        self.fleet.record("client: sends %s %s %s to %s" % (
+            request_id, method, target, self.router.name))
         try:
             if self.streams is None:
                 self.requests = 0
@@ -663,6 +663,8 @@
         except (asyncio.TimeoutError, asyncio.IncompleteReadError,
                 ConnectionError, OSError):
             status = 0
+        self.fleet.record("client: %s ended with %s" % (request_id, status or
+                                                        "no answer"))
         if status == 0:
             self.close()
         return status
