--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 WORK_S = 0.06      # of an engine for a plain request
 EVENT_S = 0.005
 DOWN_S = 0.5       # a process that has ended is restarted after a short delay
+AT_ONCE = 2        # engines that are replaced one after the other
 SERVES_S = 2.5     # drain_ms and a little longer
 BYTES_MAX = 16 * 1024 * 1024
 LENGTH_S = float(os.environ.get("LENGTH", 95.0))
@@ -137,6 +138,23 @@
             if request_id in ran]
 
 
+async def replace_engines(fleet, sent, goes_on):
+    """Adds an engine that leaves, and another one when it has left."""
+    count = 0
+    while goes_on():
+        count += 1
+        leaving = Leaving(sent)
+        engine = await fleet.add_engine("models", leaving.behave)
+        try:
+            await asyncio.wait_for(leaving.done.wait(), 5)
+        except asyncio.TimeoutError:
+            fleet.record("engine %s: not all routers used it" % engine.id)
+        if not leaving.left:
+            engine.leave()
+        fleet.spawn(end(engine))
+    return count
+
+
 async def case(fleet):
     sent = {}
     fleet.configure(
@@ -159,23 +177,15 @@
     ends = []
     for router in fleet.routers:
         fleet.spawn(restart_when_ended(fleet, router, ends))
-    started = fleet.record.now()
-    rounds = 0
-    while (fleet.record.now() - started < LENGTH_S and
-           len(find_lost(looks, sound)) <= LOST_MAX):
-        rounds += 1
-        leaving = Leaving(sent)
-        engine = await fleet.add_engine("models", leaving.behave)
-        try:
-            await asyncio.wait_for(leaving.done.wait(), 5)
-        except asyncio.TimeoutError:
-            fleet.record("engine %s: not all routers used it" % engine.id)
-        if not leaving.left:
-            engine.leave()
-        fleet.spawn(end(engine))
+    until = fleet.record.now() + LENGTH_S
+    left = await asyncio.gather(*[
+        replace_engines(fleet, sent,
+                        lambda: (fleet.record.now() < until and
+                                 len(find_lost(looks, sound)) <= LOST_MAX))
+        for _ in range(AT_ONCE)])
     lost = find_lost(looks, sound)
     fleet.record("%d engines left; routers that ended by themselves: %d, "
-                 "statuses %s" % (rounds, len(ends),
+                 "statuses %s" % (sum(left), len(ends),
                                   " ".join(map(str, ends)) or "none"))
     fleet.record("requests of kept channels that were passed on to a sound "
                  "engine and ended without an answer: %d, %d allowed"
