--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 SLOTS = 6
 QUEUE = 2        # requests that wait for a slot; further ones are rejected
 WORK_S = 0.015   # mean
-SPOILED = 0.03   # garble "extra late": x, of all answers
+SPOILED = 0.03   # garble "extra late": x, of the answers in a spell
 LATE_S = 0.006
 TROUBLE_S = 5.0  # garble "extra late": for_s
 PAUSE_S = 3.0    # between two such spells
@@ -31,10 +31,13 @@
         self.answers = 0
         self.rejections = 0
         self.repeated = 0
+        self.spell_answers = 0
+        self.spell_repeated = 0
         self.in_trouble = False
 
     async def behave(self, engine, request):
         self.answers += 1
+        self.spell_answers += 1
         if self.inside < SLOTS + QUEUE:
             self.inside += 1
             try:
@@ -51,7 +54,9 @@
         engine.fleet.record("engine %s: full, rejects %s" % (engine.id,
                                                              request.id))
         request.answer(503, fields)
-        if self.in_trouble and self.repeated + 1 <= SPOILED * self.answers:
+        if (self.in_trouble and
+                self.spell_repeated + 1 <= SPOILED * self.spell_answers):
+            self.spell_repeated += 1
             self.repeated += 1
             engine.fleet.spawn(self.send_again(engine, request, fields))
         return True
@@ -76,8 +81,11 @@
 async def spells(fleet, faulty):
     """The engine repeats answers for some seconds, and again after a pause."""
     for _ in range(SPELLS):
+        faulty.spell_answers = faulty.spell_repeated = 0
         faulty.in_trouble = f.TROUBLE
         await asyncio.sleep(TROUBLE_S)
+        fleet.record("spell: %d answers, %d of them sent twice"
+                     % (faulty.spell_answers, faulty.spell_repeated))
         faulty.in_trouble = False
         await asyncio.sleep(PAUSE_S)
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,7 @@
 async def client(fleet, router, sent, answers):
     while True:
         request_id = fleet.next_id("booking")
-        sent[request_id] = router
+        sent[request_id] = (router, fleet.record.now())
         answer = await fleet.call(router, "POST", "/book/1", b'{"slot": 17}',
                                   request_id=request_id)
         answers[request_id] = answer.status
@@ -80,10 +80,10 @@
     await asyncio.sleep(1)
     begin = max(acked + DRAIN_S, in_touch)
     late = [arrival for arrival in leaving.arrivals
-            if arrival[0] > begin and sent[arrival[1]] == cut_off]
+            if sent[arrival[1]][0] == cut_off and sent[arrival[1]][1] > begin]
     fleet.record("the store accepted the removal at %.3f; %s is in touch from "
                  "%.3f on" % (acked, cut_off.name, in_touch))
-    fleet.record("requests that reached the engine through %s later than "
+    fleet.record("requests that reached the engine, sent to %s later than "
                  "that and %.1f s after the removal: %d, the last %.1f s after"
                  % (cut_off.name, DRAIN_S, len(late),
                     late[-1][0] - acked if late else 0))
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -647,7 +647,8 @@
 
     async def call(self, method, target, body=b"", deadline_ms=3000,
                    request_id=None):
-        """Status 0: the channel has ended without a complete answer."""
+        """Status 0: the channel has ended without a complete answer; None: the
+        client has waited for 1 s beyond its time limit."""
         request_id = request_id or self.fleet.next_id()
         self.fleet.record("client: sends %s %s %s to %s" % (
             request_id, method, target, self.router.name))
@@ -660,12 +661,13 @@
             status = await asyncio.wait_for(
                 self._call(method, target, body, deadline_ms, request_id),
                 deadline_ms / 1000 + 1)
-        except (asyncio.TimeoutError, asyncio.IncompleteReadError,
-                ConnectionError, OSError):
+        except asyncio.TimeoutError:
+            status = None
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
             status = 0
         self.fleet.record("client: %s ended with %s" % (request_id, status or
                                                         "no answer"))
-        if status == 0:
+        if not status:
             self.close()
         return status
 
