channel: an answer that is given up while it is parsed frees nothing in use

Cause: the last request of an endpoint whose entry was removed holds the last reference to it. When its answer is given up inside the parser's data callback (an event that does not end, an answer above 16 MiB), the exchange releases the endpoint, and channel_pool_free() frees the closed channel that http1_feed() and parse_input() still use.

Ruled out: callers are freed from the event loop only; the head and end callbacks do not close a channel inside the parser; links free themselves behind their callbacks (in_callback).

Change: a channel that is being parsed outlives the owner of its pool; parse_input() frees both when it returns.

Conclusion: no callback can free the channel under its parser any more, whatever releases the endpoint.

--- a/net/channel.c
+++ b/net/channel.c
@@ -38,6 +38,7 @@
     struct event *timer;
     struct input_deferral deferral;
     int64_t written_ms; ///< first bytes of the request; 0: not yet
+    bool parsing;       ///< parse_input() uses it, also when closed
     bool skipping;
     size_t skipped_bytes; ///< before the answer to this request
     bool rejected;
@@ -54,22 +55,37 @@
     struct event *free_closed_event;
     size_t connections;
     size_t connections_total;
+    bool released; ///< by its owner; freed with the last channel
 };
 
+/// Frees the closed channels that are not being parsed, and a released pool
+/// with the last of them.
 static void
-free_closed_channels(evutil_socket_t fd, short events, void *ctx)
+free_closed_channels(struct channel_pool *pool)
 {
-    struct channel_pool *pool = ctx;
     struct channel *channel, *next;
 
-    (void)fd;
-    (void)events;
     DL_FOREACH_SAFE(pool->closed, channel, next)
     {
+        if (channel->parsing) {
+            continue;
+        }
         DL_DELETE(pool->closed, channel);
         http1_destroy(&channel->http);
         free(channel);
     }
+    if (pool->released && pool->closed == NULL) {
+        event_free(pool->free_closed_event);
+        free(pool);
+    }
+}
+
+static void
+on_free_closed(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    free_closed_channels(ctx);
 }
 
 struct channel_pool *
@@ -79,7 +95,7 @@
 
     pool->options = *options;
     pool->free_closed_event =
-        event_new(options->base, -1, 0, free_closed_channels, pool);
+        event_new(options->base, -1, 0, on_free_closed, pool);
     return pool;
 }
 
@@ -114,9 +130,8 @@
     while (pool->channels != NULL) {
         close_channel(pool->channels);
     }
-    free_closed_channels(-1, 0, pool);
-    event_free(pool->free_closed_event);
-    free(pool);
+    pool->released = true;
+    free_closed_channels(pool);
 }
 
 static void
@@ -260,9 +275,8 @@
     .end = on_end,
 };
 
-/// Parses the received bytes; true if the response is still incomplete.
 static bool
-parse_input(struct channel *channel)
+parse_responses(struct channel *channel)
 {
     struct evbuffer *input = bufferevent_get_input(channel->bufferevent);
     bool skipped;
@@ -303,6 +317,23 @@
     return true;
 }
 
+/// Parses the received bytes; true if the response is still incomplete. If it
+/// returns false, the channel may have been freed with its pool.
+static bool
+parse_input(struct channel *channel)
+{
+    struct channel_pool *pool = channel->pool;
+    bool incomplete;
+
+    channel->parsing = true;
+    incomplete = parse_responses(channel);
+    channel->parsing = false;
+    if (pool->released) {
+        free_closed_channels(pool);
+    }
+    return incomplete;
+}
+
 static void
 on_read(struct bufferevent *bufferevent, void *ctx)
 {
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -18,6 +18,9 @@
 #define ANSWER_MS (TIMEOUT_MS + 500)
 /// Requests until the faulty one of two endpoints is chosen.
 #define ATTEMPTS_MAX 60
+/// Work of an endpoint that is removed meanwhile.
+#define LEAVING_WORK_US 800000
+#define FREED_BYTE 0x5a
 
 #if defined(__SANITIZE_ADDRESS__)
 size_t __sanitizer_get_current_allocated_bytes(void);
@@ -224,6 +227,59 @@
     direct_harness_stop(&harness);
 }
 
+struct removal_case {
+    enum origin_fault fault;
+    const char *path;
+};
+
+/// The last request of a removed endpoint releases its connections while the
+/// bytes of the answer that ends it are being parsed.
+static void
+test_removed_endpoint(void)
+{
+    static const struct removal_case cases[] = {
+        {ORIGIN_ENDLESS_EVENT, "/stream/chat/"},
+        {ORIGIN_ENDLESS_BODY, "/book/"},
+    };
+    struct direct_harness harness;
+
+    // Freed memory does not look intact.
+    mallopt(M_PERTURB, FREED_BYTE);
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct direct_call call = {0}, other = {0};
+
+        direct_harness_start(&harness, &(struct direct_harness_options){
+                                           .routers = 1,
+                                           .origins = 1,
+                                           .events = 3,
+                                           .work_us = LEAVING_WORK_US,
+                                       });
+        direct_harness_configure(&harness, "key", false, TIMEOUT_MS);
+        direct_harness_run(&harness, 200);
+        origin_set_fault(harness.origins[0], cases[i].fault);
+        origin_set_fault(harness.orders, cases[i].fault);
+        direct_call_start(&harness, 0, &call, "POST", cases[i].path, "last",
+                          NULL, "x");
+        direct_harness_run(&harness, LEAVING_WORK_US / 4000);
+        CU_ASSERT(direct_harness_runs(&harness) == 1);
+        direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                                 NULL);
+        direct_harness_put_entry(&harness, "o-0", harness.orders, "orders",
+                                 NULL);
+        CU_ASSERT(direct_harness_wait(&harness, direct_call_ended, &call,
+                                      ANSWER_MS));
+        CU_ASSERT(call.status >= 500 || call.end != CHANNEL_COMPLETE);
+        // The router still answers: it has no endpoint left.
+        direct_call_do(&harness, 0, &other, "GET", "/look/", "next", NULL,
+                       NULL);
+        CU_ASSERT(other.status == 503);
+        direct_call_free(&call);
+        direct_call_free(&other);
+        direct_harness_stop(&harness);
+    }
+    mallopt(M_PERTURB, 0);
+}
+
 void
 suite_endless(void)
 {
@@ -232,4 +288,5 @@
     CU_add_test(suite, "repeatable", test_repeatable);
     CU_add_test(suite, "once", test_once);
     CU_add_test(suite, "many at once", test_many_at_once);
+    CU_add_test(suite, "removed endpoint", test_removed_endpoint);
 }
