sse: an open event is scanned once, not again for every piece

What callers saw: nothing for seconds. An endpoint that sends an event without an end in small chunks kept the router in complete_bytes(); found by "endless: removed endpoint", which exceeded its bound beside busy processes.

Cause: sse_buffer_take() scanned the whole open event for each piece; 256 KB in 8-byte chunks are 4 GB to scan.

Change: the buffer keeps how far it has been scanned and where the open line starts.

Evidence: "place: long event in small pieces" failed before (the suite took 5.28 s) and passes now (0.10 s); 500 cases of the properties hold; the endless suite passed twice beside ten busy processes, where it failed in two of four runs before.

Conclusion: the time for an event is linear in its length.

--- a/core/sse.c
+++ b/core/sse.c
@@ -45,6 +45,8 @@
     if (buffer->taken > 0) {
         buffer->len -= buffer->taken;
         memmove(buffer->bytes, buffer->bytes + buffer->taken, buffer->len);
+        buffer->scanned -= buffer->taken;
+        buffer->line_start -= buffer->taken;
         buffer->taken = 0;
     }
 }
@@ -87,9 +89,9 @@
 complete_bytes(struct sse_buffer *buffer)
 {
     size_t complete = 0;
-    size_t start = 0;
+    size_t start = buffer->line_start;
 
-    for (size_t at = 0; at < buffer->len; at++) {
+    for (size_t at = buffer->scanned; at < buffer->len; at++) {
         bool is_blank;
 
         if (buffer->bytes[at] != '\n') {
@@ -110,6 +112,8 @@
         }
         start = at + 1;
     }
+    buffer->scanned = buffer->len;
+    buffer->line_start = start;
     return complete;
 }
 
@@ -120,6 +124,7 @@
     *len = complete_bytes(buffer);
     if (all) {
         *len = buffer->len;
+        buffer->line_start = buffer->len;
     }
     buffer->taken = *len;
     return buffer->bytes;
@@ -136,4 +141,6 @@
 {
     buffer->len = 0;
     buffer->taken = 0;
+    buffer->scanned = 0;
+    buffer->line_start = 0;
 }
--- a/core/sse.h
+++ b/core/sse.h
@@ -27,7 +27,9 @@
     char *bytes;
     size_t len;
     size_t size;
-    size_t taken; ///< bytes at the start that sse_buffer_take() returned
+    size_t taken;      ///< bytes at the start that sse_buffer_take() returned
+    size_t scanned;    ///< bytes in which the ends of events were looked for
+    size_t line_start; ///< of the line that `scanned` ends in
     char last_id[SSE_ID_BYTES_MAX];
     size_t last_id_len;
 };
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <CUnit/CUnit.h>
 
@@ -24,6 +25,8 @@
 #define RUN_STEPS 60
 #define CAP_FACTOR 2
 #define CAP_SLACK 3
+/// Processor time to scan an event of SSE_EVENT_BYTES_MAX.
+#define LONG_EVENT_CPU_MAX (CLOCKS_PER_SEC / 5)
 
 /// Endpoints of a router with exact, immediate knowledge of every load, in
 /// steps of equal length.
@@ -637,6 +640,28 @@
     sse_buffer_destroy(&events);
 }
 
+/// An event that does not end and comes in small pieces takes time linear in
+/// its length; else it holds up all other callers of the router.
+static void
+test_long_event(void)
+{
+    struct sse_buffer events;
+    clock_t started = clock();
+    size_t len;
+
+    sse_buffer_init(&events);
+    for (size_t sent = 0; sent < SSE_EVENT_BYTES_MAX; sent += 8) {
+        append_text(&events, "dddddddd");
+        sse_buffer_take(&events, false, &len);
+        CU_ASSERT_FATAL(len == 0);
+    }
+    append_text(&events, "\n\n");
+    sse_buffer_take(&events, false, &len);
+    CU_ASSERT(len == SSE_EVENT_BYTES_MAX + 2);
+    CU_ASSERT(clock() - started < LONG_EVENT_CPU_MAX);
+    sse_buffer_destroy(&events);
+}
+
 void
 suite_place(void)
 {
@@ -662,4 +687,5 @@
     CU_add_test(suite, "eject: down", test_eject_down);
     CU_add_test(suite, "retry-after spreads", test_retry_after_spreads);
     CU_add_test(suite, "events", test_events);
+    CU_add_test(suite, "long event in small pieces", test_long_event);
 }
