--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -488,6 +488,25 @@
     direct_harness_stop(&harness);
 }
 
+/// The store does not answer the waiting read of the standby on a new record
+/// that is too large for peers to send: the standby reads it anew in time,
+/// instead of when its long wait ends.
+static void
+test_standby_misses_large_configuration(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 4, 0);
+    direct_harness_run(&harness, 2500);
+    keyed_store_set_fault(harness.store, KEYED_STORE_NO_READ_NOTIFY);
+    publish_large(&harness);
+    direct_harness_run(&harness, IN_FORCE_MS - 200);
+    for (size_t i = 0; i < 4; i++) {
+        CU_ASSERT(status_of(&harness, i, "/added/") == 200);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// Routers that read the entries for all stop: another router reads in time.
 static void
 test_reader_is_replaced(void)
@@ -535,6 +554,8 @@
     CU_add_test(suite, "configuration call rate",
                 test_configuration_call_rate);
     CU_add_test(suite, "large configuration", test_large_configuration);
+    CU_add_test(suite, "standby misses large configuration",
+                test_standby_misses_large_configuration);
     CU_add_test(suite, "restart call rate", test_restart_call_rate);
     CU_add_test(suite, "large deployment", test_large_deployment);
     CU_add_test(suite, "reader is replaced", test_reader_is_replaced);
