records, relay: a peer that may know removed keys gets a listing

Cause: the router could not reach the store while the entry was removed and its peers were down. They listed the store when they started. A listing has no removed keys, so they had no record of the removal; still they answered a request for the records since the router's end with MESSAGE_REACHED, the router took their end over and read the store from there.

Ruled out: the store, the lapse grace, tombstones of routers that read all the time.

Change: the records state from which offset on all removals are stored; a listing, evicted removals and what a peer of an earlier version sends raise it. A request for records from before it is answered with a listing (MESSAGE_LISTING, version 4 of the messages between routers); what is not in it is removed. Listings by the store and by a peer may overlap. A peer of an earlier version is told to read the store itself.

Conclusion: no router takes an end over without the removals before it, unless its peer has an earlier version and the store does not answer.

--- a/core/message.c
+++ b/core/message.c
@@ -162,6 +162,7 @@
         [MESSAGE_BEATS] = 1,         [MESSAGE_WANT_SMALL] = 2,
         [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
+        [MESSAGE_LISTING] = 2,
     };
 
     return counts[type];
@@ -274,6 +275,7 @@
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
+    case MESSAGE_LISTING:
     case MESSAGE_REACHED:
         put_uint(packer, m->position.topic);
         put_uint(packer, m->position.offset);
@@ -726,6 +728,7 @@
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
+    case MESSAGE_LISTING:
     case MESSAGE_REACHED:
         m->position.topic =
             (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
@@ -1017,6 +1020,7 @@
         [MESSAGE_PACKED] = "packed",
         [MESSAGE_BLAMES] = "blames",
         [MESSAGE_ANSWERED] = "answered",
+        [MESSAGE_LISTING] = "listing",
     };
 
     return names[type];
--- a/core/records.c
+++ b/core/records.c
@@ -13,7 +13,7 @@
 
 struct entry {
     struct record record;
-    bool listed;
+    bool listed[RECORDS_SOURCE_COUNT];
     UT_hash_handle hh;
 };
 
@@ -21,6 +21,7 @@
     struct entry *entries;
     int64_t end;
     size_t removed;
+    int64_t removals_from;
 };
 
 struct records {
@@ -80,6 +81,9 @@
         }
     }
     if (oldest != NULL) {
+        if (oldest->record.offset >= topic->removals_from) {
+            topic->removals_from = oldest->record.offset + 1;
+        }
         entry_free(topic, oldest);
     }
 }
@@ -99,6 +103,14 @@
     }
 }
 
+static void
+mark_listed(struct entry *entry)
+{
+    for (size_t i = 0; i < RECORDS_SOURCE_COUNT; i++) {
+        entry->listed[i] = true;
+    }
+}
+
 bool
 records_apply(struct records *records, const struct record *record)
 {
@@ -108,7 +120,7 @@
 
     HASH_FIND(hh, topic->entries, record->key.data, record->key.len, entry);
     if (entry != NULL) {
-        entry->listed = true;
+        mark_listed(entry);
         if (record->offset <= entry->record.offset) {
             return false;
         }
@@ -118,7 +130,7 @@
         entry->record.topic = record->topic;
         entry->record.key = str_copy(record->key);
         entry->record.offset = -1;
-        entry->listed = true;
+        mark_listed(entry);
         HASH_ADD_KEYPTR(hh, topic->entries, entry->record.key.data,
                         entry->record.key.len, entry);
     }
@@ -150,18 +162,37 @@
 }
 
 void
-records_list_begin(struct records *records, enum record_topic topic)
+records_skip_to(struct records *records, enum record_topic topic, int64_t end)
+{
+    struct topic *state = &records->topics[topic];
+
+    if (end > state->end) {
+        state->end = end;
+        state->removals_from = end;
+    }
+}
+
+int64_t
+records_removals_from(const struct records *records, enum record_topic topic)
+{
+    return records->topics[topic].removals_from;
+}
+
+void
+records_list_begin(struct records *records, enum record_topic topic,
+                   enum records_source source)
 {
     struct entry *entry, *next;
 
     HASH_ITER(hh, records->topics[topic].entries, entry, next)
     {
-        entry->listed = false;
+        entry->listed[source] = false;
     }
 }
 
 void
-records_list_end(struct records *records, enum record_topic topic, int64_t end)
+records_list_end(struct records *records, enum record_topic topic,
+                 enum records_source source, int64_t end)
 {
     struct entry *entry, *next;
 
@@ -169,7 +200,7 @@
     {
         struct record removal = entry->record;
 
-        if (entry->listed || entry->record.removed ||
+        if (entry->listed[source] || entry->record.removed ||
             entry->record.offset >= end) {
             continue;
         }
@@ -179,7 +210,7 @@
         removal.value = (struct str){0};
         records_apply(records, &removal);
     }
-    records_set_end(records, topic, end);
+    records_skip_to(records, topic, end);
 }
 
 void
--- a/core/records.h
+++ b/core/records.h
@@ -15,6 +15,13 @@
     RECORDS_TOPIC_COUNT,
 };
 
+/// Who lists a topic; listings of both may overlap.
+enum records_source {
+    RECORDS_FROM_STORE,
+    RECORDS_FROM_PEER,
+    RECORDS_SOURCE_COUNT,
+};
+
 struct record {
     enum record_topic topic;
     struct str key;
@@ -49,9 +56,21 @@
 /// Starts a complete listing of a topic, whose records are passed to
 /// records_apply(). records_list_end() removes the keys that were not listed
 /// and whose offset is below `end`.
-void records_list_begin(struct records *records, enum record_topic topic);
+void records_list_begin(struct records *records, enum record_topic topic,
+                        enum records_source source);
 void records_list_end(struct records *records, enum record_topic topic,
-                      int64_t end);
+                      enum records_source source, int64_t end);
+
+/// Like records_set_end(), for records that were received without the removals
+/// of keys that are not stored.
+void records_skip_to(struct records *records, enum record_topic topic,
+                     int64_t end);
+
+/// The offset from which on the removals of all keys are stored. Before it
+/// they may be missing: a listing has no removed keys, and old removals are
+/// evicted.
+int64_t records_removals_from(const struct records *records,
+                              enum record_topic topic);
 
 /// Calls `callback` for each record of the topic from this offset on,
 /// including removed ones that are still stored.
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -59,7 +59,7 @@
 static bool
 takes_blames(const struct peer *peer)
 {
-    return link_version(peer->link) >= MESSAGE_VERSION_ROUTERS;
+    return link_version(peer->link) >= MESSAGE_VERSION_BLAMES;
 }
 
 /// Identifies a router's process.
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -31,8 +31,9 @@
     char address[ADDRESS_TEXT_BYTES]; ///< where the peer accepts links
     uint64_t id;
     uint64_t ends[RECORDS_TOPIC_COUNT];
-    int64_t ends_reported_ms; ///< when `ends` was last received
-    bool reads_endpoints;     ///< as a peer of version 1 states
+    int64_t ends_reported_ms;        ///< when `ends` was last received
+    bool reads_endpoints;            ///< as a peer of version 1 states
+    bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
     struct peer *next;
 };
 
@@ -43,6 +44,7 @@
     /// Until then records are requested from peers whatever their size, since
     /// the store has failed to send them.
     int64_t any_size_until_ms;
+    uint64_t lister; ///< peer whose listing began last; 0: none
 };
 
 struct mesh {
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -170,10 +170,25 @@
     return mesh->packed.value;
 }
 
+/// Routers that do not answer are given up: the removal of their records is
+/// not used.
+static bool
+uses_removals(enum record_topic topic)
+{
+    return topic != RECORDS_ROUTERS;
+}
+
+static bool
+takes_listings(const struct peer *peer)
+{
+    return link_version(peer->link) >= MESSAGE_VERSION_LISTINGS;
+}
+
 /// Records of a topic on their way to a peer.
 struct transfer {
     struct mesh *mesh;
     const struct peer *peer;
+    bool is_listing; ///< without the removed keys
     size_t bytes;
 };
 
@@ -182,6 +197,9 @@
 {
     struct transfer *transfer = ctx;
 
+    if (transfer->is_listing && record->removed) {
+        return;
+    }
     transfer->bytes += is_packed(transfer->peer, record)
                            ? packed_value(transfer->mesh, record).len
                            : record->value.len;
@@ -192,6 +210,9 @@
 {
     const struct transfer *transfer = ctx;
 
+    if (transfer->is_listing && record->removed) {
+        return;
+    }
     if (is_packed(transfer->peer, record)) {
         link_send(transfer->peer->link,
                   &(struct message){
@@ -215,6 +236,8 @@
               });
 }
 
+/// Sends the records from the requested offset on, or a listing if the
+/// requester may know keys whose removal is not stored here.
 static void
 send_records(struct mesh *mesh, const struct link *link,
              const struct message *request)
@@ -222,20 +245,38 @@
     const struct records *records = mesh->options.records;
     enum record_topic topic = (enum record_topic)request->position.topic;
     int64_t offset = (int64_t)request->position.offset;
-    struct transfer transfer = {mesh, mesh_find_peer(mesh, link), 0};
+    bool is_complete = !uses_removals(topic) ||
+                       offset >= records_removals_from(records, topic);
+    struct transfer transfer = {
+        .mesh = mesh,
+        .peer = mesh_find_peer(mesh, link),
+    };
 
     if (transfer.peer == NULL) {
         return;
     }
+    transfer.is_listing = !is_complete && takes_listings(transfer.peer);
+    if (transfer.is_listing) {
+        offset = 0;
+    }
     records_each_since(records, topic, offset, add_bytes, &transfer);
     if (request->type == MESSAGE_WANT_SMALL &&
-        transfer.bytes > SMALL_BYTES_MAX) {
+        (transfer.bytes > SMALL_BYTES_MAX ||
+         (!is_complete && !transfer.is_listing))) {
         link_send(transfer.peer->link, &(struct message){
                                            .type = MESSAGE_OVERSIZE,
                                            .position = request->position,
                                        });
         return;
     }
+    if (transfer.is_listing) {
+        link_send(transfer.peer->link,
+                  &(struct message){
+                      .type = MESSAGE_LISTING,
+                      .position.topic = (uint32_t)topic,
+                      .position.offset = (uint64_t)records_end(records, topic),
+                  });
+    }
     records_each_since(records, topic, offset, send_record, &transfer);
     link_send(transfer.peer->link,
               &(struct message){
@@ -273,19 +314,53 @@
     free((char *)value.data);
 }
 
+static void
+handle_listing(struct mesh *mesh, const struct link *link,
+               enum record_topic topic)
+{
+    struct peer *peer = mesh_find_peer(mesh, link);
+
+    if (peer == NULL) {
+        return;
+    }
+    peer->lists[topic] = true;
+    mesh->topics[topic].lister = peer->id;
+    records_list_begin(mesh->options.records, topic, RECORDS_FROM_PEER);
+}
+
 static void
 handle_reached(struct mesh *mesh, struct link *link, enum record_topic topic,
                uint64_t offset)
 {
-    int64_t before = records_end(mesh->options.records, topic);
+    struct records *records = mesh->options.records;
+    struct peer *peer = mesh_find_peer(mesh, link);
+    int64_t before = records_end(records, topic);
+    bool is_listing;
 
+    if (peer == NULL) {
+        return;
+    }
+    is_listing = peer->lists[topic];
+    peer->lists[topic] = false;
+    if (is_listing && mesh->topics[topic].lister != peer->id) {
+        // The listing of another peer has begun meanwhile.
+        return;
+    }
     LOG_INFO("event=records-from-peer peer=" STR_FMT " topic=%s before=%lld "
-             "offset=%llu",
+             "offset=%llu listing=%d",
              STR_ARG(link_peer_name(link)), record_topic_name(topic),
-             (long long)before, (unsigned long long)offset);
-    records_set_end(mesh->options.records, topic, (int64_t)offset);
+             (long long)before, (unsigned long long)offset, is_listing);
+    if (is_listing) {
+        records_list_end(records, topic, RECORDS_FROM_PEER, (int64_t)offset);
+    }
+    else if (takes_listings(peer)) {
+        records_set_end(records, topic, (int64_t)offset);
+    }
+    else {
+        records_skip_to(records, topic, (int64_t)offset);
+    }
     mesh->topics[topic].requested_ms = 0;
-    if (records_end(mesh->options.records, topic) > before) {
+    if (records_end(records, topic) > before) {
         mesh->ends_changed = true;
     }
     mesh->options.caught_up(mesh->options.ctx, topic);
@@ -371,6 +446,9 @@
         mesh->options.fetch(mesh->options.ctx,
                             (enum record_topic)message->position.topic);
         return true;
+    case MESSAGE_LISTING:
+        handle_listing(mesh, link, (enum record_topic)message->position.topic);
+        return true;
     case MESSAGE_RECORD:
         records_apply(mesh->options.records,
                       &(struct record){
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -12,10 +12,12 @@
 /// Version of the messages between routers and agents, and the oldest one
 /// between routers.
 #define MESSAGE_VERSION 1
-/// Version of the messages between routers, and the first one with beats and
-/// compressed records.
-#define MESSAGE_VERSION_ROUTERS 3
+/// Version of the messages between routers, and the first ones with beats and
+/// compressed records, with blames, and with listings.
+#define MESSAGE_VERSION_ROUTERS 4
 #define MESSAGE_VERSION_BEATS 2
+#define MESSAGE_VERSION_BLAMES 3
+#define MESSAGE_VERSION_LISTINGS 4
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -58,6 +60,9 @@
     // Version 3:
     MESSAGE_BLAMES,   ///< parts of prompts whose requests crashed endpoints
     MESSAGE_ANSWERED, ///< blamed parts with which answers have begun
+    // Version 4:
+    MESSAGE_LISTING, ///< all keys follow that exist before an offset, up to
+                     ///< MESSAGE_REACHED: others have been removed
     MESSAGE_TYPE_END,
 };
 
@@ -298,7 +303,7 @@
         struct {
             uint32_t topic;
             uint64_t offset;
-        } position; ///< MESSAGE_WANT, _WANT_SMALL, _OVERSIZE and _REACHED
+        } position; ///< _WANT, _WANT_SMALL, _OVERSIZE, _LISTING and _REACHED
         struct {
             uint32_t topic;
             uint64_t offset;
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -19,6 +19,8 @@
 #define DRAIN_MS 2000
 /// Longer than the wait and the time-out of a read.
 #define OUTAGE_MS 3500
+/// Until a router that starts has listed the store and is linked.
+#define START_MS 2000
 
 struct expectation {
     struct direct_harness *harness;
@@ -507,6 +509,35 @@
     direct_harness_stop(&harness);
 }
 
+/// An entry is removed while one router is cut off from the store and its
+/// peers are down. They list the store without that entry when they start
+/// again, and the router learns of the removal from them.
+static void
+test_removal_while_peers_restart(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 3, 1);
+    CU_ASSERT(status_of(&harness, 2, "/look/") == 200);
+    for (size_t i = 0; i < 2; i++) {
+        direct_harness_stop_router(&harness, i);
+    }
+    direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                             NULL);
+    direct_harness_run(&harness, 500);
+    for (size_t i = 0; i < 2; i++) {
+        direct_harness_start_router(&harness, i);
+    }
+    direct_harness_run(&harness, START_MS + DRAIN_MS);
+    before = origin_runs(harness.origins[0]);
+    for (int i = 0; i < 10; i++) {
+        CU_ASSERT(status_of(&harness, 2, "/look/") == 200);
+    }
+    CU_ASSERT(origin_runs(harness.origins[0]) == before);
+    direct_harness_stop(&harness);
+}
+
 /// Routers that read the entries for all stop: another router reads in time.
 static void
 test_reader_is_replaced(void)
@@ -559,4 +590,6 @@
     CU_add_test(suite, "restart call rate", test_restart_call_rate);
     CU_add_test(suite, "large deployment", test_large_deployment);
     CU_add_test(suite, "reader is replaced", test_reader_is_replaced);
+    CU_add_test(suite, "removal while peers restart",
+                test_removal_while_peers_restart);
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -179,8 +179,9 @@
         uint32_t dialing;
         uint32_t accepting;
         uint32_t agreed;
-    } cases[] = {{0, 0, 1}, {1, 1, 1}, {2, 2, 2}, {1, 2, 1}, {2, 1, 1},
-                 {2, 3, 2}, {3, 2, 2}, {3, 3, 3}, {3, 1, 1}, {1, 3, 1}};
+    } cases[] = {{3, 4, 3}, {4, 3, 3}, {4, 4, 4}, {0, 0, 1}, {1, 1, 1},
+                 {2, 2, 2}, {1, 2, 1}, {2, 1, 1}, {2, 3, 2}, {3, 2, 2},
+                 {3, 3, 3}, {3, 1, 1}, {1, 3, 1}};
 
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         struct pair pair;
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include <CUnit/CUnit.h>
@@ -5,6 +6,8 @@
 #include "core/records.h"
 #include "suites.h"
 
+#define REMOVALS_STORED_MAX 2000
+
 /// What the callback received.
 struct seen {
     int changes;
@@ -83,10 +86,10 @@
 
     put(records, "a", 1, "x");
     put(records, "b", 2, "x");
-    records_list_begin(records, RECORDS_ENDPOINTS);
+    records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
     put(records, "a", 1, "x");
     put(records, "c", 12, "x");
-    records_list_end(records, RECORDS_ENDPOINTS, 10);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
     CU_ASSERT(seen.removed == 1);
     CU_ASSERT(!put(records, "b", 5, "y"));
     CU_ASSERT(put(records, "b", 11, "y"));
@@ -117,6 +120,60 @@
     records_free(records);
 }
 
+/// Removals before the end of a listing are not stored, and those that are
+/// evicted no longer are.
+static void
+test_removals_from(void)
+{
+    struct seen seen = {0};
+    struct records *records = records_new(
+        &(struct records_options){.changed = on_changed, .ctx = &seen});
+    int64_t offset = 20;
+
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 0);
+    records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
+    put(records, "a", 1, "x");
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
+    records_set_end(records, RECORDS_ENDPOINTS, 15);
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
+    records_skip_to(records, RECORDS_ENDPOINTS, 12);
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
+    records_skip_to(records, RECORDS_ENDPOINTS, 20);
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 20);
+    CU_ASSERT(records_end(records, RECORDS_ENDPOINTS) == 20);
+    for (int i = 0; i <= REMOVALS_STORED_MAX; i++) {
+        char key[16];
+
+        snprintf(key, sizeof(key), "k-%d", i);
+        put(records, key, offset++, NULL);
+    }
+    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 21);
+    records_free(records);
+}
+
+/// Listings by the store and by a peer overlap: the start of one does not make
+/// the other remove what it has listed.
+static void
+test_overlapping_listings(void)
+{
+    struct seen seen = {0};
+    struct records *records = records_new(
+        &(struct records_options){.changed = on_changed, .ctx = &seen});
+
+    put(records, "a", 1, "x");
+    put(records, "b", 2, "x");
+    records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
+    put(records, "a", 1, "x");
+    records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER);
+    put(records, "b", 2, "x");
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
+    CU_ASSERT(seen.removed == 0);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER, 12);
+    CU_ASSERT(seen.removed == 1);
+    records_free(records);
+}
+
 void
 suite_records(void)
 {
@@ -127,4 +184,6 @@
     CU_add_test(suite, "same value", test_same_value);
     CU_add_test(suite, "listing", test_listing);
     CU_add_test(suite, "since", test_since);
+    CU_add_test(suite, "removals from", test_removals_from);
+    CU_add_test(suite, "overlapping listings", test_overlapping_listings);
 }
