attempt: a second offer does not share a connection with the first

Cause: a request that an endpoint rejects is offered to it again if no other is left. The idle connection that was used last is that of the rejection. A late second copy of the rejection bears the request's id, so on_head() takes it as the answer to the second offer, and the caller is told that the request has not run while it runs.

Ruled out: copies on an idle connection (it is closed), before the answer to another request (skipped), without an id (malformed).

Change: a further offer of a request to an endpoint uses a new connection, which no answer to an earlier offer can arrive on. The list of tried endpoints stays whole, so that attempt_start() sees that this is one.

Conclusion: an answer with the request's id on the connection of an offer belongs to this offer.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -543,9 +543,20 @@
     return str_from(text);
 }
 
+static bool
+was_offered(const struct exchange *exchange, const struct endpoint *endpoint)
+{
+    for (size_t i = 0; i < exchange->offers; i++) {
+        if (exchange->tried[i] == endpoint->hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 send_request(struct exchange *exchange, struct endpoint *endpoint,
-             const struct endpoint *source)
+             const struct endpoint *source, bool offered_again)
 {
     const struct http1 *head = caller_request_head(exchange->caller);
     struct evbuffer *body = caller_request_body(exchange->caller);
@@ -570,6 +581,9 @@
     const struct channel_request request = {
         .bytes = out,
         .at_most_once = !exchange_is_repeatable(exchange),
+        // On the connection of the earlier offer a second copy of its answer
+        // could not be told from the answer to this one.
+        .fresh = offered_again,
         .no_body = head->parser.method == HTTP_HEAD,
     };
 
@@ -614,6 +628,7 @@
     struct endpoint *endpoint = choice->endpoint;
     const struct endpoint *source = choice->source;
     const struct place_choice *place = &choice->place;
+    bool offered_again = was_offered(exchange, endpoint);
     uint32_t prompt = prefix_tokens(&exchange->facts.prefix);
     uint32_t cached =
         prefix_estimate_match(endpoint->cache, &exchange->facts.prefix);
@@ -637,7 +652,7 @@
     exchange->progress_ms = exchange->offered_ms;
     log_offer(exchange, choice, cached);
     counter_add(direct_counters(exchange->direct), COUNTER_OFFERS, 1);
-    send_request(exchange, endpoint, source);
+    send_request(exchange, endpoint, source, offered_again);
     if (exchange->channel == NULL) {
         on_end(exchange, CHANNEL_UNSENT, "no connection");
         return;
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -19,8 +19,11 @@
                          exchange->priority);
 }
 
+/// Chooses an endpoint; the first `skipped` ones that were tried may be chosen
+/// again.
 static bool
-choose(struct exchange *exchange, struct endpoints_choice *choice)
+choose(struct exchange *exchange, size_t skipped,
+       struct endpoints_choice *choice)
 {
     struct direct *direct = exchange->direct;
     const struct catalog_service *service =
@@ -28,8 +31,8 @@
     const struct endpoints_query query = {
         .service = exchange->service,
         .prefix = &exchange->facts.prefix,
-        .tried = exchange->tried,
-        .tried_count = exchange->offers,
+        .tried = exchange->tried + skipped,
+        .tried_count = exchange->offers - skipped,
     };
     const struct place_request request = {
         .random = direct_random(direct),
@@ -53,14 +56,13 @@
 dispatch_request(struct exchange *exchange)
 {
     struct endpoints_choice choice;
-    bool found = choose(exchange, &choice);
+    bool found = choose(exchange, 0, &choice);
 
     if (!found && exchange->offers > 0 && exchange->runs == 0 &&
         exchange->offers < EXCHANGE_OFFERS_MAX) {
         // No endpoint has run the request: offer it to the first one again,
         // which may have recovered.
-        exchange->tried[0] = 0;
-        found = choose(exchange, &choice);
+        found = choose(exchange, 1, &choice);
     }
     if (found) {
         attempt_start(exchange, &choice);
--- a/net/channel.c
+++ b/net/channel.c
@@ -513,7 +513,8 @@
 channel_send(struct channel_pool *pool, const struct channel_request *request,
              const struct channel_handler *handler)
 {
-    struct channel *channel = find_idle(pool, request->at_most_once);
+    struct channel *channel =
+        request->fresh ? NULL : find_idle(pool, request->at_most_once);
 
     if (channel == NULL) {
         channel = open_channel(pool);
--- a/net/channel.h
+++ b/net/channel.h
@@ -69,6 +69,7 @@
 struct channel_request {
     struct evbuffer *bytes; ///< head and body; drained by channel_send()
     bool at_most_once;      ///< only on a new or recently used connection
+    bool fresh;             ///< only on a new connection
     bool no_body;           ///< the response has no body (HEAD)
 };
 
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -36,6 +36,7 @@
     bool running;
     bool is_stream;
     bool crashes;       ///< at the next timer
+    char shed_id[64];   ///< whose rejection is repeated; empty: none
     const char *filler; ///< repeated until the connection is closed
     uint64_t filler_bytes;
     size_t next_event;
@@ -56,6 +57,7 @@
     } crash;
     struct conn *conns;
     enum origin_fault fault;
+    bool has_shed; ///< since the fault was set
     const char *load;
     const char *contexts;
     uint64_t contexts_queries;
@@ -512,6 +514,27 @@
     reset_request(conn);
 }
 
+/// Sheds the first request, and repeats that answer on its connection while
+/// the next request runs. True if the request does not run.
+static bool
+shed_again(struct conn *conn)
+{
+    struct origin *origin = conn->origin;
+
+    if (!origin->has_shed) {
+        origin->has_shed = true;
+        memcpy(conn->shed_id, conn->id, sizeof(conn->shed_id));
+        refuse(conn, 503);
+        return true;
+    }
+    if (conn->shed_id[0] != '\0') {
+        write_answer(conn, conn->shed_id, 503,
+                     "Dandelionvalve-Not-Executed: 1\r\n", "");
+        conn->shed_id[0] = '\0';
+    }
+    return false;
+}
+
 /// True if streams are sent under this fault.
 static bool
 can_stream(enum origin_fault fault)
@@ -577,6 +600,9 @@
         reset_request(conn);
         return;
     }
+    if (origin->fault == ORIGIN_SHEDS_AGAIN && shed_again(conn)) {
+        return;
+    }
     INVARIANT(origin->runs < RUNS_MAX);
     origin->run_ids[origin->runs++] = xstrdup(conn->id);
     conn->running = true;
@@ -812,6 +838,7 @@
 origin_set_fault(struct origin *origin, enum origin_fault fault)
 {
     origin->fault = fault;
+    origin->has_shed = false;
 }
 
 void
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -42,6 +42,8 @@
     ORIGIN_STREAM_LENGTH_CUT,      ///< its length ends within an event
     ORIGIN_UNFRAMED_KEPT, ///< like ORIGIN_UNFRAMED, Connection: keep-alive
     ORIGIN_OTHER_TYPE,    ///< a 200 with JSON, also where a stream is expected
+    ORIGIN_SHEDS_AGAIN,   ///< sheds one request, and repeats that answer when
+                          ///< it runs the next one of the connection
     // Bytes without end, until the connection is closed:
     ORIGIN_ENDLESS_FIELD,     ///< a field value
     ORIGIN_ENDLESS_FIELDS,    ///< field lines
--- a/standin/platform_document.c
+++ b/standin/platform_document.c
@@ -25,7 +25,11 @@
         "true,\"service\":\"models\",\"max_attempts\":1},"
         "{\"name\":\"book\",\"host\":\"h.example\",\"path_prefix\":\"/book/\","
         "\"kind\":\"non_idempotent\",\"timeout_ms\":%d,\"slo_ms\":300,"
-        "\"priority\":2,\"service\":\"orders\",\"max_attempts\":1}],"
+        "\"priority\":2,\"service\":\"orders\",\"max_attempts\":1},"
+        "{\"name\":\"rebook\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/rebook/\",\"kind\":\"non_idempotent\",\"timeout_ms\":%d,"
+        "\"slo_ms\":300,\"priority\":2,\"service\":\"orders\","
+        "\"max_attempts\":2}],"
         "\"services\":[{\"name\":\"models\",\"max_conns\":100,\"engine\":{"
         "\"slots\":8,\"kv_capacity\":100000,\"kv_token_bytes\":18432,"
         "\"link_mbps\":370000.0}},{\"name\":\"orders\","
@@ -39,5 +43,5 @@
               "\"/added/\",\"kind\":\"idempotent\",\"timeout_ms\":800,"
               "\"slo_ms\":300,\"service\":\"models\",\"max_attempts\":2},"
             : "",
-        timeout_ms, idle_ms, api_keys);
+        timeout_ms, timeout_ms, idle_ms, api_keys);
 }
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -263,6 +263,25 @@
     }
 }
 
+/// A request that was shed is offered to the same endpoint again. A second
+/// copy of the first answer, which bears its id, is not taken as the answer to
+/// the second offer: the endpoint runs it.
+static void
+test_repeated_refusal(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 1);
+    origin_set_fault(harness.orders, ORIGIN_SHEDS_AGAIN);
+    direct_call_do(&harness, 0, &call, "POST", "/rebook/", "id-1", NULL, "b");
+    CU_ASSERT(call.status == 200);
+    CU_ASSERT_STRING_EQUAL(call.body, "answer to id-1, 1 bytes");
+    CU_ASSERT(origin_runs_of(harness.orders, "id-1") == 1);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
 /// A stream that breaks in the middle of an event is resumed at another
 /// endpoint: no event is missing, duplicated or merged of two halves.
 static void
@@ -922,6 +941,7 @@
                 test_once_route_under_faults);
     CU_add_test(suite, "repeatable is retried", test_repeatable_is_retried);
     CU_add_test(suite, "extra answers", test_extra_answers);
+    CU_add_test(suite, "repeated refusal", test_repeated_refusal);
     CU_add_test(suite, "stream is resumed", test_stream_is_resumed);
     CU_add_test(suite, "stream is aborted", test_stream_is_aborted);
     CU_add_test(suite, "trickling stream", test_trickling_stream);
