decode, address: numbers and ports out of range are no endpoint

Reported by other operators: an odd entry among those of the engines ended the machines that read them, or stopped them. Here nothing ended or stopped, but some odd entries were used: port as 80, "80x" as 80, port 0, 2^32 slots as 0 slots. Requests could reach an address of another service.

Ruled out: nesting (100,000 levels: rejected by the parser's limit), a list or read that is given up because of one entry (values are base64 or binary).

Conclusion: an odd entry is rejected with a log line and changes nothing else.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -127,6 +127,21 @@
              facts->state == ENDPOINT_READY ? "ready" : "draining");
 }
 
+/// Port 0 is valid in settings only, where the kernel assigns one.
+static bool
+parse_endpoint_address(struct str text, struct address *address,
+                       struct err *err)
+{
+    if (!address_parse(text, address, err)) {
+        return false;
+    }
+    if (address->port == 0) {
+        return err_set(err, ERR_INPUT, "address", NULL,
+                       "'" STR_FMT "' has no port", STR_ARG(text));
+    }
+    return true;
+}
+
 void
 endpoints_update(struct endpoints *endpoints, struct str id,
                  const struct endpoint_facts *facts, uint64_t cache_tokens_max)
@@ -135,7 +150,7 @@
     struct address address;
     struct err err = {0};
 
-    if (!address_parse(facts->address, &address, &err)) {
+    if (!parse_endpoint_address(facts->address, &address, &err)) {
         LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
                     " detail=\"%s\"",
                     STR_ARG(id), err.message);
--- a/net/address.c
+++ b/net/address.c
@@ -1,6 +1,7 @@
 #include "address.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <arpa/inet.h>
@@ -36,6 +37,17 @@
     }
 }
 
+/// True for a decimal number from 0 to 65535; libevent accepts trailing text
+/// and takes larger numbers modulo 2^32.
+static bool
+is_port(const char *text)
+{
+    size_t len = strlen(text);
+
+    return len > 0 && len <= 5 && strspn(text, "0123456789") == len &&
+           atoi(text) <= UINT16_MAX;
+}
+
 bool
 address_parse(struct str text, struct address *address, struct err *err)
 {
@@ -54,7 +66,7 @@
     if (ephemeral) {
         port[1] = '1';
     }
-    if (port == NULL || port[1] == '\0' ||
+    if (port == NULL || !is_port(port + 1) ||
         evutil_parse_sockaddr_port(
             buffer, (struct sockaddr *)&address->storage, &len) != 0) {
         return err_set(err, ERR_INPUT, "address", NULL,
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -8,6 +8,7 @@
 
 #include "core/xmalloc.h"
 #include "direct/direct_state.h"
+#include "direct/endpoints.h"
 #include "direct_harness.h"
 #include "standin/platform_document.h"
 #include "suites.h"
@@ -21,6 +22,7 @@
 #define OUTAGE_MS 3500
 /// Until a router that starts has listed the store and is linked.
 #define START_MS 2000
+#define NESTED_DEPTH 100000
 
 struct expectation {
     struct direct_harness *harness;
@@ -317,6 +319,66 @@
     direct_harness_stop(&harness);
 }
 
+static void
+put_text(struct direct_harness *harness, const char *id, const char *text)
+{
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, id,
+                    str_from(text));
+}
+
+/// An odd entry of another writer, with a number or a port out of range or
+/// nested deeply, ends no router and is not used. Routers that list it at
+/// their start follow the entries behind it.
+static void
+test_odd_entries(void)
+{
+    static const char *const fields[] = {
+        "\"address\":\"127.0.0.1:0\",\"slots\":8",
+        "\"address\":\"127.0.0.1:65536\",\"slots\":8",
+        "\"address\":\"127.0.0.1:-1\",\"slots\":8",
+        "\"address\":\"127.0.0.1:80x\",\"slots\":8",
+        "\"address\":\"127.0.0.1:4294967376\",\"slots\":8",
+        "\"address\":\"127.0.0.1:99999999999999999999\",\"slots\":8",
+        "\"address\":\"127.0.0.1:1\",\"slots\":4294967296",
+        "\"address\":\"127.0.0.1:1\",\"slots\":9223372036854775807",
+        "\"address\":\"127.0.0.1:1\",\"slots\":18446744073709551616",
+        "\"address\":\"127.0.0.1:1\",\"slots\":1e300",
+        "\"address\":\"127.0.0.1:1\",\"slots\":1e999",
+        "\"address\":\"127.0.0.1:1\",\"slots\":8,\"born\":1e300",
+        "\"address\":\"127.0.0.1:1\",\"slots\":8,\"cold_left_ms\":-1e300",
+    };
+    static char nested[2 * NESTED_DEPTH + 1];
+    struct direct_harness harness;
+
+    memset(nested, '[', NESTED_DEPTH);
+    memset(nested + NESTED_DEPTH, ']', NESTED_DEPTH);
+    start(&harness, 1, 0);
+    for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+        char id[16], text[256];
+
+        snprintf(id, sizeof(id), "x-%zu", i);
+        snprintf(text, sizeof(text),
+                 "{\"service\":\"models\",\"state\":\"ready\",%s}", fields[i]);
+        put_text(&harness, id, text);
+    }
+    put_text(&harness, "x-nested", nested);
+    for (int i = 0; i < 2; i++) {
+        direct_harness_run(&harness, 300);
+        // Two endpoints of "models" and one of "orders".
+        CU_ASSERT(endpoints_count(direct_endpoints(harness.routers[0])) == 3);
+        for (int j = 0; j < 10; j++) {
+            CU_ASSERT(status_of(&harness, 0, "/look/") == 200);
+        }
+        direct_harness_stop_router(&harness, 0);
+        direct_harness_start_router(&harness, 0);
+    }
+    direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                             NULL);
+    direct_harness_run(&harness, 300);
+    CU_ASSERT(endpoints_count(direct_endpoints(harness.routers[0])) == 2);
+    direct_harness_stop(&harness);
+}
+
 /// An endpoint whose entry becomes malformed is removed.
 static void
 test_entry_becomes_malformed(void)
@@ -579,6 +641,7 @@
     CU_add_test(suite, "compaction", test_compaction);
     CU_add_test(suite, "removal after outage", test_removal_after_outage);
     CU_add_test(suite, "malformed entries", test_malformed_entries);
+    CU_add_test(suite, "odd entries", test_odd_entries);
     CU_add_test(suite, "entry becomes malformed",
                 test_entry_becomes_malformed);
     CU_add_test(suite, "store call rate", test_store_call_rate);
