endpoints: an entry with an invalid address removes its endpoint

What callers would see: an endpoint whose entry is overwritten with an address that is none stays in use at the old address, while an entry with any other invalid field removes it.

Cause: endpoints_update() returned before it looked at the endpoint.

Ruled out: entries that cannot be decoded (they remove it already).

Evidence: "direct store: entry gets invalid address" failed before (21 passed, 1 failed) and passes now (22, 0).

Conclusion: an invalid entry has one outcome, whichever field is invalid.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -154,6 +154,9 @@
         LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
                     " detail=\"%s\"",
                     STR_ARG(id), err.message);
+        if (endpoint != NULL) {
+            remove_endpoint(endpoints, endpoint, "invalid address");
+        }
         return;
     }
     if (endpoint != NULL && (endpoint->incarnation != facts->incarnation ||
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -379,6 +379,21 @@
     direct_harness_stop(&harness);
 }
 
+/// An endpoint whose entry gets an address that is none is removed.
+static void
+test_entry_gets_invalid_address(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 1, 0);
+    put_text(&harness, "e-0",
+             "{\"service\":\"models\",\"state\":\"ready\",\"slots\":8,"
+             "\"address\":\"127.0.0.1:70000\",\"born\":1}");
+    direct_harness_run(&harness, 300);
+    CU_ASSERT(endpoints_count(direct_endpoints(harness.routers[0])) == 2);
+    direct_harness_stop(&harness);
+}
+
 /// An endpoint whose entry becomes malformed is removed.
 static void
 test_entry_becomes_malformed(void)
@@ -642,6 +657,8 @@
     CU_add_test(suite, "removal after outage", test_removal_after_outage);
     CU_add_test(suite, "malformed entries", test_malformed_entries);
     CU_add_test(suite, "odd entries", test_odd_entries);
+    CU_add_test(suite, "entry gets invalid address",
+                test_entry_gets_invalid_address);
     CU_add_test(suite, "entry becomes malformed",
                 test_entry_becomes_malformed);
     CU_add_test(suite, "store call rate", test_store_call_rate);
