attempt: a stream that goes on does not end before an event without a length

Reported by other operators: a stream breaks off, the next engine fails, and clients find the error in their stream or take the stream as complete.

Cause: is_broken_stream() accepted an answer without events once the response had started, since the caller might have had them all.

Change: only the answer to a caller that resumes may be empty; else the stream goes on elsewhere, or its connection breaks off and the caller resumes it.

Conclusion: a doubtful end is visible to the caller.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -413,16 +413,17 @@
 
 /// True if a stream ended within an event, or, without a length, before the
 /// first one: an endpoint that crashes behind the head of its answer does so.
+/// A caller that resumes a stream may have all its events already.
 static bool
 is_broken_stream(const struct exchange *exchange)
 {
-    bool is_resumed =
-        exchange->response_started || exchange->facts.last_event_id.len > 0;
+    bool may_be_empty =
+        !exchange->response_started && exchange->facts.last_event_id.len > 0;
 
     return exchange->has_events &&
            (exchange->scan.open_bytes > 0 ||
             (exchange->scan.events == 0 && exchange->ends_with_connection &&
-             !is_resumed));
+             !may_be_empty));
 }
 
 /// Handles a complete answer: passes it to the caller, or retries.
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -9,6 +9,9 @@
 #include "suites.h"
 
 #define EVENTS 8
+#define WORK_US 5000
+/// Time limit of the routes of streams, and some time to notice it.
+#define STREAM_MS 9000
 
 static const char *const stream_paths[] = {"/stream/chat/", "/stream/draft/"};
 
@@ -27,7 +30,7 @@
                                       .routers = 1,
                                       .origins = origins,
                                       .events = EVENTS,
-                                      .work_us = 3000,
+                                      .work_us = WORK_US,
                                   });
     origin_set_fault(harness->origins[0], fault);
     origin_set_fault(harness->orders, fault);
@@ -330,6 +333,66 @@
     direct_harness_stop(&harness);
 }
 
+static bool
+has_run(void *harness)
+{
+    return direct_harness_runs(harness) > 0;
+}
+
+/// A stream breaks off after four of its events, and the endpoint that it goes
+/// on at has `fault`: the caller gets these events and nothing else, and the
+/// stream does not look complete.
+static void
+check_fault_after_events(enum origin_fault fault)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    char whole[512];
+
+    start(&harness, 2, ORIGIN_STREAM_CHUNKS_CUT);
+    origin_set_fault(harness.origins[1], ORIGIN_STREAM_CHUNKS_CUT);
+    format_stream(whole, sizeof(whole), "id", "\n");
+    direct_call_start(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
+                      "x");
+    CU_ASSERT(direct_harness_wait(&harness, has_run, &harness, 1000));
+    origin_set_fault(
+        harness.origins[origin_runs(harness.origins[0]) > 0 ? 1 : 0], fault);
+    CU_ASSERT(
+        direct_harness_wait(&harness, direct_call_ended, &call, STREAM_MS));
+    if (call.end == CHANNEL_COMPLETE || call.body_len != strlen(whole) / 2 ||
+        strncmp(call.body, whole, call.body_len) != 0) {
+        printf("fault %d: end %d body \"%s\"\n", (int)fault, (int)call.end,
+               call.body);
+        CU_FAIL("the stream has other bytes, or looks complete");
+    }
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
+/// Reported: the text of an error, or its head, in the middle of a stream.
+static void
+test_error_after_events(void)
+{
+    static const enum origin_fault faults[] = {
+        ORIGIN_SHEDS,         ORIGIN_FAILS,           ORIGIN_BUSY,
+        ORIGIN_RESETS,        ORIGIN_INVALID_HTTP,    ORIGIN_UNSIGNED,
+        ORIGIN_MISDIRECTED,   ORIGIN_CONTENT_ENCODED, ORIGIN_EARLY_ANSWER,
+        ORIGIN_ENDLESS_ERROR,
+    };
+
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        check_fault_after_events(faults[i]);
+    }
+}
+
+/// An endpoint that a stream goes on at crashes behind the head of its answer,
+/// which has no length.
+static void
+test_no_events_after_events(void)
+{
+    check_fault_after_events(ORIGIN_STREAM_UNFRAMED_NONE);
+}
+
 /// Sends one request again and again to endpoints with this fault; returns how
 /// often it was held as one that crashes endpoints.
 static uint64_t
@@ -415,6 +478,8 @@
                 test_endpoint_that_cuts_streams);
     CU_add_test(suite, "other type after events",
                 test_other_type_after_events);
+    CU_add_test(suite, "error after events", test_error_after_events);
+    CU_add_test(suite, "no events after events", test_no_events_after_events);
     CU_add_test(suite, "crash within an unframed stream",
                 test_crash_within_unframed_stream);
 }
