exchange: a stalled request is not offered beyond the last offer

Cause: handle_stall() did not check EXCHANGE_OFFERS_MAX.

Ruled out: retry_elsewhere() and dispatch_request() check it.

Conclusion: all three ways to a further offer have the same bound.

--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -249,6 +249,7 @@
 {
     bool may_retry = exchange_is_repeatable(exchange) &&
                      exchange->caller != NULL &&
+                     exchange->offers < EXCHANGE_OFFERS_MAX &&
                      exchange->deliveries < exchange->route->endpoints_max &&
                      !blame_holds(exchange->direct, &exchange->facts.prefix,
                                   exchange->id, false) &&
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -8,11 +8,14 @@
 #include <event2/buffer.h>
 
 #include "core/eject.h"
+#include "direct/exchange_state.h"
 #include "direct_harness.h"
 #include "net/http_client.h"
 #include "suites.h"
 
 #define BODY_BYTES 40000
+#define STALLED_CALLS 24
+#define STALLED_STREAMS 12
 
 static void
 start(struct direct_harness *harness, size_t origins)
@@ -282,6 +285,70 @@
     direct_harness_stop(&harness);
 }
 
+static bool
+have_ended(void *ctx)
+{
+    const struct direct_call *calls = ctx;
+
+    for (size_t i = 0; i < STALLED_CALLS; i++) {
+        if (!calls[i].ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Fifteen endpoints refuse connections and the sixteenth is silent: the
+/// request is not offered to a seventeenth, for which there is no room.
+static void
+test_stall_at_last_offer(void)
+{
+    static struct direct_call calls[STALLED_CALLS], streams[STALLED_STREAMS];
+    struct direct_harness harness;
+
+    start(&harness, 2);
+    set_fault_on_all(&harness, ORIGIN_HANGS);
+    // The silent endpoints have requests in flight, so that they are chosen
+    // last.
+    for (size_t i = 0; i < STALLED_STREAMS; i++) {
+        char body[8];
+
+        snprintf(body, sizeof(body), "%zu", i);
+        direct_call_start(&harness, 0, &streams[i], "POST", "/stream/draft/",
+                          body, NULL, body);
+    }
+    direct_harness_run(&harness, 50);
+    for (int i = 0; i < EXCHANGE_OFFERS_MAX - 1; i++) {
+        char id[16], entry[160];
+
+        snprintf(id, sizeof(id), "closed-%d", i);
+        snprintf(entry, sizeof(entry),
+                 "{\"service\":\"models\",\"address\":\"127.0.0.1:1\","
+                 "\"slots\":8,\"state\":\"ready\"}");
+        keyed_store_put(harness.store, KEYED_STORE_TOPIC_ENDPOINTS, id,
+                        str_from(entry));
+    }
+    direct_harness_run(&harness, 300);
+    for (size_t i = 0; i < STALLED_CALLS; i++) {
+        char id[16], path[24];
+
+        snprintf(id, sizeof(id), "id-%zu", i);
+        // Equal requests would be held as one that crashes endpoints.
+        snprintf(path, sizeof(path), "/look/%zu", i);
+        direct_call_start(&harness, 0, &calls[i], "GET", path, id, NULL, NULL);
+        direct_harness_run(&harness, 10);
+    }
+    CU_ASSERT(direct_harness_wait(&harness, have_ended, calls, 5000));
+    for (size_t i = 0; i < STALLED_CALLS; i++) {
+        CU_ASSERT(calls[i].status >= 500);
+        direct_call_free(&calls[i]);
+    }
+    for (size_t i = 0; i < STALLED_STREAMS; i++) {
+        direct_call_free(&streams[i]);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// A stream that breaks in the middle of an event is resumed at another
 /// endpoint: no event is missing, duplicated or merged of two halves.
 static void
@@ -942,6 +1009,7 @@
     CU_add_test(suite, "repeatable is retried", test_repeatable_is_retried);
     CU_add_test(suite, "extra answers", test_extra_answers);
     CU_add_test(suite, "repeated refusal", test_repeated_refusal);
+    CU_add_test(suite, "stall at the last offer", test_stall_at_last_offer);
     CU_add_test(suite, "stream is resumed", test_stream_is_resumed);
     CU_add_test(suite, "stream is aborted", test_stream_is_aborted);
     CU_add_test(suite, "trickling stream", test_trickling_stream);
