endpoints: one whose answers state that it leaves gets no new requests

Cause: the header was not read.

Change: from an answer with the header on, whatever its status and framing, the endpoint is not ready at this router; no record of the same incarnation undoes it. An answer to another request, one without a signature and a 421 (of another endpoint at the address) do not count. /status names the trouble "leaving", and one log line says since when.

Evidence: "direct: leaving endpoint" and "leaving ends with the incarnation" failed without the change of attempt.c and pass with it (29 passed, 0 failed, six times).

--- a/core/wire.h
+++ b/core/wire.h
@@ -47,6 +47,7 @@
     struct str signature; ///< by which the endpoint authenticates the body
     bool not_executed;    ///< the endpoint has not run the request
     bool is_encoded;      ///< the body has a content encoding
+    bool is_leaving;      ///< the endpoint takes no new requests any more
     bool has_load;
     uint32_t running;
     uint32_t waiting;
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -240,6 +240,9 @@
         (facts.signature.len == 0 || facts.is_encoded)) {
         return CHANNEL_REJECT;
     }
+    if (facts.is_leaving && status != 421) {
+        endpoint_note_leaving(exchange->endpoint);
+    }
     if (facts.has_load) {
         endpoint_note_stated_load(exchange->endpoint,
                                   facts.running + facts.waiting,
--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -210,7 +210,7 @@
 
     for (endpoint = endpoints_first(contexts->options.endpoints);
          endpoint != NULL; endpoint = endpoint->hh.next) {
-        if (endpoint->state == ENDPOINT_READY &&
+        if (endpoint_is_ready(endpoint) &&
             contexts->options.caches_prompts(contexts->options.ctx,
                                              endpoint) &&
             is_assigned(contexts, endpoint)) {
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -191,7 +191,7 @@
     if (endpoint == NULL) {
         return;
     }
-    if (endpoint->state == ENDPOINT_READY &&
+    if (endpoint_is_ready(endpoint) &&
         lapse_at_ms > clock_ms(endpoints->options.clock)) {
         endpoint->lapse_at_ms = lapse_at_ms;
         LOG_INFO(
@@ -247,6 +247,27 @@
     return endpoints->all;
 }
 
+bool
+endpoint_is_ready(const struct endpoint *endpoint)
+{
+    return endpoint->state == ENDPOINT_READY && !endpoint->is_leaving;
+}
+
+void
+endpoint_note_leaving(struct endpoint *endpoint)
+{
+    if (endpoint->is_leaving) {
+        return;
+    }
+    endpoint->is_leaving = true;
+    LOG_INFO("event=endpoint-leaving endpoint=" STR_FMT " service=" STR_FMT
+             " incarnation=%lld state=%s in_flight=%u source=answer",
+             STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+             (long long)endpoint->incarnation,
+             endpoint->state == ENDPOINT_READY ? "ready" : "draining",
+             endpoint->in_flight);
+}
+
 static uint32_t
 reported_load(const struct endpoint *endpoint, int64_t now_ms)
 {
@@ -354,7 +375,7 @@
 
     for (endpoint = endpoints->all; endpoint != NULL;
          endpoint = endpoint->hh.next) {
-        if (endpoint->state == ENDPOINT_READY &&
+        if (endpoint_is_ready(endpoint) &&
             str_equal(endpoint->service, service)) {
             count++;
         }
@@ -423,7 +444,7 @@
             eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
-            .usable = endpoint->state == ENDPOINT_READY &&
+            .usable = endpoint_is_ready(endpoint) &&
                       !was_tried(query, endpoint->hash),
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -50,6 +50,7 @@
     struct address address;
     uint64_t hash;
     enum endpoint_state state;
+    bool is_leaving; ///< as its answers state, whatever its entry says
     uint32_t slots;
     int64_t incarnation;
     struct channel_pool *pool;
@@ -123,6 +124,13 @@
                       const struct place_request *request,
                       struct endpoints_choice *choice);
 
+/// An answer of the endpoint states that it leaves: it gets no new requests
+/// until it has another incarnation.
+void endpoint_note_leaving(struct endpoint *endpoint);
+
+/// True if the endpoint takes new requests, by its entry and its answers.
+bool endpoint_is_ready(const struct endpoint *endpoint);
+
 /// Number of ready endpoints of the service, ejected ones included.
 size_t endpoints_ready_count(const struct endpoints *endpoints,
                              struct str service);
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -31,6 +31,9 @@
     if (endpoint->state == ENDPOINT_DRAINING) {
         return "draining";
     }
+    if (endpoint->is_leaving) {
+        return "leaving";
+    }
     if (endpoint->lapse_at_ms > 0) {
         return "lapsed";
     }
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -58,6 +58,8 @@
     struct conn *conns;
     enum origin_fault fault;
     bool has_shed; ///< since the fault was set
+    bool leaving;
+    uint64_t requests;
     const char *load;
     const char *contexts;
     uint64_t contexts_queries;
@@ -119,6 +121,12 @@
     evbuffer_free(out);
 }
 
+static const char *
+leaving_field(const struct conn *conn)
+{
+    return conn->origin->leaving ? "Server-Leaving: 1\r\n" : "";
+}
+
 static void
 write_answer(struct conn *conn, const char *id, int status,
              const char *extra_headers, const char *body)
@@ -126,9 +134,10 @@
     struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
 
     evbuffer_add_printf(out,
-                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s"
+                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s%s"
                         "Content-Length: %zu\r\n\r\n%s",
-                        status, id, extra_headers, strlen(body), body);
+                        status, id, extra_headers, leaving_field(conn),
+                        strlen(body), body);
 }
 
 static void
@@ -195,7 +204,8 @@
     if (conn->origin->load != NULL) {
         evbuffer_add_printf(out, LOAD_FIELD ": %s\r\n", conn->origin->load);
     }
-    evbuffer_add_printf(out, "Content-Type: text/event-stream\r\n");
+    evbuffer_add_printf(out, "%sContent-Type: text/event-stream\r\n",
+                        leaving_field(conn));
     if (is_unframed_stream(conn->origin->fault)) {
         evbuffer_add_printf(out, "\r\n");
     }
@@ -592,6 +602,7 @@
         return;
     }
     origin->last_body_bytes = conn->body_bytes;
+    origin->requests++;
     if (origin->fault == ORIGIN_SHEDS || origin->fault == ORIGIN_MISDIRECTED) {
         refuse(conn, origin->fault == ORIGIN_SHEDS ? 503 : 421);
         return;
@@ -841,6 +852,12 @@
     origin->has_shed = false;
 }
 
+void
+origin_set_leaving(struct origin *origin)
+{
+    origin->leaving = true;
+}
+
 void
 origin_set_contexts(struct origin *origin, const char *rows)
 {
@@ -859,6 +876,12 @@
     origin->load = load;
 }
 
+uint64_t
+origin_requests(const struct origin *origin)
+{
+    return origin->requests;
+}
+
 uint64_t
 origin_runs(const struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -98,12 +98,18 @@
 /// such field. The text is not copied.
 void origin_set_load(struct origin *origin, const char *load);
 
+/// Adds "Server-Leaving: 1" to all answers from now on.
+void origin_set_leaving(struct origin *origin);
+
 /// Sets the rows that /v1/kv-list returns, as JSON; NULL: none. Not copied.
 void origin_set_contexts(struct origin *origin, const char *rows);
 
 /// Queries of /v1/kv-list received.
 uint64_t origin_contexts_queries(const struct origin *origin);
 
+/// Requests received, run or not.
+uint64_t origin_requests(const struct origin *origin);
+
 /// Requests run, requests running now, requests whose connection closed while
 /// they ran, and connections accepted.
 uint64_t origin_runs(const struct origin *origin);
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -996,6 +996,77 @@
     direct_harness_stop(&harness);
 }
 
+/// An endpoint whose answers state that it leaves gets no request afterwards,
+/// though its entry says that it is ready: plain answers, refusals and the
+/// heads of streams.
+static void
+test_leaving_endpoint(void)
+{
+    static const struct {
+        const char *path;
+        enum origin_fault fault;
+    } cases[] = {
+        {"/look/", ORIGIN_OK},
+        {"/look/", ORIGIN_SHEDS},
+        {"/look/", ORIGIN_FAILS},
+        {"/stream/draft/", ORIGIN_OK},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct direct_harness harness;
+
+        start(&harness, 2);
+        origin_set_fault(harness.origins[0], cases[i].fault);
+        origin_set_leaving(harness.origins[0]);
+        for (int j = 0; j < 60; j++) {
+            struct direct_call call = {0};
+            char id[16];
+
+            snprintf(id, sizeof(id), "id-%d", j);
+            direct_call_do(&harness, 0, &call, "POST", cases[i].path, id, NULL,
+                           "x");
+            CU_ASSERT(call.status == 200);
+            direct_call_free(&call);
+            if (j == 30) {
+                // A later record of the same incarnation does not undo it.
+                direct_harness_put_entry(&harness, "e-0", harness.origins[0],
+                                         "models", "ready");
+                direct_harness_run(&harness, 200);
+            }
+        }
+        CU_ASSERT(origin_requests(harness.origins[0]) == 1);
+        direct_harness_stop(&harness);
+    }
+}
+
+/// The only endpoint of a service leaves: requests are refused at once, and
+/// its next incarnation gets them.
+static void
+test_leaving_ends_with_incarnation(void)
+{
+    static const int statuses[] = {200, 503, 200};
+    struct direct_harness harness;
+
+    start(&harness, 1);
+    origin_set_leaving(harness.origins[0]);
+    for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+        struct direct_call call = {0};
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%zu", i);
+        if (i == 2) {
+            direct_harness_put_restarted(&harness, "e-0", harness.origins[0]);
+            direct_harness_run(&harness, 200);
+        }
+        direct_call_do(&harness, 0, &call, "GET", "/look/", id, NULL, NULL);
+        CU_ASSERT(call.status == statuses[i]);
+        CU_ASSERT((call.status == 503) == (call.retry_after[0] != '\0'));
+        direct_call_free(&call);
+    }
+    CU_ASSERT(origin_requests(harness.origins[0]) == 2);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_direct(void)
 {
@@ -1028,6 +1099,9 @@
                 test_free_with_requests_in_flight);
     CU_add_test(suite, "connection reuse", test_connection_reuse);
     CU_add_test(suite, "stated load", test_stated_load);
+    CU_add_test(suite, "leaving endpoint", test_leaving_endpoint);
+    CU_add_test(suite, "leaving ends with the incarnation",
+                test_leaving_ends_with_incarnation);
     CU_add_test(suite, "status", test_status);
     CU_add_test(suite, "contexts are fetched", test_contexts_are_fetched);
     CU_add_test(suite, "contexts from peer", test_contexts_from_peer);
