relay: positions of a topic are sent by one function

Cause: read through before the landing. send_records() wrote the same message three times, both of its callbacks left removed keys out of a listing, and the reason "invalid address" broke a log line into two values. Change: send_position(), is_sent(), reason=invalid-address. No other change of behaviour.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -155,7 +155,7 @@
                     " detail=\"%s\"",
                     STR_ARG(id), err.message);
         if (endpoint != NULL) {
-            remove_endpoint(endpoints, endpoint, "invalid address");
+            remove_endpoint(endpoints, endpoint, "invalid-address");
         }
         return;
     }
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -192,12 +192,19 @@
     size_t bytes;
 };
 
+/// A listing has no removed keys.
+static bool
+is_sent(const struct transfer *transfer, const struct record *record)
+{
+    return !transfer->is_listing || !record->removed;
+}
+
 static void
 add_bytes(void *ctx, const struct record *record)
 {
     struct transfer *transfer = ctx;
 
-    if (transfer->is_listing && record->removed) {
+    if (!is_sent(transfer, record)) {
         return;
     }
     transfer->bytes += is_packed(transfer->peer, record)
@@ -210,7 +217,7 @@
 {
     const struct transfer *transfer = ctx;
 
-    if (transfer->is_listing && record->removed) {
+    if (!is_sent(transfer, record)) {
         return;
     }
     if (is_packed(transfer->peer, record)) {
@@ -236,6 +243,17 @@
               });
 }
 
+static void
+send_position(const struct peer *peer, enum message_type type,
+              enum record_topic topic, int64_t offset)
+{
+    link_send(peer->link, &(struct message){
+                              .type = type,
+                              .position.topic = (uint32_t)topic,
+                              .position.offset = (uint64_t)offset,
+                          });
+}
+
 /// Sends the records from the requested offset on, or a listing if the
 /// requester may know keys whose removal is not stored here.
 static void
@@ -263,27 +281,17 @@
     if (request->type == MESSAGE_WANT_SMALL &&
         (transfer.bytes > SMALL_BYTES_MAX ||
          (!is_complete && !transfer.is_listing))) {
-        link_send(transfer.peer->link, &(struct message){
-                                           .type = MESSAGE_OVERSIZE,
-                                           .position = request->position,
-                                       });
+        send_position(transfer.peer, MESSAGE_OVERSIZE, topic,
+                      (int64_t)request->position.offset);
         return;
     }
     if (transfer.is_listing) {
-        link_send(transfer.peer->link,
-                  &(struct message){
-                      .type = MESSAGE_LISTING,
-                      .position.topic = (uint32_t)topic,
-                      .position.offset = (uint64_t)records_end(records, topic),
-                  });
+        send_position(transfer.peer, MESSAGE_LISTING, topic,
+                      records_end(records, topic));
     }
     records_each_since(records, topic, offset, send_record, &transfer);
-    link_send(transfer.peer->link,
-              &(struct message){
-                  .type = MESSAGE_REACHED,
-                  .position.topic = (uint32_t)topic,
-                  .position.offset = (uint64_t)records_end(records, topic),
-              });
+    send_position(transfer.peer, MESSAGE_REACHED, topic,
+                  records_end(records, topic));
 }
 
 static void
