--- a/standin/keyed_store.c
+++ b/standin/keyed_store.c
@@ -8,7 +8,6 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <jansson.h>
 #include <sodium.h>
 #include <utlist.h>
 
@@ -23,8 +22,9 @@
 #define LIST_MAX 500
 
 struct record {
-    char *key;
-    struct str value;
+    struct str key;
+    struct str value; ///< all bytes of the record if it has no key
+    bool has_key;
 };
 
 struct topic {
@@ -72,14 +72,16 @@
     return &store->topics[store->topic_count++];
 }
 
-static void
-append(struct topic *topic, struct str key, struct str value)
+static int64_t
+append(struct topic *topic, const struct record *record)
 {
     INVARIANT(topic->count < RECORDS_MAX);
-    topic->records[topic->count++] = (struct record){
-        .key = str_dup(key),
-        .value = str_copy(value),
+    topic->records[topic->count] = (struct record){
+        .key = str_copy(record->key),
+        .value = str_copy(record->value),
+        .has_key = record->has_key,
     };
+    return (int64_t)topic->count++;
 }
 
 static void
@@ -109,11 +111,15 @@
     add_big_endian(body, topic->first, 8);
     for (size_t i = pending_read->from; i < topic->count; i++) {
         const struct record *record = &topic->records[i];
-        size_t key_len = strlen(record->key);
 
-        add_big_endian(body, 1 + key_len + record->value.len, 4);
-        add_big_endian(body, key_len, 1);
-        evbuffer_add(body, record->key, key_len);
+        add_big_endian(body,
+                       (record->has_key ? 1 + record->key.len : 0) +
+                           record->value.len,
+                       4);
+        if (record->has_key) {
+            add_big_endian(body, record->key.len, 1);
+            evbuffer_add(body, record->key.data, record->key.len);
+        }
         evbuffer_add(body, record->value.data, record->value.len);
     }
     DL_DELETE(pending_read->store->pending_reads, pending_read);
@@ -124,40 +130,68 @@
 static bool
 is_newest(const struct topic *topic, size_t index)
 {
+    const struct record *record = &topic->records[index];
+
     for (size_t i = index + 1; i < topic->count; i++) {
-        if (!strcmp(topic->records[i].key, topic->records[index].key)) {
+        if (topic->records[i].has_key &&
+            str_equal(topic->records[i].key, record->key)) {
             return false;
         }
     }
-    return topic->records[index].value.len > 0;
+    return record->has_key && record->value.len > 0;
 }
 
 struct listed {
     const struct record *record;
 };
 
+static int
+order_of(struct str a, struct str b)
+{
+    int order = memcmp(a.data, b.data, a.len < b.len ? a.len : b.len);
+
+    return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
+}
+
 static int
 compare_keys(const void *a, const void *b)
 {
     const struct listed *left = a, *right = b;
 
-    return strcmp(left->record->key, right->record->key);
+    return order_of(left->record->key, right->record->key);
 }
 
-static json_t *
-list_item(const struct topic *topic, const struct record *record)
+/// Bytes that are no text are written as they are.
+static void
+add_key(struct evbuffer *out, struct str key)
+{
+    for (size_t i = 0; i < key.len; i++) {
+        unsigned char byte = (unsigned char)key.data[i];
+
+        if (byte < ' ' || byte == '"' || byte == '\\') {
+            evbuffer_add_printf(out, "\\u%04x", byte);
+        }
+        else {
+            evbuffer_add(out, &byte, 1);
+        }
+    }
+}
+
+static void
+add_item(struct evbuffer *out, const struct topic *topic,
+         const struct record *record)
 {
     size_t size = sodium_base64_ENCODED_LEN(record->value.len,
                                             sodium_base64_VARIANT_ORIGINAL);
     char *encoded = xmalloc(size);
-    json_t *item;
 
     sodium_bin2base64(encoded, size, (const unsigned char *)record->value.data,
                       record->value.len, sodium_base64_VARIANT_ORIGINAL);
-    item = json_pack("{s:s, s:s, s:I}", "key", record->key, "value", encoded,
-                     "offset", (json_int_t)(record - topic->records));
+    evbuffer_add_printf(out, "{\"key\":\"");
+    add_key(out, record->key);
+    evbuffer_add_printf(out, "\",\"value\":\"%s\",\"offset\":%td}", encoded,
+                        record - topic->records);
     free(encoded);
-    return item;
 }
 
 /// Sends the newest records with keys above `after`, a page at most.
@@ -167,28 +201,24 @@
 {
     struct listed *newest = xcalloc(topic->count + 1, sizeof(*newest));
     struct evbuffer *body = evbuffer_new();
-    json_t *items = json_array();
     size_t count = 0;
     size_t sent = 0;
-    json_t *root;
-    char *text;
 
     for (size_t i = 0; i < topic->count; i++) {
         if (is_newest(topic, i) &&
-            (after == NULL || strcmp(topic->records[i].key, after) > 0)) {
+            (after == NULL ||
+             order_of(topic->records[i].key, str_from(after)) > 0)) {
             newest[count++].record = &topic->records[i];
         }
     }
     qsort(newest, count, sizeof(*newest), compare_keys);
+    evbuffer_add_printf(body, "{\"items\":[");
     while (sent < count && sent < LIST_MAX) {
-        json_array_append_new(items, list_item(topic, newest[sent++].record));
+        evbuffer_add_printf(body, sent > 0 ? "," : "");
+        add_item(body, topic, newest[sent++].record);
     }
-    root = json_pack("{s:o, s:b, s:I}", "items", items, "more_pages",
-                     sent < count, "end", (json_int_t)topic->count);
-    text = json_dumps(root, JSON_COMPACT);
-    evbuffer_add(body, text, strlen(text));
-    free(text);
-    json_decref(root);
+    evbuffer_add_printf(body, "],\"more_pages\":%s,\"end\":%zu}",
+                        sent < count ? "true" : "false", topic->count);
     free(newest);
     reply(caller, 200, body);
 }
@@ -206,8 +236,11 @@
         caller_reply(caller, 400, (struct str){0}, NULL);
         return;
     }
-    append(topic, (struct str){bytes + 5, key_len},
-           (struct str){bytes + 5 + key_len, len - 5 - key_len});
+    append(topic, &(struct record){
+                      .key = {bytes + 5, key_len},
+                      .value = {bytes + 5 + key_len, len - 5 - key_len},
+                      .has_key = true,
+                  });
     if (store->fault != KEYED_STORE_LOSE_ANSWER) {
         struct evbuffer *body = evbuffer_new();
 
@@ -364,7 +397,7 @@
     }
     for (size_t i = 0; i < store->topic_count; i++) {
         for (size_t j = 0; j < store->topics[i].count; j++) {
-            free(store->topics[i].records[j].key);
+            free((char *)store->topics[i].records[j].key.data);
             free((char *)store->topics[i].records[j].value.data);
         }
         free(store->topics[i].records);
@@ -383,10 +416,22 @@
 keyed_store_put(struct keyed_store *store, const char *topic, const char *key,
                 struct str value)
 {
-    struct topic *found = get_topic(store, topic);
+    return keyed_store_put_bytes(store, topic, str_from(key), value);
+}
 
-    append(found, str_from(key), value);
-    return (int64_t)found->count - 1;
+int64_t
+keyed_store_put_bytes(struct keyed_store *store, const char *topic,
+                      struct str key, struct str value)
+{
+    return append(get_topic(store, topic),
+                  &(struct record){key, value, .has_key = true});
+}
+
+void
+keyed_store_put_malformed(struct keyed_store *store, const char *topic,
+                          struct str bytes)
+{
+    append(get_topic(store, topic), &(struct record){.value = bytes});
 }
 
 void
@@ -418,7 +463,7 @@
 
         for (size_t j = found->count; !strcmp(found->name, topic) && j > 0;
              j--) {
-            if (!strcmp(found->records[j - 1].key, key)) {
+            if (str_equal_c(found->records[j - 1].key, key)) {
                 return found->records[j - 1].value;
             }
         }
--- a/standin/keyed_store.h
+++ b/standin/keyed_store.h
@@ -43,6 +43,15 @@
 int64_t keyed_store_put(struct keyed_store *store, const char *topic,
                         const char *key, struct str value);
 
+/// The same with any bytes as the key, 255 at most.
+int64_t keyed_store_put_bytes(struct keyed_store *store, const char *topic,
+                              struct str key, struct str value);
+
+/// Appends a record of these bytes, without a key in front of them. It is not
+/// listed.
+void keyed_store_put_malformed(struct keyed_store *store, const char *topic,
+                               struct str bytes);
+
 /// Discards the history of a topic: reads from an earlier offset get 410.
 void keyed_store_compact(struct keyed_store *store, const char *topic);
 void keyed_store_set_fault(struct keyed_store *store,
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -214,6 +214,30 @@
     stop(&fixture);
 }
 
+/// A record without even the length of a key does not keep a router from the
+/// records behind it.
+static void
+test_record_without_key(void)
+{
+    struct fixture fixture;
+
+    start(&fixture, 1);
+    store_set_role(fixture.store, READERS_PRIMARY);
+    run(&fixture, 200);
+    keyed_store_put_malformed(fixture.standin, KEYED_STORE_TOPIC_ENDPOINTS,
+                              (struct str){0});
+    keyed_store_put_malformed(fixture.standin, KEYED_STORE_TOPIC_ENDPOINTS,
+                              STR_LITERAL("\x05"
+                                          "abc"));
+    keyed_store_put(fixture.standin, KEYED_STORE_TOPIC_ENDPOINTS, "e-behind",
+                    STR_LITERAL("{}"));
+    run(&fixture, 500);
+    CU_ASSERT(fixture.applied == 3);
+    CU_ASSERT(records_end(fixture.records, RECORDS_ENDPOINTS) == 4);
+    CU_ASSERT(store_is_reachable(fixture.store, RECORDS_ENDPOINTS));
+    stop(&fixture);
+}
+
 void
 suite_store(void)
 {
@@ -222,4 +246,5 @@
     CU_add_test(suite, "idle and fetch", test_idle_and_fetch);
     CU_add_test(suite, "role during fetch", test_role_during_fetch);
     CU_add_test(suite, "list in pages", test_list_in_pages);
+    CU_add_test(suite, "record without key", test_record_without_key);
 }
