deployment: an entry whose key is no visible ASCII names no endpoint

What callers would see: an entry of another writer under the key "e-7\r\nDandelionvalve-Tenant: other" and with the address of an endpoint is used: its key is sent as the expected instance, and what follows the line break reaches the endpoint as fields of its own (UNASKED: another tenant). The same line breaks reach the log.

Cause: keys of entries were not checked; only their values were.

Ruled out: other fields of an entry (service, address and zone are not sent), Last-Event-Id (one line by its parser).

Change: an entry whose key is empty or holds anything but visible ASCII is rejected, whoever passes it on, with a log line that does not print the key.

Test: "direct store: odd keys" failed before (six such entries were used, also at a router that has them from a peer) and passes now; 23 passed, 0 failed.

Conclusion: what goes into a header field from an entry is checked like the entry.

--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -93,12 +93,31 @@
                : 0;
 }
 
+/// An endpoint's identity is sent in a header field and written to the log:
+/// visible ASCII only.
+static bool
+is_endpoint_id(struct str key)
+{
+    for (size_t i = 0; i < key.len; i++) {
+        if (key.data[i] <= ' ' || key.data[i] > '~') {
+            return false;
+        }
+    }
+    return key.len > 0;
+}
+
 static void
 apply_endpoint_record(struct direct *direct, const struct record *record)
 {
     struct entry_context entry = {direct, record->key};
     struct err err = {0};
 
+    if (!is_endpoint_id(record->key)) {
+        LOG_WARNING("event=endpoint-rejected offset=%lld key_bytes=%zu "
+                    "detail=\"the key is not visible ASCII\"",
+                    (long long)record->offset, record->key.len);
+        return;
+    }
     if (record->removed) {
         endpoints_remove(direct->endpoints, record->key,
                          lapse_deadline_ms(direct));
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -379,6 +379,33 @@
     direct_harness_stop(&harness);
 }
 
+/// An entry of another writer whose key would add fields to the requests for
+/// its endpoint names none, nor does one without a key.
+static void
+test_odd_keys(void)
+{
+    static const char *const keys[] = {"e-7\r\nDandelionvalve-Tenant: other",
+                                       "e-7\n",
+                                       "\x1b[2J",
+                                       "e 7",
+                                       "e-\xc3\xa9",
+                                       ""};
+    struct direct_harness harness;
+
+    start(&harness, 2, 1);
+    for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+        direct_harness_put_entry(&harness, keys[i], harness.origins[0],
+                                 "models", "ready");
+    }
+    direct_harness_run(&harness, 300);
+    for (size_t i = 0; i < 2; i++) {
+        // Two endpoints of "models" and one of "orders".
+        CU_ASSERT(endpoints_count(direct_endpoints(harness.routers[i])) == 3);
+        CU_ASSERT(status_of(&harness, i, "/look/") == 200);
+    }
+    direct_harness_stop(&harness);
+}
+
 /// An endpoint whose entry gets an address that is none is removed.
 static void
 test_entry_gets_invalid_address(void)
@@ -657,6 +684,7 @@
     CU_add_test(suite, "removal after outage", test_removal_after_outage);
     CU_add_test(suite, "malformed entries", test_malformed_entries);
     CU_add_test(suite, "odd entries", test_odd_entries);
+    CU_add_test(suite, "odd keys", test_odd_keys);
     CU_add_test(suite, "entry gets invalid address",
                 test_entry_gets_invalid_address);
     CU_add_test(suite, "entry becomes malformed",
