store: a key that is no text does not hide the records listed beside it

What callers would see: a router that starts, or lists the endpoints anew, gets none of them as long as one key among them is not valid Unicode (of another writer): it is never ready, or keeps the endpoints of before.

Cause: a page of a list is one JSON text, and the parser rejects it whole for a byte that is not UTF-8, half of a surrogate pair or an escaped NUL in one key. The router then asked for the same page again, without end. The key to go on from was cut at a NUL and not advanced past an item without a valid value.

Ruled out: values (base64), reads of a range (binary).

Change: a page that cannot be read is repaired, with a log line, and read again: what is no character becomes U+FFFD, and items with such keys are left out. The next page is asked for from the last key that was whole; a page without any counts as a failed read, with its back-off.

"repaired text" has the forms that a store may write.

Conclusion: a key of another writer costs its own entry only.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -3,10 +3,12 @@
 #include <stdlib.h>
 
 #include <CUnit/CUnit.h>
+#include <event2/buffer.h>
 #include <event2/event.h>
 
 #include "net/loop.h"
 #include "platform/store.h"
+#include "platform/unicode.h"
 #include "standin/keyed_store.h"
 #include "standin/ports.h"
 #include "suites.h"
@@ -102,7 +104,7 @@
 }
 
 static void
-start(struct fixture *fixture, int entries)
+start_stores(struct fixture *fixture)
 {
     struct err err = {0};
 
@@ -117,7 +119,22 @@
     CU_ASSERT_FATAL(fixture->standin != NULL);
     keyed_store_put(fixture->standin, KEYED_STORE_TOPIC_OPERATOR, "config",
                     STR_LITERAL("{}"));
-    put_entries(fixture->standin, entries);
+}
+
+/// Waits until `count` records are applied, and for more than these.
+static void
+expect_applied(struct fixture *fixture, int count)
+{
+    for (int i = 0; i < 100 && fixture->applied < count; i++) {
+        run(fixture, 50);
+    }
+    run(fixture, 200);
+    CU_ASSERT(fixture->applied == count);
+}
+
+static void
+start_client(struct fixture *fixture)
+{
     fixture->records = records_new(&(struct records_options){
         .changed = on_changed,
         .ctx = fixture,
@@ -138,11 +155,15 @@
         .ctx = fixture,
     });
     store_set_role(fixture->store, READERS_IDLE);
-    for (int i = 0; i < 100 && fixture->applied < 1 + entries; i++) {
-        run(fixture, 100);
-    }
-    run(fixture, 200);
-    CU_ASSERT(fixture->applied == 1 + entries);
+}
+
+static void
+start(struct fixture *fixture, int entries)
+{
+    start_stores(fixture);
+    put_entries(fixture->standin, entries);
+    start_client(fixture);
+    expect_applied(fixture, 1 + entries);
 }
 
 static void
@@ -238,6 +259,79 @@
     stop(&fixture);
 }
 
+/// Entries whose keys are no text keep no router from the entries beside them,
+/// nor from the pages behind the one that they end. A NUL is text in JSON.
+static void
+test_keys_without_text(void)
+{
+    static const struct str keys[] = {
+        STR_LITERAL("e-\xff\xfe"),
+        STR_LITERAL("e-0498\0x"),
+        STR_LITERAL("e-0498\xed\xa0\x80"),
+        STR_LITERAL("e-0498\xc3"),
+        STR_LITERAL("\x80"),
+    };
+    struct fixture fixture;
+
+    start_stores(&fixture);
+    put_entries(fixture.standin, 1200);
+    for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+        keyed_store_put_bytes(fixture.standin, KEYED_STORE_TOPIC_ENDPOINTS,
+                              keys[i], STR_LITERAL("{}"));
+    }
+    start_client(&fixture);
+    store_set_role(fixture.store, READERS_PRIMARY);
+    expect_applied(&fixture, 1 + 1200 + 1);
+    CU_ASSERT(store_is_reachable(fixture.store, RECORDS_ENDPOINTS));
+    keyed_store_put(fixture.standin, KEYED_STORE_TOPIC_ENDPOINTS, "e-behind",
+                    STR_LITERAL("{}"));
+    expect_applied(&fixture, 1 + 1200 + 2);
+    stop(&fixture);
+}
+
+static void
+check_repaired(const char *json, const char *expected)
+{
+    struct evbuffer *out = evbuffer_new();
+    struct str text;
+
+    unicode_repair_json(str_from(json), out);
+    text = (struct str){(const char *)evbuffer_pullup(out, -1),
+                        evbuffer_get_length(out)};
+    CU_ASSERT(str_equal_c(text, expected));
+    evbuffer_free(out);
+}
+
+/// Stores write keys that are no text in several ways: as they are, or as
+/// escapes of half a surrogate pair.
+static void
+test_repaired_text(void)
+{
+    static const char *const sound[] = {
+        "",
+        "{\"key\":\"e-1\"}",
+        "\"\\\\ud800\"",
+        "\"\\ud83d\\ude00 \\u00e9\"",
+        "\"\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80\"",
+        "\"\\u12\"",
+        "\"\\",
+    };
+
+    for (size_t i = 0; i < sizeof(sound) / sizeof(sound[0]); i++) {
+        check_repaired(sound[i], sound[i]);
+    }
+    check_repaired("\"a\xff"
+                   "b\"",
+                   "\"a" UNICODE_REPLACEMENT "b\"");
+    check_repaired("\"\xc3\"", "\"" UNICODE_REPLACEMENT "\"");
+    check_repaired("\"\xc0\x80\"",
+                   "\"" UNICODE_REPLACEMENT UNICODE_REPLACEMENT "\"");
+    check_repaired("\xf0\x9f", UNICODE_REPLACEMENT UNICODE_REPLACEMENT);
+    check_repaired("\"\\udcff\\ud800\\u0041\"",
+                   "\"" UNICODE_REPLACEMENT UNICODE_REPLACEMENT "\\u0041\"");
+    check_repaired("\\ud800", UNICODE_REPLACEMENT);
+}
+
 void
 suite_store(void)
 {
@@ -247,4 +341,6 @@
     CU_add_test(suite, "role during fetch", test_role_during_fetch);
     CU_add_test(suite, "list in pages", test_list_in_pages);
     CU_add_test(suite, "record without key", test_record_without_key);
+    CU_add_test(suite, "keys without text", test_keys_without_text);
+    CU_add_test(suite, "repaired text", test_repaired_text);
 }
