http_client, agent: an answer of an earlier call is not taken as this call's

Cause: the agent reuses connections of repeatable calls, and nothing in an answer says which call it answers.

Ruled out: calls that may run once (a new connection each), bytes that come while a connection is idle (it is closed).

Change: calls have a number, Dandelionvalve-Call-Id. An answer with another number fails the call (its outcome is unknown). Connections are used again only for an endpoint that returns the number; the stand-ins do.

Evidence: "agent endings: repeated refusal" failed before (503 for a call that ran) and passes now, with endpoints that return the number and that do not.

Conclusion: on this path too an answer belongs to the call that it names.

--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -520,6 +520,7 @@
         .base = options->base,
         .address = options->settings->endpoint,
         .idle_connections_max = IDLE_CONNECTIONS_MAX,
+        .call_field = HTTP_CLIENT_CALL_FIELD,
         .header_bytes_max = HEADER_BYTES_MAX,
     };
     const struct probe_options probe = {
--- a/daemon/placement.c
+++ b/daemon/placement.c
@@ -157,6 +157,7 @@
         .base = options->base,
         .address = options->endpoint,
         .idle_connections_max = 1,
+        .call_field = HTTP_CLIENT_CALL_FIELD,
         .header_bytes_max = HEADER_BYTES_MAX,
     };
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,7 +1,9 @@
 #include "http_client.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -23,6 +25,7 @@
     struct evhttp_connection *http;
     struct http_call *call;
     struct event *recycle_event;
+    bool reusable;
     struct connection *prev;
     struct connection *next;
 };
@@ -33,6 +36,7 @@
     size_t idle_count;
     struct connection *recycling;
     struct http_call *calls;
+    uint64_t call_count;
 };
 
 struct http_call {
@@ -40,6 +44,8 @@
     struct connection *connection;
     struct evhttp_request *request;
     struct event *pause_event;
+    char number[24]; ///< value of the call field
+    bool is_identified;
     bool sent;
     bool has_head;
     bool accepts_unframed;
@@ -130,7 +136,7 @@
     (void)fd;
     (void)events;
     DL_DELETE(connection->client->recycling, connection);
-    recycle_connection(connection, true);
+    recycle_connection(connection, connection->reusable);
 }
 
 static struct connection *
@@ -188,6 +194,8 @@
     void *ctx = call->ctx;
 
     connection->call = NULL;
+    connection->reusable =
+        call->client->options.call_field == NULL || call->is_identified;
     // Recycled from the event loop, since evhttp still uses the connection in
     // this callback.
     DL_APPEND(call->client->recycling, connection);
@@ -196,14 +204,34 @@
     callback(ctx, result);
 }
 
+/// False if the answer belongs to another call.
+static bool
+identify_answer(struct http_call *call, struct evkeyvalq *input)
+{
+    const char *field = call->client->options.call_field;
+    const char *number =
+        field != NULL ? evhttp_find_header(input, field) : NULL;
+
+    if (number == NULL) {
+        return true;
+    }
+    call->is_identified = strcmp(number, call->number) == 0;
+    evhttp_remove_header(input, field);
+    return call->is_identified;
+}
+
 static bool
 report_head(struct http_call *call, struct evhttp_request *request)
 {
     struct message_header headers[MESSAGE_HEADERS_MAX];
     struct evkeyvalq *input = evhttp_request_get_input_headers(request);
-    size_t count = http_copy_headers(input, headers, MESSAGE_HEADERS_MAX);
     int status = evhttp_request_get_response_code(request);
+    size_t count;
 
+    if (!identify_answer(call, input)) {
+        return false;
+    }
+    count = http_copy_headers(input, headers, MESSAGE_HEADERS_MAX);
     call->has_head = true;
     call->framed = evhttp_find_header(input, "Transfer-Encoding") != NULL ||
                    evhttp_find_header(input, "Content-Length") != NULL ||
@@ -223,8 +251,7 @@
 static int
 on_head(struct evhttp_request *request, void *ctx)
 {
-    report_head(ctx, request);
-    return 0;
+    return report_head(ctx, request) ? 0 : -1;
 }
 
 static void
@@ -284,14 +311,23 @@
     struct evkeyvalq *headers =
         evhttp_request_get_output_headers(call->request);
 
+    const char *call_field = call->client->options.call_field;
+
     for (size_t i = 0; i < options->header_count; i++) {
         char *name = str_dup(options->headers[i].name);
         char *value = str_dup(options->headers[i].value);
 
-        evhttp_add_header(headers, name, value);
+        if (call_field == NULL || strcasecmp(name, call_field) != 0) {
+            evhttp_add_header(headers, name, value);
+        }
         free(name);
         free(value);
     }
+    if (call_field != NULL) {
+        snprintf(call->number, sizeof(call->number), "%llu",
+                 (unsigned long long)++call->client->call_count);
+        evhttp_add_header(headers, call_field, call->number);
+    }
     evhttp_add_header(headers, "Host", call->client->options.address.ip);
     if (options->fresh_connection) {
         evhttp_add_header(headers, "Connection", "close");
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -8,6 +8,9 @@
 #include "address.h"
 #include "dandelionvalve/message.h"
 
+/// The call field of endpoints.
+#define HTTP_CLIENT_CALL_FIELD "Dandelionvalve-Call-Id"
+
 struct evbuffer;
 struct event_base;
 struct http_client;
@@ -24,6 +27,12 @@
     struct event_base *base;
     struct address address;
     size_t idle_connections_max;
+    /// Field of a request with a number for the call, which a server may
+    /// return in its answers. The connections of one that does are used again;
+    /// one that does not gets each call on a new connection, where no late
+    /// copy of an earlier answer can be taken as the answer to this call.
+    /// NULL: all connections are used again.
+    const char *call_field;
     size_t header_bytes_max;
     int connect_timeout_s;
 };
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -10,6 +10,7 @@
 #include <jansson.h>
 #include <utlist.h>
 
+#include "call_field.h"
 #include "core/xmalloc.h"
 #include "net/http.h"
 #include "prefix_cache.h"
@@ -452,6 +453,7 @@
     const char *path =
         evhttp_uri_get_path(evhttp_request_get_evhttp_uri(http));
 
+    call_field_echo(http);
     if (!strcmp(path, "/faults")) {
         on_fault(engine, http);
     }
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -14,6 +14,7 @@
 
 #include "core/xmalloc.h"
 #include "net/http1.h"
+#include "net/http_client.h"
 
 #define HEAD_BYTES_MAX 65536
 #define RUNS_MAX 20000
@@ -36,8 +37,11 @@
     bool running;
     bool is_stream;
     bool crashes;       ///< at the next timer
-    char shed_id[64];   ///< whose rejection is repeated; empty: none
-    const char *filler; ///< repeated until the connection is closed
+    char call_line[64]; ///< returned in answers; empty: none
+    char shed_id[64];
+    char shed_call_line[64];
+    bool repeats_refusal; ///< that of `shed_id`
+    const char *filler;   ///< repeated until the connection is closed
     uint64_t filler_bytes;
     size_t next_event;
     size_t body_bytes;
@@ -59,6 +63,7 @@
     enum origin_fault fault;
     bool has_shed; ///< since the fault was set
     bool leaving;
+    bool echoes_calls;
     uint64_t requests;
     const char *load;
     const char *contexts;
@@ -134,10 +139,10 @@
     struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
 
     evbuffer_add_printf(out,
-                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s%s"
+                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s%s%s"
                         "Content-Length: %zu\r\n\r\n%s",
                         status, id, extra_headers, leaving_field(conn),
-                        strlen(body), body);
+                        conn->call_line, strlen(body), body);
 }
 
 static void
@@ -534,13 +539,21 @@
     if (!origin->has_shed) {
         origin->has_shed = true;
         memcpy(conn->shed_id, conn->id, sizeof(conn->shed_id));
+        memcpy(conn->shed_call_line, conn->call_line,
+               sizeof(conn->shed_call_line));
+        conn->repeats_refusal = true;
         refuse(conn, 503);
         return true;
     }
-    if (conn->shed_id[0] != '\0') {
+    if (conn->repeats_refusal) {
+        char call_line[sizeof(conn->call_line)];
+
+        memcpy(call_line, conn->call_line, sizeof(call_line));
+        memcpy(conn->call_line, conn->shed_call_line, sizeof(call_line));
         write_answer(conn, conn->shed_id, 503,
                      "Dandelionvalve-Not-Executed: 1\r\n", "");
-        conn->shed_id[0] = '\0';
+        memcpy(conn->call_line, call_line, sizeof(call_line));
+        conn->repeats_refusal = false;
     }
     return false;
 }
@@ -634,6 +647,18 @@
     set_timer(conn, origin->options.work_us);
 }
 
+static void
+set_call_line(struct conn *conn)
+{
+    struct str number = http1_value(&conn->http, HTTP_CLIENT_CALL_FIELD);
+
+    conn->call_line[0] = '\0';
+    if (conn->origin->echoes_calls && number.len > 0) {
+        snprintf(conn->call_line, sizeof(conn->call_line),
+                 HTTP_CLIENT_CALL_FIELD ": " STR_FMT "\r\n", STR_ARG(number));
+    }
+}
+
 static void
 on_head(void *ctx)
 {
@@ -645,6 +670,7 @@
     }
     snprintf(conn->id, sizeof(conn->id), STR_FMT,
              STR_ARG(http1_value(&conn->http, ID_FIELD)));
+    set_call_line(conn);
     free(origin->last_request.text);
     origin->last_request = conn->http;
     origin->last_request.text = xmalloc(conn->http.text_len + 1);
@@ -852,6 +878,12 @@
     origin->has_shed = false;
 }
 
+void
+origin_set_call_echo(struct origin *origin)
+{
+    origin->echoes_calls = true;
+}
+
 void
 origin_set_leaving(struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -98,6 +98,10 @@
 /// such field. The text is not copied.
 void origin_set_load(struct origin *origin, const char *load);
 
+/// Returns the numbers of calls (see net/http_client.h) in answers that are no
+/// streams.
+void origin_set_call_echo(struct origin *origin);
+
 /// Adds "Server-Leaving: 1" to all answers from now on.
 void origin_set_leaving(struct origin *origin);
 
--- a/standin/service.c
+++ b/standin/service.c
@@ -9,6 +9,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "call_field.h"
 #include "core/xmalloc.h"
 #include "net/http.h"
 
@@ -166,6 +167,7 @@
     const char *path =
         evhttp_uri_get_path(evhttp_request_get_evhttp_uri(http));
 
+    call_field_echo(http);
     if (!strcmp(path, "/health")) {
         http_reply(http, 200, JSON_TYPE, STR_LITERAL("{}"));
     }
--- a/tests/test_agent_endings.c
+++ b/tests/test_agent_endings.c
@@ -131,6 +131,50 @@
     stop(&fixture);
 }
 
+/// An endpoint repeats a refusal when it runs the next request of the
+/// connection: no caller gets it as the answer to its own request, which may
+/// have run. Connections are used again only if answers name their call.
+static void
+check_repeated_refusal(bool echoes_calls)
+{
+    struct fixture fixture;
+    struct harness_call call;
+    uint64_t connections;
+
+    start(&fixture);
+    if (echoes_calls) {
+        origin_set_call_echo(fixture.origin);
+    }
+    origin_set_fault(fixture.origin, ORIGIN_SHEDS_AGAIN);
+    connections = origin_connections(fixture.origin);
+    for (int i = 0; i < 4; i++) {
+        uint64_t runs = origin_runs(fixture.origin);
+        char body[32];
+
+        snprintf(body, sizeof(body), "body %04d", i);
+        harness_call_and_wait(&fixture.harness, 0, &call, "POST", "/look",
+                              NULL, body);
+        if (origin_runs(fixture.origin) > runs) {
+            CU_ASSERT(call.status == 200 || call.status == 502);
+        }
+        if (call.status == 200) {
+            CU_ASSERT(ends_with(harness_response_body(&call), ", 9 bytes"));
+        }
+        CU_ASSERT(i < 2 || call.status == 200);
+        harness_call_free(&call);
+    }
+    connections = origin_connections(fixture.origin) - connections;
+    CU_ASSERT(echoes_calls ? connections < 4 : connections >= 4);
+    stop(&fixture);
+}
+
+static void
+test_repeated_refusal(void)
+{
+    check_repeated_refusal(false);
+    check_repeated_refusal(true);
+}
+
 /// A health answer without a length does not make the endpoint unusable.
 static void
 test_unframed_health_answer(void)
@@ -248,6 +292,7 @@
     CU_add_test(suite, "reset of an unframed answer",
                 test_reset_of_unframed_answer);
     CU_add_test(suite, "unframed answers", test_unframed_answers);
+    CU_add_test(suite, "repeated refusal", test_repeated_refusal);
     CU_add_test(suite, "unframed health answer", test_unframed_health_answer);
     CU_add_test(suite, "unframed streams", test_unframed_streams);
     CU_add_test(suite, "stream ends within an event",
