--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -7,6 +7,7 @@
 
 #include "core/catalog.h"
 #include "core/shed.h"
+#include "core/xmalloc.h"
 #include "dandelionvalve/outcome.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
@@ -637,6 +638,7 @@
     uint32_t cached =
         prefix_estimate_match(endpoint->cache, &exchange->facts.prefix);
 
+    INVARIANT(exchange->offers < EXCHANGE_OFFERS_MAX);
     exchange->tried[exchange->offers++] = endpoint->hash;
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -64,6 +64,8 @@
     bool has_shed; ///< since the fault was set
     bool leaving;
     bool echoes_calls;
+    bool has_resume_fault;
+    enum origin_fault resume_fault;
     uint64_t requests;
     const char *load;
     const char *contexts;
@@ -671,6 +673,10 @@
     snprintf(conn->id, sizeof(conn->id), STR_FMT,
              STR_ARG(http1_value(&conn->http, ID_FIELD)));
     set_call_line(conn);
+    if (origin->has_resume_fault &&
+        http1_value(&conn->http, "Last-Event-Id").len > 0) {
+        origin_set_fault(origin, origin->resume_fault);
+    }
     free(origin->last_request.text);
     origin->last_request = conn->http;
     origin->last_request.text = xmalloc(conn->http.text_len + 1);
@@ -878,6 +884,13 @@
     origin->has_shed = false;
 }
 
+void
+origin_set_resume_fault(struct origin *origin, enum origin_fault fault)
+{
+    origin->has_resume_fault = true;
+    origin->resume_fault = fault;
+}
+
 void
 origin_set_call_echo(struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -83,6 +83,10 @@
 struct address origin_address(const struct origin *origin);
 void origin_set_fault(struct origin *origin, enum origin_fault fault);
 
+/// Sets the fault that takes effect with the first request that resumes a
+/// stream.
+void origin_set_resume_fault(struct origin *origin, enum origin_fault fault);
+
 /// The options are copied.
 void origin_set_crash(struct origin *origin,
                       const struct origin_crash_options *options);
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -333,12 +333,6 @@
     direct_harness_stop(&harness);
 }
 
-static bool
-has_run(void *harness)
-{
-    return direct_harness_runs(harness) > 0;
-}
-
 /// A stream breaks off after four of its events, and the endpoint that it goes
 /// on at has `fault`: the caller gets these events and nothing else, and the
 /// stream does not look complete.
@@ -351,14 +345,16 @@
 
     start(&harness, 2, ORIGIN_STREAM_CHUNKS_CUT);
     origin_set_fault(harness.origins[1], ORIGIN_STREAM_CHUNKS_CUT);
+    origin_set_resume_fault(harness.origins[0], fault);
+    origin_set_resume_fault(harness.origins[1], fault);
     format_stream(whole, sizeof(whole), "id", "\n");
     direct_call_start(&harness, 0, &call, "POST", "/stream/chat/", "id", NULL,
                       "x");
-    CU_ASSERT(direct_harness_wait(&harness, has_run, &harness, 1000));
-    origin_set_fault(
-        harness.origins[origin_runs(harness.origins[0]) > 0 ? 1 : 0], fault);
     CU_ASSERT(
         direct_harness_wait(&harness, direct_call_ended, &call, STREAM_MS));
+    // The stream was resumed at an endpoint with the fault.
+    CU_ASSERT(origin_requests(harness.origins[0]) > 0 &&
+              origin_requests(harness.origins[1]) > 0);
     if (call.end == CHANNEL_COMPLETE || call.body_len != strlen(whole) / 2 ||
         strncmp(call.body, whole, call.body_len) != 0) {
         printf("fault %d: end %d body \"%s\"\n", (int)fault, (int)call.end,
