hold: an endpoint that turns requests away for a stated time gets none

Cause: the field was not read.

Change: from a 503 with one valid Retry-After on (seconds, with a fraction or not, an hour at most), this router sends that incarnation nothing before its end, requests and reads of contexts alike; the latest end stands. An invalid, doubled or longer value is ignored with a log line. If all ready endpoints of a service are held, requests are refused at once, with a Retry-After of the first end plus the usual spread. /status names the trouble "held".

Ruled out: telling other routers (the rejection is about the caller's machine).

--- a/core/wire.h
+++ b/core/wire.h
@@ -43,11 +43,13 @@
 
 /// Properties of an endpoint's answer. The strings are views into its head.
 struct answer_facts {
-    struct str id;        ///< of the request
-    struct str signature; ///< by which the endpoint authenticates the body
-    bool not_executed;    ///< the endpoint has not run the request
-    bool is_encoded;      ///< the body has a content encoding
-    bool is_leaving;      ///< the endpoint takes no new requests any more
+    struct str id;          ///< of the request
+    struct str signature;   ///< by which the endpoint authenticates the body
+    bool not_executed;      ///< the endpoint has not run the request
+    bool is_encoded;        ///< the body has a content encoding
+    bool is_leaving;        ///< the endpoint takes no new requests any more
+    bool has_retry_after;   ///< it turns requests away until then
+    int64_t retry_after_ms; ///< negative: not a valid time
     bool has_load;
     uint32_t running;
     uint32_t waiting;
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -244,6 +244,10 @@
     if (facts.is_leaving && status != 421) {
         endpoint_note_leaving(exchange->endpoint);
     }
+    if (facts.has_retry_after) {
+        endpoint_note_retry_after(exchange->endpoint, exchange_now(exchange),
+                                  facts.retry_after_ms);
+    }
     if (facts.has_load) {
         endpoint_note_stated_load(exchange->endpoint,
                                   facts.running + facts.waiting,
--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -205,12 +205,14 @@
 static void
 query_endpoints(struct contexts *contexts)
 {
+    int64_t now_ms = clock_ms(contexts->options.clock);
     struct endpoint *endpoint;
     size_t queried = 0;
 
     for (endpoint = endpoints_first(contexts->options.endpoints);
          endpoint != NULL; endpoint = endpoint->hh.next) {
         if (endpoint_is_ready(endpoint) &&
+            hold_left_ms(&endpoint->hold, now_ms) == 0 &&
             contexts->options.caches_prompts(contexts->options.ctx,
                                              endpoint) &&
             is_assigned(contexts, endpoint)) {
@@ -218,10 +220,9 @@
             queried++;
         }
     }
-    LOG_INFO(
-        "event=contexts-queried endpoints=%zu peers=%zu after_ms=%lld",
-        queried, contexts->queried_peers,
-        (long long)(clock_ms(contexts->options.clock) - contexts->started_ms));
+    LOG_INFO("event=contexts-queried endpoints=%zu peers=%zu after_ms=%lld",
+             queried, contexts->queried_peers,
+             (long long)(now_ms - contexts->started_ms));
 }
 
 /// Queries the next peer, or the endpoints if no peer has answered.
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -268,6 +268,51 @@
              endpoint->in_flight);
 }
 
+void
+endpoint_note_retry_after(struct endpoint *endpoint, int64_t now_ms,
+                          int64_t wait_ms)
+{
+    if (wait_ms < 0 || wait_ms > HOLD_MAX_MS) {
+        LOG_WARNING("event=retry-after-ignored endpoint=" STR_FMT
+                    " service=" STR_FMT " wait_ms=%lld max_ms=%d",
+                    STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+                    (long long)wait_ms, HOLD_MAX_MS);
+        return;
+    }
+    if (hold_extend(&endpoint->hold, now_ms, wait_ms)) {
+        LOG_INFO("event=endpoint-held endpoint=" STR_FMT " service=" STR_FMT
+                 " incarnation=%lld wait_ms=%lld in_flight=%u",
+                 STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+                 (long long)endpoint->incarnation, (long long)wait_ms,
+                 endpoint->in_flight);
+    }
+}
+
+int64_t
+endpoints_held_ms(const struct endpoints *endpoints, struct str service)
+{
+    int64_t now_ms = clock_ms(endpoints->options.clock);
+    const struct endpoint *endpoint;
+    int64_t least_ms = 0;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        int64_t left_ms = hold_left_ms(&endpoint->hold, now_ms);
+
+        if (!endpoint_is_ready(endpoint) ||
+            !str_equal(endpoint->service, service)) {
+            continue;
+        }
+        if (left_ms == 0) {
+            return 0;
+        }
+        if (least_ms == 0 || left_ms < least_ms) {
+            least_ms = left_ms;
+        }
+    }
+    return least_ms;
+}
+
 static uint32_t
 reported_load(const struct endpoint *endpoint, int64_t now_ms)
 {
@@ -445,6 +490,7 @@
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
             .usable = endpoint_is_ready(endpoint) &&
+                      hold_left_ms(&endpoint->hold, now_ms) == 0 &&
                       !was_tried(query, endpoint->hash),
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "core/eject.h"
+#include "core/hold.h"
 #include "core/place.h"
 #include "core/prefix.h"
 #include "core/wire.h"
@@ -55,6 +56,7 @@
     int64_t incarnation;
     struct channel_pool *pool;
     struct eject eject;
+    struct hold hold; ///< as its last rejections state
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
@@ -101,6 +103,15 @@
                                      uint64_t hash);
 size_t endpoints_count(const struct endpoints *endpoints);
 
+/// Takes the endpoint out of use for the time that a rejection states.
+void endpoint_note_retry_after(struct endpoint *endpoint, int64_t now_ms,
+                               int64_t wait_ms);
+
+/// If all ready endpoints of the service turn requests away: the time until
+/// the first one takes them again. Otherwise 0.
+int64_t endpoints_held_ms(const struct endpoints *endpoints,
+                          struct str service);
+
 /// The first endpoint; the following ones by `hh.next`.
 struct endpoint *endpoints_first(struct endpoints *endpoints);
 
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -129,14 +129,16 @@
 exchange_refuse_not_run(struct exchange *exchange, const char *reason)
 {
     const struct random_source *random = direct_random(exchange->direct);
+    int64_t remaining_ms = exchange->expires_ms - exchange_now(exchange);
 
     if (exchange->runs > 0) {
         exchange_refuse(exchange, 502, -1, reason);
         return;
     }
     exchange_refuse(exchange, 503,
-                    timing_retry_after_ms(random, exchange->expires_ms -
-                                                      exchange_now(exchange)),
+                    endpoints_held_ms(direct_endpoints(exchange->direct),
+                                      exchange->service) +
+                        timing_retry_after_ms(random, remaining_ms),
                     reason);
 }
 
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -34,6 +34,9 @@
     if (endpoint->is_leaving) {
         return "leaving";
     }
+    if (hold_left_ms(&endpoint->hold, now_ms) > 0) {
+        return "held";
+    }
     if (endpoint->lapse_at_ms > 0) {
         return "lapsed";
     }
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -64,6 +64,7 @@
     bool has_shed; ///< since the fault was set
     bool leaving;
     bool echoes_calls;
+    const char *rejection_fields;
     bool has_resume_fault;
     enum origin_fault resume_fault;
     uint64_t requests;
@@ -525,9 +526,15 @@
 static void
 refuse(struct conn *conn, int status)
 {
-    write_answer(conn, conn->id, status,
-                 status == 503 ? "Dandelionvalve-Not-Executed: 1\r\n" : "",
-                 "");
+    const char *added = conn->origin->rejection_fields;
+    char fields[256] = "";
+
+    if (status == 503) {
+        snprintf(fields, sizeof(fields),
+                 "Dandelionvalve-Not-Executed: 1\r\n%s",
+                 added != NULL ? added : "");
+    }
+    write_answer(conn, conn->id, status, fields, "");
     reset_request(conn);
 }
 
@@ -891,6 +898,12 @@
     origin->resume_fault = fault;
 }
 
+void
+origin_set_rejection_fields(struct origin *origin, const char *fields)
+{
+    origin->rejection_fields = fields;
+}
+
 void
 origin_set_call_echo(struct origin *origin)
 {
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -1,5 +1,6 @@
 #include <CUnit/CUnit.h>
 
+#include "core/hold.h"
 #include "dandelionvalve/breaker.h"
 #include "dandelionvalve/outcome.h"
 #include "dandelionvalve/quarantine.h"
@@ -115,6 +116,28 @@
     CU_ASSERT(!breaker_is_open(&breaker));
 }
 
+/// Rejections in any order: nothing is sent before the latest end that one of
+/// them has stated, and an invalid time changes nothing.
+static void
+test_hold(void)
+{
+    static const struct {
+        int64_t now_ms;
+        int64_t wait_ms;
+        int64_t left_ms;
+    } steps[] = {
+        {1000, 500, 500}, {1100, 200, 400}, {1200, 900, 900},
+        {1300, 0, 800},   {1300, -1, 800},  {1300, HOLD_MAX_MS + 1, 800},
+        {2099, -1, 1},    {2100, -1, 0},    {5000, 1, 1},
+    };
+    struct hold hold = {0};
+
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        hold_extend(&hold, steps[i].now_ms, steps[i].wait_ms);
+        CU_ASSERT(hold_left_ms(&hold, steps[i].now_ms) == steps[i].left_ms);
+    }
+}
+
 void
 suite_policies(void)
 {
@@ -125,4 +148,5 @@
     CU_add_test(suite, "outcomes", test_outcomes);
     CU_add_test(suite, "quarantine", test_quarantine);
     CU_add_test(suite, "breaker", test_breaker);
+    CU_add_test(suite, "hold", test_hold);
 }
