quarantine: a hold that has ended is followed by one trial, not by three crashes

Cause: all strikes expired 30 s after the last one, and the next hold began only after three more crashes.

Ruled out: the router's own retries, strikes that peers do not hear of.

Change: strikes outlast the hold. Behind its end the request is let through once and is held again meanwhile; each further crash makes the hold four times as long; a success clears it. Entries are kept by expiry, so that long holds hide no expired ones and are evicted last.

Suites direct, blame, requests, failures, policies pass.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -7,10 +7,14 @@
 
 #include "xmalloc.h"
 
+#define HOLD_GROWTH 4
+
 struct entry {
     uint64_t fingerprint;
     uint32_t crash_ids[QUARANTINE_CRASHES_MAX];
     uint32_t strikes;
+    int64_t held_until_ms; ///< at the limit: refused until then
+    bool on_trial;         ///< let through after a hold, outcome unknown
     int64_t expires_ms;
     struct entry *prev;
     struct entry *next;
@@ -20,7 +24,7 @@
 struct quarantine {
     struct quarantine_options options;
     struct entry *by_fingerprint;
-    struct entry *by_last_strike; ///< oldest first
+    struct entry *by_expiry; ///< first to expire first
 };
 
 struct quarantine *
@@ -36,7 +40,7 @@
 remove_entry(struct quarantine *quarantine, struct entry *entry)
 {
     HASH_DEL(quarantine->by_fingerprint, entry);
-    DL_DELETE(quarantine->by_last_strike, entry);
+    DL_DELETE(quarantine->by_expiry, entry);
     free(entry);
 }
 
@@ -46,8 +50,8 @@
     if (quarantine == NULL) {
         return;
     }
-    while (quarantine->by_last_strike != NULL) {
-        remove_entry(quarantine, quarantine->by_last_strike);
+    while (quarantine->by_expiry != NULL) {
+        remove_entry(quarantine, quarantine->by_expiry);
     }
     free(quarantine);
 }
@@ -60,14 +64,62 @@
     quarantine->options.hold_ms = hold_ms;
 }
 
+/// Inserts the entry behind those that expire before it. Most expire last.
+static void
+insert_by_expiry(struct quarantine *quarantine, struct entry *entry)
+{
+    struct entry *head = quarantine->by_expiry;
+    struct entry *before = head != NULL ? head->prev : NULL;
+
+    while (before != NULL && before->expires_ms > entry->expires_ms) {
+        before = before == head ? NULL : before->prev;
+    }
+    if (before == NULL) {
+        DL_PREPEND(quarantine->by_expiry, entry);
+    }
+    else {
+        DL_APPEND_ELEM(quarantine->by_expiry, before, entry);
+    }
+}
+
+/// The hold grows with each crash beyond the limit: they confirm the cause.
+static int64_t
+hold_ms(const struct quarantine *quarantine, const struct entry *entry)
+{
+    int64_t ms = quarantine->options.hold_ms;
+
+    for (uint32_t i = quarantine->options.strikes_max; i < entry->strikes;
+         i++) {
+        ms *= HOLD_GROWTH;
+    }
+    return ms;
+}
+
+/// Sets the times of an entry after a strike or the start of a trial. After a
+/// hold, the strikes are kept for as long again.
+static void
+set_times(struct quarantine *quarantine, struct entry *entry)
+{
+    int64_t now_ms = clock_ms(quarantine->options.clock);
+    int64_t duration_ms = hold_ms(quarantine, entry);
+
+    entry->expires_ms = now_ms + duration_ms;
+    if (entry->strikes >= quarantine->options.strikes_max) {
+        entry->held_until_ms = now_ms + duration_ms;
+        entry->expires_ms += duration_ms;
+    }
+    DL_DELETE(quarantine->by_expiry, entry);
+    insert_by_expiry(quarantine, entry);
+}
+
 static void
 drop_expired(struct quarantine *quarantine)
 {
     int64_t now_ms = clock_ms(quarantine->options.clock);
 
-    while (quarantine->by_last_strike != NULL &&
-           quarantine->by_last_strike->expires_ms <= now_ms) {
-        remove_entry(quarantine, quarantine->by_last_strike);
+    while (quarantine->by_expiry != NULL &&
+           quarantine->by_expiry->expires_ms <= now_ms) {
+        remove_entry(quarantine, quarantine->by_expiry);
     }
 }
 
@@ -88,14 +140,14 @@
 
     if (HASH_COUNT(quarantine->by_fingerprint) >=
             quarantine->options.requests_max &&
-        quarantine->by_last_strike != NULL) {
-        remove_entry(quarantine, quarantine->by_last_strike);
+        quarantine->by_expiry != NULL) {
+        remove_entry(quarantine, quarantine->by_expiry);
     }
     entry = xcalloc(1, sizeof(*entry));
     entry->fingerprint = fingerprint;
     HASH_ADD(hh, quarantine->by_fingerprint, fingerprint,
              sizeof(entry->fingerprint), entry);
-    DL_APPEND(quarantine->by_last_strike, entry);
+    DL_APPEND(quarantine->by_expiry, entry);
     return entry;
 }
 
@@ -126,10 +178,8 @@
         return false;
     }
     entry->crash_ids[entry->strikes++] = crash_id;
-    entry->expires_ms =
-        clock_ms(quarantine->options.clock) + quarantine->options.hold_ms;
-    DL_DELETE(quarantine->by_last_strike, entry);
-    DL_APPEND(quarantine->by_last_strike, entry);
+    entry->on_trial = false;
+    set_times(quarantine, entry);
     return true;
 }
 
@@ -146,7 +196,8 @@
 {
     struct entry *entry = find(quarantine, fingerprint);
 
-    if (entry != NULL && entry->strikes < quarantine->options.strikes_max) {
+    if (entry != NULL && (entry->on_trial ||
+                          entry->strikes < quarantine->options.strikes_max)) {
         remove_entry(quarantine, entry);
     }
 }
@@ -154,16 +205,22 @@
 enum quarantine_verdict
 quarantine_check(struct quarantine *quarantine, uint64_t fingerprint)
 {
-    const struct entry *entry;
+    struct entry *entry;
 
     drop_expired(quarantine);
     entry = find(quarantine, fingerprint);
     if (entry == NULL) {
         return QUARANTINE_CLEAR;
     }
-    return entry->strikes < quarantine->options.strikes_max
-               ? QUARANTINE_ISOLATE
-               : QUARANTINE_REFUSE;
+    if (entry->strikes < quarantine->options.strikes_max) {
+        return QUARANTINE_ISOLATE;
+    }
+    if (clock_ms(quarantine->options.clock) < entry->held_until_ms) {
+        return QUARANTINE_REFUSE;
+    }
+    entry->on_trial = true;
+    set_times(quarantine, entry);
+    return QUARANTINE_ISOLATE;
 }
 
 size_t
--- a/include/dandelionvalve/quarantine.h
+++ b/include/dandelionvalve/quarantine.h
@@ -2,8 +2,10 @@
 ///
 /// When an endpoint crashes, each request that it was running gets a strike. A
 /// request with strikes runs only where no other such request runs, so that
-/// the next crash identifies the cause; at the limit it is refused. A success
-/// clears its strikes.
+/// the next crash identifies the cause; at the limit it is held: refused for a
+/// time. Then it is let through once, and held for longer if it crashes again,
+/// since it may come back for as long as its caller lives. A success clears
+/// its strikes.
 ///
 /// A strike carries the id of the crash, so that strikes of different crashes
 /// that several daemons detect add up, and one crash counts once.
@@ -26,8 +28,10 @@
 struct quarantine_options {
     const struct clock *clock;
     uint32_t strikes_max;
-    int64_t hold_ms; ///< time from the last strike until all strikes expire
-    size_t requests_max; ///< those with the oldest last strike are evicted
+    /// Time from the last strike until all strikes below the limit expire, and
+    /// of the first hold.
+    int64_t hold_ms;
+    size_t requests_max; ///< those that expire first are evicted
 };
 
 /// Crashes recorded for one request; further ones are ignored.
@@ -50,10 +54,11 @@
 uint32_t quarantine_strikes(const struct quarantine *quarantine,
                             uint64_t fingerprint);
 
-/// Clears the strikes of a request that has succeeded, unless it has reached
-/// the limit.
+/// Clears the strikes of a request that has succeeded, unless it is held: that
+/// success was begun before.
 void quarantine_clear(struct quarantine *quarantine, uint64_t fingerprint);
 
+/// Takes the request as let through if its hold has ended.
 enum quarantine_verdict quarantine_check(struct quarantine *quarantine,
                                          uint64_t fingerprint);
 
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -79,6 +79,38 @@
     quarantine_free(quarantine);
 }
 
+/// A request that comes back for minutes is let through once after each hold,
+/// which grows while it crashes endpoints (review/5).
+static void
+test_quarantine_of_repeats(void)
+{
+    struct manual_clock manual = {.now_us = 1000000};
+    struct clock clock = manual_clock_interface(&manual);
+    const struct quarantine_options options = {.clock = &clock,
+                                               .strikes_max = 3,
+                                               .hold_ms = 30000,
+                                               .requests_max = 3};
+    struct quarantine *quarantine = quarantine_new(&options);
+    uint32_t crashes = 0;
+
+    for (int i = 0; i < 600; i++) {
+        if (quarantine_check(quarantine, 1) != QUARANTINE_REFUSE) {
+            quarantine_strike(quarantine, 1, ++crashes);
+        }
+        // Others come and go without removing it.
+        quarantine_strike(quarantine, 100 + (uint64_t)i, 1);
+        manual.now_us += 1000000;
+    }
+    // Three, then after 30, 120 and 480 s.
+    CU_ASSERT(crashes == 5);
+    manual.now_us += 480 * 1000000LL;
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_ISOLATE);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_REFUSE);
+    quarantine_clear(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_CLEAR);
+    quarantine_free(quarantine);
+}
+
 static void
 test_breaker(void)
 {
@@ -147,6 +179,7 @@
                 test_retry_budget_is_a_share);
     CU_add_test(suite, "outcomes", test_outcomes);
     CU_add_test(suite, "quarantine", test_quarantine);
+    CU_add_test(suite, "quarantine of repeats", test_quarantine_of_repeats);
     CU_add_test(suite, "breaker", test_breaker);
     CU_add_test(suite, "hold", test_hold);
 }
