quarantine: a mass crash does not make holds longer

Eight endpoints that crash together while they run equal requests (a hot plain call) would have held that request for eight hours, at once.

Change: a hold grows only with a crash behind its end, of a trial of this or of another daemon, five times at most. Of more than eight crash ids the oldest makes room, so that later crashes still count.

Test: "policies: quarantine of mass crash" failed before (6 passed, 1 failed) and passes now; "quarantine of repeats" still does.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -1,6 +1,7 @@
 #include "dandelionvalve/quarantine.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include <uthash.h>
 #include <utlist.h>
@@ -8,11 +9,13 @@
 #include "xmalloc.h"
 
 #define HOLD_GROWTH 4
+#define FAILED_TRIALS_MAX 5
 
 struct entry {
     uint64_t fingerprint;
     uint32_t crash_ids[QUARANTINE_CRASHES_MAX];
     uint32_t strikes;
+    uint32_t failed_trials;
     int64_t held_until_ms; ///< at the limit: refused until then
     bool on_trial;         ///< let through after a hold, outcome unknown
     int64_t expires_ms;
@@ -82,19 +85,42 @@
     }
 }
 
-/// The hold grows with each crash beyond the limit: they confirm the cause.
+/// The hold grows with each crash after a hold, which confirms the cause. It
+/// does not with further ones at its start: many endpoints may crash together
+/// for another reason while they run equal requests.
 static int64_t
 hold_ms(const struct quarantine *quarantine, const struct entry *entry)
 {
     int64_t ms = quarantine->options.hold_ms;
 
-    for (uint32_t i = quarantine->options.strikes_max; i < entry->strikes;
-         i++) {
+    for (uint32_t i = 0; i < entry->failed_trials; i++) {
         ms *= HOLD_GROWTH;
     }
     return ms;
 }
 
+/// True if the strike comes from a request that this or another daemon has let
+/// through after a hold.
+static bool
+is_failed_trial(const struct quarantine *quarantine, const struct entry *entry)
+{
+    return entry->strikes >= quarantine->options.strikes_max &&
+           (entry->on_trial ||
+            clock_ms(quarantine->options.clock) >= entry->held_until_ms);
+}
+
+/// Adds the id of a crash; the oldest one makes room.
+static void
+add_crash_id(struct entry *entry, uint32_t crash_id)
+{
+    if (entry->strikes == QUARANTINE_CRASHES_MAX) {
+        memmove(entry->crash_ids, entry->crash_ids + 1,
+                sizeof(entry->crash_ids) - sizeof(entry->crash_ids[0]));
+        entry->strikes--;
+    }
+    entry->crash_ids[entry->strikes++] = crash_id;
+}
+
 /// Sets the times of an entry after a strike or the start of a trial. After a
 /// hold, the strikes are kept for as long again.
 static void
@@ -173,11 +199,14 @@
     if (entry == NULL) {
         entry = add_entry(quarantine, fingerprint);
     }
-    if (has_crash(entry, crash_id) ||
-        entry->strikes == QUARANTINE_CRASHES_MAX) {
+    if (has_crash(entry, crash_id)) {
         return false;
     }
-    entry->crash_ids[entry->strikes++] = crash_id;
+    if (is_failed_trial(quarantine, entry) &&
+        entry->failed_trials < FAILED_TRIALS_MAX) {
+        entry->failed_trials++;
+    }
+    add_crash_id(entry, crash_id);
     entry->on_trial = false;
     set_times(quarantine, entry);
     return true;
--- a/include/dandelionvalve/quarantine.h
+++ b/include/dandelionvalve/quarantine.h
@@ -3,9 +3,9 @@
 /// When an endpoint crashes, each request that it was running gets a strike. A
 /// request with strikes runs only where no other such request runs, so that
 /// the next crash identifies the cause; at the limit it is held: refused for a
-/// time. Then it is let through once, and held for longer if it crashes again,
-/// since it may come back for as long as its caller lives. A success clears
-/// its strikes.
+/// time. Then it is let through once, and held for longer if that crashes
+/// again, since it may come back for as long as its caller lives. A success
+/// clears its strikes.
 ///
 /// A strike carries the id of the crash, so that strikes of different crashes
 /// that several daemons detect add up, and one crash counts once.
@@ -34,7 +34,7 @@
     size_t requests_max; ///< those that expire first are evicted
 };
 
-/// Crashes recorded for one request; further ones are ignored.
+/// Crashes recorded for one request; further ones replace the oldest.
 #define QUARANTINE_CRASHES_MAX 8
 
 /// The options are copied. The caller frees with quarantine_free().
@@ -46,7 +46,7 @@
                             uint32_t strikes_max, int64_t hold_ms);
 
 /// Adds a strike for a crash that this or another daemon has detected. False
-/// if it is known already or QUARANTINE_CRASHES_MAX are recorded.
+/// if it is known already.
 bool quarantine_strike(struct quarantine *quarantine, uint64_t fingerprint,
                        uint32_t crash_id);
 
--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -111,6 +111,36 @@
     quarantine_free(quarantine);
 }
 
+/// Many endpoints crash together while they run equal requests: the hold is
+/// not longer for it. A crash that another daemon's trial has caused makes it
+/// so.
+static void
+test_quarantine_of_mass_crash(void)
+{
+    struct manual_clock manual = {.now_us = 1000000};
+    struct clock clock = manual_clock_interface(&manual);
+    const struct quarantine_options options = {.clock = &clock,
+                                               .strikes_max = 3,
+                                               .hold_ms = 30000,
+                                               .requests_max = 3};
+    struct quarantine *quarantine = quarantine_new(&options);
+
+    for (uint32_t i = 0; i < 20; i++) {
+        CU_ASSERT(quarantine_strike(quarantine, 1, i));
+    }
+    manual.now_us += 29 * 1000000LL;
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_REFUSE);
+    manual.now_us += 2 * 1000000LL;
+    CU_ASSERT(quarantine_strike(quarantine, 1, 100));
+    manual.now_us += 119 * 1000000LL;
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_REFUSE);
+    manual.now_us += 2 * 1000000LL;
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_ISOLATE);
+    quarantine_clear(quarantine, 1);
+    CU_ASSERT(quarantine_check(quarantine, 1) == QUARANTINE_CLEAR);
+    quarantine_free(quarantine);
+}
+
 static void
 test_breaker(void)
 {
@@ -180,6 +210,8 @@
     CU_add_test(suite, "outcomes", test_outcomes);
     CU_add_test(suite, "quarantine", test_quarantine);
     CU_add_test(suite, "quarantine of repeats", test_quarantine_of_repeats);
+    CU_add_test(suite, "quarantine of mass crash",
+                test_quarantine_of_mass_crash);
     CU_add_test(suite, "breaker", test_breaker);
     CU_add_test(suite, "hold", test_hold);
 }
