tests: draining an endpoint waits until the routers know it

Cause: drain_endpoint() let 200 ms pass and took the entry as read. The stand-in store, the router's read and the answer take several turns of one loop, in one process: if that is held up for 200 ms, only the timer has acted.

Every check stays, and one is added: the routers learn it in time.

--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -8,12 +8,17 @@
 #include <event2/buffer.h>
 
 #include "core/eject.h"
+#include "direct/direct_state.h"
+#include "direct/endpoints.h"
 #include "direct/exchange_state.h"
 #include "direct_harness.h"
 #include "net/http_client.h"
 #include "suites.h"
 
 #define BODY_BYTES 40000
+/// Limit of the operators' pages: from the drain of an endpoint until its last
+/// request.
+#define DRAIN_MS 2000
 /// Requests until an endpoint that is chosen at random has got one.
 #define PLACEMENTS_MAX 60
 #define STALLED_CALLS 24
@@ -795,13 +800,37 @@
     return origin_runs(harness->origins[0]) > 0 ? 0 : 1;
 }
 
+struct drain {
+    struct direct_harness *harness;
+    const char *id;
+};
+
+/// True if all routers know that the endpoint drains.
+static bool
+is_draining(void *ctx)
+{
+    const struct drain *drain = ctx;
+
+    for (size_t i = 0; i < drain->harness->options.routers; i++) {
+        const struct endpoint *endpoint = endpoints_find(
+            direct_endpoints(drain->harness->routers[i]), str_from(drain->id));
+
+        if (endpoint == NULL || endpoint->state != ENDPOINT_DRAINING) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Drains the endpoint, so that its context has to be fetched from it.
 static void
 drain_endpoint(struct direct_harness *harness, size_t index)
 {
-    direct_harness_put_entry(harness, index == 0 ? "e-0" : "e-1",
-                             harness->origins[index], "models", "draining");
-    direct_harness_run(harness, 200);
+    struct drain drain = {harness, index == 0 ? "e-0" : "e-1"};
+
+    direct_harness_put_entry(harness, drain.id, harness->origins[index],
+                             "models", "draining");
+    CU_ASSERT(direct_harness_wait(harness, is_draining, &drain, DRAIN_MS));
 }
 
 /// True if the last request of the other endpoint names this one as the
