tests: the quarantine's tests share one set-up

Change: quarantine_with_clock(); no check changed. Conclusion: one place says which limits these tests use.

--- a/tests/test_policies.c
+++ b/tests/test_policies.c
@@ -79,6 +79,17 @@
     quarantine_free(quarantine);
 }
 
+static struct quarantine *
+quarantine_with_clock(const struct clock *clock)
+{
+    return quarantine_new(&(struct quarantine_options){
+        .clock = clock,
+        .strikes_max = 3,
+        .hold_ms = 30000,
+        .requests_max = 3,
+    });
+}
+
 /// A request that comes back for minutes is let through once after each hold,
 /// which grows while it crashes endpoints (review/5).
 static void
@@ -86,11 +97,7 @@
 {
     struct manual_clock manual = {.now_us = 1000000};
     struct clock clock = manual_clock_interface(&manual);
-    const struct quarantine_options options = {.clock = &clock,
-                                               .strikes_max = 3,
-                                               .hold_ms = 30000,
-                                               .requests_max = 3};
-    struct quarantine *quarantine = quarantine_new(&options);
+    struct quarantine *quarantine = quarantine_with_clock(&clock);
     uint32_t crashes = 0;
 
     for (int i = 0; i < 600; i++) {
@@ -119,11 +126,7 @@
 {
     struct manual_clock manual = {.now_us = 1000000};
     struct clock clock = manual_clock_interface(&manual);
-    const struct quarantine_options options = {.clock = &clock,
-                                               .strikes_max = 3,
-                                               .hold_ms = 30000,
-                                               .requests_max = 3};
-    struct quarantine *quarantine = quarantine_new(&options);
+    struct quarantine *quarantine = quarantine_with_clock(&clock);
 
     for (uint32_t i = 0; i < 20; i++) {
         CU_ASSERT(quarantine_strike(quarantine, 1, i));
