tests: an answer with another call's number is seen to be rejected

Cause: read once more. "agent endings: repeated refusal" accepted 502 beside 200 in both of its cases, and would have passed without a repeated refusal. Change: exactly one call is rejected where connections are used again, none where each call has its own. Conclusion: the check can fail.

--- a/tests/test_agent_endings.c
+++ b/tests/test_agent_endings.c
@@ -140,6 +140,7 @@
     struct fixture fixture;
     struct harness_call call;
     uint64_t connections;
+    int rejected = 0;
 
     start(&fixture);
     if (echoes_calls) {
@@ -161,10 +162,13 @@
             CU_ASSERT(ends_with(harness_response_body(&call), ", 9 bytes"));
         }
         CU_ASSERT(i < 2 || call.status == 200);
+        rejected += call.status == 502;
         harness_call_free(&call);
     }
     connections = origin_connections(fixture.origin) - connections;
     CU_ASSERT(echoes_calls ? connections < 4 : connections >= 4);
+    // The repeated refusal arrives only where the connection is used again.
+    CU_ASSERT(rejected == (echoes_calls ? 1 : 0));
     stop(&fixture);
 }
 
