eject: an ejection is reported to the peers, trials are left to repeatable requests

Load: endpoints that fail all requests while their entries say ready, behind 25 routers.

Change: an ejection for failures is reported like a refused connection (MESSAGE_DOWN, unchanged on the wire) and starts a trial at the peers. Setting links.share_ejections, off by default.

--- a/core/eject.c
+++ b/core/eject.c
@@ -25,6 +25,7 @@
             ? 2 * eject->next_duration_ms
             : EJECT_DURATION_MAX_MS;
     eject->trial = true;
+    eject->trial_since_ms = eject->ejected_until_ms;
     eject->consecutive_failures = 0;
 }
 
@@ -80,9 +81,19 @@
 }
 
 void
-eject_begin_trial(struct eject *eject)
+eject_begin_trial(struct eject *eject, int64_t now_ms)
 {
-    eject->trial = true;
+    if (!eject->trial) {
+        eject->trial = true;
+        eject->trial_since_ms = now_ms;
+    }
+}
+
+bool
+eject_spares_once(const struct eject *eject, int64_t now_ms)
+{
+    return eject->trial &&
+           now_ms < eject->trial_since_ms + EJECT_SPARE_ONCE_MS;
 }
 
 bool
--- a/core/eject.h
+++ b/core/eject.h
@@ -7,6 +7,10 @@
 /// refused connection eject at once, a high share of failures after enough
 /// samples. After the ejection an endpoint is on trial: it receives one
 /// request at a time until one succeeds.
+///
+/// With many routers each would have to fail some requests to learn the same.
+/// An ejection is therefore reported to the peers, which start a trial, and
+/// for a while only requests that may be repeated elsewhere are tried.
 #pragma once
 
 #include <stdbool.h>
@@ -27,6 +31,9 @@
 #define EJECT_SAMPLES_MIN 8
 #define EJECT_DURATION_MIN_MS 800
 #define EJECT_DURATION_MAX_MS 4000
+/// Time of a trial in which requests that may run only once go elsewhere. It
+/// is bounded, since a router may have no others.
+#define EJECT_SPARE_ONCE_MS 1500
 
 struct eject {
     uint32_t consecutive_failures;
@@ -35,6 +42,7 @@
     int64_t ejected_until_ms; ///< 0: not ejected
     int64_t next_duration_ms;
     bool trial; ///< one request at a time until one succeeds
+    int64_t trial_since_ms;
 };
 
 void eject_init(struct eject *eject);
@@ -50,9 +58,12 @@
 /// ejected already.
 bool eject_connect_failure(struct eject *eject, int64_t now_ms);
 
-/// A peer reports that the endpoint is down. It may be reachable from here, so
-/// this only starts a trial.
-void eject_begin_trial(struct eject *eject);
+/// A peer reports that the endpoint is down or fails. It may work from here,
+/// so this only starts a trial.
+void eject_begin_trial(struct eject *eject, int64_t now_ms);
+
+/// True while a trial is left to requests that may be repeated.
+bool eject_spares_once(const struct eject *eject, int64_t now_ms);
 
 /// True while no request should be sent to the endpoint: it is ejected, or on
 /// trial with a request in flight.
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -234,6 +234,7 @@
         }
         settings->seed_count = i + 1;
     }
+    toml_get_bool(links, "share_ejections", &settings->share_ejections, err);
 }
 
 static void
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -61,6 +61,7 @@
     struct link_keys keys;
     struct address seeds[SETTINGS_SEEDS_MAX];
     size_t seed_count;
+    bool share_ejections; ///< report ejected endpoints to the peers
     int64_t grace_ms; ///< from SIGTERM to the end of the process
     int64_t budget_window_ms;
     double budget_ratio;  ///< retries as a share of the requests
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -12,6 +12,7 @@
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
 #include "blame.h"
+#include "daemon/settings.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -80,6 +81,9 @@
                     (long long)(endpoint->eject.ejected_until_ms -
                                 exchange_now(exchange)),
                     exchange->id);
+        if (direct_settings(exchange->direct)->share_ejections) {
+            direct_report_down(exchange->direct, endpoint);
+        }
     }
 }
 
@@ -99,7 +103,7 @@
         STR_ARG(endpoint->id), STR_ARG(endpoint->service), reason,
         (long long)(endpoint->eject.ejected_until_ms - exchange_now(exchange)),
         exchange->id);
-    direct_report_unreachable(exchange->direct, endpoint);
+    direct_report_down(exchange->direct, endpoint);
 }
 
 static void
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -325,6 +325,7 @@
     settings->budget_ratio = updated->budget_ratio;
     settings->budget_slack = updated->budget_slack;
     settings->cap_factor = updated->cap_factor;
+    settings->share_ejections = updated->share_ejections;
     settings->keys = updated->keys;
     for (size_t i = 0; direct->mesh != NULL && i < updated->seed_count; i++) {
         mesh_add(direct->mesh, &updated->seeds[i]);
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -48,9 +48,10 @@
                             const struct endpoint *endpoint,
                             const struct prefix *prefix);
 
-/// Reports to the peers that the endpoint accepts no connections.
-void direct_report_unreachable(struct direct *direct,
-                               const struct endpoint *endpoint);
+/// Reports to the peers that the endpoint accepts no connections or fails its
+/// requests.
+void direct_report_down(struct direct *direct,
+                        const struct endpoint *endpoint);
 
 /// Counts a crash of an endpoint against the request that it ran, and reports
 /// it to the peers.
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -33,6 +33,8 @@
         .prefix = &exchange->facts.prefix,
         .tried = exchange->tried + skipped,
         .tried_count = exchange->offers - skipped,
+        .at_most_once = !exchange_is_repeatable(exchange),
+        .spares_trials = direct_settings(direct)->share_ejections,
     };
     const struct place_request request = {
         .random = direct_random(direct),
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -15,6 +15,9 @@
 /// Share of a service's endpoints that may be ejected at once. If more fail,
 /// the cause is not in the endpoints, and all stay in use.
 #define EJECTED_PERCENT_MAX 50
+/// Share of a service's endpoints that requests which may run only once avoid,
+/// ejected ones included. The others must have room for what they take over.
+#define AVOIDED_PERCENT_MAX 20
 
 struct endpoints {
     struct endpoints_options options;
@@ -24,6 +27,7 @@
     struct place_candidate candidates[CANDIDATES_MAX];
     struct endpoint *candidate_endpoints[CANDIDATES_MAX];
     bool ejected[CANDIDATES_MAX];
+    bool avoided[CANDIDATES_MAX];
 };
 
 struct endpoints *
@@ -445,24 +449,24 @@
     return count > 0 ? sum / (double)count : 0;
 }
 
-/// Makes ejected candidates unusable, unless more than EJECTED_PERCENT_MAX are
-/// ejected.
+/// Makes the marked candidates unusable, unless they are more than
+/// `percent_max` of the usable ones.
 static void
-apply_ejections(struct place_candidate *candidates, size_t count,
-                const bool *ejected)
+exclude(struct place_candidate *candidates, size_t count, const bool *marked,
+        int percent_max)
 {
-    size_t ejected_count = 0;
+    size_t marked_count = 0;
     size_t ready = 0;
 
     for (size_t i = 0; i < count; i++) {
         ready += candidates[i].usable ? 1 : 0;
-        ejected_count += candidates[i].usable && ejected[i] ? 1 : 0;
+        marked_count += candidates[i].usable && marked[i] ? 1 : 0;
     }
-    if (100 * ejected_count > EJECTED_PERCENT_MAX * ready) {
+    if (100 * marked_count > (size_t)percent_max * ready) {
         return;
     }
     for (size_t i = 0; i < count; i++) {
-        candidates[i].usable = candidates[i].usable && !ejected[i];
+        candidates[i].usable = candidates[i].usable && !marked[i];
     }
 }
 
@@ -475,6 +479,7 @@
     struct place_candidate *candidates = endpoints->candidates;
     struct endpoint **candidate_endpoints = endpoints->candidate_endpoints;
     bool *ejected = endpoints->ejected;
+    bool *avoided = endpoints->avoided;
     int64_t now_ms = clock_ms(endpoints->options.clock);
     struct endpoint *endpoint;
     size_t count = 0;
@@ -487,6 +492,9 @@
         candidate_endpoints[count] = endpoint;
         ejected[count] =
             eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
+        avoided[count] =
+            ejected[count] || (query->at_most_once && query->spares_trials &&
+                               eject_spares_once(&endpoint->eject, now_ms));
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
             .usable = endpoint_is_ready(endpoint) &&
@@ -507,7 +515,8 @@
         };
         count++;
     }
-    apply_ejections(candidates, count, ejected);
+    exclude(candidates, count, avoided, AVOIDED_PERCENT_MAX);
+    exclude(candidates, count, ejected, EJECTED_PERCENT_MAX);
     *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -121,6 +121,8 @@
     const struct prefix *prefix;
     const uint64_t *tried; ///< hashes of endpoints to exclude
     size_t tried_count;
+    bool at_most_once;  ///< the request may not be repeated
+    bool spares_trials; ///< such a request avoids endpoints on trial
 };
 
 struct endpoints_choice {
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -255,7 +255,7 @@
                                message->contexts.count);
         return;
     case MESSAGE_DOWN:
-        mesh->options.unreachable(mesh->options.ctx, message->down.endpoint);
+        mesh->options.endpoint_down(mesh->options.ctx, message->down.endpoint);
         return;
     case MESSAGE_BLAMES:
         for (size_t i = 0; i < message->blames.count; i++) {
@@ -593,7 +593,7 @@
 }
 
 void
-mesh_send_unreachable(struct mesh *mesh, uint64_t endpoint)
+mesh_send_down(struct mesh *mesh, uint64_t endpoint)
 {
     struct peer *peer;
 
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -62,8 +62,9 @@
                   size_t count);
     /// A peer has placed a prompt that the endpoint caches.
     void (*placement)(void *ctx, const struct message_placed *placed);
-    /// A peer reports that an endpoint accepts no connections.
-    void (*unreachable)(void *ctx, uint64_t endpoint);
+    /// A peer reports that an endpoint accepts no connections or fails its
+    /// requests.
+    void (*endpoint_down)(void *ctx, uint64_t endpoint);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t crash_id);
     /// A link to a peer is ready; it may have just started.
     void (*peer_ready)(void *ctx, struct link *link);
@@ -101,8 +102,9 @@
 void mesh_queue_placement(struct mesh *mesh,
                           const struct message_placed *placed);
 
-/// Reports to all peers that an endpoint accepts no connections.
-void mesh_send_unreachable(struct mesh *mesh, uint64_t endpoint);
+/// Reports to all peers that an endpoint accepts no connections or fails its
+/// requests.
+void mesh_send_down(struct mesh *mesh, uint64_t endpoint);
 
 /// Reports to all peers that a request has crashed its endpoint.
 void mesh_send_strike(struct mesh *mesh, uint64_t fingerprint,
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -130,16 +130,16 @@
 }
 
 static void
-on_unreachable(void *ctx, uint64_t hash)
+on_endpoint_down(void *ctx, uint64_t hash)
 {
     struct direct *direct = ctx;
     struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
 
     if (endpoint != NULL && !endpoint->eject.trial) {
-        eject_begin_trial(&endpoint->eject);
+        eject_begin_trial(&endpoint->eject, clock_ms(direct->options.clock));
         LOG_INFO("event=endpoint-suspected endpoint=" STR_FMT
                  " service=" STR_FMT " in_flight=%u "
-                 "reason=\"a peer cannot connect\"",
+                 "reason=\"reported by a peer\"",
                  STR_ARG(endpoint->id), STR_ARG(endpoint->service),
                  endpoint->in_flight);
     }
@@ -187,7 +187,7 @@
         .collect_loads = collect_loads,
         .loads = on_loads,
         .placement = on_placement,
-        .unreachable = on_unreachable,
+        .endpoint_down = on_endpoint_down,
         .strike = on_strike,
         .peer_ready = on_peer_ready,
         .blame = on_blame,
@@ -247,11 +247,10 @@
 }
 
 void
-direct_report_unreachable(struct direct *direct,
-                          const struct endpoint *endpoint)
+direct_report_down(struct direct *direct, const struct endpoint *endpoint)
 {
     if (direct->mesh != NULL) {
-        mesh_send_unreachable(direct->mesh, endpoint->hash);
+        mesh_send_down(direct->mesh, endpoint->hash);
     }
 }
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -48,7 +48,7 @@
     MESSAGE_RECORD,  ///< one record of a topic
     MESSAGE_REACHED, ///< all records up to an offset have been sent
     MESSAGE_PLACED,  ///< contexts that endpoints have begun to cache
-    MESSAGE_DOWN,    ///< an endpoint refuses connections
+    MESSAGE_DOWN,    ///< an endpoint refuses connections or fails
     MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_WANT_CONTEXTS, ///< requests all contexts of a router
     MESSAGE_CONTEXTS, ///< some of those contexts; an empty message ends them
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -574,13 +574,79 @@
     CU_ASSERT(eject_is_blocked(&eject, 2, 0));
     CU_ASSERT(!eject_connect_failure(&eject, 3));
     eject_init(&eject);
-    eject_begin_trial(&eject);
+    eject_begin_trial(&eject, 1);
     CU_ASSERT(!eject_is_blocked(&eject, 2, 0));
     CU_ASSERT(eject_is_blocked(&eject, 2, 1));
     eject_success(&eject);
     CU_ASSERT(!eject_is_blocked(&eject, 2, 1));
 }
 
+#define FAILING_ROUTERS 25
+#define FAILING_REQUESTS 4000
+
+/// Requests that may run only once and are lost to an endpoint that fails all
+/// of them, at many routers that send it one request in 50 ms in turn.
+static int
+count_lost(bool is_shared)
+{
+    struct random_seeded seeded = {5};
+    struct random_source random = random_seeded_interface(&seeded);
+    struct eject ejects[FAILING_ROUTERS];
+    int lost = 0;
+
+    for (size_t i = 0; i < FAILING_ROUTERS; i++) {
+        eject_init(&ejects[i]);
+    }
+    for (int i = 0; i < FAILING_REQUESTS; i++) {
+        struct eject *eject = &ejects[random_below(&random, FAILING_ROUTERS)];
+        int64_t now_ms = 1 + 2 * i;
+        bool at_most_once = random_unit(&random) < 0.4;
+
+        if (eject_is_blocked(eject, now_ms, 0) ||
+            (is_shared && at_most_once && eject_spares_once(eject, now_ms))) {
+            continue;
+        }
+        lost += at_most_once;
+        if (!eject_failure(eject, now_ms, 0) || !is_shared) {
+            continue;
+        }
+        for (size_t j = 0; j < FAILING_ROUTERS; j++) {
+            eject_begin_trial(&ejects[j], now_ms);
+        }
+    }
+    return lost;
+}
+
+/// Load pattern: an endpoint fails all requests while its entry says that it
+/// is ready. Guards against each router losing requests to learn the same.
+static void
+test_eject_is_shared(void)
+{
+    int alone = count_lost(false);
+    int shared = count_lost(true);
+
+    CU_ASSERT(alone > 50);
+    CU_ASSERT(3 * shared < alone);
+}
+
+/// A router that has only requests which may run once ends a trial with one of
+/// them, after a time.
+static void
+test_eject_spares_once(void)
+{
+    struct eject eject;
+
+    eject_init(&eject);
+    CU_ASSERT(!eject_spares_once(&eject, 1));
+    eject_begin_trial(&eject, 10);
+    CU_ASSERT(eject_spares_once(&eject, 10));
+    CU_ASSERT(eject_spares_once(&eject, 9 + EJECT_SPARE_ONCE_MS));
+    eject_begin_trial(&eject, 9 + EJECT_SPARE_ONCE_MS);
+    CU_ASSERT(!eject_spares_once(&eject, 10 + EJECT_SPARE_ONCE_MS));
+    eject_success(&eject);
+    CU_ASSERT(!eject_spares_once(&eject, 20));
+}
+
 /// Load pattern: many callers are refused in the same second.
 static void
 test_retry_after_spreads(void)
@@ -685,6 +751,9 @@
     CU_add_test(suite, "eject: keeps healthy ones", test_eject_keeps_healthy);
     CU_add_test(suite, "eject: trial", test_eject_trial);
     CU_add_test(suite, "eject: down", test_eject_down);
+    CU_add_test(suite, "ejection is shared", test_eject_is_shared);
+    CU_add_test(suite, "trials spare requests that run once",
+                test_eject_spares_once);
     CU_add_test(suite, "retry-after spreads", test_retry_after_spreads);
     CU_add_test(suite, "events", test_events);
     CU_add_test(suite, "long event in small pieces", test_long_event);
