--- a/core/gate.c
+++ b/core/gate.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "decay.h"
 #include "xmalloc.h"
 
 #define PRIORITIES 10
@@ -34,12 +35,6 @@
     struct waiting *next;
 };
 
-/// An exponentially decaying count; value / RATE_WINDOW_MS is a rate per ms.
-struct decaying_count {
-    double value;
-    int64_t updated_ms;
-};
-
 /// An account with waiting requests or a recent admission.
 struct account {
     struct str name;
@@ -285,13 +280,10 @@
     return bound < gate->options.slots ? bound : gate->options.slots;
 }
 
-static void
-decay(const struct gate *gate, struct decaying_count *count)
+static double
+add(const struct gate *gate, struct decaying_count *count, double amount)
 {
-    int64_t now = now_ms(gate);
-
-    count->value *= exp(-(double)(now - count->updated_ms) / RATE_WINDOW_MS);
-    count->updated_ms = now;
+    return decay_add(count, now_ms(gate), RATE_WINDOW_MS, amount);
 }
 
 // Spreads the retries of refused requests evenly over twice the time that the
@@ -303,10 +295,8 @@
     double rate_per_ms;
     double wait;
 
-    decay(gate, &gate->ended);
-    decay(gate, &gate->refused);
-    backlog = (double)gate->queued + gate->refused.value + 1;
-    rate_per_ms = gate->ended.value / RATE_WINDOW_MS;
+    backlog = (double)gate->queued + add(gate, &gate->refused, 0) + 1;
+    rate_per_ms = add(gate, &gate->ended, 0) / RATE_WINDOW_MS;
     if (rate_per_ms < (double)gate->options.slots / RATE_WINDOW_MS) {
         rate_per_ms = (double)gate->options.slots / RATE_WINDOW_MS;
     }
@@ -327,8 +317,7 @@
     struct gate_decision decision = {GATE_REFUSED, reason, 0};
 
     if (reason == REFUSE_QUEUE_FULL) {
-        decay(gate, &gate->refused);
-        gate->refused.value += 1;
+        add(gate, &gate->refused, 1);
         decision.retry_after_ms = retry_after_ms(gate);
     }
     return decision;
@@ -459,8 +448,7 @@
 static void
 count_served(struct gate *gate, struct account *account)
 {
-    decay(gate, &account->served);
-    account->served.value += 1;
+    add(gate, &account->served, 1);
 }
 
 struct gate_decision
@@ -502,9 +490,7 @@
 static double
 served_share(const struct gate *gate, const struct account *account)
 {
-    double age_ms = (double)(now_ms(gate) - account->served.updated_ms);
-
-    return account->served.value * exp(-age_ms / RATE_WINDOW_MS) /
+    return decay_value(&account->served, now_ms(gate), RATE_WINDOW_MS) /
            account->weight;
 }
 
@@ -611,8 +597,7 @@
 {
     INVARIANT(gate->running > 0);
     gate->running--;
-    decay(gate, &gate->ended);
-    gate->ended.value += 1;
+    add(gate, &gate->ended, 1);
     admit_waiting(gate);
 }
 
--- a/core/message.c
+++ b/core/message.c
@@ -162,7 +162,7 @@
         [MESSAGE_BEATS] = 1,         [MESSAGE_WANT_SMALL] = 2,
         [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
-        [MESSAGE_LISTING] = 2,
+        [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
     };
 
     return counts[type];
@@ -205,6 +205,20 @@
     }
 }
 
+static void
+put_shares(msgpack_packer *packer, const struct message_share *items,
+           size_t count)
+{
+    msgpack_pack_array(packer, 5 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].group);
+        put_uint(packer, items[i].account);
+        put_uint(packer, items[i].offered_milli);
+        put_uint(packer, items[i].admitted_milli);
+        put_uint(packer, items[i].admitted_tokens);
+    }
+}
+
 static void
 put_blames(msgpack_packer *packer, const struct message_blame *items,
            size_t count)
@@ -305,6 +319,9 @@
     case MESSAGE_BEATS:
         put_beats(packer, m->beats.items, m->beats.count);
         return;
+    case MESSAGE_SHARES:
+        put_shares(packer, m->shares.items, m->shares.count);
+        return;
     case MESSAGE_BLAMES:
         put_blames(packer, m->blames.items, m->blames.count);
         return;
@@ -621,6 +638,26 @@
     m->beats.count = count;
 }
 
+static void
+get_shares(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = begin_groups(cursor, 5, MESSAGE_SHARES_MAX, &fields);
+    struct message_share *items =
+        allocate(cursor, (count + 1) * sizeof(*items));
+
+    for (size_t i = 0; i < count && items != NULL; i++) {
+        items[i].group = get_uint(&fields, UINT64_MAX);
+        items[i].account = get_uint(&fields, UINT64_MAX);
+        items[i].offered_milli = get_u32(&fields);
+        items[i].admitted_milli = get_u32(&fields);
+        items[i].admitted_tokens = get_u32(&fields);
+    }
+    cursor->failed = cursor->failed || fields.failed;
+    m->shares.items = items;
+    m->shares.count = count;
+}
+
 /// Enters an array whose items have different lengths.
 static bool
 begin_items(struct cursor *cursor, struct cursor *fields)
@@ -759,6 +796,9 @@
     case MESSAGE_BEATS:
         get_beats(cursor, m);
         return;
+    case MESSAGE_SHARES:
+        get_shares(cursor, m);
+        return;
     case MESSAGE_BLAMES:
         get_blames(cursor, m);
         return;
@@ -1021,6 +1061,7 @@
         [MESSAGE_BLAMES] = "blames",
         [MESSAGE_ANSWERED] = "answered",
         [MESSAGE_LISTING] = "listing",
+        [MESSAGE_SHARES] = "shares",
     };
 
     return names[type];
--- a/core/shed.c
+++ b/core/shed.c
@@ -129,13 +129,27 @@
     return shed->refused_share != old_share;
 }
 
+double
+shed_share(struct shed *shed, double share_min)
+{
+    shed->has_requests = true;
+    return fmin(fmax(shed->refused_share, share_min), SHED_SHARE_MAX);
+}
+
+double
+shed_late_share(double share)
+{
+    return fmin(share * SHED_LATE_FACTOR, SHED_SHARE_MAX);
+}
+
 bool
 shed_refuses(struct shed *shed, const struct random_source *random,
              double share_min, bool is_late)
 {
-    double share = fmax(shed->refused_share, share_min) *
-                   (is_late ? SHED_LATE_FACTOR : 1);
+    double share = shed_share(shed, share_min);
 
-    shed->has_requests = true;
-    return share > 0 && random_unit(random) < fmin(share, SHED_SHARE_MAX);
+    if (is_late) {
+        share = shed_late_share(share);
+    }
+    return share > 0 && random_unit(random) < share;
 }
--- a/core/shed.h
+++ b/core/shed.h
@@ -73,8 +73,15 @@
 /// Ends a step if it is due; true if the refused share has changed.
 bool shed_update(struct shed *shed, int64_t now_ms);
 
-/// True if this request is to be refused. `share_min` is the refused share of
-/// higher priorities: lower ones are refused at least as often. `is_late`: the
-/// request can no longer meet its objective.
+/// A request was received; returns the share of such requests to be refused.
+/// `share_min` is the refused share of higher priorities: lower ones are
+/// refused at least as often.
+double shed_share(struct shed *shed, double share_min);
+
+/// The share to be refused of requests that can no longer meet their
+/// objective, where it is `share` of the others.
+double shed_late_share(double share);
+
+/// True if this request is to be refused: a random choice by these shares.
 bool shed_refuses(struct shed *shed, const struct random_source *random,
                   double share_min, bool is_late);
--- a/core/timing.c
+++ b/core/timing.c
@@ -51,18 +51,35 @@
            objective_ms * (100 - TIMING_NEEDED_PERCENT) / 100;
 }
 
+bool
+timing_is_returning(int64_t typical_ms, int64_t deadline_ms)
+{
+    return typical_ms - deadline_ms >= TIMING_RETRY_AFTER_MIN_MS;
+}
+
 int64_t
 timing_retry_after_ms(const struct random_source *random, int64_t remaining_ms)
+{
+    return timing_retry_after_from_ms(random, remaining_ms, 0);
+}
+
+int64_t
+timing_retry_after_from_ms(const struct random_source *random,
+                           int64_t remaining_ms, int64_t earliest_ms)
 {
     int64_t wait_max_ms = remaining_ms / TIMING_REMAINING_DIVISOR;
     int64_t jitter_ms = TIMING_RETRY_AFTER_JITTER_MS;
+    int64_t from_ms =
+        earliest_ms < wait_max_ms / 2 ? earliest_ms : wait_max_ms / 2;
 
     if (wait_max_ms <= TIMING_RETRY_AFTER_MIN_MS) {
         return wait_max_ms > 0 ? wait_max_ms : 0;
     }
-    if (jitter_ms > wait_max_ms - TIMING_RETRY_AFTER_MIN_MS) {
-        jitter_ms = wait_max_ms - TIMING_RETRY_AFTER_MIN_MS;
+    if (from_ms < TIMING_RETRY_AFTER_MIN_MS) {
+        from_ms = TIMING_RETRY_AFTER_MIN_MS;
+    }
+    if (jitter_ms > wait_max_ms - from_ms) {
+        jitter_ms = wait_max_ms - from_ms;
     }
-    return TIMING_RETRY_AFTER_MIN_MS +
-           (int64_t)random_below(random, (uint64_t)jitter_ms + 1);
+    return from_ms + (int64_t)random_below(random, (uint64_t)jitter_ms + 1);
 }
--- a/core/timing.h
+++ b/core/timing.h
@@ -63,7 +63,16 @@
 bool timing_is_late(int64_t typical_ms, int64_t deadline_ms,
                     int64_t objective_ms);
 
+/// True if the caller has used part of the typical deadline before, as one
+/// does that was refused and came back.
+bool timing_is_returning(int64_t typical_ms, int64_t deadline_ms);
+
 /// Retry-After delay for a refused caller, in ms; `remaining_ms` is the time
 /// until its deadline.
 int64_t timing_retry_after_ms(const struct random_source *random,
                               int64_t remaining_ms);
+
+/// The same for a caller that has no chance before `earliest_ms`. At most half
+/// of the time that callers honour is used up by it: the rest spreads them.
+int64_t timing_retry_after_from_ms(const struct random_source *random,
+                                   int64_t remaining_ms, int64_t earliest_ms);
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -13,11 +13,12 @@
 /// between routers.
 #define MESSAGE_VERSION 1
 /// Version of the messages between routers, and the first ones with beats and
-/// compressed records, with blames, and with listings.
-#define MESSAGE_VERSION_ROUTERS 4
+/// compressed records, with blames, with listings, and with shares.
+#define MESSAGE_VERSION_ROUTERS 5
 #define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_VERSION_BLAMES 3
 #define MESSAGE_VERSION_LISTINGS 4
+#define MESSAGE_VERSION_SHARES 5
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -63,6 +64,8 @@
     // Version 4:
     MESSAGE_LISTING, ///< all keys follow that exist before an offset, up to
                      ///< MESSAGE_REACHED: others have been removed
+    // Version 5:
+    MESSAGE_SHARES, ///< recent requests of a router, by service and account
     MESSAGE_TYPE_END,
 };
 
@@ -219,6 +222,19 @@
     size_t part_count;
 };
 
+/// Items in one MESSAGE_SHARES; the rest is in the next report.
+#define MESSAGE_SHARES_MAX 400
+
+/// What a router has recently received and admitted for an account: sums that
+/// decay exponentially. Requests are in thousandths.
+struct message_share {
+    uint64_t group;   ///< hash of the service and the priority
+    uint64_t account; ///< hash of its name
+    uint32_t offered_milli;
+    uint32_t admitted_milli;
+    uint32_t admitted_tokens; ///< of their prompts
+};
+
 /// Contexts in one MESSAGE_CONTEXTS; further ones follow in the next.
 #define MESSAGE_CONTEXTS_MAX 500
 
@@ -330,6 +346,10 @@
             const struct message_beat *items;
             size_t count;
         } beats;
+        struct {
+            const struct message_share *items;
+            size_t count;
+        } shares;
         struct {
             const struct message_blame *items;
             size_t count;
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -157,6 +157,47 @@
     message_codec_free(codec);
 }
 
+/// Guards against: numbers of a full report are lost, or half an item passes.
+static void
+test_shares_round_trip(void)
+{
+    static struct message_share items[MESSAGE_SHARES_MAX + 1];
+    struct message message = {
+        .type = MESSAGE_SHARES,
+        .shares = {items, MESSAGE_SHARES_MAX},
+    };
+    struct message_codec *codec = message_codec_new();
+    struct message decoded;
+    struct err err = {0};
+
+    for (uint32_t i = 0; i <= MESSAGE_SHARES_MAX; i++) {
+        items[i] = (struct message_share){UINT64_MAX - i, i, UINT32_MAX - i,
+                                          2 * i, 3 * i};
+    }
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT(decoded.type == MESSAGE_SHARES);
+    CU_ASSERT_FATAL(decoded.shares.count == MESSAGE_SHARES_MAX);
+    for (size_t i = 0; i < MESSAGE_SHARES_MAX; i++) {
+        const struct message_share *share = &decoded.shares.items[i];
+
+        CU_ASSERT(share->group == items[i].group);
+        CU_ASSERT(share->account == items[i].account);
+        CU_ASSERT(share->offered_milli == items[i].offered_milli);
+        CU_ASSERT(share->admitted_milli == items[i].admitted_milli);
+        CU_ASSERT(share->admitted_tokens == items[i].admitted_tokens);
+    }
+    message.shares.count++;
+    CU_ASSERT(!message_decode(codec, message_encode(codec, &message), &decoded,
+                              &err));
+    // An array of four numbers instead of five.
+    CU_ASSERT(!message_decode(codec, STR_LITERAL("\x92\x24\x94\1\2\3\4"),
+                              &decoded, &err));
+    CU_ASSERT(message_decode(codec, STR_LITERAL("\x92\x24\x95\1\2\3\4\5"),
+                             &decoded, &err));
+    message_codec_free(codec);
+}
+
 static void
 test_blames_round_trip(void)
 {
@@ -384,6 +425,7 @@
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
+    CU_add_test(suite, "shares round trip", test_shares_round_trip);
     CU_add_test(suite, "blames round trip", test_blames_round_trip);
     CU_add_test(suite, "answered round trip", test_answered_round_trip);
     CU_add_test(suite, "malformed blames", test_malformed_blames);
