direct: share an overloaded service's capacity by account

With [admission] shares = true the requests to refuse are chosen by core/admission instead of at random, from sums that the routers send with their load reports, and a request whose predicted first event lies behind its deadline is refused at once. Without the setting nothing is sent or refused otherwise.

--- a/direct/direct.c
+++ b/direct/direct.c
@@ -229,7 +229,7 @@
         .clock = options->clock,
         .zone = direct->settings.zone,
     });
-    direct->services = services_new(options->clock);
+    direct->services = services_new(options->clock, options->random);
     direct->quarantine = quarantine_new(&(struct quarantine_options){
         .clock = options->clock,
         .strikes_max = STRIKES_MAX,
@@ -325,15 +325,16 @@
     settings->budget_ratio = updated->budget_ratio;
     settings->budget_slack = updated->budget_slack;
     settings->cap_factor = updated->cap_factor;
+    settings->shares = updated->shares;
     settings->keys = updated->keys;
     for (size_t i = 0; direct->mesh != NULL && i < updated->seed_count; i++) {
         mesh_add(direct->mesh, &updated->seeds[i]);
     }
     LOG_INFO("event=reload grace_ms=%lld retry_ratio=%.3f retry_slack=%lld "
-             "load_cap_factor=%.2f seeds=%zu",
+             "load_cap_factor=%.2f shares=%d seeds=%zu",
              (long long)settings->grace_ms, settings->budget_ratio,
              (long long)settings->budget_slack, settings->cap_factor,
-             updated->seed_count);
+             settings->shares, updated->seed_count);
 }
 
 struct address
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -1,5 +1,6 @@
 #include "dispatch.h"
 
+#include "core/admission.h"
 #include "core/catalog.h"
 #include "core/shed.h"
 #include "attempt.h"
@@ -52,6 +53,55 @@
                             choice);
 }
 
+static struct admission_request
+describe(const struct exchange *exchange, double shed_share, bool is_late)
+{
+    return (struct admission_request){
+        .service = exchange->service,
+        .account = exchange->account,
+        .route = exchange->route->name,
+        .priority = exchange->priority,
+        .prompt_tokens = prefix_tokens(&exchange->facts.prefix),
+        .shed_share = shed_share,
+        .is_late = is_late,
+        .is_returning = services_is_returning(
+            direct_services(exchange->direct), exchange->route->name,
+            exchange->facts.deadline_ms),
+    };
+}
+
+/// Refuses a request whose answer would begin behind its deadline; true if the
+/// exchange has ended.
+static bool
+try_refuse_untimely(struct exchange *exchange,
+                    const struct endpoints_choice *choice)
+{
+    struct direct *direct = exchange->direct;
+    double predicted_ms = choice->place.predicted_prefill_ms;
+    int64_t left_ms = exchange->expires_ms - exchange_now(exchange);
+    struct admission_request request;
+
+    if (!direct_settings(direct)->shares || exchange->offers > 0 ||
+        exchange->facts.last_event_id.len > 0) {
+        return false;
+    }
+    request = describe(exchange, 0, false);
+    if (!admission_misses_deadline(services_admission(direct_services(direct)),
+                                   &request, predicted_ms, left_ms)) {
+        return false;
+    }
+    LOG_INFO("event=untimely id=%s service=" STR_FMT " account=" STR_FMT
+             " priority=%u endpoint=" STR_FMT
+             " predicted_ms=%.0f left_ms=%lld tokens=%u",
+             exchange->id, STR_ARG(exchange->service),
+             STR_ARG(exchange->account), exchange->priority,
+             STR_ARG(choice->endpoint->id), predicted_ms, (long long)left_ms,
+             request.prompt_tokens);
+    counter_add(direct_counters(direct), COUNTER_UNTIMELY, 1);
+    exchange_refuse_not_run(exchange, "it cannot begin before its deadline");
+    return true;
+}
+
 void
 dispatch_request(struct exchange *exchange)
 {
@@ -65,7 +115,9 @@
         found = choose(exchange, 1, &choice);
     }
     if (found) {
-        attempt_start(exchange, &choice);
+        if (!try_refuse_untimely(exchange, &choice)) {
+            attempt_start(exchange, &choice);
+        }
     }
     else if (exchange->response_started) {
         exchange_abort_response(
@@ -76,6 +128,38 @@
     }
 }
 
+/// Refuses the request if its account's share of the service is used up; true
+/// if the exchange has ended.
+static bool
+try_refuse_by_share(struct exchange *exchange, double share_min, bool is_late)
+{
+    struct direct *direct = exchange->direct;
+    struct admission *admission = services_admission(direct_services(direct));
+    const struct admission_request request = describe(
+        exchange, shed_share(dispatch_shed(exchange), share_min), is_late);
+    struct admission_verdict verdict;
+
+    admission_decide(admission, &request, &verdict);
+    if (verdict.reason == ADMISSION_ADMITTED) {
+        return false;
+    }
+    LOG_INFO(
+        "event=shed id=%s service=" STR_FMT " account=" STR_FMT
+        " priority=%u reason=%s share=%.2f refused_share=%.2f "
+        "account_share=%.3f equal_share=%.3f returning=%d tokens=%u "
+        "sums_age_ms=%lld wait_ms=%lld deadline_ms=%lld",
+        exchange->id, STR_ARG(exchange->service), STR_ARG(exchange->account),
+        exchange->priority, admission_reason_name(verdict.reason),
+        request.shed_share, verdict.refused_share, verdict.account_share,
+        verdict.equal_share, request.is_returning, request.prompt_tokens,
+        (long long)admission_report_age_ms(admission),
+        (long long)verdict.wait_ms, (long long)exchange->facts.deadline_ms);
+    counter_add(direct_counters(direct), COUNTER_SHED, 1);
+    exchange_refuse_until(exchange, verdict.wait_ms,
+                          "the service is overloaded");
+    return true;
+}
+
 bool
 dispatch_try_shed(struct exchange *exchange)
 {
@@ -87,8 +171,13 @@
     double share_min = services_share_above(
         direct_services(direct), exchange->service, exchange->priority);
 
-    if (exchange->facts.last_event_id.len > 0 ||
-        !shed_refuses(shed, direct_random(direct), share_min, is_late)) {
+    if (exchange->facts.last_event_id.len > 0) {
+        return false;
+    }
+    if (direct_settings(direct)->shares) {
+        return try_refuse_by_share(exchange, share_min, is_late);
+    }
+    if (!shed_refuses(shed, direct_random(direct), share_min, is_late)) {
         return false;
     }
     LOG_INFO("event=shed id=%s service=" STR_FMT " priority=%u share=%.2f "
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -127,6 +127,13 @@
 
 void
 exchange_refuse_not_run(struct exchange *exchange, const char *reason)
+{
+    exchange_refuse_until(exchange, 0, reason);
+}
+
+void
+exchange_refuse_until(struct exchange *exchange, int64_t earliest_ms,
+                      const char *reason)
 {
     const struct random_source *random = direct_random(exchange->direct);
     int64_t remaining_ms = exchange->expires_ms - exchange_now(exchange);
@@ -135,11 +142,12 @@
         exchange_refuse(exchange, 502, -1, reason);
         return;
     }
-    exchange_refuse(exchange, 503,
-                    endpoints_held_ms(direct_endpoints(exchange->direct),
-                                      exchange->service) +
-                        timing_retry_after_ms(random, remaining_ms),
-                    reason);
+    exchange_refuse(
+        exchange, 503,
+        endpoints_held_ms(direct_endpoints(exchange->direct),
+                          exchange->service) +
+            timing_retry_after_from_ms(random, remaining_ms, earliest_ms),
+        reason);
 }
 
 void
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -76,6 +76,10 @@
 /// Answers 503 with Retry-After, or 502 if the request may have run.
 void exchange_refuse_not_run(struct exchange *exchange, const char *reason);
 
+/// The same for a caller that has no chance before `earliest_ms` from now.
+void exchange_refuse_until(struct exchange *exchange, int64_t earliest_ms,
+                           const char *reason);
+
 /// Current time on the router's clock.
 int64_t exchange_now(const struct exchange *exchange);
 
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -56,12 +56,6 @@
     return link_version(peer->link) >= MESSAGE_VERSION_BEATS;
 }
 
-static bool
-takes_blames(const struct peer *peer)
-{
-    return link_version(peer->link) >= MESSAGE_VERSION_BLAMES;
-}
-
 /// Identifies a router's process.
 static uint64_t
 process_id(struct str name, uint64_t incarnation)
@@ -241,6 +235,12 @@
                                 message->loads.items, message->loads.count);
         }
         return;
+    case MESSAGE_SHARES:
+        if (peer != NULL) {
+            mesh->options.shares(mesh->options.ctx, peer->id,
+                                 message->shares.items, message->shares.count);
+        }
+        return;
     case MESSAGE_PLACED:
         for (size_t i = 0; i < message->placed.count; i++) {
             mesh->options.placement(mesh->options.ctx,
@@ -361,76 +361,6 @@
     }
 }
 
-static void
-send_reports(struct mesh *mesh)
-{
-    struct message message = {.type = MESSAGE_LOADS};
-    struct peer *peer;
-
-    message.loads.items = mesh->loads;
-    message.loads.count = mesh->options.collect_loads(
-        mesh->options.ctx, mesh->loads, MESSAGE_LOADS_MAX);
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (message.loads.count > 0) {
-            link_send(peer->link, &message);
-        }
-    }
-    mesh_send_topic_ends(mesh);
-}
-
-static void
-flush_placements(struct mesh *mesh)
-{
-    const struct message message = {
-        .type = MESSAGE_PLACED,
-        .placed.items = mesh->placed,
-        .placed.count = mesh->placed_count,
-    };
-    struct peer *peer;
-
-    if (mesh->placed_count == 0) {
-        return;
-    }
-    LL_FOREACH(mesh->peers, peer)
-    {
-        link_send(peer->link, &message);
-    }
-    mesh->placed_count = 0;
-}
-
-static void
-flush_blames(struct mesh *mesh)
-{
-    const struct message blames = {
-        .type = MESSAGE_BLAMES,
-        .blames.items = mesh->blames,
-        .blames.count = mesh->blame_count,
-    };
-    const struct message answered = {
-        .type = MESSAGE_ANSWERED,
-        .answered.parts = mesh->answered,
-        .answered.count = mesh->answered_count,
-    };
-    struct peer *peer;
-
-    for (size_t i = 0; i < mesh->blame_count; i++) {
-        mesh->blames[i].age_ms +=
-            (uint32_t)(mesh_now_ms(mesh) - mesh->blamed_ms[i]);
-    }
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (mesh->blame_count > 0 && takes_blames(peer)) {
-            link_send(peer->link, &blames);
-        }
-        if (mesh->answered_count > 0 && takes_blames(peer)) {
-            link_send(peer->link, &answered);
-        }
-    }
-    mesh->blame_count = 0;
-    mesh->answered_count = 0;
-}
-
 static void
 update_fleet_size(struct mesh *mesh, int64_t now_ms)
 {
@@ -455,13 +385,12 @@
     (void)fd;
     (void)events;
     dial(mesh);
-    flush_placements(mesh);
-    flush_blames(mesh);
+    mesh_flush(mesh);
     update_fleet_size(mesh, now_ms);
     relay_tick(mesh);
     if (now_ms >= mesh->next_report_ms) {
         mesh->next_report_ms = now_ms + mesh_report_interval_ms(mesh);
-        send_reports(mesh);
+        mesh_send_reports(mesh);
     }
 }
 
@@ -677,51 +606,6 @@
     return before < count;
 }
 
-void
-mesh_queue_placement(struct mesh *mesh, const struct message_placed *placed)
-{
-    if (mesh->placed_count == MESSAGE_PLACED_MAX) {
-        flush_placements(mesh);
-    }
-    mesh->placed[mesh->placed_count++] = *placed;
-}
-
-void
-mesh_queue_blame(struct mesh *mesh, const struct message_blame *blame)
-{
-    if (mesh->blame_count == MESSAGE_BLAMES_MAX) {
-        flush_blames(mesh);
-    }
-    mesh->blamed_ms[mesh->blame_count] = mesh_now_ms(mesh);
-    mesh->blames[mesh->blame_count++] = *blame;
-}
-
-void
-mesh_send_blames(struct mesh *mesh, const struct link *link,
-                 const struct message_blame *items, size_t count)
-{
-    const struct peer *peer = mesh_find_peer(mesh, link);
-
-    if (peer != NULL && takes_blames(peer)) {
-        link_send(peer->link, &(struct message){
-                                  .type = MESSAGE_BLAMES,
-                                  .blames.items = items,
-                                  .blames.count = count,
-                              });
-    }
-}
-
-void
-mesh_queue_answered(struct mesh *mesh, const uint64_t *parts, size_t count)
-{
-    for (size_t i = 0; i < count; i++) {
-        if (mesh->answered_count == MESSAGE_ANSWERED_MAX) {
-            flush_blames(mesh);
-        }
-        mesh->answered[mesh->answered_count++] = parts[i];
-    }
-}
-
 void
 mesh_set_draining(struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -60,6 +60,12 @@
     /// process.
     void (*loads)(void *ctx, uint64_t peer, const struct message_load *items,
                   size_t count);
+    /// Writes the sums of the accounts to report; returns their number.
+    size_t (*collect_shares)(void *ctx, struct message_share *items,
+                             size_t max);
+    /// A peer has reported its sums of accounts.
+    void (*shares)(void *ctx, uint64_t peer, const struct message_share *items,
+                   size_t count);
     /// A peer has placed a prompt that the endpoint caches.
     void (*placement)(void *ctx, const struct message_placed *placed);
     /// A peer reports that an endpoint accepts no connections.
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -72,6 +72,7 @@
     bool draining;
     size_t round_robin; ///< selects one of equal peers for a request
     struct message_load loads[MESSAGE_LOADS_MAX];
+    struct message_share shares[MESSAGE_SHARES_MAX];
     struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
     size_t placed_count;
     struct message_blame blames[MESSAGE_BLAMES_MAX]; ///< to be sent
@@ -93,3 +94,9 @@
 
 /// True if the peer supports the messages of MESSAGE_VERSION_BEATS.
 bool mesh_is_current(const struct peer *peer);
+
+/// Sends the loads of the endpoints and the sums of the accounts.
+void mesh_send_reports(struct mesh *mesh);
+
+/// Sends what is queued for the peers.
+void mesh_flush(struct mesh *mesh);
--- /dev/null
+++ b/direct/mesh_reports.c
@@ -0,0 +1,157 @@
+/// What a router sends to its peers at intervals: loads, sums of accounts,
+/// placements, and evidence against parts of prompts.
+#include <utlist.h>
+
+#include "mesh_private.h"
+
+static bool
+takes_blames(const struct peer *peer)
+{
+    return link_version(peer->link) >= MESSAGE_VERSION_BLAMES;
+}
+
+static bool
+takes_shares(const struct peer *peer)
+{
+    return link_version(peer->link) >= MESSAGE_VERSION_SHARES;
+}
+
+static void
+send_shares(struct mesh *mesh)
+{
+    struct message message = {.type = MESSAGE_SHARES};
+    struct peer *peer;
+
+    message.shares.items = mesh->shares;
+    message.shares.count = mesh->options.collect_shares(
+        mesh->options.ctx, mesh->shares, MESSAGE_SHARES_MAX);
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (message.shares.count > 0 && takes_shares(peer)) {
+            link_send(peer->link, &message);
+        }
+    }
+}
+
+void
+mesh_send_reports(struct mesh *mesh)
+{
+    struct message message = {.type = MESSAGE_LOADS};
+    struct peer *peer;
+
+    message.loads.items = mesh->loads;
+    message.loads.count = mesh->options.collect_loads(
+        mesh->options.ctx, mesh->loads, MESSAGE_LOADS_MAX);
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (message.loads.count > 0) {
+            link_send(peer->link, &message);
+        }
+    }
+    send_shares(mesh);
+    mesh_send_topic_ends(mesh);
+}
+
+static void
+flush_placements(struct mesh *mesh)
+{
+    const struct message message = {
+        .type = MESSAGE_PLACED,
+        .placed.items = mesh->placed,
+        .placed.count = mesh->placed_count,
+    };
+    struct peer *peer;
+
+    if (mesh->placed_count == 0) {
+        return;
+    }
+    LL_FOREACH(mesh->peers, peer)
+    {
+        link_send(peer->link, &message);
+    }
+    mesh->placed_count = 0;
+}
+
+static void
+flush_blames(struct mesh *mesh)
+{
+    const struct message blames = {
+        .type = MESSAGE_BLAMES,
+        .blames.items = mesh->blames,
+        .blames.count = mesh->blame_count,
+    };
+    const struct message answered = {
+        .type = MESSAGE_ANSWERED,
+        .answered.parts = mesh->answered,
+        .answered.count = mesh->answered_count,
+    };
+    struct peer *peer;
+
+    for (size_t i = 0; i < mesh->blame_count; i++) {
+        mesh->blames[i].age_ms +=
+            (uint32_t)(mesh_now_ms(mesh) - mesh->blamed_ms[i]);
+    }
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (mesh->blame_count > 0 && takes_blames(peer)) {
+            link_send(peer->link, &blames);
+        }
+        if (mesh->answered_count > 0 && takes_blames(peer)) {
+            link_send(peer->link, &answered);
+        }
+    }
+    mesh->blame_count = 0;
+    mesh->answered_count = 0;
+}
+
+void
+mesh_flush(struct mesh *mesh)
+{
+    flush_placements(mesh);
+    flush_blames(mesh);
+}
+
+void
+mesh_queue_placement(struct mesh *mesh, const struct message_placed *placed)
+{
+    if (mesh->placed_count == MESSAGE_PLACED_MAX) {
+        flush_placements(mesh);
+    }
+    mesh->placed[mesh->placed_count++] = *placed;
+}
+
+void
+mesh_queue_blame(struct mesh *mesh, const struct message_blame *blame)
+{
+    if (mesh->blame_count == MESSAGE_BLAMES_MAX) {
+        flush_blames(mesh);
+    }
+    mesh->blamed_ms[mesh->blame_count] = mesh_now_ms(mesh);
+    mesh->blames[mesh->blame_count++] = *blame;
+}
+
+void
+mesh_send_blames(struct mesh *mesh, const struct link *link,
+                 const struct message_blame *items, size_t count)
+{
+    const struct peer *peer = mesh_find_peer(mesh, link);
+
+    if (peer != NULL && takes_blames(peer)) {
+        link_send(peer->link, &(struct message){
+                                  .type = MESSAGE_BLAMES,
+                                  .blames.items = items,
+                                  .blames.count = count,
+                              });
+    }
+}
+
+void
+mesh_queue_answered(struct mesh *mesh, const uint64_t *parts, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (mesh->answered_count == MESSAGE_ANSWERED_MAX) {
+            flush_blames(mesh);
+        }
+        mesh->answered[mesh->answered_count++] = parts[i];
+    }
+}
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -1,6 +1,7 @@
 /// Connects the router's state with the messages of its peers.
 #include "blame.h"
 #include "contexts.h"
+#include "core/admission.h"
 #include "core/prefix.h"
 #include "dandelionvalve/quarantine.h"
 #include "direct_private.h"
@@ -8,6 +9,7 @@
 #include "endpoints.h"
 #include "mesh.h"
 #include "net/log.h"
+#include "services.h"
 
 #define LOG_MODULE "peers"
 
@@ -53,6 +55,29 @@
     }
 }
 
+static size_t
+collect_shares(void *ctx, struct message_share *items, size_t max)
+{
+    const struct direct *direct = ctx;
+
+    return direct->settings.shares
+               ? admission_collect(services_admission(direct->services), items,
+                                   max)
+               : 0;
+}
+
+static void
+on_shares(void *ctx, uint64_t peer, const struct message_share *items,
+          size_t count)
+{
+    const struct direct *direct = ctx;
+
+    if (direct->settings.shares) {
+        admission_receive(services_admission(direct->services), peer, items,
+                          count);
+    }
+}
+
 static void
 on_strike(void *ctx, uint64_t fingerprint, uint32_t crash_id)
 {
@@ -186,6 +211,8 @@
         .records = direct->records,
         .collect_loads = collect_loads,
         .loads = on_loads,
+        .collect_shares = collect_shares,
+        .shares = on_shares,
         .placement = on_placement,
         .unreachable = on_unreachable,
         .strike = on_strike,
--- a/direct/services.c
+++ b/direct/services.c
@@ -5,6 +5,7 @@
 
 #include <uthash.h>
 
+#include "core/admission.h"
 #include "core/timing.h"
 #include "core/xmalloc.h"
 #include "net/log.h"
@@ -43,14 +44,17 @@
     const struct clock *clock;
     struct service *by_name;
     struct route *routes;
+    struct admission *admission;
 };
 
 struct services *
-services_new(const struct clock *clock)
+services_new(const struct clock *clock, const struct random_source *random)
 {
     struct services *services = xcalloc(1, sizeof(*services));
 
     services->clock = clock;
+    services->admission =
+        admission_new(&(struct admission_options){clock, random});
     return services;
 }
 
@@ -87,6 +91,7 @@
     {
         remove_route(services, route);
     }
+    admission_free(services->admission);
     free(services);
 }
 
@@ -163,6 +168,23 @@
                           objective_ms);
 }
 
+bool
+services_is_returning(const struct services *services, struct str name,
+                      int64_t deadline_ms)
+{
+    const struct route *route;
+
+    HASH_FIND(hh, services->routes, name.data, name.len, route);
+    return deadline_ms > 0 && route != NULL &&
+           timing_is_returning(route->typical_deadline_ms, deadline_ms);
+}
+
+struct admission *
+services_admission(const struct services *services)
+{
+    return services->admission;
+}
+
 static void
 log_share(const struct service *service, uint32_t priority,
           struct priority_class *priority_class, double before, int64_t now_ms)
@@ -216,6 +238,7 @@
             }
         }
     }
+    admission_print(services->admission, out);
 }
 
 void
@@ -225,6 +248,7 @@
     struct service *service, *next_service;
     struct route *route, *next_route;
 
+    admission_tick(services->admission);
     HASH_ITER(hh, services->by_name, service, next_service)
     {
         update_shedding(service, now_ms);
--- a/direct/services.h
+++ b/direct/services.h
@@ -12,10 +12,13 @@
 #include "dandelionvalve/retry.h"
 #include "dandelionvalve/str.h"
 
+struct admission;
 struct services;
 
-/// The caller frees with services_free(). The clock must outlive it.
-struct services *services_new(const struct clock *clock);
+/// The caller frees with services_free(). Clock and random source must outlive
+/// it.
+struct services *services_new(const struct clock *clock,
+                              const struct random_source *random);
 void services_free(struct services *services);
 
 /// The retry budget of a service, created on first use.
@@ -38,6 +41,15 @@
 bool services_is_late(struct services *services, struct str route,
                       int64_t deadline_ms, int64_t objective_ms);
 
+/// True if the caller has probably been refused before: its deadline is
+/// shorter than the typical one, which services_is_late() has updated.
+bool services_is_returning(const struct services *services, struct str route,
+                           int64_t deadline_ms);
+
+/// Decides on the requests of an overloaded service by account, if the
+/// settings demand it.
+struct admission *services_admission(const struct services *services);
+
 /// Writes the shed shares and delays as metrics.
 void services_print(const struct services *services, FILE *out);
 
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -21,6 +21,8 @@
     X(REFUSALS, "refusals_total", "", "offers refused by agents")             \
     X(SHED, "shed_total", "",                                                 \
       "requests refused as their service is overloaded")                      \
+    X(UNTIMELY, "untimely_total", "",                                         \
+      "requests refused as they cannot begin before their deadline")          \
     X(RETRIES, "retries_total", "", "retries charged to the budget")          \
     X(RETRY_DENIED, "retries_denied_total", "",                               \
       "retries denied by the budget")                                         \
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -482,6 +482,7 @@
     struct link *link;
     uint32_t version;
     size_t reports; ///< of crashes and answers
+    size_t shares;  ///< reports of accounts' sums
     size_t messages;
     bool closed;
 };
@@ -503,6 +504,7 @@
         message->type == MESSAGE_BLAMES || message->type == MESSAGE_ANSWERED
             ? 1
             : 0;
+    peer->shares += message->type == MESSAGE_SHARES ? 1 : 0;
 }
 
 static void
@@ -588,6 +590,39 @@
     direct_harness_stop(&fleet.harness);
 }
 
+static bool
+has_shares(void *ctx)
+{
+    return ((const struct peer *)ctx)->shares > 0;
+}
+
+/// Guards against: a router of version 4 closes the link because it receives
+/// sums of accounts; sums are sent though the setting is off.
+static void
+test_shares_to_present_version_only(void)
+{
+    struct peer earlier, present;
+    struct fleet fleet;
+
+    fleet_start(&fleet, 1, WORK_US);
+    peer_start(&fleet, &earlier, "earlier", MESSAGE_VERSION_SHARES - 1);
+    peer_start(&fleet, &present, "present", MESSAGE_VERSION_SHARES);
+    CU_ASSERT(call_status(&fleet, 0, DRAFT, SOUND_PROMPT) == 200);
+    direct_harness_run(&fleet.harness, PAUSE_MS);
+    CU_ASSERT(present.messages > 0 && present.shares == 0);
+    fleet.harness.settings[0].shares = true;
+    direct_reload(fleet.harness.routers[0], &fleet.harness.settings[0]);
+    CU_ASSERT(call_status(&fleet, 0, DRAFT, SOUND_PROMPT) == 200);
+    CU_ASSERT(
+        direct_harness_wait(&fleet.harness, has_shares, &present, WAIT_MS));
+    CU_ASSERT(earlier.shares == 0);
+    CU_ASSERT(earlier.messages > 0);
+    CU_ASSERT(!earlier.closed && !present.closed);
+    link_close(earlier.link);
+    link_close(present.link);
+    direct_harness_stop(&fleet.harness);
+}
+
 static void
 set_faults(struct fleet *fleet, enum origin_fault fault, const char *part)
 {
@@ -683,6 +718,8 @@
                 test_last_part_is_never_held);
     CU_add_test(suite, "earlier version receives no reports",
                 test_earlier_version_receives_no_reports);
+    CU_add_test(suite, "shares to the present version only",
+                test_shares_to_present_version_only);
     CU_add_test(suite, "deadly request among many waiting",
                 test_deadly_request_among_many_waiting);
     CU_add_test(suite, "rejection clears no evidence",
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -106,6 +106,45 @@
     unlink(name);
 }
 
+/// Shares of accounts are off unless they are asked for; the value is a
+/// boolean.
+static void
+test_admission_shares(void)
+{
+    static const struct {
+        const char *table;
+        bool valid;
+        bool shares;
+    } cases[] = {
+        {"", true, false},
+        {"[admission]\n", true, false},
+        {"[admission]\nshares = true\n", true, true},
+        {"[admission]\nshares = 1\n", false, false},
+        {"[admission]\nshare = true\n", false, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
+        char text[256];
+        struct settings_direct settings;
+        struct toml_doc *doc = NULL;
+        struct err err = {0};
+
+        snprintf(text, sizeof(text),
+                 "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"
+                 "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n%s",
+                 cases[i].table);
+        write_file(name, text);
+        CU_ASSERT(settings_read_direct(name, &settings, &doc, &err) ==
+                  cases[i].valid);
+        if (doc != NULL) {
+            CU_ASSERT(settings.shares == cases[i].shares);
+            toml_free(doc);
+        }
+        unlink(name);
+    }
+}
+
 /// ports_unused() must not return a port twice while it is still unbound: two
 /// addresses of a soak's fleet (seed 520) got the same port that way.
 static void
@@ -132,6 +171,7 @@
 {
     CU_pSuite suite = CU_add_suite("settings", NULL, NULL);
 
+    CU_add_test(suite, "admission shares", test_admission_shares);
     CU_add_test(suite, "valid settings", test_valid_settings);
     CU_add_test(suite, "invalid settings", test_invalid_settings);
     CU_add_test(suite, "fractional bounds", test_fractional_bounds);
