decode, attempt: fourth figure of the load, length hint, longest pause of a stream

A load header with four figures was ignored altogether, so that the stated load of such endpoints was never used. The three first figures are now read whether the fourth is valid or not. Its range is checked while decoding; the length hint is bounded there.

event=answer gets pause_max_ms, the longest time between two events of a stream, so that late streams can be counted from the log.

Tests: read work percent, read length hint.

--- a/core/wire.h
+++ b/core/wire.h
@@ -10,6 +10,10 @@
 #include "dandelionvalve/str.h"
 #include "prefix.h"
 
+/// Limits of the stated time that work takes at an endpoint.
+#define WORK_PERCENT_MIN 10
+#define WORK_PERCENT_MAX 5000
+
 struct catalog;
 struct evbuffer;
 struct http1;
@@ -24,6 +28,8 @@
     struct prefix prefix;
     uint32_t prompt_tokens;
     uint32_t output_tokens_max;
+    bool has_output_hint;
+    uint32_t output_tokens_hint; ///< estimate, often far off
     struct str last_event_id;
 };
 
@@ -54,6 +60,9 @@
     uint32_t running;
     uint32_t waiting;
     uint32_t slots;
+    bool has_work_percent;
+    bool work_percent_invalid; ///< stated, but not within the limits
+    uint32_t work_percent;     ///< time that work takes; 100: as long as usual
 };
 
 enum endpoint_state {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -348,11 +348,25 @@
     }
 }
 
+/// Updates the longest pause of a stream. Its caller also waits while a broken
+/// stream is resumed at another endpoint, so that time counts as well.
+static void
+record_event(struct exchange *exchange, int64_t now_ms)
+{
+    int64_t pause_ms = now_ms - exchange->event_ms;
+
+    if (exchange->event_ms > 0 && pause_ms > exchange->pause_max_ms) {
+        exchange->pause_max_ms = pause_ms;
+    }
+    exchange->event_ms = now_ms;
+}
+
 static void
 handle_stream_data(struct exchange *exchange, const char *bytes, size_t len)
 {
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
+        record_event(exchange, exchange->progress_ms);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -78,7 +78,7 @@
         "event=answer id=%s route=" STR_FMT " account=" STR_FMT
         " version=%lld status=%d outcome=%s reason=\"%s\" endpoint=" STR_FMT
         " offers=%zu deliveries=%zu first_ms=%lld total_ms=%lld "
-        "left_ms=%lld",
+        "left_ms=%lld pause_max_ms=%lld",
         exchange->id,
         STR_ARG(exchange->route != NULL ? exchange->route->name
                                         : (struct str){0}),
@@ -93,7 +93,8 @@
                         ? exchange->first_ms - exchange->started_ms
                         : -1),
         (long long)(now_ms - exchange->started_ms),
-        (long long)(exchange->expires_ms - now_ms));
+        (long long)(exchange->expires_ms - now_ms),
+        (long long)exchange->pause_max_ms);
 }
 
 void
@@ -336,6 +337,7 @@
     exchange->direct = direct;
     exchange->caller = caller;
     exchange->started_ms = caller_started_ms(caller);
+    exchange->pause_max_ms = -1;
     exchange->fields = evbuffer_new();
     exchange->body = evbuffer_new();
     exchange->timer =
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -64,6 +64,8 @@
     struct sse_scan scan;
     size_t buffered_bytes; ///< its part of the router's buffered answers
     int64_t first_ms;
+    int64_t event_ms;     ///< of a stream: when the last event ended; 0: none
+    int64_t pause_max_ms; ///< longest time between two events; -1: none
     struct event *timer;
 };
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -103,6 +103,71 @@
     http1_destroy(&http);
 }
 
+/// A fourth figure of the load, valid or not, must not make the router ignore
+/// the three others.
+static void
+test_read_work_percent(void)
+{
+    static const struct {
+        const char *load;
+        uint32_t percent; ///< 0: not valid
+    } cases[] = {
+        {"3,1,8,250", 250}, {"3,1,8,100", 100}, {"3,1,8,0", 0},
+        {"3,1,8,-250", 0},  {"3,1,8,fast", 0},  {"3,1,8,1000000000", 0},
+        {"3,1,8,", 0},      {"3,1,8,250,1", 0},
+    };
+    struct answer_facts facts;
+    struct http1 http;
+    char text[256];
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 200 X\r\nDandelionvalve-Request-Id: 1\r\n"
+                 "Dandelionvalve-Instance-Load: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 cases[i].load);
+        CU_ASSERT(parse(&http, HTTP_RESPONSE, text));
+        platform_wire.read_answer(&http, &facts);
+        CU_ASSERT(facts.has_load && facts.running == 3 && facts.waiting == 1 &&
+                  facts.slots == 8);
+        CU_ASSERT(facts.has_work_percent == (cases[i].percent > 0));
+        CU_ASSERT(facts.work_percent_invalid == (cases[i].percent == 0));
+        CU_ASSERT(facts.work_percent == cases[i].percent);
+        http1_destroy(&http);
+    }
+}
+
+/// A length hint that is no estimate must not wrap around or fail the request.
+static void
+test_read_length_hint(void)
+{
+    static const struct {
+        const char *hint;
+        bool valid;
+        uint32_t tokens;
+    } cases[] = {{"320", true, 320},
+                 {"0", true, 0},
+                 {"1000000000000", true, UINT32_MAX},
+                 {"-5", false, 0},
+                 {"long", false, 0}};
+    struct request_facts facts;
+    struct err err = {0};
+    struct http1 http;
+    char text[256];
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        snprintf(text, sizeof(text),
+                 "GET / HTTP/1.1\r\nHost: h\r\nDandelionvalve-Request-Id: 1"
+                 "\r\nDandelionvalve-Length-Hint: %s\r\n\r\n",
+                 cases[i].hint);
+        CU_ASSERT(parse(&http, HTTP_REQUEST, text));
+        CU_ASSERT(platform_wire.read_request(&http, &facts, &err));
+        CU_ASSERT(facts.has_output_hint == cases[i].valid);
+        CU_ASSERT(facts.output_tokens_hint == cases[i].tokens);
+        http1_destroy(&http);
+    }
+}
+
 /// Requests that servers may delimit differently are rejected, since they
 /// allow request smuggling.
 static void
@@ -302,6 +367,8 @@
     CU_add_test(suite, "read request", test_read_request);
     CU_add_test(suite, "malformed prefix hash", test_malformed_prefix_hash);
     CU_add_test(suite, "read response", test_read_response);
+    CU_add_test(suite, "read work percent", test_read_work_percent);
+    CU_add_test(suite, "read length hint", test_read_length_hint);
     CU_add_test(suite, "request smuggling is rejected",
                 test_request_smuggling_rejected);
     CU_add_test(suite, "endpoint records", test_endpoint_records);
