pause: longest pause between events as a cost of placement

On deployments with a gap target of 300 ms, nine in ten late streams are late because of a pause in the middle: prompts are prefilled in the steps that also produce the events of the running streams.

The part beyond the service's tightest gap target that a prompt adds is a cost of the candidate, by the streams that run there. Short prompts add nothing, and without a target or with one of 600 ms at ordinary load the choice is the same.

Tests: suite pace.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -250,6 +250,37 @@
                     entry->service.name.len, entry);
 }
 
+static void
+tighten_gap_target(struct catalog *catalog, struct str name, int64_t target_ms)
+{
+    struct service_entry *entry;
+
+    HASH_FIND(hh, catalog->services, name.data, name.len, entry);
+    if (entry != NULL && (entry->service.gap_target_ms == 0 ||
+                          target_ms < entry->service.gap_target_ms)) {
+        entry->service.gap_target_ms = target_ms;
+    }
+}
+
+void
+catalog_set_gap_targets(struct catalog *catalog)
+{
+    const struct route_entry *entry;
+
+    for (entry = catalog->routes; entry != NULL; entry = entry->hh.next) {
+        const struct catalog_route *route = &entry->shared->route;
+
+        if ((route->kind != ROUTE_STREAM && route->kind != ROUTE_RESUMABLE) ||
+            route->event_gap_target_ms <= 0) {
+            continue;
+        }
+        for (size_t i = 0; i < route->target_count; i++) {
+            tighten_gap_target(catalog, route->targets[i].service,
+                               route->event_gap_target_ms);
+        }
+    }
+}
+
 void
 catalog_add_account(struct catalog *catalog,
                     const struct catalog_account *account,
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -50,6 +50,9 @@
     double fetched_tokens_per_ms;
     uint32_t connections_max; ///< of one endpoint, from all callers
     uint32_t slots;           ///< of one endpoint; 0: not stated
+    /// Tightest of the streaming routes to it; 0: not set. See
+    /// catalog_set_gap_targets().
+    int64_t gap_target_ms;
 };
 
 struct catalog_account {
@@ -93,6 +96,8 @@
                          const struct catalog_digest *digest);
 void catalog_add_service(struct catalog *catalog,
                          const struct catalog_service *service);
+/// Sets the services' gap targets from the routes, once all are added.
+void catalog_set_gap_targets(struct catalog *catalog);
 void catalog_add_account(struct catalog *catalog,
                          const struct catalog_account *account,
                          const struct str *keys, size_t key_count);
--- a/core/place.c
+++ b/core/place.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "pause.h"
+
 /// Cost of a request to another zone; breaks ties between equal loads.
 #define CROSS_ZONE_COST_MS 2.0
 /// Range of a random cost, so that routers do not all choose alike.
@@ -229,6 +231,25 @@
     return best;
 }
 
+static void
+predict_pause(const struct place_request *request,
+              const struct place_candidate *candidate, double prefill_ms,
+              double backlog_ms, struct place_choice *choice)
+{
+    const struct pause_inputs inputs = {
+        .target_ms = request->gap_target_ms,
+        .usual_gap_ms = candidate->usual_gap_ms,
+        .backlog_ms = backlog_ms,
+        .prefill_ms = prefill_ms,
+        .slow_down = 1,
+        .streams = candidate->load,
+    };
+
+    choice->predicted_pause_ms =
+        pause_predict_ms(&inputs, backlog_ms + prefill_ms);
+    choice->cost_ms += pause_cost_ms(&inputs);
+}
+
 static void
 predict(const struct place_request *request,
         const struct place_candidate *candidate, size_t home,
@@ -252,6 +273,7 @@
         (candidate->same_zone || !request->has_prompt ? 0
                                                       : CROSS_ZONE_COST_MS) +
         COST_JITTER_MS * random_unit(request->random);
+    predict_pause(request, candidate, prefill_ms, backlog_ms, choice);
     choice->source = saving->source;
     choice->fetched_tokens = saving->tokens;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -51,6 +51,7 @@
     uint32_t slots; ///< requests that it processes at once
     double backlog_tokens;  ///< prompt tokens that it has still to prefill
     uint32_t cached_tokens; ///< of this prompt, presumed cached there
+    double usual_gap_ms;    ///< between two events of a stream; 0: unknown
 };
 
 struct place_request {
@@ -62,9 +63,10 @@
     double prefill_tokens_per_ms; ///< of the service's endpoints
     /// Speed of a transfer between two endpoints of a zone; 0: no transfers.
     double fetch_tokens_per_ms;
-    double cap_factor;  ///< cap on the load, as a multiple of the mean
-    size_t routers;     ///< that place requests at the same endpoints
-    uint32_t cap_slack; ///< requests added to that multiple
+    double cap_factor;    ///< cap on the load, as a multiple of the mean
+    size_t routers;       ///< that place requests at the same endpoints
+    uint32_t cap_slack;   ///< requests added to that multiple
+    double gap_target_ms; ///< tightest of the service's streams; 0: not set
 };
 
 enum place_reason {
@@ -79,6 +81,7 @@
     enum place_reason reason;
     double cost_ms;
     double predicted_prefill_ms; ///< predicted time until prefill ends
+    double predicted_pause_ms;   ///< longest one of the streams there
     double mean_load;
     size_t usable; ///< number of usable candidates
     size_t source; ///< candidate to fetch from, or PLACE_NO_SOURCE
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -21,6 +21,7 @@
 #include "net/channel.h"
 #include "net/http1.h"
 #include "net/log.h"
+#include "pace.h"
 
 #define LOG_MODULE "attempt"
 
@@ -348,25 +349,14 @@
     }
 }
 
-/// Updates the longest pause of a stream. Its caller also waits while a broken
-/// stream is resumed at another endpoint, so that time counts as well.
-static void
-record_event(struct exchange *exchange, int64_t now_ms)
-{
-    int64_t pause_ms = now_ms - exchange->event_ms;
-
-    if (exchange->event_ms > 0 && pause_ms > exchange->pause_max_ms) {
-        exchange->pause_max_ms = pause_ms;
-    }
-    exchange->event_ms = now_ms;
-}
-
 static void
 handle_stream_data(struct exchange *exchange, const char *bytes, size_t len)
 {
+    uint64_t events_before = exchange->scan.events;
+
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
-        record_event(exchange, exchange->progress_ms);
+        pace_record_events(exchange, events_before);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
@@ -627,22 +617,22 @@
     const struct place_choice *place = &choice->place;
     int64_t now_ms = exchange->offered_ms;
 
-    LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
-             " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
-             "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
-             " fetched=%u predicted_ms=%.0f left_ms=%lld version=%lld "
-             "offer=%zu",
-             exchange->id, STR_ARG(exchange->route->name),
-             STR_ARG(endpoint->id), place_reason_name(place->reason),
-             (uint32_t)prefix_affinity(&exchange->facts.prefix),
-             endpoint->in_flight, endpoint_load(endpoint, now_ms),
-             (long long)endpoint_report_age_ms(endpoint, now_ms),
-             place->mean_load, place->usable, cached,
-             exchange->uncached_tokens,
-             STR_ARG(source != NULL ? source->id : (struct str){0}),
-             place->fetched_tokens, place->predicted_prefill_ms,
-             (long long)(exchange->expires_ms - now_ms),
-             (long long)catalog_version(exchange->catalog), exchange->offers);
+    LOG_INFO(
+        "event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
+        " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
+        "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
+        " fetched=%u predicted_ms=%.0f pause_ms=%.0f left_ms=%lld "
+        "version=%lld offer=%zu",
+        exchange->id, STR_ARG(exchange->route->name), STR_ARG(endpoint->id),
+        place_reason_name(place->reason),
+        (uint32_t)prefix_affinity(&exchange->facts.prefix),
+        endpoint->in_flight, endpoint_load(endpoint, now_ms),
+        (long long)endpoint_report_age_ms(endpoint, now_ms), place->mean_load,
+        place->usable, cached, exchange->uncached_tokens,
+        STR_ARG(source != NULL ? source->id : (struct str){0}),
+        place->fetched_tokens, place->predicted_prefill_ms,
+        place->predicted_pause_ms, (long long)(exchange->expires_ms - now_ms),
+        (long long)catalog_version(exchange->catalog), exchange->offers);
 }
 
 void
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -45,6 +45,7 @@
             service != NULL ? service->fetched_tokens_per_ms : 0,
         .cap_factor = direct_settings(direct)->cap_factor,
         .cap_slack = 3,
+        .gap_target_ms = service != NULL ? (double)service->gap_target_ms : 0,
         .routers = direct_router_count(direct),
     };
 
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -364,8 +364,8 @@
     return newest_ms == INT64_MIN ? -1 : now_ms - newest_ms;
 }
 
-static double
-total_backlog(const struct endpoint *endpoint, int64_t now_ms)
+double
+endpoint_backlog_tokens(const struct endpoint *endpoint, int64_t now_ms)
 {
     double tokens = endpoint->backlog_tokens;
 
@@ -466,6 +466,24 @@
     }
 }
 
+/// Presumes the mean gap where none has been learned yet.
+static void
+fill_unknown_gaps(struct place_candidate *candidates, size_t count)
+{
+    double sum = 0;
+    size_t known = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += candidates[i].usual_gap_ms;
+        known += candidates[i].usual_gap_ms > 0 ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && known > 0; i++) {
+        if (candidates[i].usual_gap_ms == 0) {
+            candidates[i].usual_gap_ms = sum / (double)known;
+        }
+    }
+}
+
 bool
 endpoints_choose(struct endpoints *endpoints,
                  const struct endpoints_query *query,
@@ -501,13 +519,15 @@
             .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
                                         : endpoint->in_flight,
             .slots = endpoint->slots,
-            .backlog_tokens = total_backlog(endpoint, now_ms),
+            .backlog_tokens = endpoint_backlog_tokens(endpoint, now_ms),
             .cached_tokens =
                 prefix_estimate_match(endpoint->cache, query->prefix),
+            .usual_gap_ms = endpoint->gaps.usual_ms,
         };
         count++;
     }
     apply_ejections(candidates, count, ejected);
+    fill_unknown_gaps(candidates, count);
     *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -10,6 +10,7 @@
 
 #include "core/eject.h"
 #include "core/hold.h"
+#include "core/pause.h"
 #include "core/place.h"
 #include "core/prefix.h"
 #include "core/wire.h"
@@ -59,6 +60,7 @@
     struct hold hold; ///< as its last rejections state
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
+    struct pause_gaps gaps;      ///< between events of own streams
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
     uint32_t reported_in_flight; ///< last value sent to peers
     struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
@@ -154,6 +156,10 @@
 /// load.
 uint32_t endpoint_load(const struct endpoint *endpoint, int64_t now_ms);
 
+/// Prompt tokens that the endpoint has still to prefill, of all routers.
+double endpoint_backlog_tokens(const struct endpoint *endpoint,
+                               int64_t now_ms);
+
 /// Updates the unreported load from the number of requests that the endpoint
 /// states in an answer. Unreported requests are those of callers that have
 /// left, which some endpoints finish, and those of routers without a link.
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -27,6 +27,7 @@
 void suite_readers(void);
 void suite_records(void);
 void suite_place(void);
+void suite_pace(void);
 void suite_shed(void);
 void suite_suspects(void);
 void suite_wire(void);
--- /dev/null
+++ b/tests/test_pace.c
@@ -0,0 +1,160 @@
+/// The state of an endpoint at this moment and its use in placement.
+#include <CUnit/CUnit.h>
+
+#include "core/pause.h"
+#include "core/place.h"
+#include "suites.h"
+
+#define CANDIDATES 8
+#define PLACEMENTS 2000
+#define USUAL_GAP_MS 40
+
+/// Load pattern: a long prompt between a backlogged endpoint with running
+/// streams, which has a part of it cached, and others.
+static const struct place_request long_prompt = {
+    .has_prompt = true,
+    .affinity = 77,
+    .prompt_tokens = 6000,
+    .shared_tokens = 3000,
+    .prefill_tokens_per_ms = 50,
+    .cap_factor = 2,
+    .cap_slack = 8,
+};
+
+static const struct place_candidate backlogged = {
+    .hash = 31,
+    .usable = true,
+    .slots = 64,
+    .load = 20,
+    .backlog_tokens = 8000,
+    .cached_tokens = 3000,
+    .usual_gap_ms = USUAL_GAP_MS,
+};
+
+static const struct place_candidate without_backlog = {
+    .hash = 37,
+    .usable = true,
+    .slots = 64,
+    .load = 20,
+    .usual_gap_ms = USUAL_GAP_MS,
+};
+
+static size_t
+choose_of_two(const struct place_request *request,
+              const struct place_candidate *first,
+              const struct place_candidate *second)
+{
+    struct random_seeded seeded = {1};
+    struct random_source random = random_seeded_interface(&seeded);
+    const struct place_candidate candidates[] = {*first, *second};
+    struct place_request seeded_request = *request;
+    struct place_choice choice;
+
+    seeded_request.random = &random;
+    CU_ASSERT_FATAL(place_choose(&seeded_request, candidates, 2, &choice));
+    return choice.index;
+}
+
+/// Guards against a long prompt that is prefilled behind a backlog while many
+/// streams run: each of them pauses longer than its target.
+static void
+test_long_prompt_avoids_backlog(void)
+{
+    struct place_request request = long_prompt;
+
+    CU_ASSERT(choose_of_two(&request, &backlogged, &without_backlog) == 0);
+    request.gap_target_ms = 300;
+    CU_ASSERT(choose_of_two(&request, &backlogged, &without_backlog) == 1);
+}
+
+/// No stream runs at an idle endpoint, and a short prompt adds no pause: both
+/// stay where the prompt is cached.
+static void
+test_pause_without_victims(void)
+{
+    struct place_request request = long_prompt;
+    struct place_candidate candidate = backlogged;
+
+    request.gap_target_ms = 300;
+    candidate.load = 0;
+    candidate.backlog_tokens = 1000;
+    CU_ASSERT(choose_of_two(&request, &candidate, &without_backlog) == 0);
+    request.prompt_tokens = 3050;
+    CU_ASSERT(choose_of_two(&request, &backlogged, &without_backlog) == 0);
+}
+
+/// Gaps that contain prefill or a stall must not raise the usual gap.
+static void
+test_usual_gap(void)
+{
+    struct pause_gaps gaps = {0};
+
+    for (int i = 0; i < 200; i++) {
+        pause_add_gap(&gaps, 38 + i % 5, 0, 1);
+        pause_add_gap(&gaps, 200, 100, 1);
+        pause_add_gap(&gaps, 100, 0, 2.5);
+        pause_add_gap(&gaps, 5000, 0, 1);
+        pause_add_gap(&gaps, -3, 0, 1);
+    }
+    CU_ASSERT_DOUBLE_EQUAL(gaps.usual_ms, 40, 2);
+}
+
+static struct place_candidate
+random_candidate(const struct random_source *random, size_t index)
+{
+    return (struct place_candidate){
+        .hash = 0x9e3779b97f4a7c15u * (index + 1),
+        .usable = true,
+        .slots = 64,
+        .load = (uint32_t)(20 * random_unit(random)),
+        .backlog_tokens = 3000 * random_unit(random),
+        .cached_tokens = index % 3 == 0 ? 3000 : 0,
+    };
+}
+
+/// Deployments without a target, or with a generous one at ordinary load, must
+/// be served exactly as without the prediction.
+static void
+test_generous_target_changes_nothing(void)
+{
+    static const double targets_ms[] = {0, 600, 800};
+    struct random_seeded load_seed = {7};
+    struct random_source load_random = random_seeded_interface(&load_seed);
+
+    for (size_t i = 0; i < PLACEMENTS; i++) {
+        struct place_candidate candidates[CANDIDATES];
+        struct place_choice choices[3];
+
+        for (size_t j = 0; j < CANDIDATES; j++) {
+            candidates[j] = random_candidate(&load_random, j);
+        }
+        for (size_t j = 0; j < 3; j++) {
+            struct random_seeded seeded = {i + 1};
+            struct random_source random = random_seeded_interface(&seeded);
+            struct place_request request = long_prompt;
+
+            request.random = &random;
+            request.gap_target_ms = targets_ms[j];
+            for (size_t k = 0; k < CANDIDATES; k++) {
+                candidates[k].usual_gap_ms = j > 0 ? USUAL_GAP_MS : 0;
+            }
+            CU_ASSERT_FATAL(
+                place_choose(&request, candidates, CANDIDATES, &choices[j]));
+            CU_ASSERT(choices[j].index == choices[0].index &&
+                      choices[j].cost_ms == choices[0].cost_ms);
+        }
+    }
+}
+
+void
+suite_pace(void)
+{
+    CU_pSuite suite = CU_add_suite("pace", NULL, NULL);
+
+    CU_add_test(suite, "long prompt avoids backlog",
+                test_long_prompt_avoids_backlog);
+    CU_add_test(suite, "pause without victims", test_pause_without_victims);
+    CU_add_test(suite, "usual gap", test_usual_gap);
+    CU_add_test(suite, "generous target changes nothing",
+                test_generous_target_changes_nothing);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -243,6 +243,8 @@
     route = catalog_find_route(catalog, STR_LITERAL("h"), STR_LITERAL("/a/x"));
     CU_ASSERT(route->kind == ROUTE_RESUMABLE && route->timeout_ms == 15000);
     CU_ASSERT(route->target_count == 2 && route->event_gap_target_ms == 600);
+    CU_ASSERT(catalog_find_service(catalog, STR_LITERAL("s"))->gap_target_ms ==
+              600);
     // A route of unknown kind is not repeatable.
     route = catalog_find_route(catalog, STR_LITERAL("h"), STR_LITERAL("/b/"));
     CU_ASSERT(route->kind == ROUTE_AT_MOST_ONCE);
