speed: how long work takes at an endpoint now, in placement and prediction

Endpoints of some services share their machines: there are periods of some 600 ms in which work takes 2.5 times as long. core/speed keeps the stated figure with its age and the ratio of gaps to the usual ones. It scales prefill, backlog, load cost and the predicted pause of a candidate, and the samples of the prefill speed. Figures that are missing, out of range or contradicted by gaps are counted (speed_ignored_total) and logged once for an endpoint and cause. Without a stated figure the estimate is 1, whatever the gaps are.

Tests: suite pace.

--- a/core/place.c
+++ b/core/place.c
@@ -111,6 +111,13 @@
     return home;
 }
 
+/// How much longer than usual work takes there.
+static double
+slow_down_of(const struct place_candidate *candidate)
+{
+    return candidate->slow_down > 0 ? candidate->slow_down : 1;
+}
+
 /// A request beyond the slots waits until another one has run, so each adds
 /// the cost of 20 requests in flight.
 static double
@@ -119,6 +126,8 @@
     double over = (double)candidate->load - candidate->slots + 1;
 
     return PLACE_IN_FLIGHT_COST_MS * candidate->load +
+           (slow_down_of(candidate) - 1) * PLACE_IN_FLIGHT_COST_MS *
+               (candidate->load + 1) +
            (over > 0 ? 20 * PLACE_IN_FLIGHT_COST_MS * over : 0);
 }
 
@@ -220,7 +229,8 @@
             continue;
         }
         saving.tokens = from->cached_tokens - to->cached_tokens;
-        saving.prefill_ms = saving.tokens / request->prefill_tokens_per_ms;
+        saving.prefill_ms =
+            slow_down_of(to) * saving.tokens / request->prefill_tokens_per_ms;
         saving.fetch_ms = fetch_ms(request, from, to, saving.tokens);
         if (saving.prefill_ms >= PLACE_FETCH_SPEEDUP_MIN * saving.fetch_ms &&
             saving.prefill_ms - saving.fetch_ms >
@@ -236,17 +246,18 @@
               const struct place_candidate *candidate, double prefill_ms,
               double backlog_ms, struct place_choice *choice)
 {
+    double slow_down = slow_down_of(candidate);
     const struct pause_inputs inputs = {
         .target_ms = request->gap_target_ms,
         .usual_gap_ms = candidate->usual_gap_ms,
-        .backlog_ms = backlog_ms,
-        .prefill_ms = prefill_ms,
-        .slow_down = 1,
+        .backlog_ms = backlog_ms / slow_down,
+        .prefill_ms = prefill_ms / slow_down,
+        .slow_down = slow_down,
         .streams = candidate->load,
     };
 
     choice->predicted_pause_ms =
-        pause_predict_ms(&inputs, backlog_ms + prefill_ms);
+        pause_predict_ms(&inputs, inputs.backlog_ms + inputs.prefill_ms);
     choice->cost_ms += pause_cost_ms(&inputs);
 }
 
@@ -259,11 +270,14 @@
     double backlog_ms = 0;
 
     if (request->has_prompt) {
-        prefill_ms = fmax(0, uncached_tokens(request, candidate, home) /
-                                     request->prefill_tokens_per_ms -
-                                 saving->prefill_ms);
-        backlog_ms =
-            candidate->backlog_tokens / request->prefill_tokens_per_ms;
+        double slow_down = slow_down_of(candidate);
+
+        prefill_ms =
+            fmax(0, slow_down * uncached_tokens(request, candidate, home) /
+                            request->prefill_tokens_per_ms -
+                        saving->prefill_ms);
+        backlog_ms = slow_down * candidate->backlog_tokens /
+                     request->prefill_tokens_per_ms;
     }
     choice->predicted_prefill_ms = prefill_ms + saving->fetch_ms + backlog_ms;
     choice->cost_ms =
--- a/core/place.h
+++ b/core/place.h
@@ -52,6 +52,7 @@
     double backlog_tokens;  ///< prompt tokens that it has still to prefill
     uint32_t cached_tokens; ///< of this prompt, presumed cached there
     double usual_gap_ms;    ///< between two events of a stream; 0: unknown
+    double slow_down;       ///< see speed_slow_down(); 0: unknown
 };
 
 struct place_request {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -254,6 +254,9 @@
                                   facts.running + facts.waiting,
                                   exchange_now(exchange));
     }
+    if (status != 421) {
+        pace_record_answer(exchange, &facts);
+    }
     exchange->status = status;
     exchange->not_executed = facts.not_executed;
     exchange->progress_ms = exchange_now(exchange);
@@ -272,7 +275,7 @@
     if (exchange->is_stream && !exchange->not_executed &&
         exchange->backlog_tokens > 0) {
         direct_record_prefill(exchange->direct, exchange->uncached_tokens,
-                              exchange_now(exchange) - exchange->offered_ms);
+                              pace_usual_ms(exchange));
         release_backlog(exchange);
     }
     return CHANNEL_ACCEPT;
@@ -621,7 +624,8 @@
         "event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
         " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
         "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
-        " fetched=%u predicted_ms=%.0f pause_ms=%.0f left_ms=%lld "
+        " fetched=%u predicted_ms=%.0f pause_ms=%.0f slow_down=%.2f "
+        "left_ms=%lld "
         "version=%lld offer=%zu",
         exchange->id, STR_ARG(exchange->route->name), STR_ARG(endpoint->id),
         place_reason_name(place->reason),
@@ -631,7 +635,8 @@
         place->usable, cached, exchange->uncached_tokens,
         STR_ARG(source != NULL ? source->id : (struct str){0}),
         place->fetched_tokens, place->predicted_prefill_ms,
-        place->predicted_pause_ms, (long long)(exchange->expires_ms - now_ms),
+        place->predicted_pause_ms, speed_slow_down(&endpoint->speed, now_ms),
+        (long long)(exchange->expires_ms - now_ms),
         (long long)catalog_version(exchange->catalog), exchange->offers);
 }
 
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -523,6 +523,7 @@
             .cached_tokens =
                 prefix_estimate_match(endpoint->cache, query->prefix),
             .usual_gap_ms = endpoint->gaps.usual_ms,
+            .slow_down = speed_slow_down(&endpoint->speed, now_ms),
         };
         count++;
     }
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -13,6 +13,7 @@
 #include "core/pause.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "core/speed.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
 #include "net/address.h"
@@ -60,6 +61,7 @@
     struct hold hold; ///< as its last rejections state
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
+    struct speed speed;          ///< as stated and as gaps show
     struct pause_gaps gaps;      ///< between events of own streams
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
     uint32_t reported_in_flight; ///< last value sent to peers
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -125,6 +125,16 @@
                 STR_ARG(endpoint->id), endpoint->in_flight,
                 STR_ARG(endpoint->id),
                 eject_is_blocked(&endpoint->eject, now_ms, 0));
+        if (endpoint->speed.has_stated) {
+            fprintf(out, "endpoint_slow_down{endpoint=\"" STR_FMT "\"} %.2f\n",
+                    STR_ARG(endpoint->id),
+                    speed_slow_down(&endpoint->speed, now_ms));
+        }
+        if (endpoint->gaps.usual_ms > 0) {
+            fprintf(out,
+                    "endpoint_usual_gap_ms{endpoint=\"" STR_FMT "\"} %.1f\n",
+                    STR_ARG(endpoint->id), endpoint->gaps.usual_ms);
+        }
     }
     services_print(direct->services, out);
     if (direct->store != NULL) {
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -76,6 +76,11 @@
       "configuration records rejected")                                       \
     X(CONF_VERSION, "configuration_version", "",                              \
       "configuration version in force")                                       \
+    X(SPEED_OUT_OF_RANGE, "speed_ignored_total", "{cause=\"out-of-range\"}",  \
+      "stated speeds of endpoints that were ignored")                         \
+    X(SPEED_MISSING, "speed_ignored_total", "{cause=\"missing\"}", "")        \
+    X(SPEED_CONTRADICTED, "speed_ignored_total", "{cause=\"contradicted\"}",  \
+      "")                                                                     \
     X(ORDERS, "orders_total", "", "orders sent to the endpoint")              \
     X(ORDERS_STALE, "orders_stale_total", "", "orders that ended as stale")   \
     X(MEMBERS, "members", "", "members of the fleet")                         \
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -3,6 +3,7 @@
 
 #include "core/pause.h"
 #include "core/place.h"
+#include "core/speed.h"
 #include "suites.h"
 
 #define CANDIDATES 8
@@ -99,6 +100,74 @@
     CU_ASSERT_DOUBLE_EQUAL(gaps.usual_ms, 40, 2);
 }
 
+/// A stated slow-down must not outlive the slow period, and must be replaced
+/// by a newer statement at once.
+static void
+test_stated_speed(void)
+{
+    struct speed speed = {0};
+
+    CU_ASSERT(speed_slow_down(&speed, 1000) == 1);
+    speed_add_stated(&speed, 250, 1000);
+    CU_ASSERT_DOUBLE_EQUAL(speed_slow_down(&speed, 1000), 2.5, 0.01);
+    CU_ASSERT_DOUBLE_EQUAL(speed_slow_down(&speed, 1300), 1.75, 0.01);
+    CU_ASSERT(speed_slow_down(&speed, 1600) == 1);
+    speed_add_stated(&speed, 250, 2000);
+    speed_add_stated(&speed, 100, 2010);
+    CU_ASSERT(speed_slow_down(&speed, 2010) == 1);
+    // A speed above the usual attracts no requests, and a wrong one does not
+    // exclude the endpoint for good.
+    speed_add_stated(&speed, 10, 3000);
+    CU_ASSERT(speed_slow_down(&speed, 3000) == 1);
+    speed_add_stated(&speed, 5000, 3000);
+    CU_ASSERT(speed_slow_down(&speed, 3000) == SPEED_SLOW_DOWN_MAX);
+}
+
+/// Gaps alone change nothing where no endpoint states a speed; an endpoint
+/// that states 100 while its gaps are long is found out, once.
+static void
+test_gaps_contradict(void)
+{
+    struct speed silent = {0};
+    struct speed speed = {0};
+    int found = 0;
+
+    for (int64_t ms = 1000; ms < 1400; ms += 20) {
+        CU_ASSERT(!speed_add_gap(&silent, 2.5, ms));
+        speed_add_stated(&speed, 100, ms);
+        found += speed_add_gap(&speed, 2.5, ms) ? 1 : 0;
+    }
+    CU_ASSERT(speed_slow_down(&silent, 1400) == 1);
+    CU_ASSERT(found == 1);
+    CU_ASSERT(speed_slow_down(&speed, 1400) > 1.5);
+    CU_ASSERT(!speed_add_gap(&speed, 1.1, 1410));
+    CU_ASSERT(speed_slow_down(&speed, 1410) < 1.1);
+}
+
+/// A long prompt must not wait for a slow endpoint while an equal one works at
+/// its usual speed, and the prediction of its first event covers the slow one.
+static void
+test_slow_endpoint_is_avoided(void)
+{
+    struct place_candidate slow = without_backlog;
+    struct random_seeded seeded = {1};
+    struct random_source random = random_seeded_interface(&seeded);
+    struct place_request request = long_prompt;
+    struct place_choice choice;
+
+    slow.hash = 31;
+    slow.slow_down = 2.5;
+    slow.cached_tokens = 1000;
+    CU_ASSERT(choose_of_two(&request, &slow, &without_backlog) == 1);
+    request.random = &random;
+    CU_ASSERT(place_choose(&request, &slow, 1, &choice));
+    CU_ASSERT_DOUBLE_EQUAL(choice.predicted_prefill_ms, 2.5 * 3000 / 50, 0.1);
+    // The only endpoint of two that has no work.
+    request.has_prompt = false;
+    slow.load = 0;
+    CU_ASSERT(choose_of_two(&request, &slow, &without_backlog) == 0);
+}
+
 static struct place_candidate
 random_candidate(const struct random_source *random, size_t index)
 {
@@ -155,6 +224,10 @@
                 test_long_prompt_avoids_backlog);
     CU_add_test(suite, "pause without victims", test_pause_without_victims);
     CU_add_test(suite, "usual gap", test_usual_gap);
+    CU_add_test(suite, "stated speed", test_stated_speed);
+    CU_add_test(suite, "gaps contradict", test_gaps_contradict);
+    CU_add_test(suite, "slow endpoint is avoided",
+                test_slow_endpoint_is_avoided);
     CU_add_test(suite, "generous target changes nothing",
                 test_generous_target_changes_nothing);
 }
