footprint: requests avoid endpoints whose memory they would fill

An endpoint crashes if its requests exceed its memory (kv_capacity). Each request counts with its prompt and its expected output: the caller's estimate, times the mean of what was learned of the route, at most the maximum. Events hold an unknown number of tokens; the typical ratio of events to estimates gives it. Peers report requests only, which count as mean ones.

A candidate that the request would fill beyond 85% is not usable while another one is. Requests without an estimate are placed as before.

Tests: suites pace and direct.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -17,6 +17,7 @@
 #include "endpoints.h"
 #include "exchange.h"
 #include "exchange_state.h"
+#include "holding.h"
 #include "net/caller.h"
 #include "net/channel.h"
 #include "net/http1.h"
@@ -58,6 +59,7 @@
         return;
     }
     release_backlog(exchange);
+    holding_end(exchange);
     exchange->endpoint->in_flight--;
     endpoint_unref(exchange->endpoint);
     exchange->endpoint = NULL;
@@ -480,6 +482,7 @@
     }
     if (exchange->is_stream) {
         record_success(exchange);
+        holding_record_answer(exchange);
         forward_events(exchange, true);
         if (exchange->caller == NULL) {
             exchange_free(exchange);
@@ -655,6 +658,7 @@
     exchange->tried[exchange->offers++] = endpoint->hash;
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
+    holding_begin(exchange);
     exchange->uncached_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->uncached_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -6,6 +6,7 @@
 #include "direct_state.h"
 #include "endpoints.h"
 #include "exchange_state.h"
+#include "holding.h"
 #include "net/log.h"
 #include "services.h"
 #include "daemon/settings.h"
@@ -33,6 +34,10 @@
         .prefix = &exchange->facts.prefix,
         .tried = exchange->tried + skipped,
         .tried_count = exchange->offers - skipped,
+        .tokens = exchange->facts.has_output_hint
+                      ? holding_expect_tokens(exchange)
+                      : 0,
+        .capacity_tokens = service != NULL ? (double)service->cache_tokens : 0,
     };
     const struct place_request request = {
         .random = direct_random(direct),
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -24,6 +24,7 @@
     struct place_candidate candidates[CANDIDATES_MAX];
     struct endpoint *candidate_endpoints[CANDIDATES_MAX];
     bool ejected[CANDIDATES_MAX];
+    bool fits[CANDIDATES_MAX];
 };
 
 struct endpoints *
@@ -466,6 +467,48 @@
     }
 }
 
+/// Mean tokens of a request of the service, as placed by this router.
+static double
+mean_request_tokens(struct endpoint *const *endpoints, size_t count)
+{
+    double sum = 0;
+    size_t known = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += endpoints[i]->footprint.mean_tokens;
+        known += endpoints[i]->footprint.mean_tokens > 0 ? 1 : 0;
+    }
+    return known > 0 ? sum / (double)known : 0;
+}
+
+/// Makes the candidates unusable whose memory the request would fill, while
+/// another one is usable. Peers report no tokens, so that their requests count
+/// as mean ones.
+static void
+exclude_full(struct endpoints *endpoints, const struct endpoints_query *query,
+             size_t count, int64_t now_ms)
+{
+    struct place_candidate *candidates = endpoints->candidates;
+    struct endpoint **all = endpoints->candidate_endpoints;
+    double mean = mean_request_tokens(all, count);
+    size_t fitting = 0;
+
+    if (query->tokens <= 0 || query->capacity_tokens <= 0) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        double others = endpoint_load(all[i], now_ms) - all[i]->in_flight;
+
+        endpoints->fits[i] =
+            footprint_fits(all[i]->footprint.held_tokens + mean * others,
+                           query->tokens, query->capacity_tokens);
+        fitting += candidates[i].usable && endpoints->fits[i] ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && fitting > 0; i++) {
+        candidates[i].usable = candidates[i].usable && endpoints->fits[i];
+    }
+}
+
 /// Presumes the mean gap where none has been learned yet.
 static void
 fill_unknown_gaps(struct place_candidate *candidates, size_t count)
@@ -528,6 +571,7 @@
         count++;
     }
     apply_ejections(candidates, count, ejected);
+    exclude_full(endpoints, query, count, now_ms);
     fill_unknown_gaps(candidates, count);
     *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -9,6 +9,7 @@
 #include <uthash.h>
 
 #include "core/eject.h"
+#include "core/footprint.h"
 #include "core/hold.h"
 #include "core/pause.h"
 #include "core/place.h"
@@ -61,6 +62,7 @@
     struct hold hold; ///< as its last rejections state
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
+    struct footprint footprint;  ///< of own requests
     struct speed speed;          ///< as stated and as gaps show
     struct pause_gaps gaps;      ///< between events of own streams
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
@@ -125,6 +127,8 @@
     const struct prefix *prefix;
     const uint64_t *tried; ///< hashes of endpoints to exclude
     size_t tried_count;
+    double tokens;          ///< that the request will need there; 0: not known
+    double capacity_tokens; ///< memory of an endpoint; 0: not known
 };
 
 struct endpoints_choice {
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -46,6 +46,7 @@
     int64_t offered_ms;
     int64_t progress_ms;   ///< of a stream: when an event was complete
     double backlog_tokens; ///< its part of the endpoint's backlog
+    double held_tokens;    ///< its part of the endpoint's footprint
     uint32_t uncached_tokens;
     bool delay_recorded;       ///< counted for this attempt
     bool answer_recorded;      ///< as begun, for this attempt
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -125,6 +125,11 @@
                 STR_ARG(endpoint->id), endpoint->in_flight,
                 STR_ARG(endpoint->id),
                 eject_is_blocked(&endpoint->eject, now_ms, 0));
+        if (endpoint->footprint.held_tokens > 0) {
+            fprintf(out,
+                    "endpoint_held_tokens{endpoint=\"" STR_FMT "\"} %.0f\n",
+                    STR_ARG(endpoint->id), endpoint->footprint.held_tokens);
+        }
         if (endpoint->speed.has_stated) {
             fprintf(out, "endpoint_slow_down{endpoint=\"" STR_FMT "\"} %.2f\n",
                     STR_ARG(endpoint->id),
--- a/direct/services.c
+++ b/direct/services.c
@@ -5,6 +5,7 @@
 
 #include <uthash.h>
 
+#include "core/footprint.h"
 #include "core/timing.h"
 #include "core/xmalloc.h"
 #include "net/log.h"
@@ -35,6 +36,7 @@
 struct route {
     struct str name;
     int64_t typical_deadline_ms; ///< of first attempts
+    struct footprint_lengths lengths;
     int64_t used_ms;
     UT_hash_handle hh;
 };
@@ -140,15 +142,11 @@
     return share;
 }
 
-bool
-services_is_late(struct services *services, struct str name,
-                 int64_t deadline_ms, int64_t objective_ms)
+static struct route *
+get_route(struct services *services, struct str name)
 {
     struct route *route;
 
-    if (deadline_ms <= 0) {
-        return false;
-    }
     HASH_FIND(hh, services->routes, name.data, name.len, route);
     if (route == NULL) {
         route = xcalloc(1, sizeof(*route));
@@ -157,6 +155,25 @@
                         route->name.len, route);
     }
     route->used_ms = clock_ms(services->clock);
+    return route;
+}
+
+struct footprint_lengths *
+services_lengths(struct services *services, struct str route)
+{
+    return &get_route(services, route)->lengths;
+}
+
+bool
+services_is_late(struct services *services, struct str name,
+                 int64_t deadline_ms, int64_t objective_ms)
+{
+    struct route *route;
+
+    if (deadline_ms <= 0) {
+        return false;
+    }
+    route = get_route(services, name);
     route->typical_deadline_ms =
         timing_typical_deadline_ms(route->typical_deadline_ms, deadline_ms);
     return timing_is_late(route->typical_deadline_ms, deadline_ms,
--- a/direct/services.h
+++ b/direct/services.h
@@ -12,6 +12,7 @@
 #include "dandelionvalve/retry.h"
 #include "dandelionvalve/str.h"
 
+struct footprint_lengths;
 struct services;
 
 /// The caller frees with services_free(). The clock must outlive it.
@@ -38,6 +39,10 @@
 bool services_is_late(struct services *services, struct str route,
                       int64_t deadline_ms, int64_t objective_ms);
 
+/// What is known of the lengths of a route's answers.
+struct footprint_lengths *services_lengths(struct services *services,
+                                           struct str route);
+
 /// Writes the shed shares and delays as metrics.
 void services_print(const struct services *services, FILE *out);
 
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -44,6 +44,47 @@
     origin_set_fault(harness->orders, fault);
 }
 
+/// An endpoint whose memory the request would fill must not get it while
+/// another one has room; without an estimate of the output, the memory plays
+/// no part.
+static void
+test_full_endpoint_is_avoided(void)
+{
+    const struct prefix prefix = {.parts = {{1, 1000}}, .count = 1};
+    struct endpoints_query query = {
+        .service = STR_LITERAL("models"),
+        .prefix = &prefix,
+        .tokens = 2000,
+        .capacity_tokens = 100000,
+    };
+    const struct place_request request = {
+        .random = &random_system,
+        .has_prompt = true,
+        .prompt_tokens = 1000,
+        .prefill_tokens_per_ms = 50,
+        .cap_factor = 2,
+        .cap_slack = 3,
+    };
+    struct direct_harness harness;
+    struct endpoints_choice first, second;
+    struct endpoints *endpoints;
+
+    start(&harness, 2);
+    endpoints = direct_endpoints(harness.routers[0]);
+    CU_ASSERT(endpoints_choose(endpoints, &query, &request, &first));
+    first.endpoint->footprint.held_tokens = 84000;
+    prefix_estimate_add(first.endpoint->cache, &prefix);
+    CU_ASSERT(endpoints_choose(endpoints, &query, &request, &second));
+    CU_ASSERT(second.endpoint != first.endpoint);
+    second.endpoint->footprint.held_tokens = 84000;
+    CU_ASSERT(endpoints_choose(endpoints, &query, &request, &second));
+    CU_ASSERT(second.endpoint == first.endpoint);
+    query.tokens = 0;
+    CU_ASSERT(endpoints_choose(endpoints, &query, &request, &second));
+    CU_ASSERT(second.endpoint == first.endpoint);
+    direct_harness_stop(&harness);
+}
+
 static void
 test_complete_answers(void)
 {
@@ -1033,6 +1074,8 @@
 {
     CU_pSuite suite = CU_add_suite("direct", NULL, NULL);
 
+    CU_add_test(suite, "full endpoint is avoided",
+                test_full_endpoint_is_avoided);
     CU_add_test(suite, "complete answers", test_complete_answers);
     CU_add_test(suite, "reserved fields", test_reserved_fields);
     CU_add_test(suite, "router refusals", test_router_refusals);
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -1,6 +1,7 @@
 /// The state of an endpoint at this moment and its use in placement.
 #include <CUnit/CUnit.h>
 
+#include "core/footprint.h"
 #include "core/pause.h"
 #include "core/place.h"
 #include "core/speed.h"
@@ -168,6 +169,47 @@
     CU_ASSERT(choose_of_two(&request, &slow, &without_backlog) == 0);
 }
 
+/// Estimates of 0, above the maximum or without any bound must not make a
+/// request look empty or endless.
+static void
+test_expected_output_is_bounded(void)
+{
+    static const struct {
+        struct footprint_output output;
+        double tokens;
+    } cases[] = {
+        {{true, 300, 800}, 300},
+        {{true, 0, 800}, FOOTPRINT_OUTPUT_TOKENS_MIN},
+        {{true, UINT32_MAX, 800}, 800},
+        {{true, UINT32_MAX, 0}, FOOTPRINT_OUTPUT_TOKENS_MAX},
+        {{true, 300, 8}, 8},
+        {{false, 0, 800}, 400},
+        {{false, 0, 0}, 0},
+    };
+    const struct footprint_lengths none = {0};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CU_ASSERT(footprint_expect_output(&none, &cases[i].output) ==
+                  cases[i].tokens);
+    }
+}
+
+/// Where half of the answers are much longer than estimated and half are much
+/// shorter, the mean request needs more than its estimate says.
+static void
+test_output_factor_is_learned(void)
+{
+    const struct footprint_output output = {true, 320, 100000};
+    struct footprint_lengths lengths = {0};
+
+    for (int i = 0; i < 1000; i++) {
+        footprint_add_answer(&lengths, &output, i % 2 == 0 ? 160 : 10);
+    }
+    // Events of 8 tokens: 1280 or 80 against 320.
+    CU_ASSERT_DOUBLE_EQUAL(footprint_expect_output(&lengths, &output),
+                           (1280 + 80) / 2.0, 70);
+}
+
 static struct place_candidate
 random_candidate(const struct random_source *random, size_t index)
 {
@@ -228,6 +270,10 @@
     CU_add_test(suite, "gaps contradict", test_gaps_contradict);
     CU_add_test(suite, "slow endpoint is avoided",
                 test_slow_endpoint_is_avoided);
+    CU_add_test(suite, "expected output is bounded",
+                test_expected_output_is_bounded);
+    CU_add_test(suite, "output factor is learned",
+                test_output_factor_is_learned);
     CU_add_test(suite, "generous target changes nothing",
                 test_generous_target_changes_nothing);
 }
