--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -18,10 +18,12 @@
 #include "endpoints.h"
 #include "exchange.h"
 #include "exchange_state.h"
+#include "holding.h"
 #include "net/caller.h"
 #include "net/channel.h"
 #include "net/http1.h"
 #include "net/log.h"
+#include "pace.h"
 
 #define LOG_MODULE "attempt"
 
@@ -58,6 +60,7 @@
         return;
     }
     release_backlog(exchange);
+    holding_end(exchange);
     exchange->endpoint->in_flight--;
     endpoint_unref(exchange->endpoint);
     exchange->endpoint = NULL;
@@ -257,6 +260,9 @@
                                   facts.running + facts.waiting,
                                   exchange_now(exchange));
     }
+    if (status != 421) {
+        pace_record_answer(exchange, &facts);
+    }
     exchange->status = status;
     exchange->not_executed = facts.not_executed;
     exchange->progress_ms = exchange_now(exchange);
@@ -275,7 +281,7 @@
     if (exchange->is_stream && !exchange->not_executed &&
         exchange->backlog_tokens > 0) {
         direct_record_prefill(exchange->direct, exchange->uncached_tokens,
-                              exchange_now(exchange) - exchange->offered_ms);
+                              pace_usual_ms(exchange));
         release_backlog(exchange);
     }
     return CHANNEL_ACCEPT;
@@ -355,8 +361,11 @@
 static void
 handle_stream_data(struct exchange *exchange, const char *bytes, size_t len)
 {
+    uint64_t events_before = exchange->scan.events;
+
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
+        pace_record_events(exchange, events_before);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
@@ -477,6 +486,7 @@
     }
     if (exchange->is_stream) {
         record_success(exchange);
+        holding_record_answer(exchange);
         forward_events(exchange, true);
         if (exchange->caller == NULL) {
             exchange_free(exchange);
@@ -617,22 +627,24 @@
     const struct place_choice *place = &choice->place;
     int64_t now_ms = exchange->offered_ms;
 
-    LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
-             " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
-             "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
-             " fetched=%u predicted_ms=%.0f left_ms=%lld version=%lld "
-             "offer=%zu",
-             exchange->id, STR_ARG(exchange->route->name),
-             STR_ARG(endpoint->id), place_reason_name(place->reason),
-             (uint32_t)prefix_affinity(&exchange->facts.prefix),
-             endpoint->in_flight, endpoint_load(endpoint, now_ms),
-             (long long)endpoint_report_age_ms(endpoint, now_ms),
-             place->mean_load, place->usable, cached,
-             exchange->uncached_tokens,
-             STR_ARG(source != NULL ? source->id : (struct str){0}),
-             place->fetched_tokens, place->predicted_prefill_ms,
-             (long long)(exchange->expires_ms - now_ms),
-             (long long)catalog_version(exchange->catalog), exchange->offers);
+    LOG_INFO(
+        "event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
+        " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
+        "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
+        " fetched=%u predicted_ms=%.0f pause_ms=%.0f slow_down=%.2f "
+        "left_ms=%lld "
+        "version=%lld offer=%zu",
+        exchange->id, STR_ARG(exchange->route->name), STR_ARG(endpoint->id),
+        place_reason_name(place->reason),
+        (uint32_t)prefix_affinity(&exchange->facts.prefix),
+        endpoint->in_flight, endpoint_load(endpoint, now_ms),
+        (long long)endpoint_report_age_ms(endpoint, now_ms), place->mean_load,
+        place->usable, cached, exchange->uncached_tokens,
+        STR_ARG(source != NULL ? source->id : (struct str){0}),
+        place->fetched_tokens, place->predicted_prefill_ms,
+        place->predicted_pause_ms, speed_slow_down(&endpoint->speed, now_ms),
+        (long long)(exchange->expires_ms - now_ms),
+        (long long)catalog_version(exchange->catalog), exchange->offers);
 }
 
 void
@@ -650,6 +662,7 @@
     exchange->tried[exchange->offers++] = endpoint->hash;
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
+    holding_begin(exchange);
     exchange->uncached_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->uncached_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -7,6 +7,7 @@
 #include "direct_state.h"
 #include "endpoints.h"
 #include "exchange_state.h"
+#include "holding.h"
 #include "net/log.h"
 #include "services.h"
 #include "daemon/settings.h"
@@ -36,6 +37,10 @@
         .tried_count = exchange->offers - skipped,
         .at_most_once = !exchange_is_repeatable(exchange),
         .spares_trials = direct_settings(direct)->share_ejections,
+        .tokens = exchange->facts.has_output_hint
+                      ? holding_expect_tokens(exchange)
+                      : 0,
+        .capacity_tokens = service != NULL ? (double)service->cache_tokens : 0,
     };
     const struct place_request request = {
         .random = direct_random(direct),
@@ -48,6 +53,7 @@
             service != NULL ? service->fetched_tokens_per_ms : 0,
         .cap_factor = direct_settings(direct)->cap_factor,
         .cap_slack = 3,
+        .gap_target_ms = service != NULL ? (double)service->gap_target_ms : 0,
         .routers = direct_router_count(direct),
     };
 
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -9,9 +9,12 @@
 #include <uthash.h>
 
 #include "core/eject.h"
+#include "core/footprint.h"
 #include "core/hold.h"
+#include "core/pause.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "core/speed.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
 #include "net/address.h"
@@ -59,6 +62,9 @@
     struct hold hold; ///< as its last rejections state
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
+    struct footprint footprint;  ///< of own requests
+    struct speed speed;          ///< as stated and as gaps show
+    struct pause_gaps gaps;      ///< between events of own streams
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
     uint32_t reported_in_flight; ///< last value sent to peers
     struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
@@ -123,6 +129,8 @@
     size_t tried_count;
     bool at_most_once;  ///< the request may not be repeated
     bool spares_trials; ///< such a request avoids endpoints on trial
+    double tokens;          ///< that the request will need there; 0: not known
+    double capacity_tokens; ///< memory of an endpoint; 0: not known
 };
 
 struct endpoints_choice {
@@ -156,6 +164,10 @@
 /// load.
 uint32_t endpoint_load(const struct endpoint *endpoint, int64_t now_ms);
 
+/// Prompt tokens that the endpoint has still to prefill, of all routers.
+double endpoint_backlog_tokens(const struct endpoint *endpoint,
+                               int64_t now_ms);
+
 /// Updates the unreported load from the number of requests that the endpoint
 /// states in an answer. Unreported requests are those of callers that have
 /// left, which some endpoints finish, and those of routers without a link.
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -46,6 +46,7 @@
     int64_t offered_ms;
     int64_t progress_ms;   ///< of a stream: when an event was complete
     double backlog_tokens; ///< its part of the endpoint's backlog
+    double held_tokens;    ///< its part of the endpoint's footprint
     uint32_t uncached_tokens;
     bool delay_recorded;       ///< counted for this attempt
     bool answer_recorded;      ///< as begun, for this attempt
@@ -64,6 +65,8 @@
     struct sse_scan scan;
     size_t buffered_bytes; ///< its part of the router's buffered answers
     int64_t first_ms;
+    int64_t event_ms;     ///< of a stream: when the last event ended; 0: none
+    int64_t pause_max_ms; ///< longest time between two events; -1: none
     struct event *timer;
 };
 
--- a/direct/services.h
+++ b/direct/services.h
@@ -13,6 +13,7 @@
 #include "dandelionvalve/str.h"
 
 struct admission;
+struct footprint_lengths;
 struct services;
 
 /// The caller frees with services_free(). Clock and random source must outlive
@@ -50,6 +51,10 @@
 /// settings demand it.
 struct admission *services_admission(const struct services *services);
 
+/// What is known of the lengths of a route's answers.
+struct footprint_lengths *services_lengths(struct services *services,
+                                           struct str route);
+
 /// Writes the shed shares and delays as metrics.
 void services_print(const struct services *services, FILE *out);
 
--- a/tests/main.c
+++ b/tests/main.c
@@ -41,6 +41,7 @@
     {"readers", suite_readers},
     {"records", suite_records},
     {"place", suite_place},
+    {"pace", suite_pace},
     {"shed", suite_shed},
     {"admission", suite_admission},
     {"suspects", suite_suspects},
