endpoints, dispatch: a repeat avoids the fault of the first attempt

Requests that an endpoint answers with 500 failed twice far more often than by chance. Three causes in the code:

- The share of ejected endpoints was taken over the candidates without those already tried.
With two of four ejected, the second attempt at one of three others saw 67%, ignored the ejections and chose an ejected endpoint for its lack of load.
- Endpoints on trial, or that fail fast, have the least load and got repeats.
- A second attempt stayed at the service picked first, also when all endpoints of that service have the same fault and the route has another one.

The share is now taken over all endpoints that take requests. A repeat avoids endpoints that are ejected, on trial or fail clearly more often than another one, while one is left. An idempotent request goes on to another service of its route if that one has more weight or fails clearly less.

Tests: both new tests of suite direct fail without the change.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -169,6 +169,9 @@
         counter_add(direct_counters(exchange->direct), COUNTER_RETRIES, 1);
     }
     attempt_reset(exchange);
+    if (end == ATTEMPT_FAILED && exchange->route->kind == ROUTE_IDEMPOTENT) {
+        dispatch_change_target(exchange);
+    }
     dispatch_request(exchange);
     return true;
 }
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -13,6 +13,10 @@
 
 #define LOG_MODULE "dispatch"
 
+/// Excess of a service's failure share over another target's at which requests
+/// that failed there are repeated at the other one.
+#define TARGET_FAILURE_MARGIN 0.1
+
 struct shed *
 dispatch_shed(const struct exchange *exchange)
 {
@@ -34,6 +38,7 @@
         .prefix = &exchange->facts.prefix,
         .tried = exchange->tried + skipped,
         .tried_count = exchange->offers - skipped,
+        .is_repeat = exchange->runs > 0,
         .tokens = exchange->facts.has_output_hint
                       ? holding_expect_tokens(exchange)
                       : 0,
@@ -58,6 +63,55 @@
                             choice);
 }
 
+/// True if a request that has failed at its service is better repeated at this
+/// one. A target with more weight has room for it; another one gets it only if
+/// fewer of its requests fail, since repeats could overload it.
+static bool
+is_better_target(const struct exchange *exchange, uint32_t own_weight,
+                 const struct catalog_target *target)
+{
+    struct endpoints *endpoints = direct_endpoints(exchange->direct);
+
+    if (target->weight == 0 || str_equal(target->service, exchange->service) ||
+        endpoints_ready_count(endpoints, target->service) == 0) {
+        return false;
+    }
+    return target->weight > own_weight ||
+           endpoints_failure_share(endpoints, target->service) +
+                   TARGET_FAILURE_MARGIN <
+               endpoints_failure_share(endpoints, exchange->service);
+}
+
+void
+dispatch_change_target(struct exchange *exchange)
+{
+    const struct catalog_route *route = exchange->route;
+    const struct catalog_target *best = NULL;
+    uint32_t own_weight = 0;
+
+    for (size_t i = 0; i < route->target_count; i++) {
+        if (str_equal(route->targets[i].service, exchange->service)) {
+            own_weight = route->targets[i].weight;
+        }
+    }
+    for (size_t i = 0; i < route->target_count; i++) {
+        const struct catalog_target *target = &route->targets[i];
+
+        if (is_better_target(exchange, own_weight, target) &&
+            (best == NULL || target->weight > best->weight)) {
+            best = target;
+        }
+    }
+    if (best == NULL) {
+        return;
+    }
+    LOG_INFO("event=target-changed id=%s route=" STR_FMT " from=" STR_FMT
+             " to=" STR_FMT,
+             exchange->id, STR_ARG(route->name), STR_ARG(exchange->service),
+             STR_ARG(best->service));
+    exchange->service = best->service;
+}
+
 void
 dispatch_request(struct exchange *exchange)
 {
--- a/direct/dispatch.h
+++ b/direct/dispatch.h
@@ -10,6 +10,11 @@
 /// exchange if there is none.
 void dispatch_request(struct exchange *exchange);
 
+/// After a failure of the endpoint: changes to another service of the route if
+/// the request is better repeated there. All endpoints of a service may have
+/// the same fault, such as a failed release.
+void dispatch_change_target(struct exchange *exchange);
+
 /// Refuses the request if its service is overloaded and load shedding selects
 /// it; true if the exchange has ended. Requests that resume a stream are never
 /// shed.
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -15,6 +15,9 @@
 /// Share of a service's endpoints that may be ejected at once. If more fail,
 /// the cause is not in the endpoints, and all stay in use.
 #define EJECTED_PERCENT_MAX 50
+/// Excess of an endpoint's failure share over the least one at which it gets
+/// no repeats: more than a single failure adds.
+#define REPEAT_FAILURE_MARGIN 0.1
 
 struct endpoints {
     struct endpoints_options options;
@@ -24,6 +27,7 @@
     struct place_candidate candidates[CANDIDATES_MAX];
     struct endpoint *candidate_endpoints[CANDIDATES_MAX];
     bool ejected[CANDIDATES_MAX];
+    bool takes_requests[CANDIDATES_MAX];
     bool fits[CANDIDATES_MAX];
 };
 
@@ -446,20 +450,22 @@
     return count > 0 ? sum / (double)count : 0;
 }
 
-/// Makes ejected candidates unusable, unless more than EJECTED_PERCENT_MAX are
-/// ejected.
+/// Makes ejected candidates unusable, unless more than EJECTED_PERCENT_MAX of
+/// all endpoints that take requests are ejected, or no other one is left.
 static void
 apply_ejections(struct place_candidate *candidates, size_t count,
-                const bool *ejected)
+                const bool *ejected, const bool *takes_requests)
 {
     size_t ejected_count = 0;
     size_t ready = 0;
+    size_t left = 0;
 
     for (size_t i = 0; i < count; i++) {
-        ready += candidates[i].usable ? 1 : 0;
-        ejected_count += candidates[i].usable && ejected[i] ? 1 : 0;
+        ready += takes_requests[i] ? 1 : 0;
+        ejected_count += takes_requests[i] && ejected[i] ? 1 : 0;
+        left += candidates[i].usable && !ejected[i] ? 1 : 0;
     }
-    if (100 * ejected_count > EJECTED_PERCENT_MAX * ready) {
+    if (left == 0 || 100 * ejected_count > EJECTED_PERCENT_MAX * ready) {
         return;
     }
     for (size_t i = 0; i < count; i++) {
@@ -467,6 +473,46 @@
     }
 }
 
+static double
+least_failure_share(const struct endpoints *endpoints, size_t count)
+{
+    double least = 1;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
+
+        if (endpoints->candidates[i].usable && !endpoints->ejected[i] &&
+            !eject->trial && eject->failure_share < least) {
+            least = eject->failure_share;
+        }
+    }
+    return least;
+}
+
+/// Restricts a repeat to endpoints that are neither ejected nor on trial and
+/// that fail little, if there are any. Those that fail at once have the least
+/// load and would get it otherwise.
+static void
+exclude_failing(struct endpoints *endpoints, size_t count)
+{
+    struct place_candidate *candidates = endpoints->candidates;
+    double share_max =
+        least_failure_share(endpoints, count) + REPEAT_FAILURE_MARGIN;
+    bool *fits = endpoints->fits;
+    size_t fitting = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
+
+        fits[i] = !endpoints->ejected[i] && !eject->trial &&
+                  eject->failure_share <= share_max;
+        fitting += candidates[i].usable && fits[i] ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && fitting > 0; i++) {
+        candidates[i].usable = candidates[i].usable && fits[i];
+    }
+}
+
 /// Mean tokens of a request of the service, as placed by this router.
 static double
 mean_request_tokens(struct endpoint *const *endpoints, size_t count)
@@ -536,6 +582,7 @@
     struct place_candidate *candidates = endpoints->candidates;
     struct endpoint **candidate_endpoints = endpoints->candidate_endpoints;
     bool *ejected = endpoints->ejected;
+    bool *takes_requests = endpoints->takes_requests;
     int64_t now_ms = clock_ms(endpoints->options.clock);
     struct endpoint *endpoint;
     size_t count = 0;
@@ -548,11 +595,12 @@
         candidate_endpoints[count] = endpoint;
         ejected[count] =
             eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
+        takes_requests[count] = endpoint_is_ready(endpoint) &&
+                                hold_left_ms(&endpoint->hold, now_ms) == 0;
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
-            .usable = endpoint_is_ready(endpoint) &&
-                      hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-                      !was_tried(query, endpoint->hash),
+            .usable =
+                takes_requests[count] && !was_tried(query, endpoint->hash),
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
             .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
@@ -570,7 +618,10 @@
         };
         count++;
     }
-    apply_ejections(candidates, count, ejected);
+    apply_ejections(candidates, count, ejected, takes_requests);
+    if (query->is_repeat) {
+        exclude_failing(endpoints, count);
+    }
     exclude_full(endpoints, query, count, now_ms);
     fill_unknown_gaps(candidates, count);
     *choice = (struct endpoints_choice){0};
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -127,6 +127,7 @@
     const struct prefix *prefix;
     const uint64_t *tried; ///< hashes of endpoints to exclude
     size_t tried_count;
+    bool is_repeat;         ///< an endpoint has run the request, and failed
     double tokens;          ///< that the request will need there; 0: not known
     double capacity_tokens; ///< memory of an endpoint; 0: not known
 };
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -85,6 +85,92 @@
     direct_harness_stop(&harness);
 }
 
+static struct endpoint *
+find_endpoint(struct direct_harness *harness, const char *id)
+{
+    return endpoints_find(direct_endpoints(harness->routers[0]), str_from(id));
+}
+
+/// Guards against a second attempt that meets the same fault: three of four
+/// endpoints fail all or many requests, two of them have just failed together,
+/// and the healthy one has the most load.
+static void
+test_repeat_avoids_failing_endpoints(void)
+{
+    enum {
+        EJECTED,
+        ON_TRIAL,
+        FAILING,
+        STATES
+    };
+    const struct prefix prefix = {.count = 0};
+    const struct place_request request = {
+        .random = &random_system, .cap_factor = 2, .cap_slack = 3};
+
+    for (int state = 0; state < STATES; state++) {
+        struct direct_harness harness;
+        struct endpoints_choice choice;
+        uint64_t tried;
+        struct endpoints_query query = {.service = STR_LITERAL("models"),
+                                        .prefix = &prefix,
+                                        .tried = &tried,
+                                        .tried_count = 1,
+                                        .is_repeat = true};
+
+        start(&harness, 4);
+        tried = find_endpoint(&harness, "e-0")->hash;
+        for (int i = 1; i < 3; i++) {
+            struct eject *eject =
+                &find_endpoint(&harness, i == 1 ? "e-1" : "e-2")->eject;
+
+            eject->trial = state == ON_TRIAL;
+            eject->failure_share = state == FAILING ? 0.5 : 0;
+            eject->ejected_until_ms = state == EJECTED ? INT64_MAX : 0;
+        }
+        find_endpoint(&harness, "e-3")->in_flight = 2;
+        CU_ASSERT(endpoints_choose(direct_endpoints(harness.routers[0]),
+                                   &query, &request, &choice));
+        CU_ASSERT(str_equal_c(choice.endpoint->id, "e-3"));
+        find_endpoint(&harness, "e-3")->in_flight = 0;
+        direct_harness_stop(&harness);
+    }
+}
+
+/// Guards against a repeat at a service all of whose endpoints have the same
+/// fault, while another service of the route works.
+static void
+test_repeat_at_other_service(void)
+{
+    static const char document[] =
+        "{\"version\":99,\"routes\":[{\"name\":\"look\",\"host\":\"h."
+        "example\","
+        "\"path_prefix\":\"/look/\",\"kind\":\"idempotent\",\"timeout_ms\":"
+        "2000,\"slo_ms\":300,\"public\":true,\"max_attempts\":2,\"backends\":"
+        "[{\"service\":\"models\",\"weight\":40},{\"service\":\"orders\","
+        "\"weight\":60}]}],\"services\":[{\"name\":\"models\"},{\"name\":"
+        "\"orders\"}]}";
+    struct direct_harness harness;
+
+    start(&harness, 3);
+    keyed_store_put(harness.store, KEYED_STORE_TOPIC_OPERATOR, "config",
+                    STR_LITERAL(document));
+    for (size_t i = 0; i < 3; i++) {
+        origin_set_fault(harness.origins[i], ORIGIN_FAILS);
+    }
+    direct_harness_run(&harness, 300);
+    for (int i = 0; i < 40; i++) {
+        struct direct_call call = {0};
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%d", i);
+        direct_call_do(&harness, 0, &call, "GET", "/look/", id, NULL, NULL);
+        CU_ASSERT(call.status == 200);
+        direct_call_free(&call);
+    }
+    CU_ASSERT(direct_harness_runs(&harness) > 40);
+    direct_harness_stop(&harness);
+}
+
 static void
 test_complete_answers(void)
 {
@@ -1074,6 +1160,10 @@
 {
     CU_pSuite suite = CU_add_suite("direct", NULL, NULL);
 
+    CU_add_test(suite, "repeat at other service",
+                test_repeat_at_other_service);
+    CU_add_test(suite, "repeat avoids failing endpoints",
+                test_repeat_avoids_failing_endpoints);
     CU_add_test(suite, "full endpoint is avoided",
                 test_full_endpoint_is_avoided);
     CU_add_test(suite, "complete answers", test_complete_answers);
