--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -85,6 +85,35 @@
     direct_harness_stop(&harness);
 }
 
+/// Guards against a load header with four figures that is ignored on its way
+/// from the answer to the choice, and against a bad one that is not counted.
+static void
+test_stated_speed_is_used(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    const struct endpoint *endpoint;
+
+    start(&harness, 1);
+    endpoint = endpoints_find(direct_endpoints(harness.routers[0]),
+                              STR_LITERAL("e-0"));
+    origin_set_load(harness.origins[0], "3,1,8,1000");
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-1", NULL,
+                   "x");
+    direct_call_free(&call);
+    CU_ASSERT(endpoint->speed.stated == 10);
+    CU_ASSERT(endpoint->unreported_load > 0);
+    origin_set_load(harness.origins[0], "3,1,8,-4");
+    for (int i = 0; i < 2; i++) {
+        direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-2",
+                       NULL, "x");
+        direct_call_free(&call);
+    }
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_SPEED_OUT_OF_RANGE) ==
+              2);
+    direct_harness_stop(&harness);
+}
+
 static struct endpoint *
 find_endpoint(struct direct_harness *harness, const char *id)
 {
@@ -1160,6 +1189,7 @@
 {
     CU_pSuite suite = CU_add_suite("direct", NULL, NULL);
 
+    CU_add_test(suite, "stated speed is used", test_stated_speed_is_used);
     CU_add_test(suite, "repeat at other service",
                 test_repeat_at_other_service);
     CU_add_test(suite, "repeat avoids failing endpoints",
