--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -37,6 +37,7 @@
         .tried_count = exchange->offers - skipped,
         .at_most_once = !exchange_is_repeatable(exchange),
         .spares_trials = direct_settings(direct)->share_ejections,
+        .is_repeat = exchange->runs > 0,
         .tokens = exchange->facts.has_output_hint
                       ? holding_expect_tokens(exchange)
                       : 0,
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -18,6 +18,9 @@
 /// Share of a service's endpoints that requests which may run only once avoid,
 /// ejected ones included. The others must have room for what they take over.
 #define AVOIDED_PERCENT_MAX 20
+/// Excess of an endpoint's failure share over the least one at which it gets
+/// no repeats: more than a single failure adds.
+#define REPEAT_FAILURE_MARGIN 0.1
 
 struct endpoints {
     struct endpoints_options options;
@@ -28,6 +31,7 @@
     struct endpoint *candidate_endpoints[CANDIDATES_MAX];
     bool ejected[CANDIDATES_MAX];
     bool avoided[CANDIDATES_MAX];
+    bool takes_requests[CANDIDATES_MAX];
     bool fits[CANDIDATES_MAX];
 };
 
@@ -450,20 +454,23 @@
     return count > 0 ? sum / (double)count : 0;
 }
 
-/// Makes the marked candidates unusable, unless they are more than
-/// `percent_max` of the usable ones.
+/// Makes the marked candidates unusable, unless more than `percent_max` of all
+/// endpoints that take requests are marked, or no other one is left.
 static void
-exclude(struct place_candidate *candidates, size_t count, const bool *marked,
+exclude(struct endpoints *endpoints, size_t count, const bool *marked,
         int percent_max)
 {
+    struct place_candidate *candidates = endpoints->candidates;
     size_t marked_count = 0;
     size_t ready = 0;
+    size_t left = 0;
 
     for (size_t i = 0; i < count; i++) {
-        ready += candidates[i].usable ? 1 : 0;
-        marked_count += candidates[i].usable && marked[i] ? 1 : 0;
+        ready += endpoints->takes_requests[i] ? 1 : 0;
+        marked_count += endpoints->takes_requests[i] && marked[i] ? 1 : 0;
+        left += candidates[i].usable && !marked[i] ? 1 : 0;
     }
-    if (100 * marked_count > (size_t)percent_max * ready) {
+    if (left == 0 || 100 * marked_count > (size_t)percent_max * ready) {
         return;
     }
     for (size_t i = 0; i < count; i++) {
@@ -471,6 +478,46 @@
     }
 }
 
+static double
+least_failure_share(const struct endpoints *endpoints, size_t count)
+{
+    double least = 1;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
+
+        if (endpoints->candidates[i].usable && !endpoints->ejected[i] &&
+            !eject->trial && eject->failure_share < least) {
+            least = eject->failure_share;
+        }
+    }
+    return least;
+}
+
+/// Restricts a repeat to endpoints that are neither ejected nor on trial and
+/// that fail little, if there are any. Those that fail at once have the least
+/// load and would get it otherwise.
+static void
+exclude_failing(struct endpoints *endpoints, size_t count)
+{
+    struct place_candidate *candidates = endpoints->candidates;
+    double share_max =
+        least_failure_share(endpoints, count) + REPEAT_FAILURE_MARGIN;
+    bool *fits = endpoints->fits;
+    size_t fitting = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
+
+        fits[i] = !endpoints->ejected[i] && !eject->trial &&
+                  eject->failure_share <= share_max;
+        fitting += candidates[i].usable && fits[i] ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && fitting > 0; i++) {
+        candidates[i].usable = candidates[i].usable && fits[i];
+    }
+}
+
 /// Mean tokens of a request of the service, as placed by this router.
 static double
 mean_request_tokens(struct endpoint *const *endpoints, size_t count)
@@ -541,6 +588,7 @@
     struct endpoint **candidate_endpoints = endpoints->candidate_endpoints;
     bool *ejected = endpoints->ejected;
     bool *avoided = endpoints->avoided;
+    bool *takes_requests = endpoints->takes_requests;
     int64_t now_ms = clock_ms(endpoints->options.clock);
     struct endpoint *endpoint;
     size_t count = 0;
@@ -556,11 +604,12 @@
         avoided[count] =
             ejected[count] || (query->at_most_once && query->spares_trials &&
                                eject_spares_once(&endpoint->eject, now_ms));
+        takes_requests[count] = endpoint_is_ready(endpoint) &&
+                                hold_left_ms(&endpoint->hold, now_ms) == 0;
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
-            .usable = endpoint_is_ready(endpoint) &&
-                      hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-                      !was_tried(query, endpoint->hash),
+            .usable =
+                takes_requests[count] && !was_tried(query, endpoint->hash),
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
             .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
@@ -578,8 +627,11 @@
         };
         count++;
     }
-    exclude(candidates, count, avoided, AVOIDED_PERCENT_MAX);
-    exclude(candidates, count, ejected, EJECTED_PERCENT_MAX);
+    exclude(endpoints, count, avoided, AVOIDED_PERCENT_MAX);
+    exclude(endpoints, count, ejected, EJECTED_PERCENT_MAX);
+    if (query->is_repeat) {
+        exclude_failing(endpoints, count);
+    }
     exclude_full(endpoints, query, count, now_ms);
     fill_unknown_gaps(candidates, count);
     *choice = (struct endpoints_choice){0};
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -85,6 +85,86 @@
     direct_harness_stop(&harness);
 }
 
+/// Guards against a load header with four figures that is ignored on its way
+/// from the answer to the choice, and against a bad one that is not counted.
+static void
+test_stated_speed_is_used(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    const struct endpoint *endpoint;
+
+    start(&harness, 1);
+    endpoint = endpoints_find(direct_endpoints(harness.routers[0]),
+                              STR_LITERAL("e-0"));
+    origin_set_load(harness.origins[0], "3,1,8,1000");
+    direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-1", NULL,
+                   "x");
+    direct_call_free(&call);
+    CU_ASSERT(endpoint->speed.stated == 10);
+    CU_ASSERT(endpoint->unreported_load > 0);
+    origin_set_load(harness.origins[0], "3,1,8,-4");
+    for (int i = 0; i < 2; i++) {
+        direct_call_do(&harness, 0, &call, "POST", "/stream/draft/", "id-2",
+                       NULL, "x");
+        direct_call_free(&call);
+    }
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_SPEED_OUT_OF_RANGE) ==
+              2);
+    direct_harness_stop(&harness);
+}
+
+static struct endpoint *
+find_endpoint(struct direct_harness *harness, const char *id)
+{
+    return endpoints_find(direct_endpoints(harness->routers[0]), str_from(id));
+}
+
+/// Guards against a second attempt that meets the same fault: three of four
+/// endpoints fail all or many requests, two of them have just failed together,
+/// and the healthy one has the most load.
+static void
+test_repeat_avoids_failing_endpoints(void)
+{
+    enum {
+        EJECTED,
+        ON_TRIAL,
+        FAILING,
+        STATES
+    };
+    const struct prefix prefix = {.count = 0};
+    const struct place_request request = {
+        .random = &random_system, .cap_factor = 2, .cap_slack = 3};
+
+    for (int state = 0; state < STATES; state++) {
+        struct direct_harness harness;
+        struct endpoints_choice choice;
+        uint64_t tried;
+        struct endpoints_query query = {.service = STR_LITERAL("models"),
+                                        .prefix = &prefix,
+                                        .tried = &tried,
+                                        .tried_count = 1,
+                                        .is_repeat = true};
+
+        start(&harness, 4);
+        tried = find_endpoint(&harness, "e-0")->hash;
+        for (int i = 1; i < 3; i++) {
+            struct eject *eject =
+                &find_endpoint(&harness, i == 1 ? "e-1" : "e-2")->eject;
+
+            eject->trial = state == ON_TRIAL;
+            eject->failure_share = state == FAILING ? 0.5 : 0;
+            eject->ejected_until_ms = state == EJECTED ? INT64_MAX : 0;
+        }
+        find_endpoint(&harness, "e-3")->in_flight = 2;
+        CU_ASSERT(endpoints_choose(direct_endpoints(harness.routers[0]),
+                                   &query, &request, &choice));
+        CU_ASSERT(str_equal_c(choice.endpoint->id, "e-3"));
+        find_endpoint(&harness, "e-3")->in_flight = 0;
+        direct_harness_stop(&harness);
+    }
+}
+
 static void
 test_complete_answers(void)
 {
@@ -1074,6 +1154,9 @@
 {
     CU_pSuite suite = CU_add_suite("direct", NULL, NULL);
 
+    CU_add_test(suite, "stated speed is used", test_stated_speed_is_used);
+    CU_add_test(suite, "repeat avoids failing endpoints",
+                test_repeat_avoids_failing_endpoints);
     CU_add_test(suite, "full endpoint is avoided",
                 test_full_endpoint_is_avoided);
     CU_add_test(suite, "complete answers", test_complete_answers);
