warmup, evacuation: limits requests to cold endpoints and evacuates zones

A cold endpoint gets requests from the first routers of its rendezvous order only, each at a share of the rate that the configuration states, and only once a router is linked to most others for the settle time. An operator's record evacuate/ZONE takes a zone out of use; it comes back as cold. Services without cold_per_s and deployments without such records are served as before, except that a router is ready only after its first complete listing of the configuration's topic: the evacuated zones are in it.

--- a/core/catalog.h
+++ b/core/catalog.h
@@ -50,6 +50,8 @@
     double fetched_tokens_per_ms;
     uint32_t connections_max; ///< of one endpoint, from all callers
     uint32_t slots;           ///< of one endpoint; 0: not stated
+    int64_t cold_start_ms;    ///< an endpoint is cold so long after its start
+    double cold_per_s; ///< requests that a cold endpoint takes; 0: no limit
 };
 
 struct catalog_account {
--- /dev/null
+++ b/core/warmup.c
@@ -0,0 +1,184 @@
+#include "warmup.h"
+
+/// Requests that one sender may send in a second beyond its rate.
+#define BURST 1.0
+
+struct warmup_plan
+warmup_plan(const struct warmup_limits *limits)
+{
+    double bound = limits->per_s * limits->rate_factor + limits->slack;
+    // Half of the slack is the burst of the senders, the other half is left
+    // for senders that disagree about the members.
+    double wanted = (bound - limits->per_s) / (2 * BURST);
+    struct warmup_plan plan = {.senders = wanted > 1 ? (size_t)wanted : 1};
+    size_t extra = plan.senders < WARMUP_EXTRA_SENDERS ? plan.senders
+                                                       : WARMUP_EXTRA_SENDERS;
+    double most = bound / (double)(plan.senders + extra) - BURST;
+
+    plan.per_s = limits->per_s / (double)plan.senders;
+    if (plan.per_s > most) {
+        plan.per_s = most > 0 ? most : 0;
+    }
+    return plan;
+}
+
+const char *
+warmup_source_name(enum warmup_source source)
+{
+    static const char *const names[] = {
+        [WARMUP_ENTRY] = "entry",
+        [WARMUP_ANSWER] = "answer",
+        [WARMUP_RESTART] = "restart",
+        [WARMUP_EVACUATION] = "evacuation",
+    };
+
+    return names[source];
+}
+
+static bool
+is_suspected(const struct warmup *warmup, int64_t now_ms)
+{
+    return warmup->suspected_ms != 0 &&
+           now_ms - warmup->suspected_ms < WARMUP_SUSPECT_MAX_MS;
+}
+
+bool
+warmup_is_cold(const struct warmup *warmup, int64_t now_ms)
+{
+    return now_ms < warmup->until_ms || is_suspected(warmup, now_ms);
+}
+
+int64_t
+warmup_left_ms(const struct warmup *warmup, int64_t now_ms)
+{
+    int64_t until_ms = warmup->until_ms;
+
+    if (is_suspected(warmup, now_ms) &&
+        warmup->suspected_ms + WARMUP_SUSPECT_MAX_MS > until_ms) {
+        until_ms = warmup->suspected_ms + WARMUP_SUSPECT_MAX_MS;
+    }
+    return until_ms > now_ms ? until_ms - now_ms : 0;
+}
+
+/// The first token comes one interval after the endpoint has become cold, so
+/// that a state that was lost and is learned again yields no second burst.
+static void
+begin(struct warmup *warmup, int64_t now_ms)
+{
+    if (!warmup_is_cold(warmup, now_ms)) {
+        warmup->begun_ms = now_ms;
+    }
+}
+
+bool
+warmup_extend(struct warmup *warmup, int64_t now_ms, int64_t left_ms,
+              enum warmup_source source)
+{
+    if (left_ms > WARMUP_LEFT_MAX_MS) {
+        left_ms = WARMUP_LEFT_MAX_MS;
+    }
+    if (left_ms <= 0 || now_ms + left_ms <= warmup->until_ms) {
+        return false;
+    }
+    begin(warmup, now_ms);
+    warmup->until_ms = now_ms + left_ms;
+    warmup->source = source;
+    return true;
+}
+
+bool
+warmup_suspect(struct warmup *warmup, int64_t now_ms)
+{
+    bool is_new = !is_suspected(warmup, now_ms);
+
+    begin(warmup, now_ms);
+    warmup->suspected_ms = now_ms;
+    if (is_new && now_ms >= warmup->until_ms) {
+        warmup->source = WARMUP_RESTART;
+    }
+    return is_new;
+}
+
+bool
+warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t sent_ms,
+                int64_t start_ms)
+{
+    if (!is_suspected(warmup, now_ms)) {
+        return false;
+    }
+    if (sent_ms < warmup->suspected_ms) {
+        if (now_ms - warmup->suspected_ms < WARMUP_IN_TRANSIT_MS) {
+            return false;
+        }
+        warmup->suspected_ms = 0;
+        return true;
+    }
+    warmup_extend(warmup, now_ms, start_ms, WARMUP_RESTART);
+    warmup->suspected_ms = 0;
+    return true;
+}
+
+bool
+warmup_renewed(struct warmup *warmup, int64_t now_ms, int64_t start_ms)
+{
+    if (!is_suspected(warmup, now_ms) ||
+        now_ms - warmup->suspected_ms < WARMUP_ENTRY_LAG_MS) {
+        return false;
+    }
+    warmup_extend(warmup, now_ms, start_ms, WARMUP_RESTART);
+    warmup->suspected_ms = 0;
+    return true;
+}
+
+int64_t
+warmup_wait_ms(const struct warmup *warmup, const struct warmup_plan *plan,
+               int64_t now_ms)
+{
+    double last_ms = (double)warmup->begun_ms > warmup->sent_ms
+                         ? (double)warmup->begun_ms
+                         : warmup->sent_ms;
+    double wait_ms;
+
+    if (plan->per_s <= 0) {
+        return warmup_left_ms(warmup, now_ms);
+    }
+    wait_ms = last_ms + 1000 / plan->per_s - (double)now_ms;
+    return wait_ms > 0 ? (int64_t)wait_ms + 1 : 0;
+}
+
+void
+warmup_take(struct warmup *warmup, int64_t now_ms)
+{
+    warmup->sent_ms = (double)now_ms;
+}
+
+void
+warmup_standing_update(struct warmup_standing *standing, int64_t now_ms,
+                       size_t known, size_t linked, size_t links_enough)
+{
+    bool holds =
+        2 * linked > known || (links_enough > 0 && linked >= links_enough);
+    bool was_frozen = now_ms - standing->updated_ms > WARMUP_FROZEN_MS;
+
+    if (holds && (!standing->holds || was_frozen)) {
+        standing->since_ms = now_ms;
+    }
+    standing->holds = holds;
+    standing->updated_ms = now_ms;
+}
+
+int64_t
+warmup_standing_wait_ms(const struct warmup_standing *standing, int64_t now_ms,
+                        int64_t settle_ms)
+{
+    // After a freeze, requests may be handled before the next update.
+    if (now_ms - standing->updated_ms > WARMUP_FROZEN_MS) {
+        return settle_ms;
+    }
+    if (!standing->holds) {
+        return -1;
+    }
+    return standing->since_ms + settle_ms > now_ms
+               ? standing->since_ms + settle_ms - now_ms
+               : 0;
+}
--- /dev/null
+++ b/core/warmup.h
@@ -0,0 +1,129 @@
+/// Limits what a router sends to a cold endpoint: one that has just started,
+/// or has lost its caches, and crashes at a rate well above the stated one.
+///
+/// Load pattern: an endpoint comes back during traffic, and tens of routers
+/// choose it at the same moment, since it has no load yet. The
+/// rate is too low to be divided evenly: each router's share would be less
+/// than one request a second, and a burst of one from each is already too
+/// much. Therefore only a few routers send to a cold endpoint, the first ones
+/// in the endpoint's rendezvous order, and each at a share of the rate. No
+/// message is needed for a request.
+///
+/// Routers may disagree about who the others are. A router is known to the
+/// others when it has been linked to more than half of the routers that it
+/// knows for a settle time, and only then it sends. See
+/// docs/design/warmup.md.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/// Senders beyond the planned ones that the bound has room for, as far as they
+/// are no more than these: routers that do not know of each other yet.
+#define WARMUP_EXTRA_SENDERS 2
+/// Interval between two updates above which the process was frozen: what it
+/// knows of the other routers is outdated.
+#define WARMUP_FROZEN_MS 1000
+/// A suspicion that no answer settles ends after this time: the endpoint's
+/// entry has stated its state several times since.
+#define WARMUP_SUSPECT_MAX_MS 60000
+/// Entries that reach a router later than this after the endpoint was lost
+/// were written after its return: they are written every 1.2 s, and take some
+/// seconds when the store is slow.
+#define WARMUP_ENTRY_LAG_MS 5000
+/// An answer may have been on its way when the endpoint was lost. Later ones
+/// show that the process has not ended.
+#define WARMUP_IN_TRANSIT_MS 1000
+/// A longer time is a fault of the endpoint.
+#define WARMUP_LEFT_MAX_MS (3600 * 1000)
+
+/// How a service's endpoints start. No request limit with `per_s` 0.
+struct warmup_limits {
+    int64_t start_ms; ///< an endpoint is cold for so long after its start
+    double per_s;     ///< requests that a cold endpoint takes
+    double rate_factor;
+    double slack; ///< bound in any second: per_s * rate_factor + slack
+};
+
+/// Who sends to a cold endpoint, and how much.
+struct warmup_plan {
+    size_t senders; ///< routers
+    double per_s;   ///< of each, with a burst of one; 0: nothing
+};
+
+struct warmup_plan warmup_plan(const struct warmup_limits *limits);
+
+/// From where a router knows that an endpoint is cold.
+enum warmup_source {
+    WARMUP_ENTRY,      ///< its entry in the store
+    WARMUP_ANSWER,     ///< an answer
+    WARMUP_RESTART,    ///< its connections were refused or lost before
+    WARMUP_EVACUATION, ///< the evacuation of its zone has ended
+};
+
+const char *warmup_source_name(enum warmup_source source);
+
+/// State of one endpoint at one router. Zero-initialise before use.
+struct warmup {
+    int64_t until_ms;
+    int64_t begun_ms; ///< when it became cold
+    /// When its connections were refused or lost, so that it may have started
+    /// again; 0: not since it last answered.
+    int64_t suspected_ms;
+    double sent_ms; ///< last token
+    enum warmup_source source;
+};
+
+/// True if the endpoint is cold or may be. The answer is the same for the same
+/// time whether a token is taken or not.
+bool warmup_is_cold(const struct warmup *warmup, int64_t now_ms);
+
+/// Time until it is warm; 0: it is.
+int64_t warmup_left_ms(const struct warmup *warmup, int64_t now_ms);
+
+/// The endpoint is cold for `left_ms` from now; the latest end stands. False
+/// if nothing changes.
+bool warmup_extend(struct warmup *warmup, int64_t now_ms, int64_t left_ms,
+                   enum warmup_source source);
+
+/// A connection was refused or lost: the endpoint may start again at any
+/// moment. False if this was known.
+bool warmup_suspect(struct warmup *warmup, int64_t now_ms);
+
+/// The endpoint has answered a request that was sent at `sent_ms`. One sent
+/// after the suspicion may have reached a new process, which is cold for
+/// `start_ms`. True if the suspicion has ended.
+bool warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t sent_ms,
+                     int64_t start_ms);
+
+/// The endpoint's entry has been written again. True if that ends the
+/// suspicion; the endpoint is then cold for `start_ms`, since the entry does
+/// not tell when a process that this router has not reached was started.
+bool warmup_renewed(struct warmup *warmup, int64_t now_ms, int64_t start_ms);
+
+/// Time until this router may send the next request; 0: now.
+int64_t warmup_wait_ms(const struct warmup *warmup,
+                       const struct warmup_plan *plan, int64_t now_ms);
+
+/// Counts a request. It is not given back if the request does not run.
+void warmup_take(struct warmup *warmup, int64_t now_ms);
+
+/// Whether the other routers know of this one. Zero-initialise before use.
+struct warmup_standing {
+    int64_t since_ms; ///< the condition holds since then
+    int64_t updated_ms;
+    bool holds;
+};
+
+/// Call often, at least several times in WARMUP_FROZEN_MS. `known` and
+/// `linked` are numbers of routers, this one included. With `links_enough` >
+/// 0, that many linked ones suffice: in a large deployment a router has links
+/// to a few others only.
+void warmup_standing_update(struct warmup_standing *standing, int64_t now_ms,
+                            size_t known, size_t linked, size_t links_enough);
+
+/// Time until this router may send to cold endpoints; 0: now. -1: not before
+/// it is linked to more routers.
+int64_t warmup_standing_wait_ms(const struct warmup_standing *standing,
+                                int64_t now_ms, int64_t settle_ms);
--- a/core/wire.h
+++ b/core/wire.h
@@ -54,6 +54,8 @@
     uint32_t running;
     uint32_t waiting;
     uint32_t slots;
+    bool has_cold; ///< the endpoint states whether it is cold
+    int64_t cold_ms;
 };
 
 enum endpoint_state {
@@ -70,7 +72,7 @@
     enum endpoint_state state;
     uint32_t slots;
     int64_t incarnation; ///< differs after a restart under the same identity
-    int64_t cold_ms; ///< remaining time in which it is slow after its start
+    int64_t cold_ms;     ///< remaining time in which it takes few requests
 };
 
 /// Translation to and from the platform's wire format.
@@ -99,6 +101,9 @@
     struct catalog *(*read_catalog)(struct str text,
                                     const struct catalog *before,
                                     struct err *err);
+    /// True if a record of the configuration's topic with this key requests
+    /// the evacuation of an availability zone. `zone` is a view into the key.
+    bool (*read_evacuation)(struct str key, struct str *zone);
     /// Calls back with the properties if the entry describes a usable
     /// endpoint; false with `err` set if not.
     bool (*read_endpoint)(struct str text,
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -257,6 +257,10 @@
     toml_get_double(bounds, "store_settle_ms", 100, 3600000, &settle_ms, err);
     toml_get_double(bounds, "load_cap_factor", 1, 100, &settings->cap_factor,
                     err);
+    toml_get_double(bounds, "cold_rate_factor", 0.01, 1000,
+                    &settings->cold_rate_factor, err);
+    toml_get_double(bounds, "cold_slack", 0, 1000000, &settings->cold_slack,
+                    err);
     settings->grace_ms = (int64_t)(1000 * grace_s);
     settings->budget_window_ms = (int64_t)(1000 * window_s);
     settings->budget_slack = (int64_t)slack;
@@ -279,6 +283,7 @@
         .budget_window_ms = 10000,
         .budget_ratio = 0.1,
         .cap_factor = 2,
+        .cold_rate_factor = 1,
     };
     root = toml_root(doc);
     require_string(root, "name", &settings->name, err);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -67,6 +67,10 @@
     int64_t budget_slack; ///< further retries, shared by all routers
     int64_t settle_ms;    ///< of the store after a disruption
     double cap_factor;    ///< load bound of an endpoint over the mean load
+    /// Bound on requests to a cold endpoint in any second, of all routers: its
+    /// rate times the factor, plus the slack.
+    double cold_rate_factor;
+    double cold_slack;
 };
 
 struct settings_standin_group {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -12,6 +12,7 @@
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
 #include "blame.h"
+#include "cold.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -90,6 +91,7 @@
 {
     struct endpoint *endpoint = exchange->endpoint;
 
+    cold_suspect(direct_cold(exchange->direct), endpoint);
     if (!eject_connect_failure(&endpoint->eject, exchange_now(exchange))) {
         return;
     }
@@ -218,6 +220,19 @@
             !strncasecmp(value.data, type, sizeof(type) - 1));
 }
 
+/// The endpoint's process has answered. A connection that it had before a
+/// suspicion shows that it is the same one.
+static void
+note_alive(const struct exchange *exchange, const struct answer_facts *facts)
+{
+    int64_t written_ms = channel_written_ms(exchange->channel);
+
+    cold_answered(direct_cold(exchange->direct), exchange->endpoint,
+                  written_ms > exchange->offered_ms ? written_ms
+                                                    : exchange->offered_ms,
+                  facts);
+}
+
 static enum channel_verdict
 on_head(void *ctx, const struct http1 *head)
 {
@@ -244,6 +259,9 @@
     if (facts.is_leaving && status != 421) {
         endpoint_note_leaving(exchange->endpoint);
     }
+    if (status != 421) {
+        note_alive(exchange, &facts);
+    }
     if (facts.has_retry_after) {
         endpoint_note_retry_after(exchange->endpoint, exchange_now(exchange),
                                   facts.retry_after_ms);
@@ -353,6 +371,7 @@
 {
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
+        note_alive(exchange, NULL);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
@@ -531,6 +550,7 @@
         attempt_failed(exchange, ATTEMPT_UNSENT, detail);
         return;
     case CHANNEL_LOST:
+        cold_suspect(direct_cold(exchange->direct), exchange->endpoint);
         attempt_record_failure(exchange, detail);
         record_crash(exchange);
         attempt_failed(exchange, ATTEMPT_LOST, detail);
@@ -646,6 +666,7 @@
     exchange->tried[exchange->offers++] = endpoint->hash;
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
+    cold_count_send(direct_cold(exchange->direct), endpoint);
     exchange->uncached_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->uncached_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <utlist.h>
 
+#include "cold.h"
 #include "core/prefix.h"
 #include "core/xmalloc.h"
 #include "endpoints.h"
@@ -186,6 +187,7 @@
     query->deadline_ms =
         clock_ms(contexts->options.clock) + ENDPOINT_TIMEOUT_MS;
     DL_APPEND(contexts->queries, query);
+    cold_count_send(contexts->options.cold, endpoint);
     contexts->options.wire->write_contexts_query(out);
     query->channel = channel_send(endpoint->pool, &request, &handler);
     evbuffer_free(out);
@@ -213,6 +215,7 @@
          endpoint != NULL; endpoint = endpoint->hh.next) {
         if (endpoint_is_ready(endpoint) &&
             hold_left_ms(&endpoint->hold, now_ms) == 0 &&
+            endpoints_allow(contexts->options.endpoints, endpoint) &&
             contexts->options.caches_prompts(contexts->options.ctx,
                                              endpoint) &&
             is_assigned(contexts, endpoint)) {
--- a/direct/contexts.h
+++ b/direct/contexts.h
@@ -14,6 +14,7 @@
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/message.h"
 
+struct cold;
 struct contexts;
 struct endpoint;
 struct endpoints;
@@ -26,6 +27,7 @@
     const struct clock *clock;
     const struct wire *wire;
     struct endpoints *endpoints;
+    struct cold *cold;
     struct mesh *mesh; ///< NULL: no other routers
     /// True if the endpoint caches prompts.
     bool (*caches_prompts)(void *ctx, const struct endpoint *endpoint);
--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -1,6 +1,7 @@
 /// Applies the records of the store: configuration, entries of endpoints,
 /// addresses of routers.
 #include "core/catalog.h"
+#include "core/evacuation.h"
 #include "direct_private.h"
 #include "direct_state.h"
 #include "endpoints.h"
@@ -63,6 +64,48 @@
              (long long)(clock_ms(direct->options.clock) - started_ms));
 }
 
+/// The operator evacuates an availability zone by a record, and ends that by
+/// its removal.
+static void
+apply_evacuation(struct direct *direct, const struct record *record,
+                 struct str zone)
+{
+    int64_t now_ms = clock_ms(direct->options.clock);
+    int64_t lasted_ms;
+
+    if (!record->removed) {
+        if (evacuation_begin(direct->evacuation, zone, now_ms)) {
+            counter_add(direct->options.counters, COUNTER_EVACUATIONS, 1);
+            LOG_INFO("event=zone-evacuated zone=" STR_FMT
+                     " offset=%lld zones=%zu",
+                     STR_ARG(zone), (long long)record->offset,
+                     evacuation_count(direct->evacuation));
+        }
+        return;
+    }
+    lasted_ms = evacuation_end(direct->evacuation, zone, now_ms);
+    if (lasted_ms >= 0) {
+        LOG_INFO("event=zone-returned zone=" STR_FMT
+                 " offset=%lld age_ms=%lld endpoints=%zu",
+                 STR_ARG(zone), (long long)record->offset,
+                 (long long)lasted_ms,
+                 endpoints_return(direct->endpoints, zone));
+    }
+}
+
+static void
+apply_configuration_record(struct direct *direct, const struct record *record)
+{
+    struct str zone;
+
+    if (direct->options.wire->read_evacuation(record->key, &zone)) {
+        apply_evacuation(direct, record, zone);
+    }
+    else if (!record->removed && str_equal_c(record->key, "config")) {
+        apply_catalog(direct, record);
+    }
+}
+
 struct entry_context {
     struct direct *direct;
     struct str id;
@@ -157,9 +200,7 @@
 
     switch (record->topic) {
     case RECORDS_CONFIGURATION:
-        if (!record->removed && str_equal_c(record->key, "config")) {
-            apply_catalog(direct, record);
-        }
+        apply_configuration_record(direct, record);
         return;
     case RECORDS_ENDPOINTS:
         apply_endpoint_record(direct, record);
@@ -192,6 +233,9 @@
 direct_topic_caught_up(struct direct *direct, enum record_topic topic,
                        int64_t outage_ms)
 {
+    if (topic == RECORDS_CONFIGURATION) {
+        direct->has_configuration = true;
+    }
     if (topic == RECORDS_ENDPOINTS) {
         direct->has_endpoints = true;
     }
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -10,7 +10,9 @@
 #include "core/histogram.h"
 #include "core/records.h"
 #include "core/xmalloc.h"
+#include "core/evacuation.h"
 #include "blame.h"
+#include "cold.h"
 #include "contexts.h"
 #include "daemon/admin.h"
 #include "dandelionvalve/quarantine.h"
@@ -113,6 +115,19 @@
     }
 }
 
+/// In a large deployment a router dials some of the others only.
+static void
+update_standing(struct direct *direct)
+{
+    const struct mesh *mesh = direct->mesh;
+    size_t known = mesh != NULL ? mesh_known_count(mesh) : 1;
+    size_t linked = mesh != NULL ? mesh_linked_count(mesh) + 1 : 1;
+
+    cold_update_standing(direct->cold, known, linked,
+                         known > MESH_FULL_ROUTERS_MAX ? MESH_DIALED_MAX / 2
+                                                       : 0);
+}
+
 static void
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
@@ -121,6 +136,7 @@
 
     (void)fd;
     (void)events;
+    update_standing(direct);
     endpoints_tick(direct->endpoints);
     record_pending(direct);
     services_tick(direct->services);
@@ -165,6 +181,63 @@
     return service != NULL && service->is_model;
 }
 
+static struct warmup_limits
+cold_limits(void *ctx, struct str name)
+{
+    const struct direct *direct = ctx;
+    const struct catalog_service *service =
+        direct->catalog != NULL ? catalog_find_service(direct->catalog, name)
+                                : NULL;
+
+    if (service == NULL) {
+        return (struct warmup_limits){0};
+    }
+    return (struct warmup_limits){
+        .start_ms = service->cold_start_ms,
+        .per_s = service->cold_per_s,
+        .rate_factor = direct->settings.cold_rate_factor,
+        .slack = direct->settings.cold_slack,
+    };
+}
+
+static bool
+is_cold_sender(void *ctx, uint64_t endpoint, size_t senders)
+{
+    const struct direct *direct = ctx;
+
+    return direct->mesh == NULL ||
+           mesh_is_ranked_among(direct->mesh, endpoint, senders);
+}
+
+static int64_t
+cold_settle_ms(void *ctx)
+{
+    const struct direct *direct = ctx;
+
+    return direct->settings.settle_ms;
+}
+
+static void
+start_endpoints(struct direct *direct)
+{
+    direct->cold = cold_new(&(struct cold_options){
+        .clock = direct->options.clock,
+        .counters = direct->options.counters,
+        .limits = cold_limits,
+        .is_sender = is_cold_sender,
+        .settle_ms = cold_settle_ms,
+        .ctx = direct,
+    });
+    direct->evacuation = evacuation_new();
+    direct->endpoints = endpoints_new(&(struct endpoints_options){
+        .base = direct->options.base,
+        .clock = direct->options.clock,
+        .zone = direct->settings.zone,
+        .cold = direct->cold,
+        .evacuation = direct->evacuation,
+    });
+}
+
 static void
 start_contexts(struct direct *direct)
 {
@@ -173,6 +246,7 @@
         .clock = direct->options.clock,
         .wire = direct->options.wire,
         .endpoints = direct->endpoints,
+        .cold = direct->cold,
         .mesh = direct->mesh,
         .caches_prompts = caches_prompts,
         .ctx = direct,
@@ -224,11 +298,7 @@
         .changed = direct_apply_record,
         .ctx = direct,
     });
-    direct->endpoints = endpoints_new(&(struct endpoints_options){
-        .base = options->base,
-        .clock = options->clock,
-        .zone = direct->settings.zone,
-    });
+    start_endpoints(direct);
     direct->services = services_new(options->clock);
     direct->quarantine = quarantine_new(&(struct quarantine_options){
         .clock = options->clock,
@@ -277,6 +347,8 @@
     admin_free(direct->ready);
     admin_free(direct->metrics);
     endpoints_free(direct->endpoints);
+    cold_free(direct->cold);
+    evacuation_free(direct->evacuation);
     records_free(direct->records);
     quarantine_free(direct->quarantine);
     blame_destroy(direct);
@@ -325,6 +397,8 @@
     settings->budget_ratio = updated->budget_ratio;
     settings->budget_slack = updated->budget_slack;
     settings->cap_factor = updated->cap_factor;
+    settings->cold_rate_factor = updated->cold_rate_factor;
+    settings->cold_slack = updated->cold_slack;
     settings->keys = updated->keys;
     for (size_t i = 0; direct->mesh != NULL && i < updated->seed_count; i++) {
         mesh_add(direct->mesh, &updated->seeds[i]);
@@ -360,10 +434,17 @@
     return direct->endpoints;
 }
 
+struct cold *
+direct_cold(const struct direct *direct)
+{
+    return direct->cold;
+}
+
 bool
 direct_has_deployment(const struct direct *direct)
 {
-    return direct->catalog != NULL && direct->has_endpoints;
+    return direct->catalog != NULL && direct->has_configuration &&
+           direct->has_endpoints;
 }
 
 int64_t
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -15,8 +15,10 @@
 
 struct admin;
 struct caller_server;
+struct cold;
 struct contexts;
 struct endpoints;
+struct evacuation;
 struct event;
 struct exchange;
 struct mesh;
@@ -37,6 +39,8 @@
     struct records *records;
     void *store;
     struct catalog *catalog;
+    struct cold *cold;
+    struct evacuation *evacuation;
     struct endpoints *endpoints;
     struct caller_server *callers;
     struct admin *ready;
@@ -48,6 +52,7 @@
     struct services *services;
     struct exchange_entry *exchanges;
     struct event *tick;
+    bool has_configuration; ///< its topic, with the evacuated zones
     bool has_endpoints;
     bool waiting_resumed; ///< waiting requests have been dispatched
     int64_t started_ms;
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -9,6 +9,7 @@
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
 
+struct cold;
 struct direct;
 struct endpoint;
 struct endpoints;
@@ -22,6 +23,7 @@
 /// The configuration in force; NULL until one is received.
 struct catalog *direct_catalog(const struct direct *direct);
 struct endpoints *direct_endpoints(const struct direct *direct);
+struct cold *direct_cold(const struct direct *direct);
 
 /// True once configuration and endpoints have been received.
 bool direct_has_deployment(const struct direct *direct);
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -52,6 +52,26 @@
                             choice);
 }
 
+static void
+refuse(struct exchange *exchange)
+{
+    const struct endpoints *endpoints = direct_endpoints(exchange->direct);
+    const char *reason = "no endpoint is usable";
+
+    if (endpoints_are_evacuated(endpoints, exchange->service)) {
+        reason = "the zones of all endpoints are evacuated";
+    }
+    else if (endpoints_are_cold(endpoints, exchange->service)) {
+        reason = "all endpoints are cold";
+    }
+    else {
+        exchange_refuse_not_run(exchange, reason);
+        return;
+    }
+    counter_add(direct_counters(exchange->direct), COUNTER_COLD_REFUSED, 1);
+    exchange_refuse_not_run(exchange, reason);
+}
+
 void
 dispatch_request(struct exchange *exchange)
 {
@@ -72,7 +92,7 @@
             exchange, "no endpoint is usable to continue the stream");
     }
     else {
-        exchange_refuse_not_run(exchange, "no endpoint is usable");
+        refuse(exchange);
     }
 }
 
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cold.h"
+#include "core/evacuation.h"
 #include "core/xmalloc.h"
 #include "net/channel.h"
 #include "net/log.h"
@@ -90,7 +92,7 @@
     free(endpoints);
 }
 
-static void
+static struct endpoint *
 add_endpoint(struct endpoints *endpoints, struct str id,
              const struct endpoint_facts *facts, const struct address *address,
              uint64_t cache_tokens_max)
@@ -125,6 +127,7 @@
              STR_ARG(id), STR_ARG(facts->service), address->ip, address->port,
              STR_ARG(facts->zone), facts->slots,
              facts->state == ENDPOINT_READY ? "ready" : "draining");
+    return endpoint;
 }
 
 /// Port 0 is valid in settings only, where the kernel assigns one.
@@ -147,6 +150,7 @@
                  const struct endpoint_facts *facts, uint64_t cache_tokens_max)
 {
     struct endpoint *endpoint = endpoints_find(endpoints, id);
+    struct warmup warmup = {0};
     struct address address;
     struct err err = {0};
 
@@ -163,11 +167,16 @@
                              !str_equal(endpoint->service, facts->service) ||
                              strcmp(endpoint->address.ip, address.ip) != 0 ||
                              endpoint->address.port != address.port)) {
+        // An entry of the process before may have been delivered late.
+        warmup = endpoint->warmup;
         remove_endpoint(endpoints, endpoint, "restarted");
         endpoint = NULL;
     }
     if (endpoint == NULL) {
-        add_endpoint(endpoints, id, facts, &address, cache_tokens_max);
+        endpoint =
+            add_endpoint(endpoints, id, facts, &address, cache_tokens_max);
+        endpoint->warmup = warmup;
+        cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
         return;
     }
     if (endpoint->state != facts->state) {
@@ -180,6 +189,7 @@
     endpoint->state = facts->state;
     endpoint->slots = facts->slots;
     endpoint->lapse_at_ms = 0;
+    cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
 }
 
 void
@@ -211,6 +221,7 @@
 
     HASH_ITER(hh, endpoints->all, endpoint, next)
     {
+        cold_check_end(endpoints->options.cold, endpoint);
         if (endpoint->lapse_at_ms > 0 && now_ms >= endpoint->lapse_at_ms) {
             remove_endpoint(endpoints, endpoint, "lapsed");
         }
@@ -288,6 +299,79 @@
     }
 }
 
+static bool
+is_evacuated(const struct endpoints *endpoints,
+             const struct endpoint *endpoint)
+{
+    return evacuation_covers(endpoints->options.evacuation, endpoint->zone);
+}
+
+bool
+endpoints_allow(const struct endpoints *endpoints,
+                const struct endpoint *endpoint)
+{
+    return !is_evacuated(endpoints, endpoint) &&
+           cold_wait_ms(endpoints->options.cold, endpoint) == 0;
+}
+
+size_t
+endpoints_return(struct endpoints *endpoints, struct str zone)
+{
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (str_equal(endpoint->zone, zone)) {
+            cold_extend(endpoints->options.cold, endpoint, -1,
+                        WARMUP_EVACUATION);
+            count++;
+        }
+    }
+    return count;
+}
+
+bool
+endpoints_are_cold(const struct endpoints *endpoints, struct str service)
+{
+    const struct endpoint *endpoint;
+    bool found = false;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (!endpoint_is_ready(endpoint) ||
+            !str_equal(endpoint->service, service) ||
+            is_evacuated(endpoints, endpoint)) {
+            continue;
+        }
+        if (cold_wait_ms(endpoints->options.cold, endpoint) == 0) {
+            return false;
+        }
+        found = true;
+    }
+    return found;
+}
+
+bool
+endpoints_are_evacuated(const struct endpoints *endpoints, struct str service)
+{
+    const struct endpoint *endpoint;
+    bool found = false;
+
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (!endpoint_is_ready(endpoint) ||
+            !str_equal(endpoint->service, service)) {
+            continue;
+        }
+        if (!is_evacuated(endpoints, endpoint)) {
+            return false;
+        }
+        found = true;
+    }
+    return found;
+}
+
 int64_t
 endpoints_held_ms(const struct endpoints *endpoints, struct str service)
 {
@@ -298,11 +382,15 @@
     for (endpoint = endpoints->all; endpoint != NULL;
          endpoint = endpoint->hh.next) {
         int64_t left_ms = hold_left_ms(&endpoint->hold, now_ms);
+        int64_t cold_ms;
 
         if (!endpoint_is_ready(endpoint) ||
-            !str_equal(endpoint->service, service)) {
+            !str_equal(endpoint->service, service) ||
+            is_evacuated(endpoints, endpoint)) {
             continue;
         }
+        cold_ms = cold_wait_ms(endpoints->options.cold, endpoint);
+        left_ms = cold_ms > left_ms ? cold_ms : left_ms;
         if (left_ms == 0) {
             return 0;
         }
@@ -421,7 +509,8 @@
     for (endpoint = endpoints->all; endpoint != NULL;
          endpoint = endpoint->hh.next) {
         if (endpoint_is_ready(endpoint) &&
-            str_equal(endpoint->service, service)) {
+            str_equal(endpoint->service, service) &&
+            endpoints_allow(endpoints, endpoint)) {
             count++;
         }
     }
@@ -491,7 +580,8 @@
             .hash = endpoint->hash,
             .usable = endpoint_is_ready(endpoint) &&
                       hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-                      !was_tried(query, endpoint->hash),
+                      !was_tried(query, endpoint->hash) &&
+                      endpoints_allow(endpoints, endpoint),
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
             .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -12,11 +12,14 @@
 #include "core/hold.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "core/warmup.h"
 #include "core/wire.h"
 #include "dandelionvalve/clock.h"
 #include "net/address.h"
 
 struct channel_pool;
+struct cold;
+struct evacuation;
 struct event_base;
 
 /// How long an entry may be missing after a store outage before the endpoint
@@ -57,6 +60,9 @@
     struct channel_pool *pool;
     struct eject eject;
     struct hold hold; ///< as its last rejections state
+    struct warmup warmup;
+    bool is_logged_cold;
+    enum warmup_source logged_cold_source;
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
     double backlog_tokens;       ///< own prompt tokens not prefilled yet
@@ -78,6 +84,8 @@
     struct event_base *base;
     const struct clock *clock;
     struct str zone; ///< own availability zone
+    struct cold *cold;
+    const struct evacuation *evacuation;
 };
 
 /// The caller frees with endpoints_free().
@@ -107,8 +115,9 @@
 void endpoint_note_retry_after(struct endpoint *endpoint, int64_t now_ms,
                                int64_t wait_ms);
 
-/// If all ready endpoints of the service turn requests away: the time until
-/// the first one takes them again. Otherwise 0.
+/// If all ready endpoints of the service turn requests away or are cold: the
+/// time until the first one takes one of this router. Otherwise 0. Those in
+/// evacuated zones are left out.
 int64_t endpoints_held_ms(const struct endpoints *endpoints,
                           struct str service);
 
@@ -142,7 +151,26 @@
 /// True if the endpoint takes new requests, by its entry and its answers.
 bool endpoint_is_ready(const struct endpoint *endpoint);
 
-/// Number of ready endpoints of the service, ejected ones included.
+/// True if all ready endpoints of the service are in evacuated zones, and
+/// there is one.
+bool endpoints_are_evacuated(const struct endpoints *endpoints,
+                             struct str service);
+
+/// The same for cold endpoints that get no request of this router now.
+/// Evacuated ones are left out.
+bool endpoints_are_cold(const struct endpoints *endpoints, struct str service);
+
+/// False if the endpoint's zone is evacuated or it is cold and gets no request
+/// of this router now.
+bool endpoints_allow(const struct endpoints *endpoints,
+                     const struct endpoint *endpoint);
+
+/// Marks the endpoints of a zone whose evacuation has ended as cold; returns
+/// their number.
+size_t endpoints_return(struct endpoints *endpoints, struct str zone);
+
+/// Number of ready endpoints of the service that are allowed, ejected ones
+/// included.
 size_t endpoints_ready_count(const struct endpoints *endpoints,
                              struct str service);
 
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -25,6 +25,10 @@
 
 #define LOG_MODULE "exchange"
 
+/// Until callers are to ask again for endpoints that are all evacuated.
+#define EVACUATED_WAIT_MS 1000
+#define EVACUATED_SPREAD_MS 3000
+
 int64_t
 exchange_now(const struct exchange *exchange)
 {
@@ -125,6 +129,22 @@
     exchange_free(exchange);
 }
 
+/// Time until an endpoint may take the request. Callers whose endpoints are
+/// all in evacuated zones return spread over some time: the zones come back
+/// for all at once, and cold.
+static int64_t
+unusable_ms(const struct exchange *exchange)
+{
+    const struct endpoints *endpoints = direct_endpoints(exchange->direct);
+
+    if (endpoints_are_evacuated(endpoints, exchange->service)) {
+        return EVACUATED_WAIT_MS +
+               (int64_t)random_below(direct_random(exchange->direct),
+                                     EVACUATED_SPREAD_MS);
+    }
+    return endpoints_held_ms(endpoints, exchange->service);
+}
+
 void
 exchange_refuse_not_run(struct exchange *exchange, const char *reason)
 {
@@ -136,8 +156,7 @@
         return;
     }
     exchange_refuse(exchange, 503,
-                    endpoints_held_ms(direct_endpoints(exchange->direct),
-                                      exchange->service) +
+                    unusable_ms(exchange) +
                         timing_retry_after_ms(random, remaining_ms),
                     reason);
 }
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -4,6 +4,8 @@
 
 #include <jansson.h>
 
+#include "cold.h"
+#include "core/evacuation.h"
 #include "core/xmalloc.h"
 #include "daemon/admin.h"
 #include "direct_private.h"
@@ -17,17 +19,22 @@
 {
     const struct direct *direct = ctx;
 
-    *why = direct->draining          ? "draining\n"
-           : direct->catalog == NULL ? "no configuration yet\n"
-           : !direct->has_endpoints  ? "no endpoints yet\n"
-                                     : "ok\n";
+    *why = direct->draining ? "draining\n"
+           : direct->catalog == NULL || !direct->has_configuration
+               ? "no configuration yet\n"
+           : !direct->has_endpoints ? "no endpoints yet\n"
+                                    : "ok\n";
     return direct_is_ready(direct);
 }
 
 /// Why an endpoint receives no requests, or fewer than others.
 static const char *
-trouble_of(const struct endpoint *endpoint, int64_t now_ms)
+trouble_of(const struct direct *direct, const struct endpoint *endpoint,
+           int64_t now_ms)
 {
+    if (evacuation_covers(direct->evacuation, endpoint->zone)) {
+        return "evacuated";
+    }
     if (endpoint->state == ENDPOINT_DRAINING) {
         return "draining";
     }
@@ -43,17 +50,21 @@
     if (now_ms < endpoint->eject.ejected_until_ms) {
         return "ejected";
     }
+    if (cold_is_limited(direct->cold, endpoint)) {
+        return "cold";
+    }
     return endpoint->eject.trial ? "on trial" : "none";
 }
 
 static json_t *
-status_of_endpoint(const struct endpoint *endpoint, int64_t now_ms)
+status_of_endpoint(const struct direct *direct,
+                   const struct endpoint *endpoint, int64_t now_ms)
 {
     return json_pack(
         "{s:s%,s:s%,s:s%,s:s,s:i,s:i,s:f}", "id", endpoint->id.data,
         endpoint->id.len, "service", endpoint->service.data,
         endpoint->service.len, "zone", endpoint->zone.data, endpoint->zone.len,
-        "trouble", trouble_of(endpoint, now_ms), "in_flight",
+        "trouble", trouble_of(direct, endpoint, now_ms), "in_flight",
         (int)endpoint->in_flight, "load", (int)endpoint_load(endpoint, now_ms),
         "failure_share", endpoint->eject.failure_share);
 }
@@ -77,7 +88,8 @@
 
     for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
          endpoint = endpoint->hh.next) {
-        json_array_append_new(endpoints, status_of_endpoint(endpoint, now_ms));
+        json_array_append_new(endpoints,
+                              status_of_endpoint(direct, endpoint, now_ms));
     }
     root = json_pack(
         "{s:I,s:b,s:b,s:i,s:i,s:{s:b,s:b},s:o}", "version",
@@ -106,6 +118,7 @@
     const struct direct *direct = ctx;
     const struct endpoint *endpoint;
     int64_t now_ms = clock_ms(direct->options.clock);
+    size_t cold = 0;
     char *text = NULL;
     size_t len = 0;
     FILE *out = open_memstream(&text, &len);
@@ -119,6 +132,7 @@
     }
     for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
          endpoint = endpoint->hh.next) {
+        cold += cold_is_limited(direct->cold, endpoint) ? 1 : 0;
         fprintf(out,
                 "endpoint_in_flight{endpoint=\"" STR_FMT "\"} %u\n"
                 "endpoint_ejected{endpoint=\"" STR_FMT "\"} %d\n",
@@ -130,6 +144,8 @@
     if (direct->store != NULL) {
         direct->options.store->print(direct->store, out);
     }
+    fprintf(out, "endpoints_cold %zu\nzones_evacuated %zu\n", cold,
+            evacuation_count(direct->evacuation));
     fprintf(out, "prompt_parts_held %zu\n",
             suspects_held_count(direct->blame.suspects));
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -1,5 +1,6 @@
 /// Connects the router's state with the messages of its peers.
 #include "blame.h"
+#include "cold.h"
 #include "contexts.h"
 #include "core/prefix.h"
 #include "dandelionvalve/quarantine.h"
@@ -84,6 +85,9 @@
 {
     struct direct *direct = ctx;
 
+    if (topic == RECORDS_CONFIGURATION) {
+        direct->has_configuration = true;
+    }
     if (topic == RECORDS_ENDPOINTS) {
         direct->has_endpoints = true;
     }
@@ -135,6 +139,9 @@
     struct direct *direct = ctx;
     struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
 
+    if (endpoint != NULL) {
+        cold_suspect(direct->cold, endpoint);
+    }
     if (endpoint != NULL && !endpoint->eject.trial) {
         eject_begin_trial(&endpoint->eject);
         LOG_INFO("event=endpoint-suspected endpoint=" STR_FMT
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -21,6 +21,10 @@
     X(REFUSALS, "refusals_total", "", "offers refused by agents")             \
     X(SHED, "shed_total", "",                                                 \
       "requests refused as their service is overloaded")                      \
+    X(COLD_SENT, "cold_sent_total", "", "requests sent to cold endpoints")    \
+    X(COLD_REFUSED, "cold_refused_total", "",                                 \
+      "requests refused as all endpoints were cold or evacuated")             \
+    X(EVACUATIONS, "evacuations_total", "", "evacuations of zones begun")     \
     X(RETRIES, "retries_total", "", "retries charged to the budget")          \
     X(RETRY_DENIED, "retries_denied_total", "",                               \
       "retries denied by the budget")                                         \
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -29,6 +29,8 @@
 void suite_place(void);
 void suite_shed(void);
 void suite_suspects(void);
+void suite_warmup(void);
+void suite_cold(void);
 void suite_wire(void);
 void suite_direct(void);
 void suite_blame(void);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -96,8 +96,11 @@
                      "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
                      "[bounds]\ngrace_s = 7.5\nstore_settle_ms = 2999.5\n"
                      "retry_window_s = 9.5\nretry_ratio = 1\n"
-                     "retry_slack = 24.6\nload_cap_factor = 2\n");
+                     "retry_slack = 24.6\nload_cap_factor = 2\n"
+                     "cold_rate_factor = 1.5\ncold_slack = 5\n");
     CU_ASSERT_FATAL(settings_read_direct(name, &settings, &doc, &err));
+    CU_ASSERT(settings.cold_rate_factor == 1.5);
+    CU_ASSERT(settings.cold_slack == 5);
     CU_ASSERT(settings.grace_ms == 7500);
     CU_ASSERT(settings.settle_ms == 2999);
     CU_ASSERT(settings.budget_window_ms == 9500);
--- /dev/null
+++ b/tests/test_warmup.c
@@ -0,0 +1,4 @@
+/// x
+#include <CUnit/CUnit.h>
+#include "suites.h"
+void suite_warmup(void) {}
