--- a/core/warmup.c
+++ b/core/warmup.c
@@ -4,7 +4,7 @@
 #define BURST 1.0
 
 struct warmup_plan
-warmup_plan(const struct warmup_limits *limits)
+warmup_make_plan(const struct warmup_limits *limits)
 {
     double bound = limits->per_s * limits->rate_factor + limits->slack;
     // Half of the slack is the burst of the senders, the other half is left
@@ -156,9 +156,16 @@
 warmup_standing_update(struct warmup_standing *standing, int64_t now_ms,
                        size_t known, size_t linked, size_t links_enough)
 {
-    bool holds =
-        2 * linked > known || (links_enough > 0 && linked >= links_enough);
     bool was_frozen = now_ms - standing->updated_ms > WARMUP_FROZEN_MS;
+    bool holds;
+
+    if (known >= standing->most_known ||
+        now_ms - standing->most_known_ms > WARMUP_KNOWN_HOLD_MS) {
+        standing->most_known = known;
+        standing->most_known_ms = now_ms;
+    }
+    holds = 2 * linked > standing->most_known ||
+            (links_enough > 0 && linked >= links_enough);
 
     if (holds && (!standing->holds || was_frozen)) {
         standing->since_ms = now_ms;
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -25,6 +25,9 @@
 /// Interval between two updates above which the process was frozen: what it
 /// knows of the other routers is outdated.
 #define WARMUP_FROZEN_MS 1000
+/// A router that is no longer known may be cut off instead of ended: the
+/// highest number of known ones stands for so long.
+#define WARMUP_KNOWN_HOLD_MS 600000
 /// A suspicion that no answer settles ends after this time: the endpoint's
 /// entry has stated its state several times since.
 #define WARMUP_SUSPECT_MAX_MS 60000
@@ -52,7 +55,7 @@
     double per_s;   ///< of each, with a burst of one; 0: nothing
 };
 
-struct warmup_plan warmup_plan(const struct warmup_limits *limits);
+struct warmup_plan warmup_make_plan(const struct warmup_limits *limits);
 
 /// From where a router knows that an endpoint is cold.
 enum warmup_source {
@@ -114,6 +117,8 @@
     int64_t since_ms; ///< the condition holds since then
     int64_t updated_ms;
     bool holds;
+    size_t most_known;
+    int64_t most_known_ms;
 };
 
 /// Call often, at least several times in WARMUP_FROZEN_MS. `known` and
--- a/direct/cold.c
+++ b/direct/cold.c
@@ -69,7 +69,7 @@
     if (limits.per_s <= 0) {
         return 0;
     }
-    plan = warmup_plan(&limits);
+    plan = warmup_make_plan(&limits);
     if (!cold->options.is_sender(cold->options.ctx, endpoint->hash,
                                  plan.senders)) {
         return left_ms;
@@ -99,7 +99,7 @@
 log_begin(const struct cold *cold, struct endpoint *endpoint)
 {
     struct warmup_limits limits = limits_of(cold, endpoint);
-    struct warmup_plan plan = warmup_plan(&limits);
+    struct warmup_plan plan = warmup_make_plan(&limits);
     int64_t now_ms = clock_ms(cold->options.clock);
 
     if (limits.per_s <= 0 ||
--- a/tests/properties.cpp
+++ b/tests/properties.cpp
@@ -1,4 +1,5 @@
 // Property tests of the library, with rapidcheck.
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <deque>
@@ -19,6 +20,7 @@
 #include "core/readers.h"
 #include "core/shed.h"
 #include "core/sse.h"
+#include "core/warmup.h"
 #include "dandelionvalve/answer.h"
 #include "dandelionvalve/claim.h"
 #include "dandelionvalve/history.h"
@@ -971,6 +973,229 @@
     readers_free(readers);
 }
 
+// Routers around one cold endpoint. Links between routers that can reach each
+// other come up, and lost ones are noticed, within LINK_MS. The first routers
+// have read each other's addresses from the store. A later one has not, and
+// gets configuration and endpoints from the first peer that it is linked to.
+class ColdFleet {
+  public:
+    static constexpr int64_t LINK_MS = 1500;
+    static constexpr int64_t SETTLE_MS = 4000;
+    static constexpr int64_t TICK_MS = 100;
+
+    struct Router {
+        bool is_up = true;
+        bool has_deployment = true;
+        int side = 0; // routers of one side reach each other
+        int64_t frozen_until_ms = 0;
+        uint64_t rank = 0;
+        int64_t next_tick_ms = 0;
+        std::vector<int64_t> linked_ms; // when the link is next up, or down
+        std::vector<bool> linked;
+        std::vector<bool> knows;
+        struct warmup_standing standing = {};
+        struct warmup warmup = {};
+    };
+
+    std::vector<Router> routers;
+    std::vector<int64_t> sent_ms;
+
+    void
+    add(int side, int64_t now_ms)
+    {
+        const size_t count = routers.size() + 1;
+
+        routers.emplace_back();
+        routers.back().side = side;
+        // Different ones, as hashes are.
+        routers.back().rank = *rc::gen::inRange<uint64_t>(0, 100) * 64 + count;
+        routers.back().next_tick_ms =
+            now_ms + *rc::gen::inRange<int64_t>(0, TICK_MS);
+        warmup_extend(&routers.back().warmup, now_ms, 600000, WARMUP_ENTRY);
+        for (auto &router : routers) {
+            router.linked_ms.resize(count, 0);
+            router.linked.resize(count, false);
+            router.knows.resize(count, false);
+        }
+    }
+
+    bool
+    runs(const Router &router, int64_t now_ms) const
+    {
+        return router.is_up && now_ms >= router.frozen_until_ms;
+    }
+
+    // What router `i` notices of its links in a tick. With a link it learns
+    // all that its peer knows.
+    void
+    tick(size_t i, int64_t now_ms)
+    {
+        Router &own = routers[i];
+        size_t known = 1, linked = 1;
+
+        for (size_t j = 0; j < routers.size(); j++) {
+            const Router &peer = routers[j];
+            const bool reachable = runs(peer, now_ms) && peer.side == own.side;
+
+            if (j == i) {
+                continue;
+            }
+            if (reachable != own.linked[j]) {
+                if (own.linked_ms[j] == 0) {
+                    own.linked_ms[j] = now_ms + delays[(i * 31 + j) % 97];
+                }
+                if (now_ms >= own.linked_ms[j]) {
+                    own.linked[j] = reachable;
+                    own.linked_ms[j] = 0;
+                }
+            }
+            else {
+                own.linked_ms[j] = 0;
+            }
+            if (own.linked[j] && reachable) {
+                own.knows[j] = true;
+                own.has_deployment = true;
+                for (size_t k = 0; k < routers.size(); k++) {
+                    own.knows[k] = own.knows[k] || peer.knows[k];
+                }
+            }
+        }
+        for (size_t j = 0; j < routers.size(); j++) {
+            known += j != i && own.knows[j] ? 1 : 0;
+            linked += j != i && own.linked[j] ? 1 : 0;
+        }
+        warmup_standing_update(&own.standing, now_ms, known, linked, 0);
+    }
+
+    bool
+    is_sender(size_t i, size_t senders) const
+    {
+        size_t before = 0;
+
+        for (size_t j = 0; j < routers.size(); j++) {
+            before += j != i && routers[i].knows[j] &&
+                              routers[j].rank < routers[i].rank
+                          ? 1
+                          : 0;
+        }
+        return before < senders;
+    }
+
+    // Each router has more work than it may send.
+    void
+    step(const struct warmup_plan &plan, int64_t now_ms)
+    {
+        for (size_t i = 0; i < routers.size(); i++) {
+            Router &own = routers[i];
+
+            if (!runs(own, now_ms)) {
+                continue;
+            }
+            // A thawed process may handle requests before its next tick.
+            if (own.has_deployment &&
+                warmup_standing_wait_ms(&own.standing, now_ms, SETTLE_MS) ==
+                    0 &&
+                warmup_wait_ms(&own.warmup, &plan, now_ms) == 0 &&
+                is_sender(i, plan.senders)) {
+                warmup_take(&own.warmup, now_ms);
+                sent_ms.push_back(now_ms);
+            }
+            if (now_ms >= own.next_tick_ms) {
+                own.next_tick_ms = now_ms + TICK_MS;
+                tick(i, now_ms);
+            }
+        }
+    }
+
+    size_t
+    most_in_a_second() const
+    {
+        size_t most = 0;
+
+        for (size_t first = 0, last = 0; last < sent_ms.size(); last++) {
+            while (sent_ms[last] - sent_ms[first] >= 1000) {
+                first++;
+            }
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    std::vector<int64_t> delays = *rc::gen::container<std::vector<int64_t>>(
+        97, rc::gen::inRange<int64_t>(0, LINK_MS));
+};
+
+static void
+change_fleet(ColdFleet &fleet, int64_t now_ms)
+{
+    const auto index = *rc::gen::inRange<size_t>(0, fleet.routers.size());
+    ColdFleet::Router &router = fleet.routers[index];
+
+    switch (*rc::gen::inRange(0, 6)) {
+    case 0:
+        if (fleet.routers.size() < 40) {
+            fleet.add(*rc::gen::inRange(0, 3), now_ms);
+            fleet.routers.back().has_deployment = false;
+        }
+        return;
+    case 1:
+        router.is_up = false;
+        return;
+    case 2:
+        router.frozen_until_ms =
+            now_ms + *rc::gen::inRange<int64_t>(100, 9000);
+        return;
+    case 3:
+        router.side = *rc::gen::inRange(0, 3);
+        return;
+    case 4: // a zone is cut off
+        for (size_t i = index; i < fleet.routers.size(); i += 2) {
+            fleet.routers[i].side = 1;
+        }
+        return;
+    default: // all reach each other again
+        for (auto &other : fleet.routers) {
+            other.side = 0;
+        }
+        return;
+    }
+}
+
+// Several routers that do not know of each other would each count themselves
+// among the senders: together they would exceed the bound.
+static void
+cold_endpoints_are_not_overrun()
+{
+    const struct warmup_limits limits = {
+        10000,
+        *rc::gen::element(1.0, 9.3, 14.0, 40.0),
+        *rc::gen::element(1.0, 1.5, 2.0),
+        *rc::gen::element(0.0, 5.0, 8.0),
+    };
+    const double bound = limits.per_s * limits.rate_factor + limits.slack;
+    const struct warmup_plan plan = warmup_make_plan(&limits);
+    const int64_t end_ms = 100000 + 30000;
+    ColdFleet fleet;
+    int64_t change_ms;
+
+    for (int i = *rc::gen::inRange(1, 26); i > 0; i--) {
+        fleet.add(0, 100000);
+    }
+    for (auto &router : fleet.routers) {
+        router.knows.assign(fleet.routers.size(), true);
+    }
+    change_ms = 100000 + *rc::gen::inRange<int64_t>(0, 9000);
+    for (int64_t now_ms = 100000; now_ms < end_ms; now_ms += 20) {
+        if (now_ms >= change_ms) {
+            change_fleet(fleet, now_ms);
+            change_ms = now_ms + *rc::gen::inRange<int64_t>(0, 4000);
+        }
+        fleet.step(plan, now_ms);
+    }
+    RC_CLASSIFY(!fleet.sent_ms.empty(), "requests were sent");
+    RC_ASSERT((double)fleet.most_in_a_second() <= bound);
+}
+
 int
 main()
 {
@@ -994,6 +1219,7 @@
     check("scans survive any fragmentation", scans_survive_any_fragmentation);
     check("packed values are whole", packed_values_are_whole);
     check("beats are order free", beats_are_order_free);
+    check("cold endpoints are not overrun", cold_endpoints_are_not_overrun);
     printf("properties: %d passed, %d failed\n", passed, failed);
     return failed == 0 ? 0 : 1;
 }
