tests: cold endpoints and evacuated zones with several routers

Against stand-ins: 1 to 3 routers, one of them without a store. Guards against a burst at an endpoint whose entry says that it is cold or that has crashed and come back before its entry, requests to an evacuated zone, also after a restart of the router, and a full load at its return.

--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -1,4 +1,278 @@
-/// x
+/// Cold endpoints and evacuated zones: what several routers send together.
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 #include <CUnit/CUnit.h>
+
+#include "core/xmalloc.h"
+#include "direct_harness.h"
+#include "standin/platform_document.h"
 #include "suites.h"
-void suite_cold(void) {}
+
+/// Of the operator's page: no request from then on.
+#define EVACUATED_MS 5000
+/// Records reach a router and its peers within this time while the store
+/// answers.
+#define RECORD_MS 700
+#define SETTLE_MS 400
+/// Rate 4 and slack 2: bound 8, two senders.
+#define COLD_SERVICE "\"cold_start_s\":1.5,\"cold_per_s\":4,"
+#define COLD_BOUND 8
+#define SAMPLES_MAX 100000
+
+static void
+put_document(struct direct_harness *harness)
+{
+    static const char mark[] = "\"name\":\"models\",";
+    char *text;
+    char *at;
+    char *changed;
+
+    harness->version += 3;
+    text = platform_document(harness->version, "key", false, 800, 3000);
+    at = strstr(text, mark) + sizeof(mark) - 1;
+    changed = xasprintf("%.*s" COLD_SERVICE "%s", (int)(at - text), text, at);
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_OPERATOR, "config",
+                    str_from(changed));
+    free(changed);
+    free(text);
+}
+
+static void
+put_entry(struct direct_harness *harness, size_t index, const char *zone,
+          int64_t cold_ms)
+{
+    static const char *const ids[] = {"e-0", "e-1", "e-2", "e-3"};
+    struct address address = origin_address(harness->origins[index]);
+    char *text =
+        xasprintf("{\"service\":\"models\",\"address\":\"%s:%u\",\"zone\":"
+                  "\"%s\",\"slots\":8,\"state\":\"ready\","
+                  "\"cold_left_ms\":%lld,\"born\":1}",
+                  address.ip, address.port, zone, (long long)cold_ms);
+
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, ids[index],
+                    str_from(text));
+    free(text);
+}
+
+static void
+set_evacuated(struct direct_harness *harness, const char *key, bool evacuated)
+{
+    keyed_store_put(harness->store, KEYED_STORE_TOPIC_OPERATOR, key,
+                    evacuated ? str_from("{}") : (struct str){0});
+}
+
+/// Endpoint 0 is in zone "z" and the others in "y".
+static void
+start(struct direct_harness *harness, size_t routers, size_t origins,
+      size_t isolated)
+{
+    direct_harness_start(harness, &(struct direct_harness_options){
+                                      .routers = routers,
+                                      .origins = origins,
+                                      .events = 8,
+                                      .work_us = 1000,
+                                      .isolated = isolated,
+                                  });
+    for (size_t i = 0; i < routers; i++) {
+        direct_harness_stop_router(harness, i);
+        harness->settings[i].settle_ms = SETTLE_MS;
+        harness->settings[i].cold_rate_factor = 1.5;
+        harness->settings[i].cold_slack = 2;
+    }
+    put_document(harness);
+    for (size_t i = 0; i < origins; i++) {
+        put_entry(harness, i, i == 0 ? "z" : "y", 0);
+    }
+    for (size_t i = 0; i < routers; i++) {
+        direct_harness_start_router(harness, i);
+    }
+    direct_harness_run(harness, 3000);
+}
+
+static int
+call_once(struct direct_harness *harness, size_t router, const char *path,
+          char *retry_after)
+{
+    static unsigned number;
+    struct direct_call call = {0};
+    char id[24];
+    int status;
+
+    snprintf(id, sizeof(id), "id-%u", number++);
+    direct_call_do(harness, router, &call, "POST", path, id, NULL, "x");
+    status = call.status;
+    if (retry_after != NULL) {
+        snprintf(retry_after, sizeof(call.retry_after), "%s",
+                 call.retry_after);
+    }
+    direct_call_free(&call);
+    return status;
+}
+
+/// Calls all routers in turn for a time. Returns the highest number of
+/// requests that endpoint 0 received within a second.
+static uint64_t
+most_in_a_second(struct direct_harness *harness, int64_t ms)
+{
+    static struct {
+        int64_t at_ms;
+        uint64_t count;
+    } samples[SAMPLES_MAX];
+    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
+    uint64_t most = 0;
+    size_t first = 0;
+
+    for (size_t i = 0; i < SAMPLES_MAX && clock_ms(&clock_monotonic) < end_ms;
+         i++) {
+        samples[i].at_ms = clock_ms(&clock_monotonic);
+        samples[i].count = origin_requests(harness->origins[0]);
+        while (samples[i].at_ms - samples[first].at_ms > 1000) {
+            first++;
+        }
+        if (samples[i].count - samples[first].count > most) {
+            most = samples[i].count - samples[first].count;
+        }
+        call_once(harness, i % harness->options.routers, "/look/", NULL);
+    }
+    return most;
+}
+
+/// The routers together keep the bound of an endpoint whose entry says that it
+/// is cold; an endpoint that is warm again gets more.
+static void
+test_cold_entry(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 3, 1, 0);
+    put_entry(&harness, 0, "z", 3000);
+    direct_harness_run(&harness, RECORD_MS);
+    before = origin_requests(harness.origins[0]);
+    CU_ASSERT(most_in_a_second(&harness, 2000) <= COLD_BOUND);
+    CU_ASSERT(origin_requests(harness.origins[0]) > before);
+    direct_harness_run(&harness, 1500);
+    CU_ASSERT(most_in_a_second(&harness, 500) > COLD_BOUND);
+    direct_harness_stop(&harness);
+}
+
+/// All endpoints are cold: a request without a token is refused at once, with
+/// a time to come back, and has not run.
+static void
+test_all_cold(void)
+{
+    struct direct_harness harness;
+    char retry_after[16] = "";
+    int64_t before_ms;
+    int status = 0;
+
+    start(&harness, 1, 2, 0);
+    put_entry(&harness, 0, "z", 3000);
+    put_entry(&harness, 1, "y", 3000);
+    direct_harness_run(&harness, RECORD_MS);
+    before_ms = clock_ms(&clock_monotonic);
+    for (int i = 0; i < 8 && status != 503; i++) {
+        status = call_once(&harness, 0, "/look/", retry_after);
+    }
+    CU_ASSERT(status == 503);
+    CU_ASSERT(atof(retry_after) > 0 && atof(retry_after) < 3);
+    CU_ASSERT(clock_ms(&clock_monotonic) - before_ms < 500);
+    direct_harness_stop(&harness);
+}
+
+/// A crash shows before the entry does: the endpoint that is back gets no more
+/// than a cold one.
+static void
+test_restart_before_entry(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 2, 1, 0);
+    origin_set_crash(harness.origins[0],
+                     &(struct origin_crash_options){.away_ms = 300});
+    origin_crash(harness.origins[0]);
+    CU_ASSERT(most_in_a_second(&harness, 1500) <= COLD_BOUND);
+    direct_harness_stop(&harness);
+}
+
+/// An evacuated zone gets nothing: new requests, retries and resumed streams,
+/// also of a router that has the record from a peer, and of one that starts.
+static void
+test_evacuated_zone(void)
+{
+    struct direct_harness harness;
+    char retry_after[16] = "";
+    uint64_t before;
+
+    start(&harness, 2, 2, 1);
+    set_evacuated(&harness, "evacuate/z", true);
+    direct_harness_run(&harness, RECORD_MS);
+    before = origin_requests(harness.origins[0]);
+    for (size_t i = 0; i < 40; i++) {
+        CU_ASSERT(call_once(&harness, i % 2, "/look/", NULL) == 200);
+        CU_ASSERT(call_once(&harness, i % 2, "/stream/chat/", NULL) == 200);
+    }
+    direct_harness_stop_router(&harness, 0);
+    direct_harness_start_router(&harness, 0);
+    for (size_t i = 0; i < 300; i++) {
+        call_once(&harness, 0, "/look/", NULL);
+        direct_harness_run(&harness, 10);
+    }
+    CU_ASSERT(call_once(&harness, 0, "/look/", NULL) == 200);
+    origin_set_fault(harness.origins[1], ORIGIN_RESETS);
+    CU_ASSERT(call_once(&harness, 1, "/look/", NULL) != 200);
+    origin_set_fault(harness.origins[1], ORIGIN_RESETS_IN_EVENT);
+    call_once(&harness, 0, "/stream/chat/", NULL);
+    origin_set_fault(harness.origins[1], ORIGIN_OK);
+    set_evacuated(&harness, "evacuate/y", true);
+    direct_harness_run(&harness, RECORD_MS);
+    CU_ASSERT(call_once(&harness, 0, "/look/", retry_after) == 503);
+    CU_ASSERT(atof(retry_after) >= 1);
+    CU_ASSERT(origin_requests(harness.origins[0]) == before);
+    direct_harness_stop(&harness);
+}
+
+/// A zone whose evacuation has ended is cold at first. The end is also noticed
+/// when the record is missing from a listing.
+static void
+test_returned_zone(void)
+{
+    for (int listed = 0; listed < 2; listed++) {
+        struct direct_harness harness;
+        uint64_t before;
+
+        start(&harness, 2, 1, 0);
+        set_evacuated(&harness, "evacuate/z", true);
+        direct_harness_run(&harness, RECORD_MS);
+        before = origin_requests(harness.origins[0]);
+        CU_ASSERT(most_in_a_second(&harness, 200) == 0);
+        if (listed) {
+            keyed_store_set_fault(harness.store, KEYED_STORE_BUSY);
+            direct_harness_run(&harness, RECORD_MS);
+        }
+        set_evacuated(&harness, "evacuate/z", false);
+        if (listed) {
+            keyed_store_compact(harness.store, KEYED_STORE_TOPIC_OPERATOR);
+            keyed_store_set_fault(harness.store, KEYED_STORE_OK);
+        }
+        CU_ASSERT(most_in_a_second(&harness, 1200) <= COLD_BOUND);
+        direct_harness_run(&harness, listed ? EVACUATED_MS : 1500);
+        CU_ASSERT(most_in_a_second(&harness, 500) > COLD_BOUND);
+        CU_ASSERT(origin_requests(harness.origins[0]) > before);
+        direct_harness_stop(&harness);
+    }
+}
+
+void
+suite_cold(void)
+{
+    CU_pSuite suite = CU_add_suite("cold", NULL, NULL);
+
+    CU_add_test(suite, "cold entry", test_cold_entry);
+    CU_add_test(suite, "all cold", test_all_cold);
+    CU_add_test(suite, "restart before entry", test_restart_before_entry);
+    CU_add_test(suite, "evacuated zone", test_evacuated_zone);
+    CU_add_test(suite, "returned zone", test_returned_zone);
+}
