warmup: an answer on a connection from before shows that an endpoint runs

A router with a broken path to healthy endpoints reports them to its peers, which then would have taken each as started again and cold. The age of the connection tells the processes apart. Decoding is tested.

--- a/core/warmup.c
+++ b/core/warmup.c
@@ -100,14 +100,15 @@
 }
 
 bool
-warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t sent_ms,
-                int64_t start_ms)
+warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t connected_ms,
+                int64_t sent_ms, int64_t start_ms)
 {
     if (!is_suspected(warmup, now_ms)) {
         return false;
     }
-    if (sent_ms < warmup->suspected_ms) {
-        if (now_ms - warmup->suspected_ms < WARMUP_IN_TRANSIT_MS) {
+    if (connected_ms < warmup->suspected_ms) {
+        if (sent_ms < warmup->suspected_ms &&
+            now_ms - warmup->suspected_ms < WARMUP_IN_TRANSIT_MS) {
             return false;
         }
         warmup->suspected_ms = 0;
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -94,11 +94,13 @@
 /// moment. False if this was known.
 bool warmup_suspect(struct warmup *warmup, int64_t now_ms);
 
-/// The endpoint has answered a request that was sent at `sent_ms`. One sent
-/// after the suspicion may have reached a new process, which is cold for
-/// `start_ms`. True if the suspicion has ended.
-bool warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t sent_ms,
-                     int64_t start_ms);
+/// The endpoint has answered a request that was sent at `sent_ms`, on a
+/// connection that was made at `connected_ms`. A connection made after the
+/// suspicion may lead to a new process, which is cold for `start_ms`; an
+/// earlier one would have ended with the process. True if the suspicion has
+/// ended.
+bool warmup_answered(struct warmup *warmup, int64_t now_ms,
+                     int64_t connected_ms, int64_t sent_ms, int64_t start_ms);
 
 /// The endpoint's entry has been written again. True if that ends the
 /// suspicion; the endpoint is then cold for `start_ms`, since the entry does
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -220,19 +220,6 @@
             !strncasecmp(value.data, type, sizeof(type) - 1));
 }
 
-/// The endpoint's process has answered. A connection that it had before a
-/// suspicion shows that it is the same one.
-static void
-note_alive(const struct exchange *exchange, const struct answer_facts *facts)
-{
-    int64_t written_ms = channel_written_ms(exchange->channel);
-
-    cold_answered(direct_cold(exchange->direct), exchange->endpoint,
-                  written_ms > exchange->offered_ms ? written_ms
-                                                    : exchange->offered_ms,
-                  facts);
-}
-
 static enum channel_verdict
 on_head(void *ctx, const struct http1 *head)
 {
@@ -260,7 +247,8 @@
         endpoint_note_leaving(exchange->endpoint);
     }
     if (status != 421) {
-        note_alive(exchange, &facts);
+        cold_answered(direct_cold(exchange->direct), exchange->endpoint,
+                      exchange->channel, &facts);
     }
     if (facts.has_retry_after) {
         endpoint_note_retry_after(exchange->endpoint, exchange_now(exchange),
@@ -371,7 +359,8 @@
 {
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
-        note_alive(exchange, NULL);
+        cold_answered(direct_cold(exchange->direct), exchange->endpoint,
+                      exchange->channel, NULL);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
--- a/direct/cold.c
+++ b/direct/cold.c
@@ -4,6 +4,7 @@
 
 #include "core/xmalloc.h"
 #include "endpoints.h"
+#include "net/channel.h"
 #include "net/log.h"
 
 #define LOG_MODULE "cold"
@@ -159,8 +160,8 @@
 }
 
 void
-cold_answered(struct cold *cold, struct endpoint *endpoint, int64_t sent_ms,
-              const struct answer_facts *answer)
+cold_answered(struct cold *cold, struct endpoint *endpoint,
+              const struct channel *channel, const struct answer_facts *answer)
 {
     int64_t now_ms = clock_ms(cold->options.clock);
     bool is_stated = answer != NULL && answer->has_cold;
@@ -170,7 +171,9 @@
         if (start_ms < 0) {
             start_ms = limits_of(cold, endpoint).start_ms;
         }
-        warmup_answered(&endpoint->warmup, now_ms, sent_ms, start_ms);
+        warmup_answered(&endpoint->warmup, now_ms,
+                        channel_connected_ms(channel),
+                        channel_written_ms(channel), start_ms);
     }
     if (is_stated && answer->cold_ms > 0) {
         cold_extend(cold, endpoint, answer->cold_ms, WARMUP_ANSWER);
--- a/direct/cold.h
+++ b/direct/cold.h
@@ -11,6 +11,7 @@
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
 
+struct channel;
 struct cold;
 struct endpoint;
 
@@ -55,10 +56,11 @@
 /// A connection to the endpoint was refused or lost, here or at a peer.
 void cold_suspect(struct cold *cold, struct endpoint *endpoint);
 
-/// The endpoint has answered a request that was sent at `sent_ms`. `answer`
-/// may state that it is cold; NULL: part of a stream.
+/// The endpoint has answered a request on the channel. `answer` may state that
+/// it is cold; NULL: part of a stream.
 void cold_answered(struct cold *cold, struct endpoint *endpoint,
-                   int64_t sent_ms, const struct answer_facts *answer);
+                   const struct channel *channel,
+                   const struct answer_facts *answer);
 
 /// Logs that the endpoint has become warm, once.
 void cold_check_end(struct cold *cold, struct endpoint *endpoint);
--- a/net/channel.c
+++ b/net/channel.c
@@ -37,6 +37,7 @@
     struct evbuffer *pending_request; ///< until the TCP handshake is done
     struct event *timer;
     struct input_deferral deferral;
+    int64_t connected_ms;
     int64_t written_ms; ///< first bytes of the request; 0: not yet
     bool parsing;       ///< parse_input() uses it, also when closed
     bool skipping;
@@ -354,6 +355,7 @@
 send_pending_request(struct channel *channel)
 {
     channel->state = CHANNEL_BUSY;
+    channel->connected_ms = clock_ms(channel->pool->options.clock);
     event_del(channel->timer);
     bufferevent_enable(channel->bufferevent, EV_READ | EV_WRITE);
     bufferevent_write_buffer(channel->bufferevent, channel->pending_request);
@@ -573,6 +575,12 @@
     return channel->written_ms;
 }
 
+int64_t
+channel_connected_ms(const struct channel *channel)
+{
+    return channel->connected_ms;
+}
+
 size_t
 channel_pool_connections(const struct channel_pool *pool)
 {
--- a/net/channel.h
+++ b/net/channel.h
@@ -98,5 +98,8 @@
 /// When the first bytes of the request were passed to the socket; 0: not yet.
 int64_t channel_written_ms(const struct channel *channel);
 
+/// When the connection was made, maybe for an earlier request; 0: not yet.
+int64_t channel_connected_ms(const struct channel *channel);
+
 size_t channel_pool_connections(const struct channel_pool *pool);
 size_t channel_pool_connections_total(const struct channel_pool *pool);
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -146,9 +146,9 @@
     CU_ASSERT(warmup_left_ms(&warmup, BEGIN_MS) == WARMUP_LEFT_MAX_MS);
 }
 
-/// An endpoint whose connections were lost is cold from the first answer to a
-/// later request on. An answer to an earlier request shows that it has not
-/// started again, once it cannot have been on its way any more.
+/// An endpoint whose connections were lost is cold from the first answer on a
+/// later connection on. An answer on an earlier one shows that it has not
+/// started again, unless it may have been on its way.
 static void
 test_restart_before_entry(void)
 {
@@ -158,16 +158,25 @@
     CU_ASSERT(warmup_suspect(&warmup, now_ms));
     CU_ASSERT(!warmup_suspect(&warmup, now_ms + 100));
     CU_ASSERT(warmup_is_cold(&warmup, now_ms + 100));
-    CU_ASSERT(!warmup_answered(&warmup, now_ms + 200, now_ms - 10, 6000));
+    CU_ASSERT(!warmup_answered(&warmup, now_ms + 200, now_ms - 90, now_ms - 10,
+                               6000));
     CU_ASSERT(!warmup_renewed(&warmup, now_ms + 1500, 6000));
-    CU_ASSERT(warmup_answered(&warmup, now_ms + 2000, now_ms + 1900, 6000));
+    CU_ASSERT(warmup_answered(&warmup, now_ms + 2000, now_ms + 1900,
+                              now_ms + 1900, 6000));
     CU_ASSERT(warmup_left_ms(&warmup, now_ms + 2000) == 6000);
 
     warmup = (struct warmup){0};
     warmup_suspect(&warmup, now_ms);
-    CU_ASSERT(warmup_answered(&warmup, now_ms + 1200, now_ms - 10, 6000));
+    CU_ASSERT(warmup_answered(&warmup, now_ms + 1200, now_ms - 90, now_ms - 10,
+                              6000));
     CU_ASSERT(!warmup_is_cold(&warmup, now_ms + 1200));
 
+    warmup = (struct warmup){0};
+    warmup_suspect(&warmup, now_ms);
+    CU_ASSERT(
+        warmup_answered(&warmup, now_ms + 30, now_ms - 90, now_ms + 10, 6000));
+    CU_ASSERT(!warmup_is_cold(&warmup, now_ms + 30));
+
     warmup = (struct warmup){0};
     warmup_suspect(&warmup, now_ms);
     CU_ASSERT(warmup_renewed(&warmup, now_ms + WARMUP_ENTRY_LAG_MS, 6000));
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,5 +1,6 @@
 /// How the platform adapter parses valid and malformed requests, responses,
 /// endpoint records and configurations.
+#include <stdio.h>
 #include <string.h>
 
 #include <CUnit/CUnit.h>
@@ -294,6 +295,52 @@
     }
 }
 
+/// What is stated about cold endpoints; an invalid number must not limit them
+/// for ever.
+static void
+test_cold(void)
+{
+    static const struct {
+        const char *value;
+        int64_t ms; ///< -1: not stated
+    } cases[] = {{"2500", 2500}, {"0", 0}, {"-5", -1}, {"x", -1}, {"", -1}};
+    const struct catalog_service *service;
+    struct catalog *catalog;
+    struct err err = {0};
+    struct str zone;
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct answer_facts facts;
+        struct http1 http;
+        char text[128];
+
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 200 X\r\nDandelionvalve-Cold-Ms: %s\r\n\r\n",
+                 cases[i].value);
+        CU_ASSERT(parse(&http, HTTP_RESPONSE, text));
+        platform_wire.read_answer(&http, &facts);
+        CU_ASSERT(facts.has_cold == (cases[i].ms >= 0));
+        CU_ASSERT(!facts.has_cold || facts.cold_ms == cases[i].ms);
+        http1_destroy(&http);
+    }
+    catalog = platform_wire.read_catalog(
+        str_from("{\"version\":1,\"services\":[{\"name\":\"a\","
+                 "\"cold_start_s\":6.5,\"cold_per_s\":9.3},{\"name\":\"b\","
+                 "\"cold_start_s\":-1,\"cold_per_s\":\"9\"}]}"),
+        NULL, &err);
+    CU_ASSERT_FATAL(catalog != NULL);
+    service = catalog_find_service(catalog, STR_LITERAL("a"));
+    CU_ASSERT(service->cold_start_ms == 6500 && service->cold_per_s == 9.3);
+    service = catalog_find_service(catalog, STR_LITERAL("b"));
+    CU_ASSERT(service->cold_start_ms == 0 && service->cold_per_s == 0);
+    catalog_unref(catalog);
+    CU_ASSERT(
+        platform_wire.read_evacuation(STR_LITERAL("evacuate/z-1"), &zone) &&
+        str_equal_c(zone, "z-1"));
+    CU_ASSERT(!platform_wire.read_evacuation(STR_LITERAL("evacuate/"), &zone));
+    CU_ASSERT(!platform_wire.read_evacuation(STR_LITERAL("config"), &zone));
+}
+
 void
 suite_wire(void)
 {
@@ -309,4 +356,5 @@
     CU_add_test(suite, "a configuration changes one route of many",
                 test_configuration_changes_one_route);
     CU_add_test(suite, "unusual configurations", test_unusual_configurations);
+    CU_add_test(suite, "cold endpoints and evacuations", test_cold);
 }
