--- a/core/catalog.h
+++ b/core/catalog.h
@@ -53,6 +53,8 @@
     /// Tightest of the streaming routes to it; 0: not set. See
     /// catalog_set_gap_targets().
     int64_t gap_target_ms;
+    int64_t cold_start_ms; ///< an endpoint is cold so long after its start
+    double cold_per_s; ///< requests that a cold endpoint takes; 0: no limit
 };
 
 struct catalog_account {
--- a/core/message.c
+++ b/core/message.c
@@ -163,6 +163,7 @@
         [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
         [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
+        [MESSAGE_FAILING] = 1,
     };
 
     return counts[type];
@@ -329,6 +330,7 @@
         put_answered(packer, m->answered.parts, m->answered.count);
         return;
     case MESSAGE_DOWN:
+    case MESSAGE_FAILING:
         put_uint(packer, m->down.endpoint);
         return;
     case MESSAGE_STRIKE:
@@ -806,6 +808,7 @@
         get_answered(cursor, m);
         return;
     case MESSAGE_DOWN:
+    case MESSAGE_FAILING:
         m->down.endpoint = get_uint(cursor, UINT64_MAX);
         return;
     case MESSAGE_STRIKE:
@@ -1062,6 +1065,7 @@
         [MESSAGE_ANSWERED] = "answered",
         [MESSAGE_LISTING] = "listing",
         [MESSAGE_SHARES] = "shares",
+        [MESSAGE_FAILING] = "failing",
     };
 
     return names[type];
--- a/core/wire.h
+++ b/core/wire.h
@@ -63,6 +63,8 @@
     bool has_work_percent;
     bool work_percent_invalid; ///< stated, but not within the limits
     uint32_t work_percent;     ///< time that work takes; 100: as long as usual
+    bool has_cold;             ///< the endpoint states whether it is cold
+    int64_t cold_ms;
 };
 
 enum endpoint_state {
@@ -79,7 +81,7 @@
     enum endpoint_state state;
     uint32_t slots;
     int64_t incarnation; ///< differs after a restart under the same identity
-    int64_t cold_ms; ///< remaining time in which it is slow after its start
+    int64_t cold_ms;     ///< remaining time in which it takes few requests
 };
 
 /// Translation to and from the platform's wire format.
@@ -108,6 +110,9 @@
     struct catalog *(*read_catalog)(struct str text,
                                     const struct catalog *before,
                                     struct err *err);
+    /// True if a record of the configuration's topic with this key requests
+    /// the evacuation of an availability zone. `zone` is a view into the key.
+    bool (*read_evacuation)(struct str key, struct str *zone);
     /// Calls back with the properties if the entry describes a usable
     /// endpoint; false with `err` set if not.
     bool (*read_endpoint)(struct str text,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -69,6 +69,10 @@
     int64_t settle_ms;    ///< of the store after a disruption
     double cap_factor;    ///< load bound of an endpoint over the mean load
     bool shares; ///< an overloaded service's capacity is shared by account
+    /// Bound on requests to a cold endpoint in any second, of all routers: its
+    /// rate times the factor, plus the slack.
+    double cold_rate_factor;
+    double cold_slack;
 };
 
 struct settings_standin_group {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -13,6 +13,7 @@
 #include "dandelionvalve/retry.h"
 #include "blame.h"
 #include "daemon/settings.h"
+#include "cold.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -85,7 +86,7 @@
                                 exchange_now(exchange)),
                     exchange->id);
         if (direct_settings(exchange->direct)->share_ejections) {
-            direct_report_down(exchange->direct, endpoint);
+            direct_report_failing(exchange->direct, endpoint);
         }
     }
 }
@@ -97,6 +98,7 @@
 {
     struct endpoint *endpoint = exchange->endpoint;
 
+    cold_suspect(direct_cold(exchange->direct), endpoint);
     if (!eject_connect_failure(&endpoint->eject, exchange_now(exchange))) {
         return;
     }
@@ -251,6 +253,10 @@
     if (facts.is_leaving && status != 421) {
         endpoint_note_leaving(exchange->endpoint);
     }
+    if (status != 421) {
+        cold_answered(direct_cold(exchange->direct), exchange->endpoint,
+                      exchange->channel, &facts);
+    }
     if (facts.has_retry_after) {
         endpoint_note_retry_after(exchange->endpoint, exchange_now(exchange),
                                   facts.retry_after_ms);
@@ -366,6 +372,8 @@
     if (sse_scan_bytes(&exchange->scan, bytes, len)) {
         exchange->progress_ms = exchange_now(exchange);
         pace_record_events(exchange, events_before);
+        cold_answered(direct_cold(exchange->direct), exchange->endpoint,
+                      exchange->channel, NULL);
     }
     if (exchange->scan.events >= BEGUN_EVENTS_MIN) {
         record_answer_begun(exchange);
@@ -545,6 +553,7 @@
         attempt_failed(exchange, ATTEMPT_UNSENT, detail);
         return;
     case CHANNEL_LOST:
+        cold_suspect(direct_cold(exchange->direct), exchange->endpoint);
         attempt_record_failure(exchange, detail);
         record_crash(exchange);
         attempt_failed(exchange, ATTEMPT_LOST, detail);
@@ -663,6 +672,7 @@
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
     holding_begin(exchange);
+    cold_count_send(direct_cold(exchange->direct), endpoint);
     exchange->uncached_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->uncached_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -9,6 +9,7 @@
 #include "dandelionvalve/clock.h"
 #include "dandelionvalve/counter.h"
 
+struct cold;
 struct direct;
 struct endpoint;
 struct endpoints;
@@ -22,6 +23,7 @@
 /// The configuration in force; NULL until one is received.
 struct catalog *direct_catalog(const struct direct *direct);
 struct endpoints *direct_endpoints(const struct direct *direct);
+struct cold *direct_cold(const struct direct *direct);
 
 /// True once configuration and endpoints have been received.
 bool direct_has_deployment(const struct direct *direct);
@@ -48,11 +50,14 @@
                             const struct endpoint *endpoint,
                             const struct prefix *prefix);
 
-/// Reports to the peers that the endpoint accepts no connections or fails its
-/// requests.
+/// Reports to the peers that the endpoint accepts no connections.
 void direct_report_down(struct direct *direct,
                         const struct endpoint *endpoint);
 
+/// Reports to the peers that the endpoint fails its requests.
+void direct_report_failing(struct direct *direct,
+                           const struct endpoint *endpoint);
+
 /// Counts a crash of an endpoint against the request that it ran, and reports
 /// it to the peers.
 void direct_record_strike(struct direct *direct, uint64_t fingerprint,
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -111,6 +111,26 @@
     return true;
 }
 
+static void
+refuse(struct exchange *exchange)
+{
+    const struct endpoints *endpoints = direct_endpoints(exchange->direct);
+    const char *reason = "no endpoint is usable";
+
+    if (endpoints_are_evacuated(endpoints, exchange->service)) {
+        reason = "the zones of all endpoints are evacuated";
+    }
+    else if (endpoints_are_cold(endpoints, exchange->service)) {
+        reason = "all endpoints are cold";
+    }
+    else {
+        exchange_refuse_not_run(exchange, reason);
+        return;
+    }
+    counter_add(direct_counters(exchange->direct), COUNTER_COLD_REFUSED, 1);
+    exchange_refuse_not_run(exchange, reason);
+}
+
 void
 dispatch_request(struct exchange *exchange)
 {
@@ -119,8 +139,8 @@
 
     if (!found && exchange->offers > 0 && exchange->runs == 0 &&
         exchange->offers < EXCHANGE_OFFERS_MAX) {
-        // No endpoint has run the request: offer it to the first one again,
-        // which may have recovered.
+        // No endpoint has run the request: offer it to the first one
+        // again, which may have recovered.
         found = choose(exchange, 1, &choice);
     }
     if (found) {
@@ -133,12 +153,12 @@
             exchange, "no endpoint is usable to continue the stream");
     }
     else {
-        exchange_refuse_not_run(exchange, "no endpoint is usable");
+        refuse(exchange);
     }
 }
 
-/// Refuses the request if its account's share of the service is used up; true
-/// if the exchange has ended.
+/// Refuses the request if its account's share of the service is used up;
+/// true if the exchange has ended.
 static bool
 try_refuse_by_share(struct exchange *exchange, double share_min, bool is_late)
 {
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -255,7 +255,10 @@
                                message->contexts.count);
         return;
     case MESSAGE_DOWN:
-        mesh->options.endpoint_down(mesh->options.ctx, message->down.endpoint);
+    case MESSAGE_FAILING:
+        mesh->options.endpoint_failed(mesh->options.ctx,
+                                      message->down.endpoint,
+                                      message->type == MESSAGE_DOWN);
         return;
     case MESSAGE_BLAMES:
         for (size_t i = 0; i < message->blames.count; i++) {
@@ -535,6 +538,22 @@
     }
 }
 
+void
+mesh_send_failing(struct mesh *mesh, uint64_t endpoint)
+{
+    struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (link_version(peer->link) >= MESSAGE_VERSION_SHARES) {
+            link_send(peer->link, &(struct message){
+                                      .type = MESSAGE_FAILING,
+                                      .down.endpoint = endpoint,
+                                  });
+        }
+    }
+}
+
 void
 mesh_send_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t crash_id)
 {
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -1,5 +1,6 @@
 /// Connects the router's state with the messages of its peers.
 #include "blame.h"
+#include "cold.h"
 #include "contexts.h"
 #include "core/admission.h"
 #include "core/prefix.h"
@@ -109,6 +110,9 @@
 {
     struct direct *direct = ctx;
 
+    if (topic == RECORDS_CONFIGURATION) {
+        direct->has_configuration = true;
+    }
     if (topic == RECORDS_ENDPOINTS) {
         direct->has_endpoints = true;
     }
@@ -155,18 +159,22 @@
 }
 
 static void
-on_endpoint_down(void *ctx, uint64_t hash)
+on_endpoint_failed(void *ctx, uint64_t hash, bool is_down)
 {
     struct direct *direct = ctx;
     struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
 
+    if (endpoint != NULL && is_down) {
+        cold_suspect(direct->cold, endpoint);
+    }
     if (endpoint != NULL && !endpoint->eject.trial) {
         eject_begin_trial(&endpoint->eject, clock_ms(direct->options.clock));
         LOG_INFO("event=endpoint-suspected endpoint=" STR_FMT
                  " service=" STR_FMT " in_flight=%u "
-                 "reason=\"reported by a peer\"",
+                 "reason=\"%s\"",
                  STR_ARG(endpoint->id), STR_ARG(endpoint->service),
-                 endpoint->in_flight);
+                 endpoint->in_flight,
+                 is_down ? "a peer cannot connect" : "it fails at a peer");
     }
 }
 
@@ -214,7 +222,7 @@
         .collect_shares = collect_shares,
         .shares = on_shares,
         .placement = on_placement,
-        .endpoint_down = on_endpoint_down,
+        .endpoint_failed = on_endpoint_failed,
         .strike = on_strike,
         .peer_ready = on_peer_ready,
         .blame = on_blame,
@@ -281,6 +289,14 @@
     }
 }
 
+void
+direct_report_failing(struct direct *direct, const struct endpoint *endpoint)
+{
+    if (direct->mesh != NULL) {
+        mesh_send_failing(direct->mesh, endpoint->hash);
+    }
+}
+
 void
 direct_record_strike(struct direct *direct, uint64_t fingerprint,
                      uint32_t crash_id)
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -23,6 +23,10 @@
       "requests refused as their service is overloaded")                      \
     X(UNTIMELY, "untimely_total", "",                                         \
       "requests refused as they cannot begin before their deadline")          \
+    X(COLD_SENT, "cold_sent_total", "", "requests sent to cold endpoints")    \
+    X(COLD_REFUSED, "cold_refused_total", "",                                 \
+      "requests refused as all endpoints were cold or evacuated")             \
+    X(EVACUATIONS, "evacuations_total", "", "evacuations of zones begun")     \
     X(RETRIES, "retries_total", "", "retries charged to the budget")          \
     X(RETRY_DENIED, "retries_denied_total", "",                               \
       "retries denied by the budget")                                         \
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -13,7 +13,8 @@
 /// between routers.
 #define MESSAGE_VERSION 1
 /// Version of the messages between routers, and the first ones with beats and
-/// compressed records, with blames, with listings, and with shares.
+/// compressed records, with blames, with listings, and with shares
+/// and failing endpoints.
 #define MESSAGE_VERSION_ROUTERS 5
 #define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_VERSION_BLAMES 3
@@ -49,7 +50,7 @@
     MESSAGE_RECORD,  ///< one record of a topic
     MESSAGE_REACHED, ///< all records up to an offset have been sent
     MESSAGE_PLACED,  ///< contexts that endpoints have begun to cache
-    MESSAGE_DOWN,    ///< an endpoint refuses connections or fails
+    MESSAGE_DOWN,    ///< an endpoint refuses connections
     MESSAGE_STRIKE,  ///< a request crashed its endpoint
     MESSAGE_WANT_CONTEXTS, ///< requests all contexts of a router
     MESSAGE_CONTEXTS, ///< some of those contexts; an empty message ends them
@@ -65,7 +66,8 @@
     MESSAGE_LISTING, ///< all keys follow that exist before an offset, up to
                      ///< MESSAGE_REACHED: others have been removed
     // Version 5:
-    MESSAGE_SHARES, ///< recent requests of a router, by service and account
+    MESSAGE_SHARES,  ///< recent requests of a router, by service and account
+    MESSAGE_FAILING, ///< an endpoint fails its requests
     MESSAGE_TYPE_END,
 };
 
--- a/tests/main.c
+++ b/tests/main.c
@@ -45,6 +45,8 @@
     {"shed", suite_shed},
     {"admission", suite_admission},
     {"suspects", suite_suspects},
+    {"warmup", suite_warmup},
+    {"cold", suite_cold},
     {"wire", suite_wire},
     {"direct", suite_direct},
     {"blame", suite_blame},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -32,6 +32,8 @@
 void suite_shed(void);
 void suite_admission(void);
 void suite_suspects(void);
+void suite_warmup(void);
+void suite_cold(void);
 void suite_wire(void);
 void suite_direct(void);
 void suite_blame(void);
