--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -10,6 +10,13 @@
 
 #define FILE_BYTES_MAX (64 * 1024 * 1024)
 #define CONTROL_BYTES_PER_S_DEFAULT 3000
+#define BYTES_PER_MB 1000000
+/// A router with its configuration needs some 10 MB before any client.
+#define MEMORY_MB_MIN 16
+#define MEMORY_MB_MAX 1000000
+/// Listeners, the store, links and a few callers with their endpoints.
+#define DESCRIPTORS_MIN 64
+#define DESCRIPTORS_MAX 1000000
 
 bool
 settings_read_file(const char *file, struct str *text, struct err *err)
@@ -263,6 +270,25 @@
     settings->settle_ms = (int64_t)settle_ms;
 }
 
+static void
+read_memory(struct toml_table *root, struct settings_direct *settings,
+            struct err *err)
+{
+    struct toml_table *memory = toml_subtable(root, "memory", err);
+    double limit_mb = 0;
+    double descriptors_max = 0;
+
+    if (memory == NULL) {
+        return;
+    }
+    toml_get_double(memory, "limit_mb", MEMORY_MB_MIN, MEMORY_MB_MAX,
+                    &limit_mb, err);
+    toml_get_double(memory, "descriptors_max", DESCRIPTORS_MIN,
+                    DESCRIPTORS_MAX, &descriptors_max, err);
+    settings->memory_bytes = (int64_t)(BYTES_PER_MB * limit_mb);
+    settings->descriptors_max = (int64_t)descriptors_max;
+}
+
 bool
 settings_read_direct(const char *file, struct settings_direct *settings,
                      struct toml_doc **out, struct err *err)
@@ -291,6 +317,7 @@
         get_address(root, "metrics", &settings->metrics, err);
     read_links(root, settings, err);
     read_bounds(root, settings, err);
+    read_memory(root, settings, err);
     return close_doc(doc, out, err);
 }
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -63,10 +63,12 @@
     size_t seed_count;
     int64_t grace_ms; ///< from SIGTERM to the end of the process
     int64_t budget_window_ms;
-    double budget_ratio;  ///< retries as a share of the requests
-    int64_t budget_slack; ///< further retries, shared by all routers
-    int64_t settle_ms;    ///< of the store after a disruption
-    double cap_factor;    ///< load bound of an endpoint over the mean load
+    double budget_ratio;     ///< retries as a share of the requests
+    int64_t budget_slack;    ///< further retries, shared by all routers
+    int64_t settle_ms;       ///< of the store after a disruption
+    double cap_factor;       ///< load bound of an endpoint over the mean load
+    int64_t memory_bytes;    ///< of the machine; 0: not stated
+    int64_t descriptors_max; ///< of the process; 0: not stated
 };
 
 struct settings_standin_group {
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -33,3 +33,4 @@
 void suite_direct(void);
 void suite_blame(void);
 void suite_direct_store(void);
+void suite_crowd(void);
