--- a/tests/main.c
+++ b/tests/main.c
@@ -30,7 +30,7 @@
     {"suspects", suite_suspects}, {"wire", suite_wire},
     {"direct", suite_direct},     {"leaving", suite_leaving},
     {"blame", suite_blame},       {"direct-store", suite_direct_store},
-    {"crowd", suite_crowd},
+    {"crowd", suite_crowd},       {"memory", suite_memory},
 };
 
 static bool
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -34,3 +34,4 @@
 void suite_blame(void);
 void suite_direct_store(void);
 void suite_crowd(void);
+void suite_memory(void);
