net, direct: what is held for clients is charged to one account

Requests being read and kept, output to callers, endpoints, routers and the store, and buffered responses are charged to the process's account, which replaces the counter of buffered responses. Callers' connections are bounded by the process's descriptors, and a failed accept() pauses the listener. A body is sent to an endpoint by reference and hashed in pieces instead of being copied for each.

--- a/core/eviction.c
+++ b/core/eviction.c
@@ -35,8 +35,8 @@
 static bool
 may_be_closed(const struct eviction_connection *connection, int64_t now_ms)
 {
-    return connection->state < EVICTION_RECEIVING ||
-           (connection->state == EVICTION_RECEIVING &&
+    return connection->state < EVICTION_TRANSFERRING ||
+           (connection->state == EVICTION_TRANSFERRING &&
             now_ms - connection->progress_ms >= EVICTION_STALLED_MS);
 }
 
--- a/core/eviction.h
+++ b/core/eviction.h
@@ -29,11 +29,11 @@
 
 /// How a connection can be closed without a loss, the best first.
 enum eviction_state {
-    EVICTION_ENDING,    ///< its last answer has been sent
-    EVICTION_UNUSED,    ///< no request yet
-    EVICTION_IDLE,      ///< between requests
-    EVICTION_RECEIVING, ///< within a request
-    EVICTION_BUSY,      ///< a request is processed: must stay
+    EVICTION_ENDING,       ///< its last answer has been sent
+    EVICTION_UNUSED,       ///< no request yet
+    EVICTION_IDLE,         ///< between requests
+    EVICTION_TRANSFERRING, ///< within a request, or a complete response
+    EVICTION_BUSY,         ///< a request is processed: must stay
 };
 
 struct eviction_connection {
@@ -42,7 +42,7 @@
 };
 
 /// The connection to close for a new one: of the best state that there is, the
-/// one without progress for the longest time; within a request only after
+/// one without progress for the longest time; within a transfer only after
 /// EVICTION_STALLED_MS. Index, or EVICTION_NONE if none may be closed.
 size_t eviction_choose_connection(const struct eviction_connection *all,
                                   size_t count, int64_t now_ms);
--- a/core/memory.c
+++ b/core/memory.c
@@ -10,6 +10,8 @@
 #define REQUESTS_PERCENT 45
 #define RESPONSES_PERCENT 45
 #define PEERS_PERCENT 10
+/// Many endpoints may send too much at once, also to a large machine.
+#define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
 /// Blocks of a buffer have headers, and the last one has an unused end.
 #define BLOCK_BYTES 1024
 #define HEADER_DIVISOR 64
@@ -31,15 +33,16 @@
 static const struct {
     const char *name;
     enum group group;
+    size_t bytes_max; ///< of this kind alone; 0: the share of the group
 } kinds[MEMORY_KINDS] = {
-    [MEMORY_CONNECTIONS] = {"connections", GROUP_REQUESTS},
-    [MEMORY_READING] = {"reading", GROUP_REQUESTS},
-    [MEMORY_REQUESTS] = {"requests", GROUP_REQUESTS},
-    [MEMORY_ENDPOINTS] = {"endpoints", GROUP_REQUESTS},
-    [MEMORY_RESPONSES] = {"responses", GROUP_RESPONSES},
-    [MEMORY_BUFFERED] = {"buffered", GROUP_RESPONSES},
-    [MEMORY_LINKS] = {"links", GROUP_PEERS},
-    [MEMORY_STORE] = {"store", GROUP_PEERS},
+    [MEMORY_CONNECTIONS] = {"connections", GROUP_REQUESTS, 0},
+    [MEMORY_READING] = {"reading", GROUP_REQUESTS, 0},
+    [MEMORY_REQUESTS] = {"requests", GROUP_REQUESTS, 0},
+    [MEMORY_ENDPOINTS] = {"endpoints", GROUP_REQUESTS, 0},
+    [MEMORY_RESPONSES] = {"responses", GROUP_RESPONSES, 0},
+    [MEMORY_BUFFERED] = {"buffered", GROUP_RESPONSES, BUFFERED_BYTES_MAX},
+    [MEMORY_LINKS] = {"links", GROUP_PEERS, 0},
+    [MEMORY_STORE] = {"store", GROUP_PEERS, 0},
 };
 
 static const size_t group_percent[GROUPS] = {
@@ -98,14 +101,27 @@
                : SIZE_MAX;
 }
 
+static size_t
+left_of(size_t max, size_t held)
+{
+    return max > held ? max - held : 0;
+}
+
 size_t
 memory_room(const struct memory *memory, enum memory_kind kind)
 {
-    size_t share = memory_share_bytes(memory, kind);
-    size_t held =
-        memory != NULL ? memory->held_by_group[kinds[kind].group] : 0;
+    size_t max = kinds[kind].bytes_max;
+    size_t room;
 
-    return share > held ? share - held : 0;
+    if (memory == NULL) {
+        return SIZE_MAX;
+    }
+    room = left_of(memory_share_bytes(memory, kind),
+                   memory->held_by_group[kinds[kind].group]);
+    if (max > 0 && left_of(max, memory->held[kind]) < room) {
+        return left_of(max, memory->held[kind]);
+    }
+    return room;
 }
 
 bool
--- a/direct/admission.c
+++ b/direct/admission.c
@@ -3,8 +3,10 @@
 #include <stdio.h>
 
 #include <event2/buffer.h>
+#include <xxhash.h>
 
 #include "core/catalog.h"
+#include "core/xmalloc.h"
 #include "dandelionvalve/quarantine.h"
 #include "blame.h"
 #include "direct_state.h"
@@ -40,16 +42,39 @@
     return account != NULL;
 }
 
+/// Like str_hash() of the whole body, without a contiguous copy of it.
+static uint64_t
+hash_body(struct evbuffer *body, uint64_t seed)
+{
+    XXH64_state_t *state = XXH64_createState();
+    struct evbuffer_ptr at;
+    struct evbuffer_iovec piece;
+    uint64_t hash;
+
+    if (state == NULL) {
+        BUG("out of memory");
+    }
+    XXH64_reset(state, seed);
+    evbuffer_ptr_set(body, &at, 0, EVBUFFER_PTR_SET);
+    while (evbuffer_peek(body, -1, &at, &piece, 1) > 0 && piece.iov_len > 0) {
+        XXH64_update(state, piece.iov_base, piece.iov_len);
+        if (evbuffer_ptr_set(body, &at, piece.iov_len, EVBUFFER_PTR_ADD) !=
+            0) {
+            break;
+        }
+    }
+    hash = XXH64_digest(state);
+    XXH64_freeState(state);
+    return hash;
+}
+
 static uint64_t
 fingerprint_request(const struct exchange *exchange)
 {
-    struct evbuffer *body = caller_request_body(exchange->caller);
-    size_t len = evbuffer_get_length(body);
     uint64_t hash = str_hash(exchange->facts.path, 1);
 
     hash = str_hash(exchange->account, hash);
-    return str_hash((struct str){(const char *)evbuffer_pullup(body, -1), len},
-                    hash);
+    return hash_body(caller_request_body(exchange->caller), hash);
 }
 
 static void
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -6,12 +6,14 @@
 #include <event2/buffer.h>
 
 #include "core/catalog.h"
+#include "core/memory.h"
 #include "core/shed.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/outcome.h"
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
 #include "blame.h"
+#include "direct.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -27,8 +29,6 @@
 /// An answer that is not a stream is buffered before it is passed on; a longer
 /// one fails the attempt.
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
-/// All buffered answers together; many endpoints may send too much at once.
-#define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
 /// Crashes of one incarnation in an interval of this length are one.
 #define CRASH_INTERVAL_MS 2000
 /// Events of a stream after which its answer has begun without a crash of the
@@ -118,7 +118,7 @@
 void
 attempt_release_buffered(struct exchange *exchange)
 {
-    direct_add_buffered(exchange->direct, -(int64_t)exchange->buffered_bytes);
+    direct_release_buffered(exchange->direct, exchange->buffered_bytes);
     exchange->buffered_bytes = 0;
 }
 
@@ -328,10 +328,14 @@
 static void
 fail_too_long(struct exchange *exchange, const char *reason, size_t bytes)
 {
+    const struct memory *memory = direct_memory(exchange->direct);
+
     LOG_WARNING("event=answer-too-long id=%s endpoint=" STR_FMT
-                " reason=\"%s\" bytes=%zu all_buffered=%zu",
+                " reason=\"%s\" bytes=%zu kind=buffered held_bytes=%zu "
+                "limit_bytes=%zu",
                 exchange->id, STR_ARG(exchange->endpoint->id), reason, bytes,
-                direct_buffered_bytes(exchange->direct));
+                memory_held(memory, MEMORY_BUFFERED),
+                memory_share_bytes(memory, MEMORY_BUFFERED));
     attempt_record_failure(exchange, reason);
     channel_cancel(exchange->channel);
     exchange->channel = NULL;
@@ -379,15 +383,20 @@
         return;
     }
     exchange->progress_ms = exchange_now(exchange);
-    if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX ||
-        direct_buffered_bytes(exchange->direct) + len > BUFFERED_BYTES_MAX) {
+    if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX) {
         fail_too_long(exchange, "answer too long",
                       exchange->buffered_bytes + len);
         return;
     }
+    if (!direct_charge_buffered(exchange->direct, len)) {
+        counter_add(direct_counters(exchange->direct),
+                    COUNTER_ANSWERS_REFUSED_MEMORY, 1);
+        fail_too_long(exchange, "no memory for the answer",
+                      exchange->buffered_bytes + len);
+        return;
+    }
     evbuffer_add(exchange->body, bytes, len);
     exchange->buffered_bytes += len;
-    direct_add_buffered(exchange->direct, (int64_t)len);
 }
 
 /// Identifies one crash of an endpoint, so that it is counted once: equal on
@@ -597,8 +606,9 @@
     };
 
     direct_wire(exchange->direct)->write_request(head, &facts, out);
-    if (body_bytes > 0) {
-        evbuffer_add(out, evbuffer_pullup(body, -1), body_bytes);
+    // A reference: a retry sends the same body again.
+    if (body_bytes > 0 && evbuffer_add_buffer_reference(out, body) != 0) {
+        BUG("out of memory");
     }
     exchange->channel = channel_send(endpoint->pool, &request, &handler);
     evbuffer_free(out);
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -8,6 +8,7 @@
 
 #include "core/catalog.h"
 #include "core/histogram.h"
+#include "core/memory.h"
 #include "core/records.h"
 #include "core/xmalloc.h"
 #include "blame.h"
@@ -43,6 +44,9 @@
 #define BODY_BYTES_MAX_DEFAULT (4 * 1024 * 1024)
 #define HEAD_TIMEOUT_MS_DEFAULT 3000
 #define IDLE_TIMEOUT_MS_DEFAULT 15000
+/// Of a caller's connection: what has arrived and is not read is memory of the
+/// machine, too. The kernel doubles it.
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
 /// Share of the retry budget that is used. The rest covers what other routers
 /// have yet to count.
 #define BUDGET_USED_PERCENT 85
@@ -191,6 +195,10 @@
                    HEAD_TIMEOUT_MS_DEFAULT, IDLE_TIMEOUT_MS_DEFAULT},
         .request = on_request,
         .disconnected = on_caller_left,
+        .account = limits_account,
+        .memory = direct->memory,
+        .counters = direct->options.counters,
+        .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
         .ctx = direct,
     };
 
@@ -198,6 +206,7 @@
     if (direct->callers == NULL) {
         return false;
     }
+    limits_apply(direct);
     direct->ready = metrics_listen(direct, &settings->ready, err);
     if (direct->ready == NULL) {
         return false;
@@ -220,6 +229,7 @@
     direct->prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS_DEFAULT;
     direct->started_ms = clock_ms(options->clock);
     direct->last_tick_ms = direct->started_ms;
+    direct->memory = memory_new(&(struct memory_options){0});
     direct->records = records_new(&(struct records_options){
         .changed = direct_apply_record,
         .ctx = direct,
@@ -228,6 +238,7 @@
         .base = options->base,
         .clock = options->clock,
         .zone = direct->settings.zone,
+        .memory = direct->memory,
     });
     direct->services = services_new(options->clock);
     direct->quarantine = quarantine_new(&(struct quarantine_options){
@@ -282,6 +293,7 @@
     blame_destroy(direct);
     catalog_unref(direct->catalog);
     services_free(direct->services);
+    memory_free(direct->memory);
     event_free(direct->tick);
     free(direct->name);
     free(direct);
@@ -326,6 +338,9 @@
     settings->budget_slack = updated->budget_slack;
     settings->cap_factor = updated->cap_factor;
     settings->keys = updated->keys;
+    settings->memory_bytes = updated->memory_bytes;
+    settings->descriptors_max = updated->descriptors_max;
+    limits_apply(direct);
     for (size_t i = 0; direct->mesh != NULL && i < updated->seed_count; i++) {
         mesh_add(direct->mesh, &updated->seeds[i]);
     }
@@ -466,18 +481,6 @@
         PREFILL_SAMPLE_WEIGHT * (speed - direct->prefill_tokens_per_ms);
 }
 
-size_t
-direct_buffered_bytes(const struct direct *direct)
-{
-    return direct->buffered_bytes;
-}
-
-void
-direct_add_buffered(struct direct *direct, int64_t bytes)
-{
-    direct->buffered_bytes += (size_t)bytes;
-}
-
 void
 direct_add_exchange(struct direct *direct, struct exchange *exchange)
 {
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -20,6 +20,7 @@
 struct direct;
 struct event_base;
 struct exchange;
+struct memory;
 
 /// Interface to the client of the platform's store.
 struct direct_store {
@@ -91,6 +92,9 @@
 /// New records of a topic have been read.
 void direct_records_read(struct direct *direct, enum record_topic topic);
 
+/// The account of what the process holds for clients and peers.
+struct memory *direct_memory(const struct direct *direct);
+
 bool direct_is_ready(const struct direct *direct);
 struct address direct_callers_address(const struct direct *direct);
 struct address direct_ready_address(const struct direct *direct);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -14,11 +14,13 @@
 #include "direct.h"
 
 struct admin;
+struct caller;
 struct caller_server;
 struct contexts;
 struct endpoints;
 struct event;
 struct exchange;
+struct memory;
 struct mesh;
 struct quarantine;
 struct services;
@@ -57,7 +59,7 @@
     bool draining;
     int64_t drain_ms; ///< when draining began
     double prefill_tokens_per_ms;
-    size_t buffered_bytes;               ///< of answers
+    struct memory *memory;
     struct histogram first[ROUTE_KINDS]; ///< ms to the first byte of an answer
     struct histogram total[ROUTE_KINDS]; ///< ms to the end of an answer
 };
@@ -65,6 +67,12 @@
 /// Applies a record that this router or a peer has read.
 void direct_apply_record(void *ctx, const struct record *record);
 
+/// Sets the bounds on memory and descriptors that the settings state.
+void limits_apply(struct direct *direct);
+
+/// Account of a caller, to choose who yields when memory is short.
+uint64_t limits_account(void *ctx, const struct caller *caller);
+
 /// Accepts links from other routers and dials them; does nothing and returns
 /// true if no links are configured. False with `err` set if the address cannot
 /// be bound.
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -65,9 +65,10 @@
 double direct_prefill_tokens_per_ms(const struct direct *direct);
 void direct_record_prefill(struct direct *direct, uint32_t tokens, int64_t ms);
 
-/// Bytes of answers that are buffered, of all requests.
-size_t direct_buffered_bytes(const struct direct *direct);
-void direct_add_buffered(struct direct *direct, int64_t bytes);
+/// Charges bytes of an answer that is buffered, if need be by disconnecting
+/// callers that do not read; false if there is no room.
+bool direct_charge_buffered(struct direct *direct, size_t bytes);
+void direct_release_buffered(struct direct *direct, size_t bytes);
 
 void direct_add_exchange(struct direct *direct, struct exchange *exchange);
 void direct_remove_exchange(struct direct *direct, struct exchange *exchange);
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -115,6 +115,8 @@
         .address = *address,
         .connect_timeout_ms = CHANNEL_CONNECT_TIMEOUT_MS,
         .head_bytes_max = RESPONSE_HEAD_BYTES_MAX,
+        .memory = endpoints->options.memory,
+        .memory_kind = MEMORY_ENDPOINTS,
     });
     HASH_ADD_KEYPTR(hh, endpoints->all, endpoint->id.data, endpoint->id.len,
                     endpoint);
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -18,6 +18,7 @@
 
 struct channel_pool;
 struct event_base;
+struct memory;
 
 /// How long an entry may be missing after a store outage before the endpoint
 /// is removed. Healthy endpoints have renewed their entries two seconds after
@@ -78,6 +79,7 @@
     struct event_base *base;
     const struct clock *clock;
     struct str zone; ///< own availability zone
+    struct memory *memory;
 };
 
 /// The caller frees with endpoints_free().
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -480,6 +480,15 @@
     link_accept(&mesh->link_options, fd, address);
 }
 
+static void
+on_accept_failed(struct evconnlistener *listener, void *ctx)
+{
+    struct mesh *mesh = ctx;
+
+    (void)listener;
+    accept_pause_begin(&mesh->accept_pause, mesh->options.counters);
+}
+
 struct mesh *
 mesh_new(const struct mesh_options *options, struct err *err)
 {
@@ -497,6 +506,7 @@
         .clock = options->clock,
         .random = options->random,
         .counters = options->counters,
+        .memory = options->memory,
         .name = options->name,
         .role = "router",
         .peer_role = "router",
@@ -528,6 +538,8 @@
         free(mesh);
         return NULL;
     }
+    evconnlistener_set_error_cb(mesh->listener, on_accept_failed);
+    accept_pause_init(&mesh->accept_pause, options->base, mesh->listener);
     address_of_socket(evconnlistener_get_fd(mesh->listener), &bound);
     address_format((const struct sockaddr *)&bound.storage, mesh->own_address);
     mesh->rank_seed = str_hash(str_from(mesh->own_address), 1);
@@ -546,6 +558,7 @@
         return;
     }
     event_free(mesh->tick);
+    accept_pause_destroy(&mesh->accept_pause);
     evconnlistener_free(mesh->listener);
     LL_FOREACH_SAFE(mesh->peers, peer, next_peer)
     {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -49,6 +49,7 @@
     const struct clock *clock;
     const struct random_source *random;
     struct counters *counters;
+    struct memory *memory;
     const char *name;
     uint64_t incarnation;
     struct address address; ///< where links are accepted
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "mesh.h"
+#include "net/accept.h"
 
 struct evconnlistener;
 struct event;
@@ -51,6 +52,7 @@
     struct mesh_options options;
     struct link_options link_options;
     struct evconnlistener *listener;
+    struct accept_pause accept_pause;
     struct event *tick;
     struct target *targets;
     struct peer *peers;
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "core/memory.h"
 #include "core/xmalloc.h"
 #include "daemon/admin.h"
 #include "direct_private.h"
@@ -130,6 +131,13 @@
     if (direct->store != NULL) {
         direct->options.store->print(direct->store, out);
     }
+    for (size_t i = 0; i < MEMORY_KINDS; i++) {
+        enum memory_kind kind = (enum memory_kind)i;
+
+        fprintf(out, "memory_held_bytes{kind=\"%s\"} %zu\n",
+                memory_kind_name(kind), memory_held(direct->memory, kind));
+    }
+    fprintf(out, "memory_limit_bytes %zu\n", memory_limit(direct->memory));
     fprintf(out, "prompt_parts_held %zu\n",
             suspects_held_count(direct->blame.suspects));
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -179,6 +179,7 @@
         .clock = direct->options.clock,
         .random = direct->options.random,
         .counters = direct->options.counters,
+        .memory = direct->memory,
         .name = direct->name,
         .incarnation = direct->options.incarnation,
         .address = settings->links,
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -21,6 +21,18 @@
     X(REFUSALS, "refusals_total", "", "offers refused by agents")             \
     X(SHED, "shed_total", "",                                                 \
       "requests refused as their service is overloaded")                      \
+    X(REFUSED_MEMORY, "requests_refused_for_memory_total", "",                \
+      "incomplete requests refused as memory is short")                       \
+    X(CALLERS_TOO_SLOW, "callers_too_slow_total", "",                         \
+      "callers disconnected with too much unread output")                     \
+    X(ANSWERS_REFUSED_MEMORY, "answers_refused_for_memory_total", "",         \
+      "answers not collected as memory is short")                             \
+    X(CONNECTIONS_EVICTED, "connections_closed_for_descriptors_total", "",    \
+      "idle or stalled connections closed for new ones")                      \
+    X(CONNECTIONS_REFUSED, "connections_refused_total", "",                   \
+      "connections refused for lack of descriptors")                          \
+    X(ACCEPT_FAILED, "accept_failures_total", "",                             \
+      "accept() calls that failed")                                           \
     X(RETRIES, "retries_total", "", "retries charged to the budget")          \
     X(RETRY_DENIED, "retries_denied_total", "",                               \
       "retries denied by the budget")                                         \
--- a/net/caller.c
+++ b/net/caller.c
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,7 +13,9 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
+#include "caller_state.h"
 #include "core/xmalloc.h"
+#include "dandelionvalve/counter.h"
 #include "http.h"
 #include "http1.h"
 #include "input.h"
@@ -31,47 +34,13 @@
 /// Time for the caller to close after the last response; until then its input,
 /// such as the rest of a rejected request, is discarded.
 #define LINGER_MS 1000
-
-enum caller_state {
-    CALLER_READING,
-    CALLER_PROCESSING, ///< complete request, no response yet
-    CALLER_RESPONDING, ///< the response head is sent
-    CALLER_CLOSING,    ///< sends the last bytes, then lingers
-};
-
-struct caller {
-    struct caller_server *server;
-    struct bufferevent *bufferevent;
-    struct http1 http;
-    enum caller_state state;
-    struct evbuffer *body;
-    struct event *timer;
-    void *user;
-    int64_t started_ms;
-    int64_t timer_started_ms;
-    int64_t timer_ms;
-    int64_t idle_timeout_ms; ///< that the last answer was based on
-    size_t requests;         ///< received complete on this connection
-    struct input_deferral deferral;
-    bool chunked;
-    bool close_after_response;
-    bool body_too_large;
-    bool output_overflow; ///< backlog above CALLER_OUTPUT_BYTES_MAX
-    bool is_closed;
-    struct caller *prev;
-    struct caller *next;
-};
-
-struct caller_server {
-    struct caller_server_options options;
-    struct evconnlistener *listener;
-    struct caller *callers;
-    struct caller *closed;
-    struct event *free_closed_event;
-    struct address address;
-    size_t connections;
-    bool draining;
-};
+/// What a connection takes without any request, its buffers included.
+#define CONNECTION_BYTES 4096
+/// A refused request is worth a new attempt once others have ended.
+#define RETRY_AFTER_S 1
+#define RETRY_SPREAD_MS 1000
+/// Spreads successive refusals over RETRY_SPREAD_MS.
+#define RETRY_STEP_MS 619
 
 static void read_request(struct caller *caller);
 
@@ -102,6 +71,9 @@
     }
     caller->is_closed = true;
     caller->user = NULL;
+    charge_stop(&caller->output);
+    caller_update_charge(caller);
+    memory_hold(&caller->connection, MEMORY_CONNECTIONS, 0);
     bufferevent_free(caller->bufferevent);
     event_free(caller->timer);
     DL_DELETE(server->callers, caller);
@@ -110,8 +82,8 @@
     event_active(server->free_closed_event, 0, 0);
 }
 
-static void
-disconnect_caller(struct caller *caller)
+void
+caller_disconnect(struct caller *caller)
 {
     struct caller_server *server = caller->server;
     void *user = caller->user;
@@ -166,11 +138,40 @@
 }
 
 static void
-reject_request(struct caller *caller, int status)
+reject_with_fields(struct caller *caller, int status, struct str fields)
 {
     caller->close_after_response = true;
     caller->state = CALLER_PROCESSING;
-    caller_reply(caller, status, (struct str){0}, NULL);
+    // What was received is of no use, and the connection lingers.
+    evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
+    caller_reply(caller, status, fields, NULL);
+}
+
+static void
+reject_request(struct caller *caller, int status)
+{
+    reject_with_fields(caller, status, (struct str){0});
+}
+
+void
+caller_refuse_incomplete(struct caller *caller)
+{
+    struct caller_server *server = caller->server;
+    struct memory *memory = server->options.memory;
+    char fields[48];
+
+    LOG_WARNING(
+        "event=request-refused reason=memory kind=reading "
+        "bytes=%zu held_bytes=%zu limit_bytes=%zu stalled_ms=%lld",
+        caller->request.bytes, memory_held(memory, MEMORY_READING),
+        memory_share_bytes(memory, MEMORY_READING),
+        (long long)(clock_ms(server->options.clock) - caller->progress_ms));
+    if (server->options.counters != NULL) {
+        counter_add(server->options.counters, COUNTER_REFUSED_MEMORY, 1);
+    }
+    snprintf(fields, sizeof(fields), "Retry-After: %d.%03u\r\n", RETRY_AFTER_S,
+             server->refusals++ * RETRY_STEP_MS % RETRY_SPREAD_MS);
+    reject_with_fields(caller, 503, str_from(fields));
 }
 
 static void
@@ -181,7 +182,8 @@
     (void)fd;
     (void)events;
     if (caller->output_overflow) {
-        disconnect_caller(caller);
+        caller_report_too_slow(caller);
+        caller_disconnect(caller);
         return;
     }
     if (caller->state == CALLER_READING && defer_timeout(caller)) {
@@ -249,8 +251,11 @@
     caller->user = NULL;
     caller->state = CALLER_READING;
     caller->body_too_large = false;
+    caller->account_known = false;
+    caller->progress_ms = clock_ms(caller->server->options.clock);
     evbuffer_drain(caller->body, evbuffer_get_length(caller->body));
     http1_reset(&caller->http);
+    caller_update_charge(caller);
     start_timer(caller, caller->idle_timeout_ms);
     read_request(caller);
 }
@@ -264,6 +269,7 @@
     caller->state = CALLER_PROCESSING;
     caller->requests++;
     caller->close_after_response = !http1_keeps_alive(&caller->http);
+    caller_update_charge(caller);
     server->options.request(server->options.ctx, caller);
 }
 
@@ -272,12 +278,21 @@
 {
     struct evbuffer *input = bufferevent_get_input(caller->bufferevent);
 
+    if (evbuffer_get_length(input) > 0) {
+        caller->progress_ms = clock_ms(caller->server->options.clock);
+    }
     while (caller->state == CALLER_READING && !caller->is_closed &&
            evbuffer_get_length(input) > 0) {
         size_t len = evbuffer_get_contiguous_space(input);
         const char *bytes = (const char *)evbuffer_pullup(input, (ssize_t)len);
         bool had_started = caller->http.started;
-        size_t consumed = http1_feed(&caller->http, bytes, len);
+        size_t consumed;
+
+        if (!caller_make_room(caller, len)) {
+            caller_refuse_incomplete(caller);
+            break;
+        }
+        consumed = http1_feed(&caller->http, bytes, len);
 
         if (!had_started && caller->http.started) {
             caller->started_ms = clock_ms(caller->server->options.clock);
@@ -298,6 +313,7 @@
             dispatch_request(caller);
         }
     }
+    caller_update_charge(caller);
 }
 
 static void
@@ -314,6 +330,16 @@
     read_request(caller);
 }
 
+static void
+on_accept_failed(struct evconnlistener *listener, void *ctx)
+{
+    struct caller_server *server = ctx;
+
+    (void)listener;
+    accept_pause_begin(&server->accept_pause, server->options.counters);
+    caller_make_descriptor_room(server);
+}
+
 static void
 on_output_written(struct bufferevent *bufferevent, void *ctx)
 {
@@ -334,7 +360,25 @@
 {
     (void)bufferevent;
     (void)events;
-    disconnect_caller(ctx);
+    caller_disconnect(ctx);
+}
+
+/// False if the process has no descriptor to spare for a new connection.
+static bool
+has_descriptor_room(struct caller_server *server)
+{
+    if (server->connections_max == 0 ||
+        server->connections < server->connections_max ||
+        caller_make_descriptor_room(server)) {
+        return true;
+    }
+    LOG_WARNING("event=connection-refused reason=descriptors "
+                "connections=%zu limit=%zu",
+                server->connections, server->connections_max);
+    if (server->options.counters != NULL) {
+        counter_add(server->options.counters, COUNTER_CONNECTIONS_REFUSED, 1);
+    }
+    return false;
 }
 
 static void
@@ -342,17 +386,25 @@
           struct sockaddr *peer, int len, void *ctx)
 {
     struct caller_server *server = ctx;
-    struct caller *caller = xcalloc(1, sizeof(*caller));
+    struct caller *caller;
     const int on = 1;
     const unsigned user_timeout_ms = USER_TIMEOUT_MS;
 
     (void)listener;
     (void)peer;
     (void)len;
+    if (!has_descriptor_room(server)) {
+        evutil_closesocket(fd);
+        return;
+    }
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
                sizeof(user_timeout_ms));
+    caller = xcalloc(1, sizeof(*caller));
     caller->server = server;
+    caller->progress_ms = clock_ms(server->options.clock);
+    caller->connection.memory = server->options.memory;
+    caller->request.memory = server->options.memory;
     caller->body = evbuffer_new();
     caller->timer = event_new(server->options.base, -1, 0, on_timer, caller);
     http1_init(&caller->http, HTTP_REQUEST,
@@ -364,6 +416,10 @@
                       on_event, caller);
     bufferevent_setwatermark(caller->bufferevent, EV_READ, 0, READ_BYTES_MAX);
     bufferevent_enable(caller->bufferevent, EV_READ | EV_WRITE);
+    charge_start(&caller->output, server->options.memory, MEMORY_RESPONSES,
+                 bufferevent_get_output(caller->bufferevent),
+                 server->options.clock);
+    memory_hold(&caller->connection, MEMORY_CONNECTIONS, CONNECTION_BYTES);
     DL_APPEND(server->callers, caller);
     server->connections++;
     start_timer(caller, server->options.limits.idle_timeout_ms);
@@ -389,6 +445,14 @@
     }
     address_of_socket(evconnlistener_get_fd(server->listener),
                       &server->address);
+    evconnlistener_set_error_cb(server->listener, on_accept_failed);
+    accept_pause_init(&server->accept_pause, options->base, server->listener);
+    if (options->receive_buffer_bytes > 0) {
+        // Accepted connections inherit it.
+        setsockopt(evconnlistener_get_fd(server->listener), SOL_SOCKET,
+                   SO_RCVBUF, &options->receive_buffer_bytes,
+                   sizeof(options->receive_buffer_bytes));
+    }
     server->free_closed_event =
         event_new(options->base, -1, 0, free_closed_callers, server);
     return server;
@@ -405,6 +469,7 @@
     }
     free_closed_callers(-1, 0, server);
     event_free(server->free_closed_event);
+    accept_pause_destroy(&server->accept_pause);
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
     }
@@ -418,6 +483,12 @@
     server->options.limits = *limits;
 }
 
+void
+caller_server_set_connections_max(struct caller_server *server, size_t max)
+{
+    server->connections_max = max;
+}
+
 struct address
 caller_server_address(const struct caller_server *server)
 {
@@ -435,6 +506,7 @@
 {
     struct caller *caller, *next;
 
+    accept_pause_destroy(&server->accept_pause);
     if (server->listener != NULL) {
         evconnlistener_free(server->listener);
         server->listener = NULL;
@@ -489,6 +561,7 @@
         return;
     }
     caller->state = CALLER_CLOSING;
+    caller_update_charge(caller);
     if (evbuffer_get_length(bufferevent_get_output(caller->bufferevent)) ==
         0) {
         on_output_written(caller->bufferevent, caller);
@@ -575,7 +648,7 @@
     if (caller->chunked) {
         evbuffer_add(out, "\r\n", 2);
     }
-    if (evbuffer_get_length(out) > CALLER_OUTPUT_BYTES_MAX &&
+    if (evbuffer_get_length(out) > caller_output_max(caller) &&
         !caller->output_overflow) {
         // Deferred: the function that is writing still uses the connection.
         caller->output_overflow = true;
--- a/net/caller.h
+++ b/net/caller.h
@@ -10,12 +10,14 @@
 
 struct caller;
 struct caller_server;
+struct counters;
 struct evbuffer;
 struct event_base;
 struct http1;
+struct memory;
 
 /// A caller that does not read is disconnected when its unsent output exceeds
-/// this.
+/// this, or less when memory is short.
 #define CALLER_OUTPUT_BYTES_MAX (8 * 1024 * 1024)
 
 struct caller_limits {
@@ -35,6 +37,13 @@
     /// The caller disconnected before the end of the response; `user` is the
     /// argument of caller_set_user().
     void (*disconnected)(void *ctx, void *user);
+    /// Account of the caller whose request head has been received, to choose
+    /// who yields when memory is short; 0: not known. May be NULL.
+    uint64_t (*account)(void *ctx, const struct caller *caller);
+    struct memory *memory;     ///< NULL: not accounted and not limited
+    struct counters *counters; ///< may be NULL
+    /// For each connection; 0: as the kernel chooses.
+    int receive_buffer_bytes;
     void *ctx;
 };
 
@@ -47,6 +56,16 @@
 void caller_server_free(struct caller_server *server);
 void caller_server_set_limits(struct caller_server *server,
                               const struct caller_limits *limits);
+
+/// Connections above `max` are accepted only if one that is idle or stalled
+/// can be closed for them; 0: no limit.
+void caller_server_set_connections_max(struct caller_server *server,
+                                       size_t max);
+
+/// Disconnects callers that take nothing of complete responses until there is
+/// room for so many bytes of buffered responses; false if it does not suffice.
+bool caller_server_make_response_room(struct caller_server *server,
+                                      size_t bytes);
 struct address caller_server_address(const struct caller_server *server);
 
 /// From now on each connection is closed after its response.
--- a/net/channel.c
+++ b/net/channel.c
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <utlist.h>
 
+#include "charge.h"
 #include "core/xmalloc.h"
 #include "http1.h"
 #include "input.h"
@@ -35,6 +36,8 @@
     struct channel_handler handler;
     enum channel_state state;
     struct evbuffer *pending_request; ///< until the TCP handshake is done
+    struct charge output;
+    struct charge pending;
     struct event *timer;
     struct input_deferral deferral;
     int64_t written_ms; ///< first bytes of the request; 0: not yet
@@ -108,6 +111,8 @@
         return;
     }
     channel->state = CHANNEL_CLOSED;
+    charge_stop(&channel->output);
+    charge_stop(&channel->pending);
     bufferevent_free(channel->bufferevent);
     channel->bufferevent = NULL;
     event_free(channel->timer);
@@ -357,6 +362,7 @@
     event_del(channel->timer);
     bufferevent_enable(channel->bufferevent, EV_READ | EV_WRITE);
     bufferevent_write_buffer(channel->bufferevent, channel->pending_request);
+    charge_stop(&channel->pending);
     evbuffer_free(channel->pending_request);
     channel->pending_request = NULL;
 }
@@ -458,6 +464,9 @@
     bufferevent_setwatermark(channel->bufferevent, EV_READ, 0, READ_BYTES_MAX);
     evbuffer_add_cb(bufferevent_get_output(channel->bufferevent),
                     on_output_changed, channel);
+    charge_start(
+        &channel->output, pool->options.memory, pool->options.memory_kind,
+        bufferevent_get_output(channel->bufferevent), pool->options.clock);
     DL_APPEND(pool->channels, channel);
     pool->connections++;
     pool->connections_total++;
@@ -534,6 +543,9 @@
         return channel;
     }
     channel->pending_request = evbuffer_new();
+    charge_start(&channel->pending, pool->options.memory,
+                 pool->options.memory_kind, channel->pending_request,
+                 pool->options.clock);
     evbuffer_add_buffer(channel->pending_request, request->bytes);
     return channel;
 }
--- a/net/channel.h
+++ b/net/channel.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "address.h"
+#include "core/memory.h"
 #include "dandelionvalve/clock.h"
 
 struct channel;
@@ -57,6 +58,8 @@
     size_t connections_max; ///< 0: no limit
     int64_t connect_timeout_ms;
     size_t head_bytes_max;
+    struct memory *memory; ///< NULL: the output is not accounted
+    enum memory_kind memory_kind;
 };
 
 /// The caller frees with channel_pool_free().
--- a/net/link.c
+++ b/net/link.c
@@ -11,6 +11,7 @@
 #include <event2/event.h>
 #include <sodium.h>
 
+#include "charge.h"
 #include "core/xmalloc.h"
 #include "log.h"
 
@@ -54,12 +55,14 @@
     int64_t opened_ms;
     int64_t received_ms;
     int64_t probe_deadline_ms;
+    struct charge output;
     void *user;
 };
 
 static void
 link_free(struct link *link)
 {
+    charge_stop(&link->output);
     if (link->bev != NULL) {
         bufferevent_free(link->bev);
     }
@@ -253,6 +256,8 @@
                        "peer has not proved a shared key");
     }
     link->state = LINK_READY;
+    charge_start(&link->output, link->options->memory, MEMORY_LINKS,
+                 bufferevent_get_output(link->bev), link->options->clock);
     counter_add(link->options->counters, COUNTER_LINKS_OPENED, 1);
     LOG_INFO("event=link-ready peer=%s name=" STR_FMT, link->peer_address,
              STR_ARG(link->peer_name));
--- a/net/link.h
+++ b/net/link.h
@@ -24,6 +24,7 @@
 
 struct event_base;
 struct link;
+struct memory;
 
 /// Shared keys: this end proves the first one, a peer may prove any of them.
 struct link_keys {
@@ -49,6 +50,7 @@
     int64_t receive_timeout_ms;    ///< no input while busy
     int64_t probe_timeout_ms;      ///< no input after link_probe()
     int64_t handshake_timeout_ms;  ///< from connecting to both proofs
+    struct memory *memory;         ///< NULL: the output is not accounted
     size_t output_bytes_max;       ///< a longer output backlog closes the link
     int64_t tick_ms;               ///< interval of these checks; 0: 100
     /// The handshake is complete.
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -131,8 +131,8 @@
 test_connections_yield(void)
 {
     struct eviction_connection all[] = {
-        {EVICTION_BUSY, 0},        {EVICTION_RECEIVING, 900},
-        {EVICTION_RECEIVING, 700}, {EVICTION_IDLE, 600},
+        {EVICTION_BUSY, 0},        {EVICTION_TRANSFERRING, 900},
+        {EVICTION_TRANSFERRING, 700}, {EVICTION_IDLE, 600},
         {EVICTION_UNUSED, 950},    {EVICTION_UNUSED, 940},
     };
 
