--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -413,6 +413,9 @@
             "listen.ready": "%s:8220" % self.ip,
             "listen.control": "%s:8229" % self.ip,
             "seeds|json": json.dumps(seeds)})
+        text = re.sub(r"{{#([^{}]+)}}\n(.*?){{/\1}}\n",
+                      lambda part: part[2] if part[1] in values else "",
+                      text, flags=re.S)
         text = re.sub(r"{{([^{}]+)}}", lambda name: str(values[name[1]]),
                       text)
         with open(self.file, "w", encoding="utf-8") as out:
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include "core/memory.h"
 #include "core/xmalloc.h"
 #include "net/caller.h"
 #include "suites.h"
@@ -24,6 +25,9 @@
 
 static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+static const char chunked[] = "POST /a HTTP/1.1\r\nHost: h\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\ne00\r\n";
+
 struct fixture {
     struct event_base *base;
     struct caller_server *server;
@@ -59,7 +63,7 @@
 }
 
 static void
-start(struct fixture *fixture)
+start_with(struct fixture *fixture, struct memory *memory)
 {
     struct err err = {0};
     struct caller_server_options options = {
@@ -67,6 +71,7 @@
         .limits = {4096, 4096, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS},
         .request = on_request,
         .disconnected = on_disconnected,
+        .memory = memory,
         .ctx = fixture,
     };
     struct address address;
@@ -84,6 +89,12 @@
                             (socklen_t)address.len) == 0);
 }
 
+static void
+start(struct fixture *fixture)
+{
+    start_with(fixture, NULL);
+}
+
 static void
 stop(struct fixture *fixture)
 {
@@ -327,6 +338,60 @@
     stop(&fixture);
 }
 
+/// What was received of a request is freed with the refusal, not when the
+/// client closes: it may never do so.
+static void
+test_refused_for_memory(void)
+{
+    struct memory *memory =
+        memory_new(&(struct memory_options){.limit_bytes = 16000});
+    struct fixture fixture;
+    char body[3000];
+
+    memset(body, 'b', sizeof(body));
+    start_with(&fixture, memory);
+    send_bytes(&fixture, chunked, strlen(chunked));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(fixture.received_len == 0);
+    CU_ASSERT(memory_held(memory, MEMORY_READING) > 0);
+    send_bytes(&fixture, body, sizeof(body));
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "HTTP/1.1 503") == fixture.received);
+    CU_ASSERT(strstr(fixture.received, "\r\nRetry-After: 1.") != NULL);
+    CU_ASSERT(strstr(fixture.received, "\r\nConnection: close\r\n") != NULL);
+    CU_ASSERT(memory_held(memory, MEMORY_READING) == 0);
+    CU_ASSERT(memory_held(memory, MEMORY_REQUESTS) == 0);
+    stop(&fixture);
+    CU_ASSERT(memory_held_total(memory) == 0);
+    memory_free(memory);
+}
+
+/// A request that was passed on gets its response, however short memory is.
+static void
+test_passed_on_is_kept(void)
+{
+    struct memory *memory =
+        memory_new(&(struct memory_options){.limit_bytes = 1000000});
+    struct fixture fixture;
+
+    start_with(&fixture, memory);
+    fixture.streams = true;
+    send_bytes(&fixture, request, strlen(request));
+    run(&fixture, RUN_MS);
+    CU_ASSERT_FATAL(fixture.streaming != NULL);
+    memory_set_limit(memory, 0);
+    for (int i = 0; i < 3; i++) {
+        caller_send_data(fixture.streaming, "event", 5);
+        run(&fixture, RUN_MS);
+    }
+    caller_end_response(fixture.streaming);
+    run(&fixture, RUN_MS);
+    CU_ASSERT(strstr(fixture.received, "\r\n0\r\n\r\n") != NULL);
+    CU_ASSERT(!fixture.closed);
+    stop(&fixture);
+    memory_free(memory);
+}
+
 void
 suite_caller(void)
 {
@@ -350,4 +415,8 @@
                 test_stated_idle_time_is_kept);
     CU_add_test(suite, "connections without input time out",
                 test_timeouts_without_input);
+    CU_add_test(suite, "an incomplete request yields when memory is short",
+                test_refused_for_memory);
+    CU_add_test(suite, "a request that was passed on is kept",
+                test_passed_on_is_kept);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -106,6 +106,52 @@
     unlink(name);
 }
 
+#define DIRECT                                                                \
+    "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"                   \
+    "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+
+static bool
+read_direct(const char *text, struct settings_direct *settings,
+            struct err *err)
+{
+    char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
+    struct toml_doc *doc = NULL;
+    bool ok;
+
+    write_file(name, text);
+    ok = settings_read_direct(name, settings, &doc, err);
+    if (ok) {
+        toml_free(doc);
+    }
+    unlink(name);
+    return ok;
+}
+
+/// A platform may state neither limit, one of them, or fractions.
+static void
+test_memory_limits(void)
+{
+    struct settings_direct settings;
+    struct err err = {0};
+
+    CU_ASSERT(read_direct(DIRECT "[memory]\n", &settings, &err));
+    CU_ASSERT(settings.memory_bytes == 0 && settings.descriptors_max == 0);
+    CU_ASSERT(read_direct(DIRECT "[memory]\nlimit_mb = 160.5\n"
+                                 "descriptors_max = 4100\n",
+                          &settings, &err));
+    CU_ASSERT(settings.memory_bytes == 160500000);
+    CU_ASSERT(settings.descriptors_max == 4100);
+    CU_ASSERT(
+        !read_direct(DIRECT "[memory]\nlimit_mb = 1\n", &settings, &err));
+    CU_ASSERT(strstr(err.message, "memory.limit_mb") != NULL);
+    err = (struct err){0};
+    CU_ASSERT(!read_direct(DIRECT "[memory]\ndescriptors_max = 10\n",
+                           &settings, &err));
+    CU_ASSERT(strstr(err.message, "memory.descriptors_max") != NULL);
+    err = (struct err){0};
+    CU_ASSERT(!read_direct(DIRECT "[memory]\nlimit = 1\n", &settings, &err));
+}
+
 /// ports_unused() must not return a port twice while it is still unbound: two
 /// addresses of a soak's fleet (seed 520) got the same port that way.
 static void
@@ -135,6 +181,7 @@
     CU_add_test(suite, "valid settings", test_valid_settings);
     CU_add_test(suite, "invalid settings", test_invalid_settings);
     CU_add_test(suite, "fractional bounds", test_fractional_bounds);
+    CU_add_test(suite, "memory limits", test_memory_limits);
     CU_add_test(suite, "free ports are distinct",
                 test_free_ports_are_distinct);
 }
