--- a/net/caller_room.c
+++ b/net/caller_room.c
@@ -73,33 +73,43 @@
     return caller->account_known ? caller->account : 0;
 }
 
+static bool
+holds_incomplete_request(const struct caller *caller)
+{
+    return caller->state == CALLER_READING && caller->request.bytes > 0;
+}
+
 static struct caller *
 choose_body(struct caller_server *server)
 {
     struct eviction_body *bodies =
         xcalloc(server->connections, sizeof(*bodies));
-    struct caller **owners = xcalloc(server->connections, sizeof(*owners));
-    struct caller *caller, *chosen;
+    struct caller *caller;
     size_t count = 0;
     size_t index;
 
     DL_FOREACH(server->callers, caller)
     {
-        if (caller->state != CALLER_READING || caller->request.bytes == 0) {
-            continue;
+        if (holds_incomplete_request(caller)) {
+            bodies[count++] = (struct eviction_body){
+                .account = account_of(caller),
+                .held_bytes = caller->request.bytes,
+                .progress_ms = caller->progress_ms,
+            };
         }
-        owners[count] = caller;
-        bodies[count++] = (struct eviction_body){
-            .account = account_of(caller),
-            .held_bytes = caller->request.bytes,
-            .progress_ms = caller->progress_ms,
-        };
     }
     index = eviction_choose_body(bodies, count);
-    chosen = index != EVICTION_NONE ? owners[index] : NULL;
-    free(owners);
     free(bodies);
-    return chosen;
+    if (index == EVICTION_NONE) {
+        return NULL;
+    }
+    DL_FOREACH(server->callers, caller)
+    {
+        if (holds_incomplete_request(caller) && index-- == 0) {
+            break;
+        }
+    }
+    return caller;
 }
 
 bool
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 
 #include "core/eject.h"
+#include "core/memory.h"
 #include "direct/direct_state.h"
 #include "direct/endpoints.h"
 #include "direct/exchange_state.h"
@@ -75,6 +76,26 @@
     direct_harness_stop(&harness);
 }
 
+/// The limits that a changed file states are in force at once.
+static void
+test_reloaded_memory_limit(void)
+{
+    struct settings_direct settings;
+    struct direct_harness harness;
+    const struct memory *memory;
+
+    start(&harness, 1);
+    memory = direct_memory(harness.routers[0]);
+    CU_ASSERT(memory_limit(memory) > 500000000);
+    settings = harness.settings[0];
+    settings.memory_bytes = 160000000;
+    direct_reload(harness.routers[0], &settings);
+    CU_ASSERT(memory_limit(memory) == 80000000);
+    // No client inside the limits reaches the share for requests.
+    CU_ASSERT(memory_room(memory, MEMORY_READING) > 35000000);
+    direct_harness_stop(&harness);
+}
+
 /// Fields that the router sets or withholds are not forwarded from the caller.
 static void
 test_reserved_fields(void)
@@ -1033,6 +1054,7 @@
 {
     CU_pSuite suite = CU_add_suite("direct", NULL, NULL);
 
+    CU_add_test(suite, "reloaded memory limit", test_reloaded_memory_limit);
     CU_add_test(suite, "complete answers", test_complete_answers);
     CU_add_test(suite, "reserved fields", test_reserved_fields);
     CU_add_test(suite, "router refusals", test_router_refusals);
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -131,9 +131,9 @@
 test_connections_yield(void)
 {
     struct eviction_connection all[] = {
-        {EVICTION_BUSY, 0},        {EVICTION_TRANSFERRING, 900},
+        {EVICTION_BUSY, 0},           {EVICTION_TRANSFERRING, 900},
         {EVICTION_TRANSFERRING, 700}, {EVICTION_IDLE, 600},
-        {EVICTION_UNUSED, 950},    {EVICTION_UNUSED, 940},
+        {EVICTION_UNUSED, 950},       {EVICTION_UNUSED, 940},
     };
 
     CU_ASSERT(eviction_choose_connection(all, 6, 1000) == 5);
