direct: a shortage fails no request that an endpoint has run

Answers of up to 256 KiB are buffered also beyond the share. A longer one that finds no room is no fault of the endpoint and not counted against it. Callers that do not read a response in progress yield above their bound once nothing was taken for a second.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -29,6 +29,9 @@
 /// An answer that is not a stream is buffered before it is passed on; a longer
 /// one fails the attempt.
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
+/// An answer of this length is buffered also when memory is short: it must not
+/// fail a request that an endpoint has run.
+#define SHORT_RESPONSE_BYTES (256 * 1024)
 /// Crashes of one incarnation in an interval of this length are one.
 #define CRASH_INTERVAL_MS 2000
 /// Events of a stream after which its answer has begun without a crash of the
@@ -324,9 +327,11 @@
     caller_send_data(exchange->caller, bytes, len);
 }
 
-/// Ends an attempt whose endpoint sends more than an answer can have.
+/// Ends an attempt whose endpoint sends more than an answer can have, or than
+/// there is memory for. The latter is no fault of the endpoint.
 static void
-fail_too_long(struct exchange *exchange, const char *reason, size_t bytes)
+fail_too_long(struct exchange *exchange, const char *reason, size_t bytes,
+              bool is_fault)
 {
     const struct memory *memory = direct_memory(exchange->direct);
 
@@ -336,7 +341,9 @@
                 exchange->id, STR_ARG(exchange->endpoint->id), reason, bytes,
                 memory_held(memory, MEMORY_BUFFERED),
                 memory_share_bytes(memory, MEMORY_BUFFERED));
-    attempt_record_failure(exchange, reason);
+    if (is_fault) {
+        attempt_record_failure(exchange, reason);
+    }
     channel_cancel(exchange->channel);
     exchange->channel = NULL;
     attempt_failed(exchange, ATTEMPT_FAILED, reason);
@@ -363,7 +370,7 @@
     }
     if (exchange->scan.open_bytes > SSE_EVENT_BYTES_MAX) {
         fail_too_long(exchange, "an event does not end",
-                      exchange->scan.open_bytes);
+                      exchange->scan.open_bytes, true);
         return;
     }
     sse_buffer_append(&exchange->events, bytes, len);
@@ -385,14 +392,16 @@
     exchange->progress_ms = exchange_now(exchange);
     if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX) {
         fail_too_long(exchange, "answer too long",
-                      exchange->buffered_bytes + len);
+                      exchange->buffered_bytes + len, true);
         return;
     }
-    if (!direct_charge_buffered(exchange->direct, len)) {
+    if (!direct_charge_buffered(exchange->direct, len,
+                                exchange->buffered_bytes + len <=
+                                    SHORT_RESPONSE_BYTES)) {
         counter_add(direct_counters(exchange->direct),
                     COUNTER_ANSWERS_REFUSED_MEMORY, 1);
         fail_too_long(exchange, "no memory for the answer",
-                      exchange->buffered_bytes + len);
+                      exchange->buffered_bytes + len, false);
         return;
     }
     evbuffer_add(exchange->body, bytes, len);
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -66,8 +66,10 @@
 void direct_record_prefill(struct direct *direct, uint32_t tokens, int64_t ms);
 
 /// Charges bytes of an answer that is buffered, if need be by disconnecting
-/// callers that do not read; false if there is no room.
-bool direct_charge_buffered(struct direct *direct, size_t bytes);
+/// callers that do not read; false if there is no room. Bytes that must be
+/// kept are charged also beyond the limit.
+bool direct_charge_buffered(struct direct *direct, size_t bytes,
+                            bool must_keep);
 void direct_release_buffered(struct direct *direct, size_t bytes);
 
 void direct_add_exchange(struct direct *direct, struct exchange *exchange);
--- a/direct/limits.c
+++ b/direct/limits.c
@@ -80,11 +80,17 @@
 }
 
 bool
-direct_charge_buffered(struct direct *direct, size_t bytes)
+direct_charge_buffered(struct direct *direct, size_t bytes, bool must_keep)
 {
-    return memory_charge(direct->memory, MEMORY_BUFFERED, bytes) ||
-           (caller_server_make_response_room(direct->callers, bytes) &&
-            memory_charge(direct->memory, MEMORY_BUFFERED, bytes));
+    if (memory_charge(direct->memory, MEMORY_BUFFERED, bytes) ||
+        (caller_server_make_response_room(direct->callers, bytes) &&
+         memory_charge(direct->memory, MEMORY_BUFFERED, bytes))) {
+        return true;
+    }
+    if (must_keep) {
+        memory_charge_held(direct->memory, MEMORY_BUFFERED, bytes);
+    }
+    return must_keep;
 }
 
 void
--- a/net/caller_room.c
+++ b/net/caller_room.c
@@ -20,6 +20,9 @@
 /// A caller's output may take this part of the room that is left, so that the
 /// sum of all stays within it, however many they are.
 #define OUTPUT_DIVISOR 4
+/// A caller that has taken nothing of a response in progress for this long,
+/// and has more unread than caller_output_max(), does not read.
+#define RUNNING_STALLED_MS 1000
 /// An event and what a short burst adds.
 #define OUTPUT_BYTES_MIN (32 * 1024)
 
@@ -222,21 +225,38 @@
     }
 }
 
-/// The caller that has taken nothing of a complete response for the longest
-/// time, at least EVICTION_STALLED_MS.
+/// Time without progress after which a caller may be disconnected for what it
+/// has not read: short if its response is complete.
+static int64_t
+stall_limit_ms(const struct caller *caller)
+{
+    if (caller->output.holding.bytes == 0) {
+        return INT64_MAX;
+    }
+    if (caller->state == CALLER_READING || caller->state == CALLER_CLOSING) {
+        return EVICTION_STALLED_MS;
+    }
+    // While a request is processed, output is of the response before it.
+    return caller->state == CALLER_RESPONDING &&
+                   caller->output.holding.bytes > caller_output_max(caller)
+               ? RUNNING_STALLED_MS
+               : INT64_MAX;
+}
+
+/// The caller that has taken nothing of its response for the longest time.
 static struct caller *
 choose_unread_response(struct caller_server *server)
 {
-    int64_t before_ms = now_of(server) - EVICTION_STALLED_MS;
+    int64_t now_ms = now_of(server);
+    int64_t longest_ms = -1;
     struct caller *caller, *chosen = NULL;
 
     DL_FOREACH(server->callers, caller)
     {
-        if ((caller->state == CALLER_READING ||
-             caller->state == CALLER_CLOSING) &&
-            caller->output.holding.bytes > 0 &&
-            caller->output.progress_ms <= before_ms) {
-            before_ms = caller->output.progress_ms;
+        int64_t stalled_ms = now_ms - caller->output.progress_ms;
+
+        if (stalled_ms >= stall_limit_ms(caller) && stalled_ms > longest_ms) {
+            longest_ms = stalled_ms;
             chosen = caller;
         }
     }
