--- a/core/eviction.c
+++ b/core/eviction.c
@@ -32,6 +32,18 @@
     return chosen;
 }
 
+const char *
+eviction_state_name(enum eviction_state state)
+{
+    static const char *const names[] = {
+        [EVICTION_ENDING] = "ending", [EVICTION_UNUSED] = "unused",
+        [EVICTION_IDLE] = "idle",     [EVICTION_TRANSFERRING] = "transferring",
+        [EVICTION_BUSY] = "busy",
+    };
+
+    return names[state];
+}
+
 static bool
 may_be_closed(const struct eviction_connection *connection, int64_t now_ms)
 {
--- a/core/eviction.h
+++ b/core/eviction.h
@@ -36,6 +36,8 @@
     EVICTION_BUSY,         ///< a request is processed: must stay
 };
 
+const char *eviction_state_name(enum eviction_state state);
+
 struct eviction_connection {
     enum eviction_state state;
     int64_t progress_ms;
--- a/net/caller_room.c
+++ b/net/caller_room.c
@@ -185,10 +185,10 @@
     while (index-- > 0) {
         caller = caller->next;
     }
-    LOG_INFO("event=connection-closed reason=descriptors state=%d "
+    LOG_INFO("event=connection-closed reason=descriptors state=%s "
              "connections=%zu limit=%zu stalled_ms=%lld",
-             (int)describe_connection(caller).state, server->connections,
-             server->connections_max,
+             eviction_state_name(describe_connection(caller).state),
+             server->connections, server->connections_max,
              (long long)(now_of(server) - caller->progress_ms));
     if (server->options.counters != NULL) {
         counter_add(server->options.counters, COUNTER_CONNECTIONS_EVICTED, 1);
