--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -10,6 +10,16 @@
 
 #define FILE_BYTES_MAX (64 * 1024 * 1024)
 #define CONTROL_BYTES_PER_S_DEFAULT 3000
+#define BYTES_PER_MB 1000000
+/// A router with its configuration needs some 10 MB before any client.
+#define MEMORY_MB_MIN 16
+#define MEMORY_MB_MAX 1000000
+/// Listeners, the store, links and a few callers with their endpoints.
+#define DESCRIPTORS_MIN 64
+#define DESCRIPTORS_MAX 1000000
+#define COLD_RATE_FACTOR_MIN 0.01
+#define COLD_RATE_FACTOR_MAX 1000
+#define COLD_SLACK_MAX 1000000
 
 bool
 settings_read_file(const char *file, struct str *text, struct err *err)
@@ -258,10 +268,10 @@
     toml_get_double(bounds, "store_settle_ms", 100, 3600000, &settle_ms, err);
     toml_get_double(bounds, "load_cap_factor", 1, 100, &settings->cap_factor,
                     err);
-    toml_get_double(bounds, "cold_rate_factor", 0.01, 1000,
-                    &settings->cold_rate_factor, err);
-    toml_get_double(bounds, "cold_slack", 0, 1000000, &settings->cold_slack,
-                    err);
+    toml_get_double(bounds, "cold_rate_factor", COLD_RATE_FACTOR_MIN,
+                    COLD_RATE_FACTOR_MAX, &settings->cold_rate_factor, err);
+    toml_get_double(bounds, "cold_slack", 0, COLD_SLACK_MAX,
+                    &settings->cold_slack, err);
     settings->grace_ms = (int64_t)(1000 * grace_s);
     settings->budget_window_ms = (int64_t)(1000 * window_s);
     settings->budget_slack = (int64_t)slack;
@@ -279,6 +289,68 @@
     }
 }
 
+static void
+read_memory(struct toml_table *root, struct settings_direct *settings,
+            struct err *err)
+{
+    struct toml_table *memory = toml_subtable(root, "memory", err);
+    double limit_mb = (double)settings->memory_bytes / BYTES_PER_MB;
+    double descriptors_max = (double)settings->descriptors_max;
+
+    if (memory == NULL) {
+        return;
+    }
+    toml_get_double(memory, "limit_mb", MEMORY_MB_MIN, MEMORY_MB_MAX,
+                    &limit_mb, err);
+    toml_get_double(memory, "descriptors_max", DESCRIPTORS_MIN,
+                    DESCRIPTORS_MAX, &descriptors_max, err);
+    settings->memory_bytes = (int64_t)(BYTES_PER_MB * limit_mb);
+    settings->descriptors_max = (int64_t)descriptors_max;
+}
+
+/// A number that the environment states for settings which the file leaves
+/// out. An empty variable counts as none.
+static void
+get_environment(const char *name, double min, double max, double *value,
+                struct err *err)
+{
+    const char *text = getenv(name);
+    char *end = NULL;
+    double number;
+
+    if (text == NULL || *text == '\0') {
+        return;
+    }
+    number = strtod(text, &end);
+    if (*end != '\0' || !(number >= min && number <= max)) {
+        err_set(err, ERR_INPUT, "settings", name,
+                "environment variable %s: '%s' is no number from %g to %g",
+                name, text, min, max);
+        return;
+    }
+    *value = number;
+}
+
+/// Defaults for what not every platform states: a template of the settings
+/// file would have no value for it there.
+static void
+read_environment(struct settings_direct *settings, struct err *err)
+{
+    double limit_mb = 0;
+    double descriptors_max = 0;
+
+    get_environment("DVDIRECT_COLD_RATE_FACTOR", COLD_RATE_FACTOR_MIN,
+                    COLD_RATE_FACTOR_MAX, &settings->cold_rate_factor, err);
+    get_environment("DVDIRECT_COLD_SLACK", 0, COLD_SLACK_MAX,
+                    &settings->cold_slack, err);
+    get_environment("DVDIRECT_MEMORY_LIMIT_MB", MEMORY_MB_MIN, MEMORY_MB_MAX,
+                    &limit_mb, err);
+    get_environment("DVDIRECT_DESCRIPTORS_MAX", DESCRIPTORS_MIN,
+                    DESCRIPTORS_MAX, &descriptors_max, err);
+    settings->memory_bytes = (int64_t)(BYTES_PER_MB * limit_mb);
+    settings->descriptors_max = (int64_t)descriptors_max;
+}
+
 bool
 settings_read_direct(const char *file, struct settings_direct *settings,
                      struct toml_doc **out, struct err *err)
@@ -297,6 +369,7 @@
         .cap_factor = 2,
         .cold_rate_factor = 1,
     };
+    read_environment(settings, err);
     root = toml_root(doc);
     require_string(root, "name", &settings->name, err);
     require_string(root, "zone", &settings->zone, err);
@@ -309,6 +382,7 @@
     read_links(root, settings, err);
     read_bounds(root, settings, err);
     read_admission(root, settings, err);
+    read_memory(root, settings, err);
     return close_doc(doc, out, err);
 }
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -62,7 +62,7 @@
     struct address seeds[SETTINGS_SEEDS_MAX];
     size_t seed_count;
     bool share_ejections; ///< report ejected endpoints to the peers
-    int64_t grace_ms; ///< from SIGTERM to the end of the process
+    int64_t grace_ms;     ///< from SIGTERM to the end of the process
     int64_t budget_window_ms;
     double budget_ratio;  ///< retries as a share of the requests
     int64_t budget_slack; ///< further retries, shared by all routers
@@ -73,6 +73,8 @@
     /// rate times the factor, plus the slack.
     double cold_rate_factor;
     double cold_slack;
+    int64_t memory_bytes;    ///< of the machine; 0: not stated
+    int64_t descriptors_max; ///< of the process; 0: not stated
 };
 
 struct settings_standin_group {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 
 #include "core/catalog.h"
+#include "core/memory.h"
 #include "core/shed.h"
 #include "core/xmalloc.h"
 #include "dandelionvalve/outcome.h"
@@ -14,6 +15,7 @@
 #include "blame.h"
 #include "daemon/settings.h"
 #include "cold.h"
+#include "direct.h"
 #include "direct_state.h"
 #include "dispatch.h"
 #include "endpoints.h"
@@ -31,8 +33,9 @@
 /// An answer that is not a stream is buffered before it is passed on; a longer
 /// one fails the attempt.
 #define RESPONSE_BYTES_MAX (16 * 1024 * 1024)
-/// All buffered answers together; many endpoints may send too much at once.
-#define BUFFERED_BYTES_MAX (32 * 1024 * 1024)
+/// An answer of this length is buffered also when memory is short: it must not
+/// fail a request that an endpoint has run.
+#define SHORT_RESPONSE_BYTES (256 * 1024)
 /// Crashes of one incarnation in an interval of this length are one.
 #define CRASH_INTERVAL_MS 2000
 /// Events of a stream after which its answer has begun without a crash of the
@@ -127,7 +130,7 @@
 void
 attempt_release_buffered(struct exchange *exchange)
 {
-    direct_add_buffered(exchange->direct, -(int64_t)exchange->buffered_bytes);
+    direct_release_buffered(exchange->direct, exchange->buffered_bytes);
     exchange->buffered_bytes = 0;
 }
 
@@ -340,15 +343,23 @@
     caller_send_data(exchange->caller, bytes, len);
 }
 
-/// Ends an attempt whose endpoint sends more than an answer can have.
+/// Ends an attempt whose endpoint sends more than an answer can have, or than
+/// there is memory for. The latter is no fault of the endpoint.
 static void
-fail_too_long(struct exchange *exchange, const char *reason, size_t bytes)
+fail_too_long(struct exchange *exchange, const char *reason, size_t bytes,
+              bool is_fault)
 {
+    const struct memory *memory = direct_memory(exchange->direct);
+
     LOG_WARNING("event=answer-too-long id=%s endpoint=" STR_FMT
-                " reason=\"%s\" bytes=%zu all_buffered=%zu",
+                " reason=\"%s\" bytes=%zu kind=buffered held_bytes=%zu "
+                "limit_bytes=%zu",
                 exchange->id, STR_ARG(exchange->endpoint->id), reason, bytes,
-                direct_buffered_bytes(exchange->direct));
-    attempt_record_failure(exchange, reason);
+                memory_held(memory, MEMORY_BUFFERED),
+                memory_share_bytes(memory, MEMORY_BUFFERED));
+    if (is_fault) {
+        attempt_record_failure(exchange, reason);
+    }
     channel_cancel(exchange->channel);
     exchange->channel = NULL;
     attempt_failed(exchange, ATTEMPT_FAILED, reason);
@@ -380,7 +391,7 @@
     }
     if (exchange->scan.open_bytes > SSE_EVENT_BYTES_MAX) {
         fail_too_long(exchange, "an event does not end",
-                      exchange->scan.open_bytes);
+                      exchange->scan.open_bytes, true);
         return;
     }
     sse_buffer_append(&exchange->events, bytes, len);
@@ -400,15 +411,22 @@
         return;
     }
     exchange->progress_ms = exchange_now(exchange);
-    if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX ||
-        direct_buffered_bytes(exchange->direct) + len > BUFFERED_BYTES_MAX) {
+    if (exchange->buffered_bytes + len > RESPONSE_BYTES_MAX) {
         fail_too_long(exchange, "answer too long",
-                      exchange->buffered_bytes + len);
+                      exchange->buffered_bytes + len, true);
+        return;
+    }
+    if (!direct_charge_buffered(exchange->direct, len,
+                                exchange->buffered_bytes + len <=
+                                    SHORT_RESPONSE_BYTES)) {
+        counter_add(direct_counters(exchange->direct),
+                    COUNTER_ANSWERS_REFUSED_MEMORY, 1);
+        fail_too_long(exchange, "no memory for the answer",
+                      exchange->buffered_bytes + len, false);
         return;
     }
     evbuffer_add(exchange->body, bytes, len);
     exchange->buffered_bytes += len;
-    direct_add_buffered(exchange->direct, (int64_t)len);
 }
 
 /// Identifies one crash of an endpoint, so that it is counted once: equal on
@@ -620,8 +638,9 @@
     };
 
     direct_wire(exchange->direct)->write_request(head, &facts, out);
-    if (body_bytes > 0) {
-        evbuffer_add(out, evbuffer_pullup(body, -1), body_bytes);
+    // A reference: a retry sends the same body again.
+    if (body_bytes > 0 && evbuffer_add_buffer_reference(out, body) != 0) {
+        BUG("out of memory");
     }
     exchange->channel = channel_send(endpoint->pool, &request, &handler);
     evbuffer_free(out);
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -24,6 +24,7 @@
 struct cold;
 struct evacuation;
 struct event_base;
+struct memory;
 
 /// How long an entry may be missing after a store outage before the endpoint
 /// is removed. Healthy endpoints have renewed their entries two seconds after
@@ -92,6 +93,7 @@
     struct str zone; ///< own availability zone
     struct cold *cold;
     const struct evacuation *evacuation;
+    struct memory *memory;
 };
 
 /// The caller frees with endpoints_free().
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -412,6 +412,15 @@
     link_accept(&mesh->link_options, fd, address);
 }
 
+static void
+on_accept_failed(struct evconnlistener *listener, void *ctx)
+{
+    struct mesh *mesh = ctx;
+
+    (void)listener;
+    accept_pause_begin(&mesh->accept_pause, mesh->options.counters);
+}
+
 struct mesh *
 mesh_new(const struct mesh_options *options, struct err *err)
 {
@@ -429,6 +438,7 @@
         .clock = options->clock,
         .random = options->random,
         .counters = options->counters,
+        .memory = options->memory,
         .name = options->name,
         .role = "router",
         .peer_role = "router",
@@ -460,6 +470,8 @@
         free(mesh);
         return NULL;
     }
+    evconnlistener_set_error_cb(mesh->listener, on_accept_failed);
+    accept_pause_init(&mesh->accept_pause, options->base, mesh->listener);
     address_of_socket(evconnlistener_get_fd(mesh->listener), &bound);
     address_format((const struct sockaddr *)&bound.storage, mesh->own_address);
     mesh->rank_seed = str_hash(str_from(mesh->own_address), 1);
@@ -478,6 +490,7 @@
         return;
     }
     event_free(mesh->tick);
+    accept_pause_destroy(&mesh->accept_pause);
     evconnlistener_free(mesh->listener);
     LL_FOREACH_SAFE(mesh->peers, peer, next_peer)
     {
--- a/tests/main.c
+++ b/tests/main.c
@@ -51,6 +51,8 @@
     {"direct", suite_direct},
     {"blame", suite_blame},
     {"direct-store", suite_direct_store},
+    {"crowd", suite_crowd},
+    {"memory", suite_memory},
 };
 
 static bool
