--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -7,6 +7,8 @@
 #include <CUnit/CUnit.h>
 #include <event2/buffer.h>
 
+#include "direct/direct_state.h"
+#include "direct/services.h"
 #include "direct_harness.h"
 #include "net/http_client.h"
 #include "net/link.h"
@@ -27,6 +29,8 @@
 #define DEADLY "dead"
 #define SHARED "aa:100,bb:100"
 #define DEADLY_PROMPT SHARED "," DEADLY ":50"
+/// A prompt that takes longer than a request may wait.
+#define LONG_PROMPT "Dandelionvalve-Prefix-Hash: ee:2000000\r\n"
 #define SOUND_PROMPT SHARED ",cc:50"
 
 struct fleet {
@@ -623,6 +627,43 @@
     direct_harness_stop(&fleet.harness);
 }
 
+/// Guards against: a request that cannot begin before its deadline waits for
+/// it; an overload is not shared by account, or the refusals are not counted.
+static void
+test_refusals_with_shares(void)
+{
+    struct fleet fleet;
+    struct direct_call call = {0};
+    struct services *services;
+    int refused = 0;
+
+    fleet_start(&fleet, 1, WORK_US);
+    direct_call_do(&fleet.harness, 0, &call, "POST", DRAFT, "off", LONG_PROMPT,
+                   "x");
+    CU_ASSERT(call.status == 200);
+    direct_call_free(&call);
+    fleet.harness.settings[0].shares = true;
+    direct_reload(fleet.harness.routers[0], &fleet.harness.settings[0]);
+    call = (struct direct_call){0};
+    direct_call_do(&fleet.harness, 0, &call, "POST", DRAFT, "on", LONG_PROMPT,
+                   "y");
+    CU_ASSERT(call.status == 503);
+    direct_call_free(&call);
+    CU_ASSERT(metric(&fleet, 0, "dandelionvalve_untimely_total") == 1);
+    services = direct_services(fleet.harness.routers[0]);
+    for (int i = 0; i < 10; i++) {
+        for (uint32_t priority = 0; priority < 10; priority++) {
+            services_shed(services, STR_LITERAL("models"), priority)
+                ->refused_share = SHED_SHARE_MAX;
+        }
+        refused += call_status(&fleet, 0, DRAFT, SOUND_PROMPT) == 503 ? 1 : 0;
+    }
+    CU_ASSERT(refused > 0);
+    CU_ASSERT(metric(&fleet, 0, "dandelionvalve_shed_total") == refused);
+    CU_ASSERT(metric(&fleet, 0, "admission_sums_age_ms") == -1);
+    direct_harness_stop(&fleet.harness);
+}
+
 static void
 set_faults(struct fleet *fleet, enum origin_fault fault, const char *part)
 {
@@ -718,6 +759,7 @@
                 test_last_part_is_never_held);
     CU_add_test(suite, "earlier version receives no reports",
                 test_earlier_version_receives_no_reports);
+    CU_add_test(suite, "refusals with shares", test_refusals_with_shares);
     CU_add_test(suite, "shares to the present version only",
                 test_shares_to_present_version_only);
     CU_add_test(suite, "deadly request among many waiting",
