measure: evenness of the endpoints' load behind 4 to 350 routers

A replay without a network with place_choose(), late reports, partial links above 40 routers, slow periods, shared prompt parts and returning sessions. Baselines: complete, current information; least load by the last reports. In a full mesh the reuse of prompts makes the load uneven, not the age of reports. With partial links the endpoints that a router has recently heard from look loaded and all others idle, which spreads prompts and prefills shared parts again.

--- /dev/null
+++ b/measure/crowded_fleet.c
@@ -0,0 +1,844 @@
+#include "crowded_fleet.h"
+
+#include <math.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/place.h"
+#include "core/xmalloc.h"
+#include "direct/endpoints.h"
+#include "direct/mesh.h"
+
+#define DURATION_MS 15000
+#define WARM_UP_MS 5000
+#define SAMPLE_MS 50
+#define REQUESTS_PER_S 9.0 ///< for each endpoint
+#define SLOTS 64
+#define ACTIVE_MAX 1024 ///< requests at one endpoint
+#define CONTEXTS 64     ///< shared first parts of prompts
+#define CACHED_MAX 40   ///< contexts that an endpoint caches
+#define CONTEXT_TOKENS_MIN 2000
+#define CONTEXT_TOKENS_MAX 10500
+#define HISTORY_TOKENS 900 ///< second part, of a returning session
+#define QUESTION_TOKENS 400
+#define SESSIONS 4096
+#define RETURNING_SHARE 0.5
+#define OUTPUT_TOKENS_MEAN 300
+#define EVENT_TOKENS 8
+#define STEP_US 3500
+#define STEP_US_PER_RUNNING 35
+#define CHUNK_TOKENS 1536
+#define PREFILL_TOKENS_PER_MS 90.0
+#define SLOW_PERIOD_MS 600
+#define SLOW_SHARE 0.15
+#define SLOW_FACTOR 2.5
+#define FIRST_EVENT_MS 800
+#define GAP_MS 300
+#define PLACED_DELAY_MS 50 ///< until peers know of a placement
+#define CAP_FACTOR 2
+#define CAP_SLACK 3
+#define LINKS_MAX 64
+#define DECAY_MS 500.0
+#define SUBSET_ENDPOINTS 8
+
+struct call {
+    uint32_t router;
+    uint32_t tokens_left;
+    uint32_t prefill_left;
+    uint32_t prompt_uncached; ///< as the router counts its backlog
+    uint32_t event_tokens;
+    int64_t arrived_us;
+    int64_t event_us;
+    bool started;
+    bool late;
+};
+
+struct engine {
+    struct call calls[ACTIVE_MAX]; ///< in order of arrival
+    size_t count;
+    int64_t step_ends_us;
+    int64_t slow_until_ms;
+    int64_t
+        used_ms[CONTEXTS]; ///< last use of a cached context; -1: not cached
+    size_t cached;
+};
+
+/// What a router knows of one endpoint.
+struct view {
+    uint32_t own;
+    uint32_t own_backlog;
+    uint32_t reported; ///< own, as last sent to the peers
+    uint32_t reported_backlog;
+    uint32_t peers; ///< sum of the peers' last reports
+    uint32_t peers_backlog;
+    float unreported;
+    int32_t unreported_ms;
+    bool caches[CONTEXTS];
+};
+
+struct router {
+    struct view *views;
+    uint16_t *sessions; ///< endpoint of each session plus 1; 0: unknown
+    uint32_t links[LINKS_MAX];
+    size_t link_count;
+    int64_t report_ms; ///< next report
+    int64_t reports_ms;
+};
+
+struct placed {
+    int64_t due_ms;
+    uint32_t router;
+    uint16_t endpoint;
+    uint16_t context;
+    uint16_t session;
+};
+
+struct crowded {
+    struct crowded_options options;
+    struct random_seeded load_seed; ///< the same requests for each way
+    struct random_seeded choice_seed;
+    struct random_source load;
+    struct random_source choice;
+    struct engine *engines;
+    struct router *routers;
+    double *router_weights; ///< cumulative shares of the requests
+    uint32_t context_tokens[CONTEXTS];
+    double context_weights[CONTEXTS];
+    uint16_t session_contexts[SESSIONS];
+    uint16_t session_endpoints[SESSIONS]; ///< plus 1
+    uint64_t session_count;
+    struct placed *placed; ///< ring
+    size_t placed_head;
+    size_t placed_tail;
+    struct place_candidate *candidates;
+    int64_t now_ms;
+    struct crowded_result *result;
+    double samples;
+};
+
+#define PLACED_RING 65536
+
+struct prompt {
+    uint32_t context;
+    uint32_t session;
+    bool returning;
+    uint32_t tokens;
+    uint32_t shared;
+};
+
+static uint32_t
+uniform(struct crowded *fleet, uint32_t bound)
+{
+    return (uint32_t)random_below(&fleet->load, bound);
+}
+
+static void
+add_link(struct router *routers, uint32_t a, uint32_t b)
+{
+    for (size_t i = 0; i < routers[a].link_count; i++) {
+        if (routers[a].links[i] == b) {
+            return;
+        }
+    }
+    if (a == b || routers[a].link_count == LINKS_MAX ||
+        routers[b].link_count == LINKS_MAX) {
+        return;
+    }
+    routers[a].links[routers[a].link_count++] = b;
+    routers[b].links[routers[b].link_count++] = a;
+}
+
+static void
+link_routers(struct crowded *fleet)
+{
+    size_t count = fleet->options.routers;
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (count <= MESH_FULL_ROUTERS_MAX) {
+            for (uint32_t j = 0; j < i; j++) {
+                add_link(fleet->routers, i, j);
+            }
+            continue;
+        }
+        for (size_t j = 0; j < MESH_DIALED_MAX; j++) {
+            add_link(fleet->routers, i, uniform(fleet, (uint32_t)count));
+        }
+    }
+}
+
+static void
+init_routers(struct crowded *fleet)
+{
+    size_t count = fleet->options.routers;
+    double sum = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        fleet->routers[i].views =
+            xcalloc(fleet->options.endpoints, sizeof(struct view));
+        fleet->routers[i].sessions = xcalloc(SESSIONS, sizeof(uint16_t));
+        sum += 0.5 + random_unit(&fleet->load);
+        fleet->router_weights[i] = sum;
+    }
+    for (size_t i = 0; i < count; i++) {
+        fleet->router_weights[i] /= sum;
+    }
+    link_routers(fleet);
+    for (size_t i = 0; i < count; i++) {
+        struct router *router = &fleet->routers[i];
+
+        router->reports_ms = MESH_REPORT_MS + MESH_REPORT_MS_PER_PEER *
+                                                  (int64_t)router->link_count;
+        router->report_ms = uniform(fleet, (uint32_t)router->reports_ms);
+    }
+}
+
+static void
+init_prompts(struct crowded *fleet)
+{
+    double sum = 0;
+
+    for (size_t i = 0; i < CONTEXTS; i++) {
+        fleet->context_tokens[i] =
+            CONTEXT_TOKENS_MIN +
+            uniform(fleet, CONTEXT_TOKENS_MAX - CONTEXT_TOKENS_MIN);
+        sum += 1 / pow(1.0 + (double)i, 0.7);
+        fleet->context_weights[i] = sum;
+    }
+    for (size_t i = 0; i < CONTEXTS; i++) {
+        fleet->context_weights[i] /= sum;
+    }
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        for (size_t j = 0; j < CONTEXTS; j++) {
+            fleet->engines[i].used_ms[j] = -1;
+        }
+    }
+}
+
+static size_t
+draw(struct crowded *fleet, const double *weights, size_t count)
+{
+    double at = random_unit(&fleet->load);
+    size_t i = 0;
+
+    while (i + 1 < count && weights[i] < at) {
+        i++;
+    }
+    return i;
+}
+
+static struct prompt
+draw_prompt(struct crowded *fleet)
+{
+    struct prompt prompt = {0};
+    bool returning = random_unit(&fleet->load) < RETURNING_SHARE;
+    uint32_t back = 1 + uniform(fleet, SESSIONS / 2);
+
+    prompt.context = (uint32_t)draw(fleet, fleet->context_weights, CONTEXTS);
+    prompt.session = (uint32_t)(fleet->session_count % SESSIONS);
+    if (returning && back < fleet->session_count) {
+        prompt.returning = true;
+        prompt.session = (uint32_t)((fleet->session_count - back) % SESSIONS);
+        prompt.context = fleet->session_contexts[prompt.session];
+    }
+    else {
+        fleet->session_count++;
+        fleet->session_contexts[prompt.session] = (uint16_t)prompt.context;
+        fleet->session_endpoints[prompt.session] = 0;
+        for (size_t i = 0; i < fleet->options.routers; i++) {
+            fleet->routers[i].sessions[prompt.session] = 0;
+        }
+    }
+    prompt.shared = fleet->context_tokens[prompt.context] +
+                    (prompt.returning ? HISTORY_TOKENS : 0);
+    prompt.tokens = prompt.shared + QUESTION_TOKENS;
+    return prompt;
+}
+
+static uint32_t
+cached_tokens(const struct crowded *fleet, const struct prompt *prompt,
+              bool has_context, bool has_session)
+{
+    if (!has_context) {
+        return 0;
+    }
+    return fleet->context_tokens[prompt->context] +
+           (prompt->returning && has_session ? HISTORY_TOKENS : 0);
+}
+
+/// Tokens of the prompt that the endpoint has cached in fact.
+static uint32_t
+true_cached(const struct crowded *fleet, const struct prompt *prompt, size_t e)
+{
+    return cached_tokens(fleet, prompt,
+                         fleet->engines[e].used_ms[prompt->context] >= 0,
+                         fleet->session_endpoints[prompt->session] == e + 1);
+}
+
+static uint32_t
+true_backlog(const struct engine *engine)
+{
+    uint32_t sum = 0;
+
+    for (size_t i = 0; i < engine->count; i++) {
+        sum += engine->calls[i].prefill_left;
+    }
+    return sum;
+}
+
+static uint32_t
+known_load(const struct crowded *fleet, const struct view *view)
+{
+    uint32_t load = view->own + view->peers;
+
+    if (fleet->now_ms - view->unreported_ms < ENDPOINTS_UNREPORTED_LOAD_MS) {
+        load += (uint32_t)view->unreported;
+    }
+    return load;
+}
+
+static void
+fill_candidates(struct crowded *fleet, const struct router *router,
+                const struct prompt *prompt)
+{
+    bool complete = fleet->options.way == CROWDED_COMPLETE;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        const struct view *view = &router->views[i];
+
+        fleet->candidates[i] = (struct place_candidate){
+            .hash = (i + 1) * UINT64_C(0x9e3779b97f4a7c15),
+            .usable = true,
+            .same_zone = true,
+            .load = complete ? (uint32_t)fleet->engines[i].count
+                             : known_load(fleet, view),
+            .slots = SLOTS,
+            .backlog_tokens = complete
+                                  ? true_backlog(&fleet->engines[i])
+                                  : view->own_backlog + view->peers_backlog,
+            .cached_tokens =
+                complete ? true_cached(fleet, prompt, i)
+                         : cached_tokens(
+                               fleet, prompt, view->caches[prompt->context],
+                               router->sessions[prompt->session] == i + 1),
+        };
+    }
+}
+
+static double
+mean_candidate_load(const struct crowded *fleet)
+{
+    double sum = 0;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        sum += fleet->candidates[i].load;
+    }
+    return sum / (double)fleet->options.endpoints;
+}
+
+/// The candidates that have most of the prompt cached, as far as they are
+/// below the cap; returns their number.
+static size_t
+find_cached(const struct crowded *fleet, uint16_t *pool)
+{
+    double cap = PLACE_CAP_SHARE_MIN *
+                 (CAP_FACTOR * mean_candidate_load(fleet) + CAP_SLACK);
+    uint32_t most = 0;
+    size_t count = 0;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        const struct place_candidate *candidate = &fleet->candidates[i];
+
+        if (candidate->load + 1 > cap || candidate->cached_tokens < most) {
+            continue;
+        }
+        if (candidate->cached_tokens > most) {
+            most = candidate->cached_tokens;
+            count = 0;
+        }
+        pool[count++] = (uint16_t)i;
+    }
+    return most > 0 ? count : 0;
+}
+
+static void
+keep_only(struct crowded *fleet, const uint16_t *pool, size_t count)
+{
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        fleet->candidates[i].usable = false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        fleet->candidates[pool[i]].usable = true;
+    }
+}
+
+static void
+keep_few(struct crowded *fleet, uint16_t *pool, size_t count)
+{
+    size_t few = fleet->options.routers <= 10 ? 4 : 2;
+
+    for (size_t i = 0; i < few && i < count; i++) {
+        size_t j = i + random_below(&fleet->choice, count - i);
+        uint16_t swapped = pool[i];
+
+        pool[i] = pool[j];
+        pool[j] = swapped;
+    }
+    keep_only(fleet, pool, count < few ? count : few);
+}
+
+static void
+keep_by_free_capacity(struct crowded *fleet, uint16_t *pool, size_t count)
+{
+    double cap = CAP_FACTOR * mean_candidate_load(fleet) + CAP_SLACK;
+    double sum = 0, at;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += cap - fleet->candidates[pool[i]].load;
+    }
+    at = sum * random_unit(&fleet->choice);
+    for (size_t i = 0; i < count; i++) {
+        at -= cap - fleet->candidates[pool[i]].load;
+        if (at < 0 || i + 1 == count) {
+            keep_only(fleet, &pool[i], 1);
+            return;
+        }
+    }
+}
+
+static uint64_t
+subset_score(const struct crowded *fleet, size_t router, size_t e)
+{
+    struct random_seeded seeded = {.state =
+                                       router * UINT64_C(0xbf58476d1ce4e5b9) ^
+                                       fleet->candidates[e].hash};
+    struct random_source source = random_seeded_interface(&seeded);
+
+    return random_next(&source);
+}
+
+static void
+keep_subset(struct crowded *fleet, size_t router, uint16_t *pool, size_t count)
+{
+    size_t kept = 0;
+
+    for (; kept < SUBSET_ENDPOINTS && kept < count; kept++) {
+        for (size_t j = kept + 1; j < count; j++) {
+            if (subset_score(fleet, router, pool[j]) >
+                subset_score(fleet, router, pool[kept])) {
+                uint16_t swapped = pool[j];
+
+                pool[j] = pool[kept];
+                pool[kept] = swapped;
+            }
+        }
+    }
+    keep_only(fleet, pool, kept);
+}
+
+/// Peers report at random times, so their reports are half an interval old.
+static void
+decay_loads(struct crowded *fleet, const struct router *router)
+{
+    double weight = exp(-(double)router->reports_ms / 2 / DECAY_MS);
+    double sum = 0;
+    size_t count = fleet->options.endpoints;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += fleet->candidates[i].load - router->views[i].own;
+    }
+    for (size_t i = 0; i < count; i++) {
+        double peers = fleet->candidates[i].load - router->views[i].own;
+
+        fleet->candidates[i].load =
+            router->views[i].own +
+            (uint32_t)(weight * peers + (1 - weight) * sum / (double)count +
+                       0.5);
+    }
+}
+
+/// Routers receive alike requests, so each unknown one is taken to have as
+/// many requests at an endpoint as this one.
+static void
+multiply_own(struct crowded *fleet, const struct router *router)
+{
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        fleet->candidates[i].load +=
+            router->views[i].own *
+            (uint32_t)(fleet->options.routers - 1 - router->link_count);
+    }
+}
+
+static size_t
+choose_least(const struct crowded *fleet)
+{
+    size_t least = random_below(&fleet->choice, fleet->options.endpoints);
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        if (fleet->candidates[i].load < fleet->candidates[least].load) {
+            least = i;
+        }
+    }
+    return least;
+}
+
+static void
+prepare(struct crowded *fleet, size_t router)
+{
+    uint16_t pool[1024];
+    size_t count = find_cached(fleet, pool);
+
+    if (fleet->options.way == CROWDED_DECAY) {
+        decay_loads(fleet, &fleet->routers[router]);
+    }
+    else if (fleet->options.way == CROWDED_OWN) {
+        multiply_own(fleet, &fleet->routers[router]);
+    }
+    else if (count == 0) {
+        return;
+    }
+    else if (fleet->options.way == CROWDED_FEW) {
+        keep_few(fleet, pool, count);
+    }
+    else if (fleet->options.way == CROWDED_FREE) {
+        keep_by_free_capacity(fleet, pool, count);
+    }
+    else if (fleet->options.way == CROWDED_SUBSET) {
+        keep_subset(fleet, router, pool, count);
+    }
+}
+
+static size_t
+choose(struct crowded *fleet, size_t router, const struct prompt *prompt)
+{
+    const struct place_request request = {
+        .random = &fleet->choice,
+        .has_prompt = true,
+        .affinity = (prompt->context + 1) * UINT64_C(0x94d049bb133111eb) +
+                    (prompt->returning ? prompt->session + 1 : 0),
+        .prompt_tokens = prompt->tokens,
+        .shared_tokens = prompt->shared,
+        .prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
+        .cap_factor = CAP_FACTOR,
+        .cap_slack = CAP_SLACK,
+        .routers = fleet->options.routers,
+    };
+    struct place_choice choice;
+
+    fill_candidates(fleet, &fleet->routers[router], prompt);
+    if (fleet->options.way == CROWDED_LEAST) {
+        return choose_least(fleet);
+    }
+    prepare(fleet, router);
+    place_choose(&request, fleet->candidates, fleet->options.endpoints,
+                 &choice);
+    return choice.index;
+}
+
+/// Caches the context in place of the least recently used one. The routers'
+/// estimates evict it as the endpoint does.
+static void
+cache_context(struct crowded *fleet, size_t e, size_t context)
+{
+    struct engine *engine = &fleet->engines[e];
+    size_t oldest = CONTEXTS;
+
+    if (engine->used_ms[context] < 0 && ++engine->cached > CACHED_MAX) {
+        for (size_t i = 0; i < CONTEXTS; i++) {
+            if (engine->used_ms[i] >= 0 &&
+                (oldest == CONTEXTS ||
+                 engine->used_ms[i] < engine->used_ms[oldest])) {
+                oldest = i;
+            }
+        }
+        engine->used_ms[oldest] = -1;
+        engine->cached--;
+        for (size_t i = 0; i < fleet->options.routers; i++) {
+            fleet->routers[i].views[e].caches[oldest] = false;
+        }
+    }
+    engine->used_ms[context] = fleet->now_ms;
+}
+
+static void
+note_placed(struct crowded *fleet, size_t router, size_t e,
+            const struct prompt *prompt)
+{
+    fleet->placed[fleet->placed_tail++ % PLACED_RING] = (struct placed){
+        .due_ms = fleet->now_ms + PLACED_DELAY_MS,
+        .router = (uint32_t)router,
+        .endpoint = (uint16_t)e,
+        .context = (uint16_t)prompt->context,
+        .session = (uint16_t)prompt->session,
+    };
+    fleet->routers[router].views[e].caches[prompt->context] = true;
+    fleet->routers[router].sessions[prompt->session] = (uint16_t)(e + 1);
+}
+
+static void
+deliver_placed(struct crowded *fleet)
+{
+    while (fleet->placed_head < fleet->placed_tail) {
+        const struct placed *placed =
+            &fleet->placed[fleet->placed_head % PLACED_RING];
+        const struct router *from = &fleet->routers[placed->router];
+
+        if (placed->due_ms > fleet->now_ms) {
+            return;
+        }
+        for (size_t i = 0; i < from->link_count; i++) {
+            struct router *to = &fleet->routers[from->links[i]];
+
+            to->views[placed->endpoint].caches[placed->context] = true;
+            to->sessions[placed->session] = (uint16_t)(placed->endpoint + 1);
+        }
+        fleet->placed_head++;
+    }
+}
+
+static double
+true_mean(const struct crowded *fleet)
+{
+    double sum = 0;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        sum += (double)fleet->engines[i].count;
+    }
+    return sum / (double)fleet->options.endpoints;
+}
+
+static void
+place_request(struct crowded *fleet)
+{
+    struct prompt prompt = draw_prompt(fleet);
+    size_t router = draw(fleet, fleet->router_weights, fleet->options.routers);
+    double output = -log(1 - random_unit(&fleet->load)) * OUTPUT_TOKENS_MEAN;
+    size_t e = choose(fleet, router, &prompt);
+    struct engine *engine = &fleet->engines[e];
+    struct view *view = &fleet->routers[router].views[e];
+    uint32_t cached = true_cached(fleet, &prompt, e);
+    bool counts = fleet->now_ms >= WARM_UP_MS;
+    struct call call = {
+        .router = (uint32_t)router,
+        .tokens_left = 1 + (uint32_t)output,
+        .prefill_left = prompt.tokens - cached,
+        .prompt_uncached = prompt.tokens - fleet->candidates[e].cached_tokens,
+        .arrived_us = fleet->now_ms * 1000,
+    };
+
+    if (engine->count == ACTIVE_MAX) {
+        fleet->result->late++;
+        return;
+    }
+    fleet->result->requests += counts;
+    fleet->result->again_tokens += counts ? prompt.shared - cached : 0;
+    fleet->result->over_cap +=
+        counts &&
+        (double)engine->count + 1 > CAP_FACTOR * true_mean(fleet) + CAP_SLACK;
+    engine->calls[engine->count++] = call;
+    view->own++;
+    view->own_backlog += call.prompt_uncached;
+    cache_context(fleet, e, prompt.context);
+    fleet->session_endpoints[prompt.session] = (uint16_t)(e + 1);
+    note_placed(fleet, router, e, &prompt);
+}
+
+/// The router learns the endpoint's load from the head of the answer, as in
+/// endpoint_note_stated_load().
+static void
+start_answer(struct crowded *fleet, size_t e, struct call *call)
+{
+    struct view *view = &fleet->routers[call->router].views[e];
+    double excess = (double)fleet->engines[e].count - view->own - view->peers;
+
+    call->started = true;
+    view->own_backlog -= call->prompt_uncached;
+    view->unreported += (float)(ENDPOINTS_UNREPORTED_LOAD_WEIGHT *
+                                (excess - view->unreported));
+    if (view->unreported < 0) {
+        view->unreported = 0;
+    }
+    view->unreported_ms = (int32_t)fleet->now_ms;
+}
+
+/// True if the request has ended.
+static bool
+add_token(struct crowded *fleet, size_t e, struct call *call, int64_t now_us)
+{
+    int64_t since_us = call->started ? call->event_us : call->arrived_us;
+    int64_t limit_ms = call->started ? GAP_MS : FIRST_EVENT_MS;
+
+    call->tokens_left--;
+    if (++call->event_tokens % EVENT_TOKENS == 0 || call->tokens_left == 0) {
+        call->late = call->late || now_us - since_us > limit_ms * 1000;
+        call->event_us = now_us;
+        if (!call->started) {
+            start_answer(fleet, e, call);
+        }
+    }
+    if (call->tokens_left > 0) {
+        return false;
+    }
+    fleet->routers[call->router].views[e].own--;
+    fleet->result->late +=
+        call->late && call->arrived_us >= (int64_t)WARM_UP_MS * 1000;
+    return true;
+}
+
+static void
+run_step(struct crowded *fleet, size_t e)
+{
+    struct engine *engine = &fleet->engines[e];
+    double slow = fleet->now_ms < engine->slow_until_ms ? SLOW_FACTOR : 1;
+    int64_t now_us = engine->step_ends_us;
+    uint32_t chunk = 0;
+    size_t running = 0, kept = 0;
+
+    for (size_t i = 0; i < engine->count; i++) {
+        struct call *call = &engine->calls[i];
+        bool ended = false;
+
+        if (kept < SLOTS && call->prefill_left > 0 && chunk == 0) {
+            chunk = call->prefill_left < CHUNK_TOKENS ? call->prefill_left
+                                                      : CHUNK_TOKENS;
+            call->prefill_left -= chunk;
+        }
+        else if (kept < SLOTS && call->prefill_left == 0) {
+            running++;
+            ended = add_token(fleet, e, call, now_us);
+        }
+        if (!ended) {
+            engine->calls[kept++] = *call;
+        }
+    }
+    engine->count = kept;
+    engine->step_ends_us +=
+        (int64_t)(slow * (STEP_US + STEP_US_PER_RUNNING * (double)running +
+                          1000 * chunk / PREFILL_TOKENS_PER_MS));
+}
+
+static void
+run_engines(struct crowded *fleet)
+{
+    const double slow_per_ms = SLOW_SHARE / (1 - SLOW_SHARE) / SLOW_PERIOD_MS;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        struct engine *engine = &fleet->engines[i];
+        bool begins = random_unit(&fleet->load) < slow_per_ms;
+
+        if (begins && fleet->now_ms >= engine->slow_until_ms) {
+            engine->slow_until_ms = fleet->now_ms + SLOW_PERIOD_MS;
+        }
+        while (engine->step_ends_us <= fleet->now_ms * 1000) {
+            run_step(fleet, i);
+        }
+    }
+}
+
+static void
+send_reports(struct crowded *fleet)
+{
+    for (size_t i = 0; i < fleet->options.routers; i++) {
+        struct router *router = &fleet->routers[i];
+
+        if (fleet->now_ms < router->report_ms) {
+            continue;
+        }
+        router->report_ms += router->reports_ms;
+        for (size_t e = 0; e < fleet->options.endpoints; e++) {
+            struct view *view = &router->views[e];
+
+            if (view->own == view->reported &&
+                view->own_backlog == view->reported_backlog) {
+                continue;
+            }
+            for (size_t j = 0; j < router->link_count; j++) {
+                struct view *to = &fleet->routers[router->links[j]].views[e];
+
+                to->peers += view->own - view->reported;
+                to->peers_backlog +=
+                    view->own_backlog - view->reported_backlog;
+            }
+            view->reported = view->own;
+            view->reported_backlog = view->own_backlog;
+        }
+    }
+}
+
+static void
+sample(struct crowded *fleet)
+{
+    double mean = true_mean(fleet);
+    double square = 0;
+    bool over = false, under = false;
+
+    for (size_t i = 0; i < fleet->options.endpoints; i++) {
+        double load = (double)fleet->engines[i].count;
+
+        square += (load - mean) * (load - mean);
+        over = over || load > 1.5 * mean;
+        under = under || load < 0.5 * mean;
+    }
+    fleet->samples++;
+    fleet->result->mean_load += mean;
+    fleet->result->variation +=
+        sqrt(square / (double)fleet->options.endpoints) / mean;
+    fleet->result->uneven_share += over && under;
+}
+
+static void
+step(struct crowded *fleet)
+{
+    double rate = REQUESTS_PER_S * (double)fleet->options.endpoints / 1000;
+
+    run_engines(fleet);
+    deliver_placed(fleet);
+    send_reports(fleet);
+    // Exponential gaps between requests.
+    for (double at = -log(1 - random_unit(&fleet->load)) / rate; at < 1;
+         at -= log(1 - random_unit(&fleet->load)) / rate) {
+        place_request(fleet);
+    }
+    if (fleet->now_ms >= WARM_UP_MS && fleet->now_ms % SAMPLE_MS == 0) {
+        sample(fleet);
+    }
+}
+
+void
+crowded_run(const struct crowded_options *options,
+            struct crowded_result *result)
+{
+    struct crowded fleet = {
+        .options = *options,
+        .load_seed.state = options->seed,
+        .choice_seed.state = options->seed + 1000,
+        .engines = xcalloc(options->endpoints, sizeof(struct engine)),
+        .routers = xcalloc(options->routers, sizeof(struct router)),
+        .router_weights = xcalloc(options->routers, sizeof(double)),
+        .placed = xcalloc(PLACED_RING, sizeof(struct placed)),
+        .candidates =
+            xcalloc(options->endpoints, sizeof(struct place_candidate)),
+        .result = result,
+    };
+
+    *result = (struct crowded_result){0};
+    fleet.load = random_seeded_interface(&fleet.load_seed);
+    fleet.choice = random_seeded_interface(&fleet.choice_seed);
+    init_routers(&fleet);
+    init_prompts(&fleet);
+    for (; fleet.now_ms < DURATION_MS; fleet.now_ms++) {
+        step(&fleet);
+    }
+    result->variation /= fleet.samples;
+    result->uneven_share /= fleet.samples;
+    result->mean_load /= fleet.samples;
+    for (size_t i = 0; i < options->routers; i++) {
+        free(fleet.routers[i].views);
+        free(fleet.routers[i].sessions);
+    }
+    free(fleet.engines);
+    free(fleet.routers);
+    free(fleet.router_weights);
+    free(fleet.placed);
+    free(fleet.candidates);
+}
--- a/measure/main.c
+++ b/measure/main.c
@@ -16,6 +16,7 @@
 } measurements[] = {
     {"routing", measure_routing},
     {"fairness", measure_fairness},
+    {"evenness", measure_evenness},
     {"claims", measure_claims},
     {"control", measure_control},
     {"slopes", measure_slopes},
--- a/measure/measure.h
+++ b/measure/measure.h
@@ -13,6 +13,7 @@
 /// all targets are met.
 int measure_routing(const struct measure_options *options);
 int measure_scale(const struct measure_options *options);
+int measure_evenness(const struct measure_options *options);
 int measure_fairness(const struct measure_options *options);
 int measure_retries(const struct measure_options *options);
 int measure_quarantine(const struct measure_options *options);
