spread, place: loads that no report contains are estimated with even_load

The setting [placement] even_load (default false) makes a router estimate the load of the routers that it is not linked to: from its share of known routers and from what recent answers stated. A prompt of which half of the shared tokens are cached somewhere is no longer placed at a presumed home, which prefilled the shared context again for each session whose endpoint was unknown. A request in flight costs 2 ms more.

The offer log line has compared= (the load that was compared); the metrics even_load and load_known_share show the setting and the share of routers known. No message, report or probe is added.

--- a/core/place.c
+++ b/core/place.c
@@ -68,15 +68,18 @@
     }
 }
 
-/// True if a usable endpoint is recorded to have all shared parts of the
-/// prompt cached.
+/// True if a usable endpoint is recorded to have the shared parts of the
+/// prompt cached. With `even_load`, half of the tokens are enough: a session
+/// whose endpoint is unknown goes where its other parts are cached.
 static bool
 is_cached_anywhere(const struct place_request *request,
                    const struct place_candidate *candidates, size_t count)
 {
+    uint32_t enough = request->even_load ? request->shared_tokens / 2
+                                         : request->shared_tokens;
+
     for (size_t i = 0; i < count; i++) {
-        if (candidates[i].usable &&
-            candidates[i].cached_tokens >= request->shared_tokens) {
+        if (candidates[i].usable && candidates[i].cached_tokens >= enough) {
             return true;
         }
     }
@@ -120,6 +123,14 @@
            (over > 0 ? 20 * PLACE_IN_FLIGHT_COST_MS * over : 0);
 }
 
+/// With `even_load`, prompts leave the endpoint of a short history sooner.
+static double
+even_load_cost_ms(const struct place_request *request,
+                  const struct place_candidate *candidate)
+{
+    return request->even_load ? PLACE_EVEN_LOAD_COST_MS * candidate->load : 0;
+}
+
 static double
 cap_share(size_t routers)
 {
@@ -288,6 +299,7 @@
         }
         saving = find_best_saving(request, candidates, &sources, candidate);
         predict(request, candidate, home, &saving, &here);
+        here.cost_ms += even_load_cost_ms(request, candidate);
         if (found && (best_fits > fits || (best_fits == fits &&
                                            here.cost_ms >= choice->cost_ms))) {
             continue;
@@ -295,6 +307,7 @@
         found = true;
         best_fits = fits;
         here.index = i;
+        here.load = candidate->load;
         here.reason = reason_of(candidate, fits, home);
         *choice = here;
     }
--- a/core/place.h
+++ b/core/place.h
@@ -17,6 +17,9 @@
 /// Cost of one request in flight. It only breaks ties, since the cap balances
 /// the load: one more request in a batch slows the others by 0.1 ms a step.
 #define PLACE_IN_FLIGHT_COST_MS 1.0
+/// Further cost of one request in flight with `even_load`. 4 ms made the
+/// routers prefill more shared tokens again than without it.
+#define PLACE_EVEN_LOAD_COST_MS 2.0
 /// Weight of prefill time relative to queueing time: a prefill delays every
 /// request at the endpoint.
 #define PLACE_PREFILL_WEIGHT 3.0
@@ -49,6 +52,11 @@
     uint64_t zone;
     uint32_t load;  ///< requests in flight; with a prompt, of all routers
     uint32_t slots; ///< requests that it processes at once
+    /// Figures of spread_estimate().
+    uint32_t own_load;      ///< requests in flight of this router
+    uint32_t reported_load; ///< those and the peers' by their last reports
+    double stated_excess;   ///< what the last answer stated beyond these
+    int64_t stated_age_ms;  ///< of that answer; -1: none
     double backlog_tokens;  ///< prompt tokens that it has still to prefill
     uint32_t cached_tokens; ///< of this prompt, presumed cached there
 };
@@ -56,7 +64,9 @@
 struct place_request {
     const struct random_source *random;
     bool has_prompt;
-    uint64_t affinity; ///< see prefix_affinity()
+    bool even_load;     ///< loads are those of spread_estimate()
+    double known_share; ///< of the routers, whose loads are reported
+    uint64_t affinity;  ///< see prefix_affinity()
     uint32_t prompt_tokens;
     uint32_t shared_tokens;       ///< of the parts that other requests share
     double prefill_tokens_per_ms; ///< of the service's endpoints
@@ -80,6 +90,7 @@
     double cost_ms;
     double predicted_prefill_ms; ///< predicted time until prefill ends
     double mean_load;
+    uint32_t load; ///< of the chosen candidate, as it was compared
     size_t usable; ///< number of usable candidates
     size_t source; ///< candidate to fetch from, or PLACE_NO_SOURCE
     uint32_t fetched_tokens;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -263,6 +263,17 @@
     settings->settle_ms = (int64_t)settle_ms;
 }
 
+static void
+read_placement(struct toml_table *root, struct settings_direct *settings,
+               struct err *err)
+{
+    struct toml_table *placement = toml_subtable(root, "placement", err);
+
+    if (placement != NULL) {
+        toml_get_bool(placement, "even_load", &settings->even_load, err);
+    }
+}
+
 bool
 settings_read_direct(const char *file, struct settings_direct *settings,
                      struct toml_doc **out, struct err *err)
@@ -291,6 +302,7 @@
         get_address(root, "metrics", &settings->metrics, err);
     read_links(root, settings, err);
     read_bounds(root, settings, err);
+    read_placement(root, settings, err);
     return close_doc(doc, out, err);
 }
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -67,6 +67,7 @@
     int64_t budget_slack; ///< further retries, shared by all routers
     int64_t settle_ms;    ///< of the store after a disruption
     double cap_factor;    ///< load bound of an endpoint over the mean load
+    bool even_load;       ///< estimate the loads that no report contains
 };
 
 struct settings_standin_group {
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -614,14 +614,15 @@
     int64_t now_ms = exchange->offered_ms;
 
     LOG_INFO("event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
-             " reason=%s context=%08x in_flight=%u load=%u report_age_ms=%lld "
+             " reason=%s context=%08x in_flight=%u load=%u compared=%u "
+             "report_age_ms=%lld "
              "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
              " fetched=%u predicted_ms=%.0f left_ms=%lld version=%lld "
              "offer=%zu",
              exchange->id, STR_ARG(exchange->route->name),
              STR_ARG(endpoint->id), place_reason_name(place->reason),
              (uint32_t)prefix_affinity(&exchange->facts.prefix),
-             endpoint->in_flight, endpoint_load(endpoint, now_ms),
+             endpoint->in_flight, endpoint_load(endpoint, now_ms), place->load,
              (long long)endpoint_report_age_ms(endpoint, now_ms),
              place->mean_load, place->usable, cached,
              exchange->uncached_tokens,
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -325,15 +325,16 @@
     settings->budget_ratio = updated->budget_ratio;
     settings->budget_slack = updated->budget_slack;
     settings->cap_factor = updated->cap_factor;
+    settings->even_load = updated->even_load;
     settings->keys = updated->keys;
     for (size_t i = 0; direct->mesh != NULL && i < updated->seed_count; i++) {
         mesh_add(direct->mesh, &updated->seeds[i]);
     }
     LOG_INFO("event=reload grace_ms=%lld retry_ratio=%.3f retry_slack=%lld "
-             "load_cap_factor=%.2f seeds=%zu",
+             "load_cap_factor=%.2f even_load=%d seeds=%zu",
              (long long)settings->grace_ms, settings->budget_ratio,
              (long long)settings->budget_slack, settings->cap_factor,
-             updated->seed_count);
+             settings->even_load, updated->seed_count);
 }
 
 struct address
@@ -422,6 +423,19 @@
     return fleet > ROUTERS_ASSUMED_MIN ? fleet : ROUTERS_ASSUMED_MIN;
 }
 
+double
+direct_known_share(const struct direct *direct)
+{
+    double known, all;
+
+    if (direct->mesh == NULL) {
+        return 1;
+    }
+    known = (double)mesh_linked_count(direct->mesh) + 1;
+    all = (double)mesh_fleet_size(direct->mesh);
+    return known < all ? known / all : 1;
+}
+
 struct retry_budget *
 direct_retry_budget(struct direct *direct, struct str service)
 {
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -61,6 +61,10 @@
 /// minimum that is assumed while links are set up.
 size_t direct_router_count(const struct direct *direct);
 
+/// Share of the routers whose requests in flight are reported to this one,
+/// itself included.
+double direct_known_share(const struct direct *direct);
+
 /// Prefill speed of the endpoints, averaged over the samples of answers.
 double direct_prefill_tokens_per_ms(const struct direct *direct);
 void direct_record_prefill(struct direct *direct, uint32_t tokens, int64_t ms);
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -28,6 +28,8 @@
     struct direct *direct = exchange->direct;
     const struct catalog_service *service =
         catalog_find_service(exchange->catalog, exchange->service);
+    bool is_even =
+        direct_settings(direct)->even_load && exchange->facts.prefix.count > 0;
     const struct endpoints_query query = {
         .service = exchange->service,
         .prefix = &exchange->facts.prefix,
@@ -37,6 +39,8 @@
     const struct place_request request = {
         .random = direct_random(direct),
         .has_prompt = exchange->facts.prefix.count > 0,
+        .even_load = is_even,
+        .known_share = is_even ? direct_known_share(direct) : 1,
         .affinity = prefix_affinity(&exchange->facts.prefix),
         .prompt_tokens = prefix_tokens(&exchange->facts.prefix),
         .shared_tokens = prefix_shared_tokens(&exchange->facts.prefix),
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/spread.h"
 #include "core/xmalloc.h"
 #include "net/channel.h"
 #include "net/log.h"
@@ -343,6 +344,7 @@
 {
     double excess = (double)stated - reported_load(endpoint, now_ms);
 
+    endpoint->stated_excess = excess;
     endpoint->unreported_load += ENDPOINTS_UNREPORTED_LOAD_WEIGHT *
                                  (excess - endpoint->unreported_load);
     if (endpoint->unreported_load < 0) {
@@ -501,6 +503,12 @@
             .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
                                         : endpoint->in_flight,
             .slots = endpoint->slots,
+            .own_load = endpoint->in_flight,
+            .reported_load = reported_load(endpoint, now_ms),
+            .stated_excess = endpoint->stated_excess,
+            .stated_age_ms = endpoint->unreported_ms > 0
+                                 ? now_ms - endpoint->unreported_ms
+                                 : -1,
             .backlog_tokens = total_backlog(endpoint, now_ms),
             .cached_tokens =
                 prefix_estimate_match(endpoint->cache, query->prefix),
@@ -508,6 +516,9 @@
         count++;
     }
     apply_ejections(candidates, count, ejected);
+    if (request->even_load) {
+        spread_estimate(candidates, count, request->known_share);
+    }
     *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -64,6 +64,7 @@
     struct endpoint_peer_load peers[ENDPOINT_PEERS_MAX];
     size_t peer_count;
     double unreported_load; ///< smoothed requests there that no router reports
+    double stated_excess;   ///< in the last answer, beyond the reports
     int64_t unreported_ms;  ///< time of the last answer that stated a load
     bool removed;
     int64_t lapse_at_ms; ///< when a missing entry expires; 0: not missing
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -132,6 +132,8 @@
     }
     fprintf(out, "prompt_parts_held %zu\n",
             suspects_held_count(direct->blame.suspects));
+    fprintf(out, "even_load %d\nload_known_share %.3f\n",
+            direct->settings.even_load, direct_known_share(direct));
     fprintf(out, "routers_linked %zu\nconfiguration_known %d\n",
             direct->mesh != NULL ? mesh_linked_count(direct->mesh) : 0,
             direct->catalog != NULL);
--- a/measure/crowded_fleet.c
+++ b/measure/crowded_fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "core/place.h"
+#include "core/spread.h"
 #include "core/xmalloc.h"
 #include "direct/endpoints.h"
 #include "direct/mesh.h"
@@ -73,7 +74,9 @@
     uint32_t peers; ///< sum of the peers' last reports
     uint32_t peers_backlog;
     float unreported;
-    int32_t unreported_ms;
+    int32_t unreported_ms; ///< time of the last answer
+    float stated_excess;   ///< as that answer stated
+    bool answered;
     bool caches[CONTEXTS];
 };
 
@@ -113,6 +116,7 @@
     size_t placed_tail;
     struct place_candidate *candidates;
     int64_t now_ms;
+    double next_request_ms;
     struct crowded_result *result;
     double samples;
 };
@@ -313,6 +317,11 @@
             .load = complete ? (uint32_t)fleet->engines[i].count
                              : known_load(fleet, view),
             .slots = SLOTS,
+            .own_load = view->own,
+            .reported_load = view->own + view->peers,
+            .stated_excess = view->stated_excess,
+            .stated_age_ms =
+                view->answered ? fleet->now_ms - view->unreported_ms : -1,
             .backlog_tokens = complete
                                   ? true_backlog(&fleet->engines[i])
                                   : view->own_backlog + view->peers_backlog,
@@ -514,6 +523,10 @@
     const struct place_request request = {
         .random = &fleet->choice,
         .has_prompt = true,
+        .even_load = fleet->options.way == CROWDED_EVEN ||
+                     fleet->options.way == CROWDED_HOMES,
+        .known_share = (double)(fleet->routers[router].link_count + 1) /
+                       (double)fleet->options.routers,
         .affinity = (prompt->context + 1) * UINT64_C(0x94d049bb133111eb) +
                     (prompt->returning ? prompt->session + 1 : 0),
         .prompt_tokens = prompt->tokens,
@@ -530,6 +543,11 @@
         return choose_least(fleet);
     }
     prepare(fleet, router);
+    if (fleet->options.way == CROWDED_EVEN ||
+        fleet->options.way == CROWDED_GUESS) {
+        spread_estimate(fleet->candidates, fleet->options.endpoints,
+                        request.known_share);
+    }
     place_choose(&request, fleet->candidates, fleet->options.endpoints,
                  &choice);
     return choice.index;
@@ -659,6 +677,8 @@
         view->unreported = 0;
     }
     view->unreported_ms = (int32_t)fleet->now_ms;
+    view->stated_excess = (float)excess;
+    view->answered = true;
 }
 
 /// True if the request has ended.
@@ -794,10 +814,9 @@
     run_engines(fleet);
     deliver_placed(fleet);
     send_reports(fleet);
-    // Exponential gaps between requests.
-    for (double at = -log(1 - random_unit(&fleet->load)) / rate; at < 1;
-         at -= log(1 - random_unit(&fleet->load)) / rate) {
+    while (fleet->next_request_ms < (double)(fleet->now_ms + 1)) {
         place_request(fleet);
+        fleet->next_request_ms -= log(1 - random_unit(&fleet->load)) / rate;
     }
     if (fleet->now_ms >= WARM_UP_MS && fleet->now_ms % SAMPLE_MS == 0) {
         sample(fleet);
--- a/measure/crowded_fleet.h
+++ b/measure/crowded_fleet.h
@@ -16,7 +16,9 @@
     CROWDED_FREE,     ///< random by free capacity, of those
     CROWDED_OWN,      ///< own requests stand for those of unknown routers
     CROWDED_SUBSET,   ///< few endpoints for each router, of those
-    CROWDED_EVEN,     ///< place_choose() with even_load
+    CROWDED_HOMES,    ///< even_load without estimated loads
+    CROWDED_GUESS,    ///< estimated loads without even_load
+    CROWDED_EVEN,     ///< even_load and estimated loads
 };
 
 struct crowded_options {
--- a/measure/evenness.c
+++ b/measure/evenness.c
@@ -15,6 +15,8 @@
     {"place", CROWDED_PLACE},       {"decay", CROWDED_DECAY},
     {"few", CROWDED_FEW},           {"free", CROWDED_FREE},
     {"own", CROWDED_OWN},           {"subset", CROWDED_SUBSET},
+    {"homes", CROWDED_HOMES},       {"guess", CROWDED_GUESS},
+    {"even", CROWDED_EVEN},
 };
 
 static void
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -96,12 +96,14 @@
                      "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
                      "[bounds]\ngrace_s = 7.5\nstore_settle_ms = 2999.5\n"
                      "retry_window_s = 9.5\nretry_ratio = 1\n"
-                     "retry_slack = 24.6\nload_cap_factor = 2\n");
+                     "retry_slack = 24.6\nload_cap_factor = 2\n"
+                     "[placement]\neven_load = true\n");
     CU_ASSERT_FATAL(settings_read_direct(name, &settings, &doc, &err));
     CU_ASSERT(settings.grace_ms == 7500);
     CU_ASSERT(settings.settle_ms == 2999);
     CU_ASSERT(settings.budget_window_ms == 9500);
     CU_ASSERT(settings.budget_slack == 24);
+    CU_ASSERT(settings.even_load);
     toml_free(doc);
     unlink(name);
 }
