--- a/measure/crowded_fleet.c
+++ b/measure/crowded_fleet.c
@@ -1,13 +1,10 @@
 #include "crowded_fleet.h"
 
 #include <math.h>
-#include <stdbool.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "core/place.h"
-#include "core/spread.h"
 #include "core/xmalloc.h"
+#include "crowded_state.h"
 #include "direct/endpoints.h"
 #include "direct/mesh.h"
 
@@ -15,122 +12,24 @@
 #define WARM_UP_MS 5000
 #define SAMPLE_MS 50
 #define REQUESTS_PER_S 9.0 ///< for each endpoint
-#define SLOTS 64
-#define ACTIVE_MAX 1024 ///< requests at one endpoint
-#define CONTEXTS 64     ///< shared first parts of prompts
-#define CACHED_MAX 40   ///< contexts that an endpoint caches
+#define CACHED_MAX 40      ///< contexts that an endpoint caches
 #define CONTEXT_TOKENS_MIN 2000
 #define CONTEXT_TOKENS_MAX 10500
-#define HISTORY_TOKENS 900 ///< second part, of a returning session
 #define QUESTION_TOKENS 400
-#define SESSIONS 4096
 #define RETURNING_SHARE 0.5
 #define OUTPUT_TOKENS_MEAN 300
 #define EVENT_TOKENS 8
 #define STEP_US 3500
 #define STEP_US_PER_RUNNING 35
 #define CHUNK_TOKENS 1536
-#define PREFILL_TOKENS_PER_MS 90.0
 #define SLOW_PERIOD_MS 600
 #define SLOW_SHARE 0.15
 #define SLOW_FACTOR 2.5
 #define FIRST_EVENT_MS 800
 #define GAP_MS 300
 #define PLACED_DELAY_MS 50 ///< until peers know of a placement
-#define CAP_FACTOR 2
-#define CAP_SLACK 3
-#define LINKS_MAX 64
-#define DECAY_MS 500.0
-#define SUBSET_ENDPOINTS 8
-
-struct call {
-    uint32_t router;
-    uint32_t tokens_left;
-    uint32_t prefill_left;
-    uint32_t prompt_uncached; ///< as the router counts its backlog
-    uint32_t event_tokens;
-    int64_t arrived_us;
-    int64_t event_us;
-    bool started;
-    bool late;
-};
-
-struct engine {
-    struct call calls[ACTIVE_MAX]; ///< in order of arrival
-    size_t count;
-    int64_t step_ends_us;
-    int64_t slow_until_ms;
-    int64_t
-        used_ms[CONTEXTS]; ///< last use of a cached context; -1: not cached
-    size_t cached;
-};
-
-/// What a router knows of one endpoint.
-struct view {
-    uint32_t own;
-    uint32_t own_backlog;
-    uint32_t reported; ///< own, as last sent to the peers
-    uint32_t reported_backlog;
-    uint32_t peers; ///< sum of the peers' last reports
-    uint32_t peers_backlog;
-    float unreported;
-    int32_t unreported_ms; ///< time of the last answer
-    float stated_excess;   ///< as that answer stated
-    bool answered;
-    bool caches[CONTEXTS];
-};
-
-struct router {
-    struct view *views;
-    uint16_t *sessions; ///< endpoint of each session plus 1; 0: unknown
-    uint32_t links[LINKS_MAX];
-    size_t link_count;
-    int64_t report_ms; ///< next report
-    int64_t reports_ms;
-};
-
-struct placed {
-    int64_t due_ms;
-    uint32_t router;
-    uint16_t endpoint;
-    uint16_t context;
-    uint16_t session;
-};
-
-struct crowded {
-    struct crowded_options options;
-    struct random_seeded load_seed; ///< the same requests for each way
-    struct random_seeded choice_seed;
-    struct random_source load;
-    struct random_source choice;
-    struct engine *engines;
-    struct router *routers;
-    double *router_weights; ///< cumulative shares of the requests
-    uint32_t context_tokens[CONTEXTS];
-    double context_weights[CONTEXTS];
-    uint16_t session_contexts[SESSIONS];
-    uint16_t session_endpoints[SESSIONS]; ///< plus 1
-    uint64_t session_count;
-    struct placed *placed; ///< ring
-    size_t placed_head;
-    size_t placed_tail;
-    struct place_candidate *candidates;
-    int64_t now_ms;
-    double next_request_ms;
-    struct crowded_result *result;
-    double samples;
-};
-
 #define PLACED_RING 65536
 
-struct prompt {
-    uint32_t context;
-    uint32_t session;
-    bool returning;
-    uint32_t tokens;
-    uint32_t shared;
-};
-
 static uint32_t
 uniform(struct crowded *fleet, uint32_t bound)
 {
@@ -259,300 +158,6 @@
     return prompt;
 }
 
-static uint32_t
-cached_tokens(const struct crowded *fleet, const struct prompt *prompt,
-              bool has_context, bool has_session)
-{
-    if (!has_context) {
-        return 0;
-    }
-    return fleet->context_tokens[prompt->context] +
-           (prompt->returning && has_session ? HISTORY_TOKENS : 0);
-}
-
-/// Tokens of the prompt that the endpoint has cached in fact.
-static uint32_t
-true_cached(const struct crowded *fleet, const struct prompt *prompt, size_t e)
-{
-    return cached_tokens(fleet, prompt,
-                         fleet->engines[e].used_ms[prompt->context] >= 0,
-                         fleet->session_endpoints[prompt->session] == e + 1);
-}
-
-static uint32_t
-true_backlog(const struct engine *engine)
-{
-    uint32_t sum = 0;
-
-    for (size_t i = 0; i < engine->count; i++) {
-        sum += engine->calls[i].prefill_left;
-    }
-    return sum;
-}
-
-static uint32_t
-known_load(const struct crowded *fleet, const struct view *view)
-{
-    uint32_t load = view->own + view->peers;
-
-    if (fleet->now_ms - view->unreported_ms < ENDPOINTS_UNREPORTED_LOAD_MS) {
-        load += (uint32_t)view->unreported;
-    }
-    return load;
-}
-
-static void
-fill_candidates(struct crowded *fleet, const struct router *router,
-                const struct prompt *prompt)
-{
-    bool complete = fleet->options.way == CROWDED_COMPLETE;
-
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        const struct view *view = &router->views[i];
-
-        fleet->candidates[i] = (struct place_candidate){
-            .hash = (i + 1) * UINT64_C(0x9e3779b97f4a7c15),
-            .usable = true,
-            .same_zone = true,
-            .load = complete ? (uint32_t)fleet->engines[i].count
-                             : known_load(fleet, view),
-            .slots = SLOTS,
-            .own_load = view->own,
-            .reported_load = view->own + view->peers,
-            .stated_excess = view->stated_excess,
-            .stated_age_ms =
-                view->answered ? fleet->now_ms - view->unreported_ms : -1,
-            .backlog_tokens = complete
-                                  ? true_backlog(&fleet->engines[i])
-                                  : view->own_backlog + view->peers_backlog,
-            .cached_tokens =
-                complete ? true_cached(fleet, prompt, i)
-                         : cached_tokens(
-                               fleet, prompt, view->caches[prompt->context],
-                               router->sessions[prompt->session] == i + 1),
-        };
-    }
-}
-
-static double
-mean_candidate_load(const struct crowded *fleet)
-{
-    double sum = 0;
-
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        sum += fleet->candidates[i].load;
-    }
-    return sum / (double)fleet->options.endpoints;
-}
-
-/// The candidates that have most of the prompt cached, as far as they are
-/// below the cap; returns their number.
-static size_t
-find_cached(const struct crowded *fleet, uint16_t *pool)
-{
-    double cap = PLACE_CAP_SHARE_MIN *
-                 (CAP_FACTOR * mean_candidate_load(fleet) + CAP_SLACK);
-    uint32_t most = 0;
-    size_t count = 0;
-
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        const struct place_candidate *candidate = &fleet->candidates[i];
-
-        if (candidate->load + 1 > cap || candidate->cached_tokens < most) {
-            continue;
-        }
-        if (candidate->cached_tokens > most) {
-            most = candidate->cached_tokens;
-            count = 0;
-        }
-        pool[count++] = (uint16_t)i;
-    }
-    return most > 0 ? count : 0;
-}
-
-static void
-keep_only(struct crowded *fleet, const uint16_t *pool, size_t count)
-{
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        fleet->candidates[i].usable = false;
-    }
-    for (size_t i = 0; i < count; i++) {
-        fleet->candidates[pool[i]].usable = true;
-    }
-}
-
-static void
-keep_few(struct crowded *fleet, uint16_t *pool, size_t count)
-{
-    size_t few = fleet->options.routers <= 10 ? 4 : 2;
-
-    for (size_t i = 0; i < few && i < count; i++) {
-        size_t j = i + random_below(&fleet->choice, count - i);
-        uint16_t swapped = pool[i];
-
-        pool[i] = pool[j];
-        pool[j] = swapped;
-    }
-    keep_only(fleet, pool, count < few ? count : few);
-}
-
-static void
-keep_by_free_capacity(struct crowded *fleet, uint16_t *pool, size_t count)
-{
-    double cap = CAP_FACTOR * mean_candidate_load(fleet) + CAP_SLACK;
-    double sum = 0, at;
-
-    for (size_t i = 0; i < count; i++) {
-        sum += cap - fleet->candidates[pool[i]].load;
-    }
-    at = sum * random_unit(&fleet->choice);
-    for (size_t i = 0; i < count; i++) {
-        at -= cap - fleet->candidates[pool[i]].load;
-        if (at < 0 || i + 1 == count) {
-            keep_only(fleet, &pool[i], 1);
-            return;
-        }
-    }
-}
-
-static uint64_t
-subset_score(const struct crowded *fleet, size_t router, size_t e)
-{
-    struct random_seeded seeded = {.state =
-                                       router * UINT64_C(0xbf58476d1ce4e5b9) ^
-                                       fleet->candidates[e].hash};
-    struct random_source source = random_seeded_interface(&seeded);
-
-    return random_next(&source);
-}
-
-static void
-keep_subset(struct crowded *fleet, size_t router, uint16_t *pool, size_t count)
-{
-    size_t kept = 0;
-
-    for (; kept < SUBSET_ENDPOINTS && kept < count; kept++) {
-        for (size_t j = kept + 1; j < count; j++) {
-            if (subset_score(fleet, router, pool[j]) >
-                subset_score(fleet, router, pool[kept])) {
-                uint16_t swapped = pool[j];
-
-                pool[j] = pool[kept];
-                pool[kept] = swapped;
-            }
-        }
-    }
-    keep_only(fleet, pool, kept);
-}
-
-/// Peers report at random times, so their reports are half an interval old.
-static void
-decay_loads(struct crowded *fleet, const struct router *router)
-{
-    double weight = exp(-(double)router->reports_ms / 2 / DECAY_MS);
-    double sum = 0;
-    size_t count = fleet->options.endpoints;
-
-    for (size_t i = 0; i < count; i++) {
-        sum += fleet->candidates[i].load - router->views[i].own;
-    }
-    for (size_t i = 0; i < count; i++) {
-        double peers = fleet->candidates[i].load - router->views[i].own;
-
-        fleet->candidates[i].load =
-            router->views[i].own +
-            (uint32_t)(weight * peers + (1 - weight) * sum / (double)count +
-                       0.5);
-    }
-}
-
-/// Routers receive alike requests, so each unknown one is taken to have as
-/// many requests at an endpoint as this one.
-static void
-multiply_own(struct crowded *fleet, const struct router *router)
-{
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        fleet->candidates[i].load +=
-            router->views[i].own *
-            (uint32_t)(fleet->options.routers - 1 - router->link_count);
-    }
-}
-
-static size_t
-choose_least(const struct crowded *fleet)
-{
-    size_t least = random_below(&fleet->choice, fleet->options.endpoints);
-
-    for (size_t i = 0; i < fleet->options.endpoints; i++) {
-        if (fleet->candidates[i].load < fleet->candidates[least].load) {
-            least = i;
-        }
-    }
-    return least;
-}
-
-static void
-prepare(struct crowded *fleet, size_t router)
-{
-    uint16_t pool[1024];
-    size_t count = find_cached(fleet, pool);
-
-    if (fleet->options.way == CROWDED_DECAY) {
-        decay_loads(fleet, &fleet->routers[router]);
-    }
-    else if (fleet->options.way == CROWDED_OWN) {
-        multiply_own(fleet, &fleet->routers[router]);
-    }
-    else if (count == 0) {
-        return;
-    }
-    else if (fleet->options.way == CROWDED_FEW) {
-        keep_few(fleet, pool, count);
-    }
-    else if (fleet->options.way == CROWDED_FREE) {
-        keep_by_free_capacity(fleet, pool, count);
-    }
-    else if (fleet->options.way == CROWDED_SUBSET) {
-        keep_subset(fleet, router, pool, count);
-    }
-}
-
-static size_t
-choose(struct crowded *fleet, size_t router, const struct prompt *prompt)
-{
-    const struct place_request request = {
-        .random = &fleet->choice,
-        .has_prompt = true,
-        .even_load = fleet->options.way == CROWDED_EVEN ||
-                     fleet->options.way == CROWDED_HOMES,
-        .known_share = (double)(fleet->routers[router].link_count + 1) /
-                       (double)fleet->options.routers,
-        .affinity = (prompt->context + 1) * UINT64_C(0x94d049bb133111eb) +
-                    (prompt->returning ? prompt->session + 1 : 0),
-        .prompt_tokens = prompt->tokens,
-        .shared_tokens = prompt->shared,
-        .prefill_tokens_per_ms = PREFILL_TOKENS_PER_MS,
-        .cap_factor = CAP_FACTOR,
-        .cap_slack = CAP_SLACK,
-        .routers = fleet->options.routers,
-    };
-    struct place_choice choice;
-
-    fill_candidates(fleet, &fleet->routers[router], prompt);
-    if (fleet->options.way == CROWDED_LEAST) {
-        return choose_least(fleet);
-    }
-    prepare(fleet, router);
-    if (fleet->options.way == CROWDED_EVEN ||
-        fleet->options.way == CROWDED_GUESS) {
-        spread_estimate(fleet->candidates, fleet->options.endpoints,
-                        request.known_share);
-    }
-    place_choose(&request, fleet->candidates, fleet->options.endpoints,
-                 &choice);
-    return choice.index;
-}
-
 /// Caches the context in place of the least recently used one. The routers'
 /// estimates evict it as the endpoint does.
 static void
@@ -631,10 +236,10 @@
     struct prompt prompt = draw_prompt(fleet);
     size_t router = draw(fleet, fleet->router_weights, fleet->options.routers);
     double output = -log(1 - random_unit(&fleet->load)) * OUTPUT_TOKENS_MEAN;
-    size_t e = choose(fleet, router, &prompt);
+    size_t e = crowded_choose(fleet, router, &prompt);
     struct engine *engine = &fleet->engines[e];
     struct view *view = &fleet->routers[router].views[e];
-    uint32_t cached = true_cached(fleet, &prompt, e);
+    uint32_t cached = crowded_true_cached(fleet, &prompt, e);
     bool counts = fleet->now_ms >= WARM_UP_MS;
     struct call call = {
         .router = (uint32_t)router,
