--- a/tests/suites.h
+++ b/tests/suites.h
@@ -28,6 +28,7 @@
 void suite_records(void);
 void suite_place(void);
 void suite_shed(void);
+void suite_spread(void);
 void suite_suspects(void);
 void suite_wire(void);
 void suite_direct(void);
