--- a/measure/main.c
+++ b/measure/main.c
@@ -14,18 +14,12 @@
     const char *name;
     int (*run)(const struct measure_options *options);
 } measurements[] = {
-    {"routing", measure_routing},
-    {"fairness", measure_fairness},
-    {"evenness", measure_evenness},
-    {"claims", measure_claims},
-    {"control", measure_control},
-    {"slopes", measure_slopes},
-    {"retries", measure_retries},
-    {"quarantine", measure_quarantine},
-    {"crowd", measure_crowd},
-    {"scale", measure_scale},
-    {"overload", measure_overload},
-    {"hop", measure_hop},
+    {"routing", measure_routing},   {"fairness", measure_fairness},
+    {"evenness", measure_evenness}, {"claims", measure_claims},
+    {"control", measure_control},   {"slopes", measure_slopes},
+    {"retries", measure_retries},   {"quarantine", measure_quarantine},
+    {"crowd", measure_crowd},       {"scale", measure_scale},
+    {"overload", measure_overload}, {"hop", measure_hop},
 };
 
 static int
