--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -351,6 +351,17 @@
     settings->descriptors_max = (int64_t)descriptors_max;
 }
 
+static void
+read_placement(struct toml_table *root, struct settings_direct *settings,
+               struct err *err)
+{
+    struct toml_table *placement = toml_subtable(root, "placement", err);
+
+    if (placement != NULL) {
+        toml_get_bool(placement, "even_load", &settings->even_load, err);
+    }
+}
+
 bool
 settings_read_direct(const char *file, struct settings_direct *settings,
                      struct toml_doc **out, struct err *err)
@@ -383,6 +394,7 @@
     read_bounds(root, settings, err);
     read_admission(root, settings, err);
     read_memory(root, settings, err);
+    read_placement(root, settings, err);
     return close_doc(doc, out, err);
 }
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -75,6 +75,7 @@
     double cold_slack;
     int64_t memory_bytes;    ///< of the machine; 0: not stated
     int64_t descriptors_max; ///< of the process; 0: not stated
+    bool even_load;          ///< estimate the loads that no report contains
 };
 
 struct settings_standin_group {
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -413,6 +413,7 @@
     settings->shares = updated->shares;
     settings->cold_rate_factor = updated->cold_rate_factor;
     settings->cold_slack = updated->cold_slack;
+    settings->even_load = updated->even_load;
     settings->keys = updated->keys;
     settings->memory_bytes = updated->memory_bytes;
     settings->descriptors_max = updated->descriptors_max;
@@ -421,10 +422,10 @@
         mesh_add(direct->mesh, &updated->seeds[i]);
     }
     LOG_INFO("event=reload grace_ms=%lld retry_ratio=%.3f retry_slack=%lld "
-             "load_cap_factor=%.2f shares=%d seeds=%zu",
+             "load_cap_factor=%.2f shares=%d even_load=%d seeds=%zu",
              (long long)settings->grace_ms, settings->budget_ratio,
              (long long)settings->budget_slack, settings->cap_factor,
-             settings->shares, updated->seed_count);
+             settings->shares, settings->even_load, updated->seed_count);
 }
 
 struct address
@@ -520,6 +521,19 @@
     return fleet > ROUTERS_ASSUMED_MIN ? fleet : ROUTERS_ASSUMED_MIN;
 }
 
+double
+direct_known_share(const struct direct *direct)
+{
+    double known, all;
+
+    if (direct->mesh == NULL) {
+        return 1;
+    }
+    known = (double)mesh_linked_count(direct->mesh) + 1;
+    all = (double)mesh_fleet_size(direct->mesh);
+    return known < all ? known / all : 1;
+}
+
 struct retry_budget *
 direct_retry_budget(struct direct *direct, struct str service)
 {
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -5,6 +5,7 @@
 
 #include "cold.h"
 #include "core/evacuation.h"
+#include "core/spread.h"
 #include "core/xmalloc.h"
 #include "net/channel.h"
 #include "net/log.h"
@@ -442,6 +443,7 @@
 {
     double excess = (double)stated - reported_load(endpoint, now_ms);
 
+    endpoint->stated_excess = excess;
     endpoint->unreported_load += ENDPOINTS_UNREPORTED_LOAD_WEIGHT *
                                  (excess - endpoint->unreported_load);
     if (endpoint->unreported_load < 0) {
@@ -712,6 +714,12 @@
                                         : endpoint->in_flight,
             .slots = endpoint->slots,
             .backlog_tokens = endpoint_backlog_tokens(endpoint, now_ms),
+            .own_load = endpoint->in_flight,
+            .reported_load = reported_load(endpoint, now_ms),
+            .stated_excess = endpoint->stated_excess,
+            .stated_age_ms = endpoint->unreported_ms > 0
+                                 ? now_ms - endpoint->unreported_ms
+                                 : -1,
             .cached_tokens =
                 prefix_estimate_match(endpoint->cache, query->prefix),
             .usual_gap_ms = endpoint->gaps.usual_ms,
@@ -726,6 +734,9 @@
     }
     exclude_full(endpoints, query, count, now_ms);
     fill_unknown_gaps(candidates, count);
+    if (request->even_load) {
+        spread_estimate(candidates, count, request->known_share);
+    }
     *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
--- a/tests/main.c
+++ b/tests/main.c
@@ -44,6 +44,7 @@
     {"pace", suite_pace},
     {"shed", suite_shed},
     {"admission", suite_admission},
+    {"spread", suite_spread},
     {"suspects", suite_suspects},
     {"warmup", suite_warmup},
     {"cold", suite_cold},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -31,6 +31,7 @@
 void suite_pace(void);
 void suite_shed(void);
 void suite_admission(void);
+void suite_spread(void);
 void suite_suspects(void);
 void suite_warmup(void);
 void suite_cold(void);
