--- a/measure/crowded_fleet.c
+++ b/measure/crowded_fleet.c
@@ -164,12 +164,12 @@
 cache_context(struct crowded *fleet, size_t e, size_t context)
 {
     struct engine *engine = &fleet->engines[e];
-    size_t oldest = CONTEXTS;
+    size_t oldest = context;
 
     if (engine->used_ms[context] < 0 && ++engine->cached > CACHED_MAX) {
         for (size_t i = 0; i < CONTEXTS; i++) {
             if (engine->used_ms[i] >= 0 &&
-                (oldest == CONTEXTS ||
+                (oldest == context ||
                  engine->used_ms[i] < engine->used_ms[oldest])) {
                 oldest = i;
             }
