--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -201,6 +201,49 @@
     stop(&fixture);
 }
 
+static bool
+is_reading(const struct fixture *fixture)
+{
+    return store_is_reachable(fixture->store, RECORDS_CONFIGURATION) ||
+           store_is_reachable(fixture->store, RECORDS_ENDPOINTS);
+}
+
+/// Guards against a router that is cut off from the store and, when it is to
+/// read for all, counts as reading until its call has timed out: the next
+/// candidate would begin only then.
+static void
+test_reader_without_answer(void)
+{
+    static const enum readers_role steps[] = {
+        READERS_STANDBY,
+        READERS_PRIMARY,
+        READERS_IDLE,
+        READERS_SUBSTITUTE,
+    };
+    struct fixture fixture;
+
+    start(&fixture, 1);
+    for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+        // The last answer is too old to count.
+        run(&fixture, 1100);
+        keyed_store_set_fault(fixture.standin, KEYED_STORE_NO_ANSWER);
+        store_set_role(fixture.store, steps[i]);
+        CU_ASSERT(!is_reading(&fixture));
+        run(&fixture, 200);
+        CU_ASSERT(!is_reading(&fixture));
+        if (steps[i] == READERS_IDLE) {
+            continue;
+        }
+        keyed_store_set_fault(fixture.standin, KEYED_STORE_OK);
+        for (int j = 0; j < 100 && !is_reading(&fixture); j++) {
+            run(&fixture, 50);
+        }
+        CU_ASSERT(is_reading(&fixture));
+        run(&fixture, 200);
+    }
+    stop(&fixture);
+}
+
 /// A router becomes a reader while a single read is in progress: one read of
 /// each topic continues, not two.
 static void
@@ -338,6 +381,7 @@
     CU_pSuite suite = CU_add_suite("store", NULL, NULL);
 
     CU_add_test(suite, "idle and fetch", test_idle_and_fetch);
+    CU_add_test(suite, "reader without answer", test_reader_without_answer);
     CU_add_test(suite, "role during fetch", test_role_during_fetch);
     CU_add_test(suite, "list in pages", test_list_in_pages);
     CU_add_test(suite, "record without key", test_record_without_key);
