--- /dev/null
+++ b/direct/candidates.c
@@ -0,0 +1,255 @@
+#include "candidates.h"
+
+#include <stdlib.h>
+
+#include "core/spread.h"
+#include "core/xmalloc.h"
+#include "endpoints.h"
+
+/// Endpoints of one service that a placement considers at most.
+#define CANDIDATES_MAX 1024
+/// Share of a service's endpoints that may be ejected at once. If more fail,
+/// the cause is not in the endpoints, and all stay in use.
+#define EJECTED_PERCENT_MAX 50
+/// Share of a service's endpoints that requests which may run only once avoid,
+/// ejected ones included. The others must have room for what they take over.
+#define AVOIDED_PERCENT_MAX 20
+/// Excess of an endpoint's failure share over the least one at which it gets
+/// no repeats: more than a single failure adds.
+#define REPEAT_FAILURE_MARGIN 0.1
+
+/// Scratch arrays of endpoints_choose(), allocated once.
+struct candidates {
+    struct place_candidate candidates[CANDIDATES_MAX];
+    struct endpoint *endpoints[CANDIDATES_MAX];
+    bool ejected[CANDIDATES_MAX];
+    bool avoided[CANDIDATES_MAX];
+    bool takes_requests[CANDIDATES_MAX];
+    bool fits[CANDIDATES_MAX];
+};
+
+struct candidates *
+candidates_new(void)
+{
+    return xcalloc(1, sizeof(struct candidates));
+}
+
+void
+candidates_free(struct candidates *candidates)
+{
+    free(candidates);
+}
+
+static bool
+was_tried(const struct endpoints_query *query, uint64_t hash)
+{
+    for (size_t i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Makes the marked candidates unusable, unless more than `percent_max` of all
+/// endpoints that take requests are marked, or no other one is left.
+static void
+exclude(struct candidates *set, size_t count, const bool *marked,
+        int percent_max)
+{
+    struct place_candidate *candidates = set->candidates;
+    size_t marked_count = 0;
+    size_t ready = 0;
+    size_t left = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        ready += set->takes_requests[i] ? 1 : 0;
+        marked_count += set->takes_requests[i] && marked[i] ? 1 : 0;
+        left += candidates[i].usable && !marked[i] ? 1 : 0;
+    }
+    if (left == 0 || 100 * marked_count > (size_t)percent_max * ready) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        candidates[i].usable = candidates[i].usable && !marked[i];
+    }
+}
+
+static double
+least_failure_share(const struct candidates *set, size_t count)
+{
+    double least = 1;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &set->endpoints[i]->eject;
+
+        if (set->candidates[i].usable && !set->ejected[i] && !eject->trial &&
+            eject->failure_share < least) {
+            least = eject->failure_share;
+        }
+    }
+    return least;
+}
+
+/// Restricts a repeat to endpoints that are neither ejected nor on trial and
+/// that fail little, if there are any. Those that fail at once have the least
+/// load and would get it otherwise.
+static void
+exclude_failing(struct candidates *set, size_t count)
+{
+    struct place_candidate *candidates = set->candidates;
+    double share_max = least_failure_share(set, count) + REPEAT_FAILURE_MARGIN;
+    bool *fits = set->fits;
+    size_t fitting = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const struct eject *eject = &set->endpoints[i]->eject;
+
+        fits[i] = !set->ejected[i] && !eject->trial &&
+                  eject->failure_share <= share_max;
+        fitting += candidates[i].usable && fits[i] ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && fitting > 0; i++) {
+        candidates[i].usable = candidates[i].usable && fits[i];
+    }
+}
+
+/// Mean tokens of a request of the service, as placed by this router.
+static double
+mean_request_tokens(struct endpoint *const *endpoints, size_t count)
+{
+    double sum = 0;
+    size_t known = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += endpoints[i]->footprint.mean_tokens;
+        known += endpoints[i]->footprint.mean_tokens > 0 ? 1 : 0;
+    }
+    return known > 0 ? sum / (double)known : 0;
+}
+
+/// Makes the candidates unusable whose memory the request would fill, while
+/// another one is usable. Peers report no tokens, so that their requests count
+/// as mean ones.
+static void
+exclude_full(struct candidates *set, const struct endpoints_query *query,
+             size_t count, int64_t now_ms)
+{
+    struct place_candidate *candidates = set->candidates;
+    struct endpoint **all = set->endpoints;
+    double mean = mean_request_tokens(all, count);
+    size_t fitting = 0;
+
+    if (query->tokens <= 0 || query->capacity_tokens <= 0) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        double others = endpoint_load(all[i], now_ms) - all[i]->in_flight;
+
+        set->fits[i] =
+            footprint_fits(all[i]->footprint.held_tokens + mean * others,
+                           query->tokens, query->capacity_tokens);
+        fitting += candidates[i].usable && set->fits[i] ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && fitting > 0; i++) {
+        candidates[i].usable = candidates[i].usable && set->fits[i];
+    }
+}
+
+/// Presumes the mean gap where none has been learned yet.
+static void
+fill_unknown_gaps(struct place_candidate *candidates, size_t count)
+{
+    double sum = 0;
+    size_t known = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        sum += candidates[i].usual_gap_ms;
+        known += candidates[i].usual_gap_ms > 0 ? 1 : 0;
+    }
+    for (size_t i = 0; i < count && known > 0; i++) {
+        if (candidates[i].usual_gap_ms == 0) {
+            candidates[i].usual_gap_ms = sum / (double)known;
+        }
+    }
+}
+
+bool
+endpoints_choose(struct endpoints *endpoints,
+                 const struct endpoints_query *query,
+                 const struct place_request *request,
+                 struct endpoints_choice *choice)
+{
+    struct candidates *set = endpoints_candidates(endpoints);
+    const struct endpoints_options *options = endpoints_options(endpoints);
+    struct place_candidate *candidates = set->candidates;
+    struct endpoint **candidate_endpoints = set->endpoints;
+    bool *ejected = set->ejected;
+    bool *avoided = set->avoided;
+    bool *takes_requests = set->takes_requests;
+    int64_t now_ms = clock_ms(options->clock);
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints_first(endpoints);
+         endpoint != NULL && count < CANDIDATES_MAX;
+         endpoint = endpoint->hh.next) {
+        if (!str_equal(endpoint->service, query->service)) {
+            continue;
+        }
+        candidate_endpoints[count] = endpoint;
+        ejected[count] =
+            eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
+        avoided[count] =
+            ejected[count] || (query->at_most_once && query->spares_trials &&
+                               eject_spares_once(&endpoint->eject, now_ms));
+        takes_requests[count] = endpoint_is_ready(endpoint) &&
+                                hold_left_ms(&endpoint->hold, now_ms) == 0 &&
+                                endpoints_allow(endpoints, endpoint);
+        candidates[count] = (struct place_candidate){
+            .hash = endpoint->hash,
+            .usable =
+                takes_requests[count] && !was_tried(query, endpoint->hash),
+            // A draining endpoint still serves its contexts to others.
+            .sends_contexts = !ejected[count],
+            .same_zone = str_equal(endpoint->zone, options->zone),
+            .zone = endpoint->zone_hash,
+            // A plain call ends before peers report it. Their outdated loads
+            // would make all routers choose the same endpoint.
+            .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
+                                        : endpoint->in_flight,
+            .slots = endpoint->slots,
+            .backlog_tokens = endpoint_backlog_tokens(endpoint, now_ms),
+            .own_load = endpoint->in_flight,
+            .reported_load = endpoint_reported_load(endpoint, now_ms),
+            .stated_excess = endpoint->stated_excess,
+            .stated_age_ms = endpoint->unreported_ms > 0
+                                 ? now_ms - endpoint->unreported_ms
+                                 : -1,
+            .cached_tokens =
+                prefix_estimate_match(endpoint->cache, query->prefix),
+            .usual_gap_ms = endpoint->gaps.usual_ms,
+            .slow_down = speed_slow_down(&endpoint->speed, now_ms),
+        };
+        count++;
+    }
+    exclude(set, count, avoided, AVOIDED_PERCENT_MAX);
+    exclude(set, count, ejected, EJECTED_PERCENT_MAX);
+    if (query->is_repeat) {
+        exclude_failing(set, count);
+    }
+    exclude_full(set, query, count, now_ms);
+    fill_unknown_gaps(candidates, count);
+    if (request->even_load) {
+        spread_estimate(candidates, count, request->known_share);
+    }
+    *choice = (struct endpoints_choice){0};
+    if (!place_choose(request, candidates, count, &choice->place)) {
+        return false;
+    }
+    choice->endpoint = candidate_endpoints[choice->place.index];
+    if (choice->place.source != PLACE_NO_SOURCE) {
+        choice->source = candidate_endpoints[choice->place.source];
+    }
+    return true;
+}
--- /dev/null
+++ b/direct/candidates.h
@@ -0,0 +1,45 @@
+/// The choice of an endpoint for a request among the endpoints of its service:
+/// which of them are usable, and which of these is placed at.
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/place.h"
+#include "dandelionvalve/str.h"
+
+struct candidates;
+struct endpoint;
+struct endpoints;
+struct prefix;
+
+/// Scratch memory of endpoints_choose(); the caller frees with
+/// candidates_free().
+struct candidates *candidates_new(void);
+void candidates_free(struct candidates *candidates);
+
+/// Constraints on the choice beside place_request.
+struct endpoints_query {
+    struct str service;
+    const struct prefix *prefix;
+    const uint64_t *tried; ///< hashes of endpoints to exclude
+    size_t tried_count;
+    bool at_most_once;      ///< the request may not be repeated
+    bool spares_trials;     ///< such a request avoids endpoints on trial
+    bool is_repeat;         ///< an endpoint has run the request, and failed
+    double tokens;          ///< that the request will need there; 0: not known
+    double capacity_tokens; ///< memory of an endpoint; 0: not known
+};
+
+struct endpoints_choice {
+    struct endpoint *endpoint;
+    struct endpoint *source; ///< has more of the prompt cached; NULL: none
+    struct place_choice place;
+};
+
+/// Chooses an endpoint; false if none is usable.
+bool endpoints_choose(struct endpoints *endpoints,
+                      const struct endpoints_query *query,
+                      const struct place_request *request,
+                      struct endpoints_choice *choice);
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -4,6 +4,7 @@
 #include "core/catalog.h"
 #include "core/shed.h"
 #include "attempt.h"
+#include "candidates.h"
 #include "direct_state.h"
 #include "endpoints.h"
 #include "exchange_state.h"
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -3,39 +3,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "candidates.h"
 #include "cold.h"
 #include "core/evacuation.h"
-#include "core/spread.h"
 #include "core/xmalloc.h"
 #include "net/channel.h"
 #include "net/log.h"
 
 #define LOG_MODULE "endpoints"
 
-/// Endpoints of one service that a placement considers at most.
-#define CANDIDATES_MAX 1024
 #define RESPONSE_HEAD_BYTES_MAX 32768
-/// Share of a service's endpoints that may be ejected at once. If more fail,
-/// the cause is not in the endpoints, and all stay in use.
-#define EJECTED_PERCENT_MAX 50
-/// Share of a service's endpoints that requests which may run only once avoid,
-/// ejected ones included. The others must have room for what they take over.
-#define AVOIDED_PERCENT_MAX 20
-/// Excess of an endpoint's failure share over the least one at which it gets
-/// no repeats: more than a single failure adds.
-#define REPEAT_FAILURE_MARGIN 0.1
-
 struct endpoints {
     struct endpoints_options options;
     struct endpoint *all;
     struct endpoint *by_hash;
-    /// Scratch arrays of endpoints_choose().
-    struct place_candidate candidates[CANDIDATES_MAX];
-    struct endpoint *candidate_endpoints[CANDIDATES_MAX];
-    bool ejected[CANDIDATES_MAX];
-    bool avoided[CANDIDATES_MAX];
-    bool takes_requests[CANDIDATES_MAX];
-    bool fits[CANDIDATES_MAX];
+    struct candidates *candidates;
 };
 
 struct endpoints *
@@ -45,6 +27,7 @@
 
     endpoints->options = *options;
     endpoints->options.zone = str_copy(options->zone);
+    endpoints->candidates = candidates_new();
     return endpoints;
 }
 
@@ -98,6 +81,7 @@
         HASH_DELETE(by_hash, endpoints->by_hash, endpoint);
         endpoint_unref(endpoint);
     }
+    candidates_free(endpoints->candidates);
     free((char *)endpoints->options.zone.data);
     free(endpoints);
 }
@@ -258,6 +242,18 @@
     return endpoint;
 }
 
+const struct endpoints_options *
+endpoints_options(const struct endpoints *endpoints)
+{
+    return &endpoints->options;
+}
+
+struct candidates *
+endpoints_candidates(struct endpoints *endpoints)
+{
+    return endpoints->candidates;
+}
+
 size_t
 endpoints_count(const struct endpoints *endpoints)
 {
@@ -413,8 +409,8 @@
     return least_ms;
 }
 
-static uint32_t
-reported_load(const struct endpoint *endpoint, int64_t now_ms)
+uint32_t
+endpoint_reported_load(const struct endpoint *endpoint, int64_t now_ms)
 {
     uint32_t load = endpoint->in_flight;
 
@@ -429,7 +425,7 @@
 uint32_t
 endpoint_load(const struct endpoint *endpoint, int64_t now_ms)
 {
-    uint32_t load = reported_load(endpoint, now_ms);
+    uint32_t load = endpoint_reported_load(endpoint, now_ms);
 
     if (now_ms - endpoint->unreported_ms < ENDPOINTS_UNREPORTED_LOAD_MS) {
         load += (uint32_t)endpoint->unreported_load;
@@ -441,7 +437,7 @@
 endpoint_note_stated_load(struct endpoint *endpoint, uint32_t stated,
                           int64_t now_ms)
 {
-    double excess = (double)stated - reported_load(endpoint, now_ms);
+    double excess = (double)stated - endpoint_reported_load(endpoint, now_ms);
 
     endpoint->stated_excess = excess;
     endpoint->unreported_load += ENDPOINTS_UNREPORTED_LOAD_WEIGHT *
@@ -502,17 +498,6 @@
     };
 }
 
-static bool
-was_tried(const struct endpoints_query *query, uint64_t hash)
-{
-    for (size_t i = 0; i < query->tried_count; i++) {
-        if (query->tried[i] == hash) {
-            return true;
-        }
-    }
-    return false;
-}
-
 size_t
 endpoints_ready_count(const struct endpoints *endpoints, struct str service)
 {
@@ -546,204 +531,3 @@
     }
     return count > 0 ? sum / (double)count : 0;
 }
-
-/// Makes the marked candidates unusable, unless more than `percent_max` of all
-/// endpoints that take requests are marked, or no other one is left.
-static void
-exclude(struct endpoints *endpoints, size_t count, const bool *marked,
-        int percent_max)
-{
-    struct place_candidate *candidates = endpoints->candidates;
-    size_t marked_count = 0;
-    size_t ready = 0;
-    size_t left = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        ready += endpoints->takes_requests[i] ? 1 : 0;
-        marked_count += endpoints->takes_requests[i] && marked[i] ? 1 : 0;
-        left += candidates[i].usable && !marked[i] ? 1 : 0;
-    }
-    if (left == 0 || 100 * marked_count > (size_t)percent_max * ready) {
-        return;
-    }
-    for (size_t i = 0; i < count; i++) {
-        candidates[i].usable = candidates[i].usable && !marked[i];
-    }
-}
-
-static double
-least_failure_share(const struct endpoints *endpoints, size_t count)
-{
-    double least = 1;
-
-    for (size_t i = 0; i < count; i++) {
-        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
-
-        if (endpoints->candidates[i].usable && !endpoints->ejected[i] &&
-            !eject->trial && eject->failure_share < least) {
-            least = eject->failure_share;
-        }
-    }
-    return least;
-}
-
-/// Restricts a repeat to endpoints that are neither ejected nor on trial and
-/// that fail little, if there are any. Those that fail at once have the least
-/// load and would get it otherwise.
-static void
-exclude_failing(struct endpoints *endpoints, size_t count)
-{
-    struct place_candidate *candidates = endpoints->candidates;
-    double share_max =
-        least_failure_share(endpoints, count) + REPEAT_FAILURE_MARGIN;
-    bool *fits = endpoints->fits;
-    size_t fitting = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        const struct eject *eject = &endpoints->candidate_endpoints[i]->eject;
-
-        fits[i] = !endpoints->ejected[i] && !eject->trial &&
-                  eject->failure_share <= share_max;
-        fitting += candidates[i].usable && fits[i] ? 1 : 0;
-    }
-    for (size_t i = 0; i < count && fitting > 0; i++) {
-        candidates[i].usable = candidates[i].usable && fits[i];
-    }
-}
-
-/// Mean tokens of a request of the service, as placed by this router.
-static double
-mean_request_tokens(struct endpoint *const *endpoints, size_t count)
-{
-    double sum = 0;
-    size_t known = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        sum += endpoints[i]->footprint.mean_tokens;
-        known += endpoints[i]->footprint.mean_tokens > 0 ? 1 : 0;
-    }
-    return known > 0 ? sum / (double)known : 0;
-}
-
-/// Makes the candidates unusable whose memory the request would fill, while
-/// another one is usable. Peers report no tokens, so that their requests count
-/// as mean ones.
-static void
-exclude_full(struct endpoints *endpoints, const struct endpoints_query *query,
-             size_t count, int64_t now_ms)
-{
-    struct place_candidate *candidates = endpoints->candidates;
-    struct endpoint **all = endpoints->candidate_endpoints;
-    double mean = mean_request_tokens(all, count);
-    size_t fitting = 0;
-
-    if (query->tokens <= 0 || query->capacity_tokens <= 0) {
-        return;
-    }
-    for (size_t i = 0; i < count; i++) {
-        double others = endpoint_load(all[i], now_ms) - all[i]->in_flight;
-
-        endpoints->fits[i] =
-            footprint_fits(all[i]->footprint.held_tokens + mean * others,
-                           query->tokens, query->capacity_tokens);
-        fitting += candidates[i].usable && endpoints->fits[i] ? 1 : 0;
-    }
-    for (size_t i = 0; i < count && fitting > 0; i++) {
-        candidates[i].usable = candidates[i].usable && endpoints->fits[i];
-    }
-}
-
-/// Presumes the mean gap where none has been learned yet.
-static void
-fill_unknown_gaps(struct place_candidate *candidates, size_t count)
-{
-    double sum = 0;
-    size_t known = 0;
-
-    for (size_t i = 0; i < count; i++) {
-        sum += candidates[i].usual_gap_ms;
-        known += candidates[i].usual_gap_ms > 0 ? 1 : 0;
-    }
-    for (size_t i = 0; i < count && known > 0; i++) {
-        if (candidates[i].usual_gap_ms == 0) {
-            candidates[i].usual_gap_ms = sum / (double)known;
-        }
-    }
-}
-
-bool
-endpoints_choose(struct endpoints *endpoints,
-                 const struct endpoints_query *query,
-                 const struct place_request *request,
-                 struct endpoints_choice *choice)
-{
-    struct place_candidate *candidates = endpoints->candidates;
-    struct endpoint **candidate_endpoints = endpoints->candidate_endpoints;
-    bool *ejected = endpoints->ejected;
-    bool *avoided = endpoints->avoided;
-    bool *takes_requests = endpoints->takes_requests;
-    int64_t now_ms = clock_ms(endpoints->options.clock);
-    struct endpoint *endpoint;
-    size_t count = 0;
-
-    for (endpoint = endpoints->all; endpoint != NULL && count < CANDIDATES_MAX;
-         endpoint = endpoint->hh.next) {
-        if (!str_equal(endpoint->service, query->service)) {
-            continue;
-        }
-        candidate_endpoints[count] = endpoint;
-        ejected[count] =
-            eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
-        avoided[count] =
-            ejected[count] || (query->at_most_once && query->spares_trials &&
-                               eject_spares_once(&endpoint->eject, now_ms));
-        takes_requests[count] = endpoint_is_ready(endpoint) &&
-                                hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-                                endpoints_allow(endpoints, endpoint);
-        candidates[count] = (struct place_candidate){
-            .hash = endpoint->hash,
-            .usable =
-                takes_requests[count] && !was_tried(query, endpoint->hash),
-            // A draining endpoint still serves its contexts to others.
-            .sends_contexts = !ejected[count],
-            .same_zone = str_equal(endpoint->zone, endpoints->options.zone),
-            .zone = endpoint->zone_hash,
-            // A plain call ends before peers report it. Their outdated loads
-            // would make all routers choose the same endpoint.
-            .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
-                                        : endpoint->in_flight,
-            .slots = endpoint->slots,
-            .backlog_tokens = endpoint_backlog_tokens(endpoint, now_ms),
-            .own_load = endpoint->in_flight,
-            .reported_load = reported_load(endpoint, now_ms),
-            .stated_excess = endpoint->stated_excess,
-            .stated_age_ms = endpoint->unreported_ms > 0
-                                 ? now_ms - endpoint->unreported_ms
-                                 : -1,
-            .cached_tokens =
-                prefix_estimate_match(endpoint->cache, query->prefix),
-            .usual_gap_ms = endpoint->gaps.usual_ms,
-            .slow_down = speed_slow_down(&endpoint->speed, now_ms),
-        };
-        count++;
-    }
-    exclude(endpoints, count, avoided, AVOIDED_PERCENT_MAX);
-    exclude(endpoints, count, ejected, EJECTED_PERCENT_MAX);
-    if (query->is_repeat) {
-        exclude_failing(endpoints, count);
-    }
-    exclude_full(endpoints, query, count, now_ms);
-    fill_unknown_gaps(candidates, count);
-    if (request->even_load) {
-        spread_estimate(candidates, count, request->known_share);
-    }
-    *choice = (struct endpoints_choice){0};
-    if (!place_choose(request, candidates, count, &choice->place)) {
-        return false;
-    }
-    choice->endpoint = candidate_endpoints[choice->place.index];
-    if (choice->place.source != PLACE_NO_SOURCE) {
-        choice->source = candidate_endpoints[choice->place.source];
-    }
-    return true;
-}
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -20,6 +20,7 @@
 #include "dandelionvalve/clock.h"
 #include "net/address.h"
 
+struct candidates;
 struct channel_pool;
 struct cold;
 struct evacuation;
@@ -115,6 +116,13 @@
 /// Removes the endpoints whose missing entries have expired.
 void endpoints_tick(struct endpoints *endpoints);
 
+/// The options given at the start, with an own copy of the zone.
+const struct endpoints_options *
+endpoints_options(const struct endpoints *endpoints);
+
+/// The scratch memory of endpoints_choose().
+struct candidates *endpoints_candidates(struct endpoints *endpoints);
+
 struct endpoint *endpoints_find(struct endpoints *endpoints, struct str id);
 struct endpoint *endpoints_find_hash(struct endpoints *endpoints,
                                      uint64_t hash);
@@ -133,31 +141,6 @@
 /// The first endpoint; the following ones by `hh.next`.
 struct endpoint *endpoints_first(struct endpoints *endpoints);
 
-/// Constraints on the choice beside place_request.
-struct endpoints_query {
-    struct str service;
-    const struct prefix *prefix;
-    const uint64_t *tried; ///< hashes of endpoints to exclude
-    size_t tried_count;
-    bool at_most_once;      ///< the request may not be repeated
-    bool spares_trials;     ///< such a request avoids endpoints on trial
-    bool is_repeat;         ///< an endpoint has run the request, and failed
-    double tokens;          ///< that the request will need there; 0: not known
-    double capacity_tokens; ///< memory of an endpoint; 0: not known
-};
-
-struct endpoints_choice {
-    struct endpoint *endpoint;
-    struct endpoint *source; ///< has more of the prompt cached; NULL: none
-    struct place_choice place;
-};
-
-/// Chooses an endpoint; false if none is usable.
-bool endpoints_choose(struct endpoints *endpoints,
-                      const struct endpoints_query *query,
-                      const struct place_request *request,
-                      struct endpoints_choice *choice);
-
 /// An answer of the endpoint states that it leaves: it gets no new requests
 /// until it has another incarnation.
 void endpoint_note_leaving(struct endpoint *endpoint);
@@ -192,6 +175,10 @@
 double endpoints_failure_share(const struct endpoints *endpoints,
                                struct str service);
 
+/// In-flight requests of all routers by their reports.
+uint32_t endpoint_reported_load(const struct endpoint *endpoint,
+                                int64_t now_ms);
+
 /// In-flight requests of all routers by their reports, plus the unreported
 /// load.
 uint32_t endpoint_load(const struct endpoint *endpoint, int64_t now_ms);
--- a/tests/test_direct.c
+++ b/tests/test_direct.c
@@ -9,6 +9,7 @@
 
 #include "core/eject.h"
 #include "core/memory.h"
+#include "direct/candidates.h"
 #include "direct/direct_state.h"
 #include "direct/endpoints.h"
 #include "direct/exchange_state.h"
