explain: dvctl explain shows where a request would go now, and why

GET /explain on a dvdirect's readiness and metrics address answers for a request given by host, path, account name, prompt parts and deadline; dvctl prints the answer as a table or JSON. The decisions are those of a request: dispatch_choose(), dispatch_judge() and dispatch_is_untimely() take the services and the random source, so that explain runs them on copies (services_copy(), admission_copy()) with constant draws. place_choose() and endpoints_choose() report what they considered and excluded.

--- a/core/admission.h
+++ b/core/admission.h
@@ -78,6 +78,12 @@
 struct admission *admission_new(const struct admission_options *options);
 void admission_free(struct admission *admission);
 
+/// A copy of what decides on this request, to find the decision without
+/// counting the request. The caller frees with admission_free().
+struct admission *admission_copy(const struct admission *admission,
+                                 const struct admission_request *request,
+                                 const struct random_source *random);
+
 /// Decides on a request and counts it.
 void admission_decide(struct admission *admission,
                       const struct admission_request *request,
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -384,6 +384,17 @@
     return entry != NULL ? entry->account : NULL;
 }
 
+const struct catalog_account *
+catalog_find_account_named(const struct catalog *catalog, struct str name)
+{
+    const struct account_entry *entry = catalog->accounts;
+
+    while (entry != NULL && !str_equal(entry->account.name, name)) {
+        entry = entry->next;
+    }
+    return entry != NULL ? &entry->account : NULL;
+}
+
 struct str
 catalog_pick_target(const struct catalog_route *route, double draw)
 {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -122,5 +122,9 @@
 const struct catalog_account *
 catalog_find_account(const struct catalog *catalog, struct str key);
 
+/// The account with this name, or NULL.
+const struct catalog_account *
+catalog_find_account_named(const struct catalog *catalog, struct str name);
+
 /// One of the route's services; `draw` is uniform in [0, 1).
 struct str catalog_pick_target(const struct catalog_route *route, double draw);
--- a/core/place.c
+++ b/core/place.c
@@ -269,7 +269,8 @@
 
     choice->predicted_pause_ms =
         pause_predict_ms(&inputs, inputs.backlog_ms + inputs.prefill_ms);
-    choice->cost_ms += pause_cost_ms(&inputs);
+    choice->cost.pause_ms = pause_cost_ms(&inputs);
+    choice->cost_ms += choice->cost.pause_ms;
 }
 
 static void
@@ -277,6 +278,7 @@
         const struct place_candidate *candidate, size_t home,
         const struct saving *saving, struct place_choice *choice)
 {
+    struct place_cost *cost = &choice->cost;
     double prefill_ms = 0;
     double backlog_ms = 0;
 
@@ -291,13 +293,18 @@
                      request->prefill_tokens_per_ms;
     }
     choice->predicted_prefill_ms = prefill_ms + saving->fetch_ms + backlog_ms;
-    choice->cost_ms =
-        PLACE_PREFILL_WEIGHT * prefill_ms +
-        PLACE_FETCH_WEIGHT * saving->fetch_ms + backlog_ms +
-        load_cost_ms(candidate) +
-        (candidate->same_zone || !request->has_prompt ? 0
-                                                      : CROSS_ZONE_COST_MS) +
-        COST_JITTER_MS * random_unit(request->random);
+    *cost = (struct place_cost){
+        .prefill_ms = PLACE_PREFILL_WEIGHT * prefill_ms,
+        .fetch_ms = PLACE_FETCH_WEIGHT * saving->fetch_ms,
+        .backlog_ms = backlog_ms,
+        .load_ms = load_cost_ms(candidate),
+        .zone_ms = candidate->same_zone || !request->has_prompt
+                       ? 0
+                       : CROSS_ZONE_COST_MS,
+        .jitter_ms = COST_JITTER_MS * random_unit(request->random),
+    };
+    choice->cost_ms = cost->prefill_ms + cost->fetch_ms + cost->backlog_ms +
+                      cost->load_ms + cost->zone_ms + cost->jitter_ms;
     predict_pause(request, candidate, prefill_ms, backlog_ms, choice);
     choice->source = saving->source;
     choice->fetched_tokens = saving->tokens;
@@ -335,16 +342,20 @@
         }
         saving = find_best_saving(request, candidates, &sources, candidate);
         predict(request, candidate, home, &saving, &here);
-        here.cost_ms += even_load_cost_ms(request, candidate);
+        here.cost.even_load_ms = even_load_cost_ms(request, candidate);
+        here.cost_ms += here.cost.even_load_ms;
+        here.index = i;
+        here.load = candidate->load;
+        here.reason = reason_of(candidate, fits, home);
+        if (request->considered != NULL) {
+            request->considered[i] = here;
+        }
         if (found && (best_fits > fits || (best_fits == fits &&
                                            here.cost_ms >= choice->cost_ms))) {
             continue;
         }
         found = true;
         best_fits = fits;
-        here.index = i;
-        here.load = candidate->load;
-        here.reason = reason_of(candidate, fits, home);
         *choice = here;
     }
     return found;
--- a/core/place.h
+++ b/core/place.h
@@ -63,6 +63,8 @@
     double slow_down;       ///< see speed_slow_down(); 0: unknown
 };
 
+struct place_choice;
+
 struct place_request {
     const struct random_source *random;
     bool has_prompt;
@@ -78,6 +80,21 @@
     size_t routers;       ///< that place requests at the same endpoints
     uint32_t cap_slack;   ///< requests added to that multiple
     double gap_target_ms; ///< tightest of the service's streams; 0: not set
+    /// NULL, or filled in with what the choice of each usable candidate would
+    /// be.
+    struct place_choice *considered;
+};
+
+/// Parts of the cost of a placement.
+struct place_cost {
+    double prefill_ms;
+    double fetch_ms;
+    double backlog_ms;
+    double load_ms;
+    double zone_ms;
+    double jitter_ms;
+    double pause_ms;
+    double even_load_ms;
 };
 
 enum place_reason {
@@ -90,7 +107,8 @@
 struct place_choice {
     size_t index;
     enum place_reason reason;
-    double cost_ms;
+    double cost_ms; ///< the sum of `cost`
+    struct place_cost cost;
     double predicted_prefill_ms; ///< predicted time until prefill ends
     double predicted_pause_ms;   ///< longest one of the streams there
     double mean_load;
--- a/core/shed.c
+++ b/core/shed.c
@@ -142,14 +142,19 @@
     return fmin(share * SHED_LATE_FACTOR, SHED_SHARE_MAX);
 }
 
+double
+shed_refused_share(struct shed *shed, double share_min, bool is_late)
+{
+    double share = shed_share(shed, share_min);
+
+    return is_late ? shed_late_share(share) : share;
+}
+
 bool
 shed_refuses(struct shed *shed, const struct random_source *random,
              double share_min, bool is_late)
 {
-    double share = shed_share(shed, share_min);
+    double share = shed_refused_share(shed, share_min, is_late);
 
-    if (is_late) {
-        share = shed_late_share(share);
-    }
     return share > 0 && random_unit(random) < share;
 }
--- a/core/shed.h
+++ b/core/shed.h
@@ -82,6 +82,9 @@
 /// objective, where it is `share` of the others.
 double shed_late_share(double share);
 
+/// The share to be refused of requests like this one.
+double shed_refused_share(struct shed *shed, double share_min, bool is_late);
+
 /// True if this request is to be refused: a random choice by these shares.
 bool shed_refuses(struct shed *shed, const struct random_source *random,
                   double share_min, bool is_late);
--- a/core/wire.h
+++ b/core/wire.h
@@ -88,6 +88,8 @@
 struct wire {
     bool (*read_request)(const struct http1 *head, struct request_facts *facts,
                          struct err *err);
+    /// Reads the parts of a prompt as a request states them.
+    void (*read_prompt)(struct str text, struct prefix *prefix);
     /// Writes the head of the request for an endpoint.
     void (*write_request)(const struct http1 *head,
                           const struct forward_facts *facts,
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -12,6 +12,7 @@
 #include "core/xmalloc.h"
 #include "daemon/settings.h"
 #include "diff.h"
+#include "explain.h"
 #include "fleet.h"
 #include "stream.h"
 #include "version.h"
@@ -38,6 +39,8 @@
     char *author;
     char *argument; ///< document file or version; NULL: none
     int wait;
+    int as_json;
+    struct explain_options request; ///< for explain; allocated strings
 };
 
 static int
@@ -414,20 +417,26 @@
     return EXIT_IN_FORCE;
 }
 
+static int
+command_explain(struct ctl *ctl)
+{
+    struct err err = {0};
+
+    ctl->request.router = ctl->routers;
+    ctl->request.as_json = ctl->as_json != 0;
+    return explain_print(&ctl->request, &err) ? EXIT_SUCCESS : fail(&err);
+}
+
 static const struct {
     const char *name;
     int (*run)(struct ctl *ctl);
     bool offline;
 } commands[] = {
-    {"check", command_check, true},
-    {"diff", command_diff, false},
-    {"publish", command_publish, false},
-    {"trial", command_trial, false},
-    {"promote", command_promote, false},
-    {"show", command_show, false},
-    {"history", command_history, false},
-    {"status", command_status, false},
-    {"rollback", command_rollback, false},
+    {"check", command_check, true},        {"diff", command_diff, false},
+    {"publish", command_publish, false},   {"trial", command_trial, false},
+    {"promote", command_promote, false},   {"show", command_show, false},
+    {"history", command_history, false},   {"status", command_status, false},
+    {"rollback", command_rollback, false}, {"explain", command_explain, true},
     {"hash-key", command_hash_key, true},
 };
 
@@ -525,6 +534,11 @@
     free(ctl->environment);
     free(ctl->author);
     free(ctl->argument);
+    free((char *)ctl->request.host);
+    free((char *)ctl->request.path);
+    free((char *)ctl->request.account);
+    free((char *)ctl->request.prompt);
+    free((char *)ctl->request.deadline_ms);
 }
 
 int
@@ -539,7 +553,21 @@
         {"platform", 'p', POPT_ARG_STRING, &ctl.platform_text, 0,
          "address of the platform's log", "ADDRESS"},
         {"routers", 'r', POPT_ARG_STRING, &ctl.routers, 0,
-         "for status: query these status addresses of routers", "ADDRESS,..."},
+         "for status: query these status addresses of routers; for explain: "
+         "one",
+         "ADDRESS,..."},
+        {"host", 0, POPT_ARG_STRING, &ctl.request.host, 0,
+         "for explain: host of the request", "HOST"},
+        {"path", 0, POPT_ARG_STRING, &ctl.request.path, 0,
+         "for explain: path of the request", "PATH"},
+        {"account", 0, POPT_ARG_STRING, &ctl.request.account, 0,
+         "for explain: name of the account, not a key", "NAME"},
+        {"prompt", 0, POPT_ARG_STRING, &ctl.request.prompt, 0,
+         "for explain: parts of the prompt", "ID:TOKENS,..."},
+        {"deadline", 0, POPT_ARG_STRING, &ctl.request.deadline_ms, 0,
+         "for explain: how long the caller waits", "MS"},
+        {"json", 0, POPT_ARG_NONE, &ctl.as_json, 0, "for explain: print JSON",
+         NULL},
         {"environment", 'e', POPT_ARG_STRING, &ctl.environment, 0,
          "environment, by default production", "NAME"},
         {"author", 'a', POPT_ARG_STRING, &ctl.author, 0,
@@ -560,7 +588,7 @@
     poptSetOtherOptionHelp(context,
                            "[OPTION...] check|diff|publish|trial FILE, "
                            "promote, show|rollback VERSION, history, status, "
-                           "hash-key");
+                           "explain, hash-key");
     result = poptGetNextOpt(context);
     name = poptGetArg(context);
     if (result < -1) {
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -9,6 +9,7 @@
 
 #define TEXT_TYPE "text/plain; version=0.0.4"
 #define BODY_BYTES_MAX 4096
+#define HEAD_BYTES_MAX 16384
 
 struct admin {
     struct admin_options options;
@@ -59,6 +60,20 @@
     free(text);
 }
 
+static void
+on_explain(struct evhttp_request *request, void *ctx)
+{
+    struct admin *admin = ctx;
+    const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    const char *query = evhttp_uri_get_query(uri);
+    int status = 200;
+    char *text = admin->options.explain(admin->options.ctx,
+                                        query != NULL ? query : "", &status);
+
+    http_reply(request, status, "application/json", str_from(text));
+    free(text);
+}
+
 struct admin *
 admin_new(const struct admin_options *options, struct err *err)
 {
@@ -74,6 +89,10 @@
     evhttp_set_cb(admin->http, "/readyz", on_readyz, admin);
     evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
     evhttp_set_cb(admin->http, "/status", on_status, admin);
+    if (options->explain != NULL) {
+        evhttp_set_max_headers_size(admin->http, HEAD_BYTES_MAX);
+        evhttp_set_cb(admin->http, "/explain", on_explain, admin);
+    }
     if (!http_bind(admin->http, &options->address, &admin->address, err)) {
         admin_free(admin);
         return NULL;
--- a/daemon/admin.h
+++ b/daemon/admin.h
@@ -1,5 +1,5 @@
-/// HTTP server of a daemon's admin address: /healthz, /readyz, /metrics and
-/// /status.
+/// HTTP server of a daemon's admin address: /healthz, /readyz, /metrics,
+/// /status and /explain.
 #pragma once
 
 #include <stdbool.h>
@@ -20,6 +20,9 @@
     char *(*status)(void *ctx);
     /// Further metrics as text, freed by the caller; may be NULL.
     char *(*metrics)(void *ctx);
+    /// The answer to GET /explain as JSON, freed by the caller. `query` is the
+    /// part of the URI after the question mark. NULL: no such path.
+    char *(*explain)(void *ctx, const char *query, int *status);
     void *ctx;
 };
 
--- a/direct/admission.c
+++ b/direct/admission.c
@@ -16,19 +16,14 @@
 /// Time limit of a request that states no deadline, until its route is known.
 #define TIMEOUT_DEFAULT_MS 1000
 
-static bool
-authenticate(struct exchange *exchange)
+bool
+admission_set_account(struct exchange *exchange,
+                      const struct catalog_account *account)
 {
-    const struct catalog_account *account = NULL;
-
     exchange->priority = exchange->route->priority;
     if (!catalog_has_accounts(exchange->catalog)) {
         return true;
     }
-    if (exchange->facts.api_key.len > 0) {
-        account =
-            catalog_find_account(exchange->catalog, exchange->facts.api_key);
-    }
     if (account != NULL) {
         exchange->account = account->name;
         if (account->has_priority) {
@@ -42,6 +37,16 @@
     return account != NULL;
 }
 
+static bool
+authenticate(struct exchange *exchange)
+{
+    struct str key = exchange->facts.api_key;
+
+    return admission_set_account(
+        exchange,
+        key.len > 0 ? catalog_find_account(exchange->catalog, key) : NULL);
+}
+
 /// Like str_hash() of the whole body, without a contiguous copy of it.
 static uint64_t
 hash_body(struct evbuffer *body, uint64_t seed)
@@ -77,8 +82,8 @@
     return hash_body(caller_request_body(exchange->caller), hash);
 }
 
-static void
-set_expiry(struct exchange *exchange)
+void
+admission_set_expiry(struct exchange *exchange)
 {
     int64_t wait_ms = exchange->route->timeout_ms;
 
@@ -126,7 +131,7 @@
         exchange_refuse(exchange, 404, -1, "no route");
         return false;
     }
-    set_expiry(exchange);
+    admission_set_expiry(exchange);
     if (!authenticate(exchange)) {
         exchange_refuse(exchange, 401, -1, "unknown key");
         return false;
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -13,7 +13,6 @@
 #include "dandelionvalve/quarantine.h"
 #include "dandelionvalve/retry.h"
 #include "blame.h"
-#include "candidates.h"
 #include "daemon/settings.h"
 #include "cold.h"
 #include "direct.h"
--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -2,12 +2,11 @@
 
 #include <stdlib.h>
 
+#include "core/evacuation.h"
 #include "core/spread.h"
 #include "core/xmalloc.h"
 #include "endpoints.h"
 
-/// Endpoints of one service that a placement considers at most.
-#define CANDIDATES_MAX 1024
 /// Share of a service's endpoints that may be ejected at once. If more fail,
 /// the cause is not in the endpoints, and all stay in use.
 #define EJECTED_PERCENT_MAX 50
@@ -26,6 +25,9 @@
     bool avoided[CANDIDATES_MAX];
     bool takes_requests[CANDIDATES_MAX];
     bool fits[CANDIDATES_MAX];
+    enum candidate_exclusion exclusions[CANDIDATES_MAX];
+    size_t count;
+    int64_t now_ms;
 };
 
 struct candidates *
@@ -40,6 +42,68 @@
     free(candidates);
 }
 
+size_t
+candidates_count(const struct candidates *candidates)
+{
+    return candidates->count;
+}
+
+struct candidate_view
+candidates_view(const struct candidates *candidates, size_t index)
+{
+    return (struct candidate_view){
+        .endpoint = candidates->endpoints[index],
+        .figures = &candidates->candidates[index],
+        .exclusion = candidates->exclusions[index],
+    };
+}
+
+const char *
+candidate_exclusion_name(enum candidate_exclusion exclusion)
+{
+    static const char *const names[] = {
+        [CANDIDATE_USABLE] = "none",         [CANDIDATE_DRAINING] = "draining",
+        [CANDIDATE_LEAVING] = "leaving",     [CANDIDATE_HELD] = "held",
+        [CANDIDATE_EVACUATED] = "evacuated", [CANDIDATE_COLD] = "cold",
+        [CANDIDATE_TRIED] = "tried",         [CANDIDATE_EJECTED] = "ejected",
+        [CANDIDATE_ON_TRIAL] = "on trial",   [CANDIDATE_FAILING] = "failing",
+        [CANDIDATE_FULL] = "full",
+    };
+
+    return names[exclusion];
+}
+
+static void
+exclude_one(struct candidates *set, size_t i,
+            enum candidate_exclusion exclusion)
+{
+    if (set->candidates[i].usable) {
+        set->candidates[i].usable = false;
+        set->exclusions[i] = exclusion;
+    }
+}
+
+/// Why no request goes there, whatever the request is.
+static enum candidate_exclusion
+standing_exclusion(const struct endpoints *endpoints,
+                   const struct endpoint *endpoint, int64_t now_ms)
+{
+    const struct endpoints_options *options = endpoints_options(endpoints);
+
+    if (!endpoint_is_ready(endpoint)) {
+        return endpoint->is_leaving ? CANDIDATE_LEAVING : CANDIDATE_DRAINING;
+    }
+    if (hold_left_ms(&endpoint->hold, now_ms) > 0) {
+        return CANDIDATE_HELD;
+    }
+    if (!endpoints_allow(endpoints, endpoint)) {
+        return evacuation_covers(options->evacuation, endpoint->zone)
+                   ? CANDIDATE_EVACUATED
+                   : CANDIDATE_COLD;
+    }
+    return CANDIDATE_USABLE;
+}
+
 static bool
 was_tried(const struct endpoints_query *query, uint64_t hash)
 {
@@ -71,7 +135,12 @@
         return;
     }
     for (size_t i = 0; i < count; i++) {
-        candidates[i].usable = candidates[i].usable && !marked[i];
+        if (marked[i]) {
+            exclude_one(set, i,
+                        set->now_ms < set->endpoints[i]->eject.ejected_until_ms
+                            ? CANDIDATE_EJECTED
+                            : CANDIDATE_ON_TRIAL);
+        }
     }
 }
 
@@ -110,7 +179,9 @@
         fitting += candidates[i].usable && fits[i] ? 1 : 0;
     }
     for (size_t i = 0; i < count && fitting > 0; i++) {
-        candidates[i].usable = candidates[i].usable && fits[i];
+        if (!fits[i]) {
+            exclude_one(set, i, CANDIDATE_FAILING);
+        }
     }
 }
 
@@ -152,7 +223,9 @@
         fitting += candidates[i].usable && set->fits[i] ? 1 : 0;
     }
     for (size_t i = 0; i < count && fitting > 0; i++) {
-        candidates[i].usable = candidates[i].usable && set->fits[i];
+        if (!set->fits[i]) {
+            exclude_one(set, i, CANDIDATE_FULL);
+        }
     }
 }
 
@@ -203,13 +276,15 @@
         avoided[count] =
             ejected[count] || (query->at_most_once && query->spares_trials &&
                                eject_spares_once(&endpoint->eject, now_ms));
-        takes_requests[count] = endpoint_is_ready(endpoint) &&
-                                hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-                                endpoints_allow(endpoints, endpoint);
+        set->exclusions[count] =
+            standing_exclusion(endpoints, endpoint, now_ms);
+        takes_requests[count] = set->exclusions[count] == CANDIDATE_USABLE;
+        if (takes_requests[count] && was_tried(query, endpoint->hash)) {
+            set->exclusions[count] = CANDIDATE_TRIED;
+        }
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
-            .usable =
-                takes_requests[count] && !was_tried(query, endpoint->hash),
+            .usable = set->exclusions[count] == CANDIDATE_USABLE,
             // A draining endpoint still serves its contexts to others.
             .sends_contexts = !ejected[count],
             .same_zone = str_equal(endpoint->zone, options->zone),
@@ -233,6 +308,8 @@
         };
         count++;
     }
+    set->count = count;
+    set->now_ms = now_ms;
     exclude(set, count, avoided, AVOIDED_PERCENT_MAX);
     exclude(set, count, ejected, EJECTED_PERCENT_MAX);
     if (query->is_repeat) {
--- a/direct/candidates.h
+++ b/direct/candidates.h
@@ -9,6 +9,24 @@
 #include "core/place.h"
 #include "dandelionvalve/str.h"
 
+/// Endpoints of one service that a placement considers at most.
+#define CANDIDATES_MAX 1024
+
+/// Why an endpoint does not get a request.
+enum candidate_exclusion {
+    CANDIDATE_USABLE,
+    CANDIDATE_DRAINING,
+    CANDIDATE_LEAVING,
+    CANDIDATE_HELD,
+    CANDIDATE_EVACUATED,
+    CANDIDATE_COLD,
+    CANDIDATE_TRIED,
+    CANDIDATE_EJECTED,
+    CANDIDATE_ON_TRIAL,
+    CANDIDATE_FAILING, ///< fails more than others, and this is a repeat
+    CANDIDATE_FULL,    ///< the request would fill its memory
+};
+
 struct candidates;
 struct endpoint;
 struct endpoints;
@@ -19,6 +37,20 @@
 struct candidates *candidates_new(void);
 void candidates_free(struct candidates *candidates);
 
+const char *candidate_exclusion_name(enum candidate_exclusion exclusion);
+
+/// A candidate of the last choice, valid until the endpoints change.
+struct candidate_view {
+    const struct endpoint *endpoint;
+    const struct place_candidate *figures;
+    enum candidate_exclusion exclusion;
+};
+
+/// Candidates of the last choice, the excluded ones included.
+size_t candidates_count(const struct candidates *candidates);
+struct candidate_view candidates_view(const struct candidates *candidates,
+                                      size_t index);
+
 /// Constraints on the choice beside place_request.
 struct endpoints_query {
     struct str service;
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -22,11 +22,11 @@
                          exchange->priority);
 }
 
-/// Chooses an endpoint; the first `skipped` ones that were tried may be chosen
-/// again.
-static bool
-choose(struct exchange *exchange, size_t skipped,
-       struct endpoints_choice *choice)
+bool
+dispatch_choose(const struct exchange *exchange, size_t skipped,
+                const struct random_source *random,
+                struct place_choice *considered,
+                struct endpoints_choice *choice)
 {
     struct direct *direct = exchange->direct;
     const struct catalog_service *service =
@@ -47,7 +47,8 @@
         .capacity_tokens = service != NULL ? (double)service->cache_tokens : 0,
     };
     const struct place_request request = {
-        .random = direct_random(direct),
+        .random = random,
+        .considered = considered,
         .has_prompt = exchange->facts.prefix.count > 0,
         .even_load = is_even,
         .known_share = is_even ? direct_known_share(direct) : 1,
@@ -68,7 +69,8 @@
 }
 
 static struct admission_request
-describe(const struct exchange *exchange, double shed_share, bool is_late)
+describe(const struct exchange *exchange, const struct services *services,
+         double shed_share, bool is_late)
 {
     return (struct admission_request){
         .service = exchange->service,
@@ -78,12 +80,29 @@
         .prompt_tokens = prefix_tokens(&exchange->facts.prefix),
         .shed_share = shed_share,
         .is_late = is_late,
-        .is_returning = services_is_returning(
-            direct_services(exchange->direct), exchange->route->name,
-            exchange->facts.deadline_ms),
+        .is_returning = services_is_returning(services, exchange->route->name,
+                                              exchange->facts.deadline_ms),
     };
 }
 
+bool
+dispatch_is_untimely(const struct exchange *exchange,
+                     const struct services *services,
+                     const struct endpoints_choice *choice)
+{
+    struct admission_request request;
+
+    if (!direct_settings(exchange->direct)->shares || exchange->offers > 0 ||
+        exchange->facts.last_event_id.len > 0) {
+        return false;
+    }
+    request = describe(exchange, services, 0, false);
+    return admission_misses_deadline(services_admission(services), &request,
+                                     choice->place.predicted_prefill_ms,
+                                     exchange->expires_ms -
+                                         exchange_now(exchange));
+}
+
 /// Refuses a request whose answer would begin behind its deadline; true if the
 /// exchange has ended.
 static bool
@@ -93,15 +112,8 @@
     struct direct *direct = exchange->direct;
     double predicted_ms = choice->place.predicted_prefill_ms;
     int64_t left_ms = exchange->expires_ms - exchange_now(exchange);
-    struct admission_request request;
 
-    if (!direct_settings(direct)->shares || exchange->offers > 0 ||
-        exchange->facts.last_event_id.len > 0) {
-        return false;
-    }
-    request = describe(exchange, 0, false);
-    if (!admission_misses_deadline(services_admission(direct_services(direct)),
-                                   &request, predicted_ms, left_ms)) {
+    if (!dispatch_is_untimely(exchange, direct_services(direct), choice)) {
         return false;
     }
     LOG_INFO("event=untimely id=%s service=" STR_FMT " account=" STR_FMT
@@ -110,43 +122,53 @@
              exchange->id, STR_ARG(exchange->service),
              STR_ARG(exchange->account), exchange->priority,
              STR_ARG(choice->endpoint->id), predicted_ms, (long long)left_ms,
-             request.prompt_tokens);
+             prefix_tokens(&exchange->facts.prefix));
     counter_add(direct_counters(direct), COUNTER_UNTIMELY, 1);
     exchange_refuse_not_run(exchange, "it cannot begin before its deadline");
     return true;
 }
 
-static void
-refuse(struct exchange *exchange)
+const char *
+dispatch_refusal(const struct exchange *exchange, bool *is_cold)
 {
     const struct endpoints *endpoints = direct_endpoints(exchange->direct);
-    const char *reason = "no endpoint is usable";
 
+    *is_cold = true;
     if (endpoints_are_evacuated(endpoints, exchange->service)) {
-        reason = "the zones of all endpoints are evacuated";
+        return "the zones of all endpoints are evacuated";
     }
-    else if (endpoints_are_cold(endpoints, exchange->service)) {
-        reason = "all endpoints are cold";
+    if (endpoints_are_cold(endpoints, exchange->service)) {
+        return "all endpoints are cold";
     }
-    else {
-        exchange_refuse_not_run(exchange, reason);
-        return;
+    *is_cold = false;
+    return "no endpoint is usable";
+}
+
+static void
+refuse(struct exchange *exchange)
+{
+    bool is_cold;
+    const char *reason = dispatch_refusal(exchange, &is_cold);
+
+    if (is_cold) {
+        counter_add(direct_counters(exchange->direct), COUNTER_COLD_REFUSED,
+                    1);
     }
-    counter_add(direct_counters(exchange->direct), COUNTER_COLD_REFUSED, 1);
     exchange_refuse_not_run(exchange, reason);
 }
 
 void
 dispatch_request(struct exchange *exchange)
 {
+    const struct random_source *random = direct_random(exchange->direct);
     struct endpoints_choice choice;
-    bool found = choose(exchange, 0, &choice);
+    bool found = dispatch_choose(exchange, 0, random, NULL, &choice);
 
     if (!found && exchange->offers > 0 && exchange->runs == 0 &&
         exchange->offers < EXCHANGE_OFFERS_MAX) {
         // No endpoint has run the request: offer it to the first one
         // again, which may have recovered.
-        found = choose(exchange, 1, &choice);
+        found = dispatch_choose(exchange, 1, random, NULL, &choice);
     }
     if (found) {
         if (!try_refuse_untimely(exchange, &choice)) {
@@ -162,64 +184,88 @@
     }
 }
 
-/// Refuses the request if its account's share of the service is used up;
-/// true if the exchange has ended.
-static bool
-try_refuse_by_share(struct exchange *exchange, double share_min, bool is_late)
+void
+dispatch_judge(const struct exchange *exchange, struct services *services,
+               const struct random_source *random,
+               struct dispatch_verdict *verdict)
 {
-    struct direct *direct = exchange->direct;
-    struct admission *admission = services_admission(direct_services(direct));
-    const struct admission_request request = describe(
-        exchange, shed_share(dispatch_shed(exchange), share_min), is_late);
-    struct admission_verdict verdict;
+    struct shed *shed =
+        services_shed(services, exchange->service, exchange->priority);
 
-    admission_decide(admission, &request, &verdict);
-    if (verdict.reason == ADMISSION_ADMITTED) {
-        return false;
+    *verdict = (struct dispatch_verdict){
+        .is_late = services_is_late(services, exchange->route->name,
+                                    exchange->facts.deadline_ms,
+                                    exchange->route->objective_ms),
+        .share_min = services_share_above(services, exchange->service,
+                                          exchange->priority),
+    };
+    if (exchange->facts.last_event_id.len > 0) {
+        return;
     }
-    LOG_INFO(
-        "event=shed id=%s service=" STR_FMT " account=" STR_FMT
-        " priority=%u reason=%s share=%.2f refused_share=%.2f "
-        "account_share=%.3f equal_share=%.3f returning=%d tokens=%u "
-        "sums_age_ms=%lld wait_ms=%lld deadline_ms=%lld",
-        exchange->id, STR_ARG(exchange->service), STR_ARG(exchange->account),
-        exchange->priority, admission_reason_name(verdict.reason),
-        request.shed_share, verdict.refused_share, verdict.account_share,
-        verdict.equal_share, request.is_returning, request.prompt_tokens,
-        (long long)admission_report_age_ms(admission),
-        (long long)verdict.wait_ms, (long long)exchange->facts.deadline_ms);
-    counter_add(direct_counters(direct), COUNTER_SHED, 1);
-    exchange_refuse_until(exchange, verdict.wait_ms,
-                          "the service is overloaded");
-    return true;
+    verdict->by_account = direct_settings(exchange->direct)->shares;
+    if (!verdict->by_account) {
+        verdict->refused_share =
+            shed_refused_share(shed, verdict->share_min, verdict->is_late);
+        verdict->is_refused =
+            shed_refuses(shed, random, verdict->share_min, verdict->is_late);
+        return;
+    }
+    verdict->request =
+        describe(exchange, services, shed_share(shed, verdict->share_min),
+                 verdict->is_late);
+    admission_decide(services_admission(services), &verdict->request,
+                     &verdict->admission);
+    verdict->refused_share = verdict->admission.refused_share;
+    verdict->is_refused = verdict->admission.reason != ADMISSION_ADMITTED;
+}
+
+static void
+log_refusal_by_share(const struct exchange *exchange,
+                     const struct dispatch_verdict *verdict)
+{
+    const struct admission *admission =
+        services_admission(direct_services(exchange->direct));
+    const struct admission_request *request = &verdict->request;
+    const struct admission_verdict *by = &verdict->admission;
+
+    LOG_INFO("event=shed id=%s service=" STR_FMT " account=" STR_FMT
+             " priority=%u reason=%s share=%.2f refused_share=%.2f "
+             "account_share=%.3f equal_share=%.3f returning=%d tokens=%u "
+             "sums_age_ms=%lld wait_ms=%lld deadline_ms=%lld",
+             exchange->id, STR_ARG(exchange->service),
+             STR_ARG(exchange->account), exchange->priority,
+             admission_reason_name(by->reason), request->shed_share,
+             by->refused_share, by->account_share, by->equal_share,
+             request->is_returning, request->prompt_tokens,
+             (long long)admission_report_age_ms(admission),
+             (long long)by->wait_ms, (long long)exchange->facts.deadline_ms);
 }
 
 bool
 dispatch_try_shed(struct exchange *exchange)
 {
     struct direct *direct = exchange->direct;
-    struct shed *shed = dispatch_shed(exchange);
-    bool is_late = services_is_late(
-        direct_services(direct), exchange->route->name,
-        exchange->facts.deadline_ms, exchange->route->objective_ms);
-    double share_min = services_share_above(
-        direct_services(direct), exchange->service, exchange->priority);
+    struct dispatch_verdict verdict;
 
-    if (exchange->facts.last_event_id.len > 0) {
+    dispatch_judge(exchange, direct_services(direct), direct_random(direct),
+                   &verdict);
+    if (!verdict.is_refused) {
         return false;
     }
-    if (direct_settings(direct)->shares) {
-        return try_refuse_by_share(exchange, share_min, is_late);
+    if (verdict.by_account) {
+        log_refusal_by_share(exchange, &verdict);
     }
-    if (!shed_refuses(shed, direct_random(direct), share_min, is_late)) {
-        return false;
+    else {
+        const struct shed *shed = dispatch_shed(exchange);
+
+        LOG_INFO("event=shed id=%s service=" STR_FMT " priority=%u share=%.2f "
+                 "share_min=%.2f delay=%.2f late=%d deadline_ms=%lld",
+                 exchange->id, STR_ARG(exchange->service), exchange->priority,
+                 shed->refused_share, verdict.share_min, shed->delay,
+                 verdict.is_late, (long long)exchange->facts.deadline_ms);
     }
-    LOG_INFO("event=shed id=%s service=" STR_FMT " priority=%u share=%.2f "
-             "share_min=%.2f delay=%.2f late=%d deadline_ms=%lld",
-             exchange->id, STR_ARG(exchange->service), exchange->priority,
-             shed->refused_share, share_min, shed->delay, is_late,
-             (long long)exchange->facts.deadline_ms);
     counter_add(direct_counters(direct), COUNTER_SHED, 1);
-    exchange_refuse_not_run(exchange, "the service is overloaded");
+    exchange_refuse_until(exchange, verdict.admission.wait_ms,
+                          "the service is overloaded");
     return true;
 }
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -134,14 +134,14 @@
 /// all in evacuated zones return spread over some time: the zones come back
 /// for all at once, and cold.
 static int64_t
-unusable_ms(const struct exchange *exchange)
+unusable_ms(const struct exchange *exchange,
+            const struct random_source *random)
 {
     const struct endpoints *endpoints = direct_endpoints(exchange->direct);
 
     if (endpoints_are_evacuated(endpoints, exchange->service)) {
         return EVACUATED_WAIT_MS +
-               (int64_t)random_below(direct_random(exchange->direct),
-                                     EVACUATED_SPREAD_MS);
+               (int64_t)random_below(random, EVACUATED_SPREAD_MS);
     }
     return endpoints_held_ms(endpoints, exchange->service);
 }
@@ -152,22 +152,30 @@
     exchange_refuse_until(exchange, 0, reason);
 }
 
+int64_t
+exchange_retry_after_ms(const struct exchange *exchange,
+                        const struct random_source *random,
+                        int64_t earliest_ms)
+{
+    int64_t remaining_ms = exchange->expires_ms - exchange_now(exchange);
+
+    return unusable_ms(exchange, random) +
+           timing_retry_after_from_ms(random, remaining_ms, earliest_ms);
+}
+
 void
 exchange_refuse_until(struct exchange *exchange, int64_t earliest_ms,
                       const char *reason)
 {
-    const struct random_source *random = direct_random(exchange->direct);
-    int64_t remaining_ms = exchange->expires_ms - exchange_now(exchange);
-
     if (exchange->runs > 0) {
         exchange_refuse(exchange, 502, -1, reason);
         return;
     }
-    exchange_refuse(
-        exchange, 503,
-        unusable_ms(exchange) +
-            timing_retry_after_from_ms(random, remaining_ms, earliest_ms),
-        reason);
+    exchange_refuse(exchange, 503,
+                    exchange_retry_after_ms(exchange,
+                                            direct_random(exchange->direct),
+                                            earliest_ms),
+                    reason);
 }
 
 void
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -83,6 +83,11 @@
 void exchange_refuse_until(struct exchange *exchange, int64_t earliest_ms,
                            const char *reason);
 
+/// The Retry-After of such an answer.
+int64_t exchange_retry_after_ms(const struct exchange *exchange,
+                                const struct random_source *random,
+                                int64_t earliest_ms);
+
 /// Current time on the router's clock.
 int64_t exchange_now(const struct exchange *exchange);
 
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -12,6 +12,7 @@
 #include "direct_private.h"
 #include "direct_state.h"
 #include "endpoints.h"
+#include "explain.h"
 #include "mesh.h"
 #include "services.h"
 
@@ -191,6 +192,7 @@
         .is_ready = is_ready,
         .status = status_of,
         .metrics = metrics_of,
+        .explain = explain_request,
         .ctx = direct,
     };
 
--- a/direct/services.c
+++ b/direct/services.c
@@ -97,6 +97,40 @@
     free(services);
 }
 
+struct services *
+services_copy(const struct services *services,
+              const struct admission_request *request,
+              const struct random_source *random)
+{
+    struct services *copy = xcalloc(1, sizeof(*copy));
+    const struct service *service;
+    const struct route *route;
+
+    copy->clock = services->clock;
+    copy->admission = admission_copy(services->admission, request, random);
+    HASH_FIND(hh, services->by_name, request->service.data,
+              request->service.len, service);
+    if (service != NULL) {
+        struct service *service_copy = xcalloc(1, sizeof(*service_copy));
+
+        *service_copy = *service;
+        service_copy->name = str_copy(service->name);
+        HASH_ADD_KEYPTR(hh, copy->by_name, service_copy->name.data,
+                        service_copy->name.len, service_copy);
+    }
+    HASH_FIND(hh, services->routes, request->route.data, request->route.len,
+              route);
+    if (route != NULL) {
+        struct route *route_copy = xcalloc(1, sizeof(*route_copy));
+
+        *route_copy = *route;
+        route_copy->name = str_copy(route->name);
+        HASH_ADD_KEYPTR(hh, copy->routes, route_copy->name.data,
+                        route_copy->name.len, route_copy);
+    }
+    return copy;
+}
+
 static struct service *
 get_service(struct services *services, struct str name)
 {
--- a/direct/services.h
+++ b/direct/services.h
@@ -13,6 +13,7 @@
 #include "dandelionvalve/str.h"
 
 struct admission;
+struct admission_request;
 struct footprint_lengths;
 struct services;
 
@@ -22,6 +23,12 @@
                               const struct random_source *random);
 void services_free(struct services *services);
 
+/// A copy of what decides on this request, to find the decision without
+/// counting the request. The caller frees with services_free().
+struct services *services_copy(const struct services *services,
+                               const struct admission_request *request,
+                               const struct random_source *random);
+
 /// The retry budget of a service, created on first use.
 struct retry_budget *
 services_retry_budget(struct services *services, struct str service,
--- a/tests/main.c
+++ b/tests/main.c
@@ -34,6 +34,7 @@
     {"pause", suite_pause},
     {"caller", suite_caller},
     {"late-copies", suite_late_copies},
+    {"explain", suite_explain},
     {"leaving", suite_leaving},
     {"link", suite_link},
     {"store", suite_store},
