--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -130,12 +130,13 @@
     printf("route %s, account %s, priority %.0f, service %s\n",
            text_of(json, "route"), text_of(json, "account"),
            number_of(json, "priority"), text_of(json, "service"));
-    printf("admission: %s, refused share %.3f, account share %.3f of an equal "
-           "%.3f",
-           text_of(admission, "verdict"),
-           number_of(admission, "refused_share"),
-           number_of(admission, "account_share"),
-           number_of(admission, "equal_share"));
+    printf("admission: %s, refused share %.3f", text_of(admission, "verdict"),
+           number_of(admission, "refused_share"));
+    if (json_is_true(json_object_get(admission, "by_account"))) {
+        printf(", account share %.3f, an equal one %.3f",
+               number_of(admission, "account_share"),
+               number_of(admission, "equal_share"));
+    }
     if (number_of(admission, "retry_after_ms") >= 0) {
         printf(", Retry-After from %.0f ms",
                number_of(admission, "retry_after_ms"));
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -541,6 +541,24 @@
     free((char *)ctl->request.deadline_ms);
 }
 
+/// `name` and `argument` may be NULL.
+static int
+run_with_argument(struct ctl *ctl, const char *name, const char *argument)
+{
+    if (name == NULL) {
+        fprintf(stderr, "dvctl: a command is needed; see --help\n");
+        return EXIT_BAD_INPUT;
+    }
+    if (argument != NULL) {
+        ctl->argument = xstrdup(argument);
+    }
+    set_defaults(ctl);
+    if (sodium_init() < 0) {
+        BUG("libsodium cannot be initialised");
+    }
+    return run_command(ctl, name);
+}
+
 int
 main(int argc, const char **argv)
 {
@@ -612,18 +630,7 @@
         status = EXIT_SUCCESS;
         goto out;
     }
-    if (name == NULL) {
-        fprintf(stderr, "dvctl: a command is needed; see --help\n");
-        goto out;
-    }
-    if (poptPeekArg(context) != NULL) {
-        ctl.argument = xstrdup(poptGetArg(context));
-    }
-    set_defaults(&ctl);
-    if (sodium_init() < 0) {
-        BUG("libsodium cannot be initialised");
-    }
-    status = run_command(&ctl, name);
+    status = run_with_argument(&ctl, name, poptGetArg(context));
 out:
     free(config);
     ctl_destroy(&ctl);
--- a/direct/explain.c
+++ b/direct/explain.c
@@ -211,15 +211,15 @@
         verdict.refused_share = SHED_SHARE_MAX;
         verdict.is_refused = true;
     }
-    json =
-        json_pack("{s:s,s:f,s:f,s:f,s:I}", "verdict", reason, "refused_share",
-                  verdict.refused_share, "account_share",
-                  verdict.admission.account_share, "equal_share",
-                  verdict.admission.equal_share, "retry_after_ms",
-                  verdict.is_refused || choice->endpoint == NULL
-                      ? (json_int_t)exchange_retry_after_ms(
-                            exchange, &lowest_draw, verdict.admission.wait_ms)
-                      : (json_int_t)-1);
+    json = json_pack(
+        "{s:s,s:b,s:f,s:f,s:f,s:I}", "verdict", reason, "by_account",
+        verdict.by_account, "refused_share", verdict.refused_share,
+        "account_share", verdict.admission.account_share, "equal_share",
+        verdict.admission.equal_share, "retry_after_ms",
+        verdict.is_refused || choice->endpoint == NULL
+            ? (json_int_t)exchange_retry_after_ms(exchange, &lowest_draw,
+                                                  verdict.admission.wait_ms)
+            : (json_int_t)-1);
     services_free(services);
     return json;
 }
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -39,6 +39,11 @@
   "$BUILD/dvctl" check "$DIR/document.toml"
 expect 1 "cannot be read" \
   "$BUILD/dvctl" --platform 127.0.0.1:9 history
+expect 2 "explain needs" "$BUILD/dvctl" explain
+expect 2 "not an IP number" \
+  "$BUILD/dvctl" --routers nowhere --host h --path / explain
+expect 1 "gave no answer" \
+  "$BUILD/dvctl" --routers 127.0.0.1:9 --host h --path / explain
 expect 0 "" bash -c "echo secret | '$BUILD/dvctl' hash-key"
 expect 2 "an API key of 1 to" bash -c "'$BUILD/dvctl' hash-key </dev/null"
 # A direct router applies changed settings on SIGHUP and also without it.
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <CUnit/CUnit.h>
+#include <event2/buffer.h>
 #include <jansson.h>
 
 #include "core/admission.h"
@@ -14,6 +15,7 @@
 #include "direct/explain.h"
 #include "direct/services.h"
 #include "direct_harness.h"
+#include "net/http_client.h"
 #include "suites.h"
 
 #define QUERY                                                                 \
@@ -173,7 +175,10 @@
         admission_free(copy);
         admission_decide(twins[0], &request, &verdicts[0]);
         admission_decide(twins[1], &request, &verdicts[1]);
-        CU_ASSERT(memcmp(&verdicts[0], &verdicts[1], sizeof(copied)) == 0);
+        CU_ASSERT(verdicts[0].reason == verdicts[1].reason);
+        CU_ASSERT(verdicts[0].refused_share == verdicts[1].refused_share);
+        CU_ASSERT(verdicts[0].account_share == verdicts[1].account_share);
+        CU_ASSERT(verdicts[0].wait_ms == verdicts[1].wait_ms);
         CU_ASSERT(copied.refused_share == verdicts[0].refused_share);
         CU_ASSERT(copied.wait_ms == verdicts[0].wait_ms);
     }
@@ -181,6 +186,103 @@
     admission_free(twins[1]);
 }
 
+/// Guards against a wrong reason, and against a choice that is explained where
+/// no endpoint takes requests.
+static void
+test_reasons(void)
+{
+    struct direct_harness harness;
+    struct endpoint *endpoint[3];
+    json_t *json;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1, .origins = 3});
+    for (size_t i = 0; i < 3; i++) {
+        static const char *const ids[] = {"e-0", "e-1", "e-2"};
+
+        endpoint[i] = endpoints_find(direct_endpoints(harness.routers[0]),
+                                     str_from(ids[i]));
+    }
+    endpoint_note_leaving(endpoint[0]);
+    endpoint_note_retry_after(endpoint[1], clock_ms(&clock_monotonic), 20000);
+    json = ask(&harness, QUERY, 200);
+    CU_ASSERT(strcmp(out_of(json, "e-0"), "leaving") == 0);
+    CU_ASSERT(strcmp(out_of(json, "e-1"), "held") == 0);
+    CU_ASSERT(strcmp(out_of(json, "e-2"), "none") == 0);
+    CU_ASSERT(strcmp(text_of(json, "chosen"), "e-2") == 0);
+    json_decref(json);
+    endpoint[2]->state = ENDPOINT_DRAINING;
+    json = ask(&harness, QUERY, 200);
+    CU_ASSERT(strcmp(out_of(json, "e-2"), "draining") == 0);
+    CU_ASSERT(json_is_null(json_object_get(json, "chosen")));
+    CU_ASSERT(strcmp(text_of(json, "refusal"), "no endpoint is usable") == 0);
+    json_decref(json);
+    direct_harness_stop(&harness);
+}
+
+struct answer {
+    char text[16384];
+    size_t len;
+    bool ended;
+};
+
+static void
+on_data(void *ctx, struct evbuffer *data)
+{
+    struct answer *answer = ctx;
+    int len = evbuffer_remove(data, answer->text + answer->len,
+                              sizeof(answer->text) - 1 - answer->len);
+
+    answer->len += len > 0 ? (size_t)len : 0;
+}
+
+static void
+on_end(void *ctx, enum http_call_result end)
+{
+    struct answer *answer = ctx;
+
+    answer->ended = end == HTTP_CALL_COMPLETE;
+}
+
+static bool
+has_ended(void *ctx)
+{
+    return ((struct answer *)ctx)->ended;
+}
+
+/// Guards against an answer that is not served on the readiness address, and
+/// against parameters that are not decoded.
+static void
+test_served_by_http(void)
+{
+    struct direct_harness harness;
+    struct answer answer = {0};
+    const struct http_call_options call = {
+        .method = STR_LITERAL("GET"),
+        .uri = STR_LITERAL("/explain?host=h.example&path=%2Flook%2F"
+                           "&account=acme"),
+        .body = STR_LITERAL(""),
+        .data = on_data,
+        .end = on_end,
+        .ctx = &answer,
+    };
+    struct http_client *admin;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1, .origins = 1});
+    admin = http_client_new(&(struct http_client_options){
+        .base = harness.base,
+        .address = direct_ready_address(harness.routers[0]),
+        .header_bytes_max = 8192,
+    });
+    CU_ASSERT_FATAL(http_call(admin, &call) != NULL);
+    CU_ASSERT(direct_harness_wait(&harness, has_ended, &answer, 2000));
+    CU_ASSERT(strstr(answer.text, "\"route\":\"look\"") != NULL);
+    CU_ASSERT(strstr(answer.text, "\"chosen\":\"e-0\"") != NULL);
+    http_client_free(admin);
+    direct_harness_stop(&harness);
+}
+
 /// Guards against answers for another request than the one asked for, and
 /// against a key in an error message.
 static void
@@ -220,6 +322,8 @@
 
     CU_add_test(suite, "next request goes there",
                 test_next_request_goes_there);
+    CU_add_test(suite, "reasons", test_reasons);
+    CU_add_test(suite, "served by HTTP", test_served_by_http);
     CU_add_test(suite, "shedding", test_shedding);
     CU_add_test(suite, "copy counts nothing", test_copy_counts_nothing);
     CU_add_test(suite, "errors", test_errors);
