platform: decode.c is split by concern

Each has a file of its own now; wire.c holds the table of the interface. The code is moved, only names of functions change.

The suites wire, catalog, settings, message, admission, memory, direct, direct-store, cold, leaving, late-copies and crowd pass.

--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -11,7 +11,7 @@
 #include "core/xmalloc.h"
 #include "net/http1.h"
 #include "net/loop.h"
-#include "platform/decode.h"
+#include "platform/wire.h"
 #include "standin/platform_document.h"
 #include "standin/ports.h"
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -8,7 +8,7 @@
 
 #include "core/catalog.h"
 #include "net/http1.h"
-#include "platform/decode.h"
+#include "platform/wire.h"
 #include "suites.h"
 
 static void
