mesh, caller, settings, tests: repeated code is merged

All peers have at least MESSAGE_VERSION, so that messages without a condition still reach each of them; the order of the messages on a link stays the same. - caller_count() replaces four checks for missing counters. - get_bool_in() reads the two boolean settings that are alone in a table. - direct_entry_put() writes the endpoint entries of five test files.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -278,14 +278,15 @@
     settings->settle_ms = (int64_t)settle_ms;
 }
 
+/// Reads a boolean of a table that may be missing.
 static void
-read_admission(struct toml_table *root, struct settings_direct *settings,
-               struct err *err)
+get_bool_in(struct toml_table *root, const char *table, const char *name,
+            bool *value, struct err *err)
 {
-    struct toml_table *admission = toml_subtable(root, "admission", err);
+    struct toml_table *found = toml_subtable(root, table, err);
 
-    if (admission != NULL) {
-        toml_get_bool(admission, "shares", &settings->shares, err);
+    if (found != NULL) {
+        toml_get_bool(found, name, value, err);
     }
 }
 
@@ -351,17 +352,6 @@
     settings->descriptors_max = (int64_t)descriptors_max;
 }
 
-static void
-read_placement(struct toml_table *root, struct settings_direct *settings,
-               struct err *err)
-{
-    struct toml_table *placement = toml_subtable(root, "placement", err);
-
-    if (placement != NULL) {
-        toml_get_bool(placement, "even_load", &settings->even_load, err);
-    }
-}
-
 bool
 settings_read_direct(const char *file, struct settings_direct *settings,
                      struct toml_doc **out, struct err *err)
@@ -392,9 +382,9 @@
         get_address(root, "metrics", &settings->metrics, err);
     read_links(root, settings, err);
     read_bounds(root, settings, err);
-    read_admission(root, settings, err);
+    get_bool_in(root, "admission", "shares", &settings->shares, err);
     read_memory(root, settings, err);
-    read_placement(root, settings, err);
+    get_bool_in(root, "placement", "even_load", &settings->even_load, err);
     return close_doc(doc, out, err);
 }
 
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -540,46 +540,35 @@
 void
 mesh_send_down(struct mesh *mesh, uint64_t endpoint)
 {
-    struct peer *peer;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        link_send(peer->link, &(struct message){
-                                  .type = MESSAGE_DOWN,
-                                  .down.endpoint = endpoint,
-                              });
-    }
+    mesh_broadcast(mesh,
+                   &(struct message){
+                       .type = MESSAGE_DOWN,
+                       .down.endpoint = endpoint,
+                   },
+                   MESSAGE_VERSION);
 }
 
 void
 mesh_send_failing(struct mesh *mesh, uint64_t endpoint)
 {
-    struct peer *peer;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (link_version(peer->link) >= MESSAGE_VERSION_SHARES) {
-            link_send(peer->link, &(struct message){
-                                      .type = MESSAGE_FAILING,
-                                      .down.endpoint = endpoint,
-                                  });
-        }
-    }
+    mesh_broadcast(mesh,
+                   &(struct message){
+                       .type = MESSAGE_FAILING,
+                       .down.endpoint = endpoint,
+                   },
+                   MESSAGE_VERSION_SHARES);
 }
 
 void
 mesh_send_strike(struct mesh *mesh, uint64_t fingerprint, uint32_t crash_id)
 {
-    struct peer *peer;
-
-    LL_FOREACH(mesh->peers, peer)
-    {
-        link_send(peer->link, &(struct message){
-                                  .type = MESSAGE_STRIKE,
-                                  .strike.fingerprint = fingerprint,
-                                  .strike.crash_id = crash_id,
-                              });
-    }
+    mesh_broadcast(mesh,
+                   &(struct message){
+                       .type = MESSAGE_STRIKE,
+                       .strike.fingerprint = fingerprint,
+                       .strike.crash_id = crash_id,
+                   },
+                   MESSAGE_VERSION);
 }
 
 bool
@@ -612,16 +601,12 @@
         .contexts.items = items,
         .contexts.count = count,
     };
-    struct peer *peer;
 
     if (link != NULL) {
         link_send(link, &message);
         return;
     }
-    LL_FOREACH(mesh->peers, peer)
-    {
-        link_send(peer->link, &message);
-    }
+    mesh_broadcast(mesh, &message, MESSAGE_VERSION);
 }
 
 bool
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -97,6 +97,10 @@
 /// True if the peer supports the messages of MESSAGE_VERSION_BEATS.
 bool mesh_is_current(const struct peer *peer);
 
+/// Sends the message to all peers whose links have at least this version.
+void mesh_broadcast(struct mesh *mesh, const struct message *message,
+                    uint32_t version_min);
+
 /// Sends the loads of the endpoints and the sums of the accounts.
 void mesh_send_reports(struct mesh *mesh);
 
--- a/direct/mesh_reports.c
+++ b/direct/mesh_reports.c
@@ -10,26 +10,30 @@
     return link_version(peer->link) >= MESSAGE_VERSION_BLAMES;
 }
 
-static bool
-takes_shares(const struct peer *peer)
+void
+mesh_broadcast(struct mesh *mesh, const struct message *message,
+               uint32_t version_min)
 {
-    return link_version(peer->link) >= MESSAGE_VERSION_SHARES;
+    struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (link_version(peer->link) >= version_min) {
+            link_send(peer->link, message);
+        }
+    }
 }
 
 static void
 send_shares(struct mesh *mesh)
 {
     struct message message = {.type = MESSAGE_SHARES};
-    struct peer *peer;
 
     message.shares.items = mesh->shares;
     message.shares.count = mesh->options.collect_shares(
         mesh->options.ctx, mesh->shares, MESSAGE_SHARES_MAX);
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (message.shares.count > 0 && takes_shares(peer)) {
-            link_send(peer->link, &message);
-        }
+    if (message.shares.count > 0) {
+        mesh_broadcast(mesh, &message, MESSAGE_VERSION_SHARES);
     }
 }
 
@@ -37,16 +41,12 @@
 mesh_send_reports(struct mesh *mesh)
 {
     struct message message = {.type = MESSAGE_LOADS};
-    struct peer *peer;
 
     message.loads.items = mesh->loads;
     message.loads.count = mesh->options.collect_loads(
         mesh->options.ctx, mesh->loads, MESSAGE_LOADS_MAX);
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (message.loads.count > 0) {
-            link_send(peer->link, &message);
-        }
+    if (message.loads.count > 0) {
+        mesh_broadcast(mesh, &message, MESSAGE_VERSION);
     }
     send_shares(mesh);
     mesh_send_topic_ends(mesh);
@@ -60,15 +60,11 @@
         .placed.items = mesh->placed,
         .placed.count = mesh->placed_count,
     };
-    struct peer *peer;
 
     if (mesh->placed_count == 0) {
         return;
     }
-    LL_FOREACH(mesh->peers, peer)
-    {
-        link_send(peer->link, &message);
-    }
+    mesh_broadcast(mesh, &message, MESSAGE_VERSION);
     mesh->placed_count = 0;
 }
 
@@ -85,20 +81,16 @@
         .answered.parts = mesh->answered,
         .answered.count = mesh->answered_count,
     };
-    struct peer *peer;
 
     for (size_t i = 0; i < mesh->blame_count; i++) {
         mesh->blames[i].age_ms +=
             (uint32_t)(mesh_now_ms(mesh) - mesh->blamed_ms[i]);
     }
-    LL_FOREACH(mesh->peers, peer)
-    {
-        if (mesh->blame_count > 0 && takes_blames(peer)) {
-            link_send(peer->link, &blames);
-        }
-        if (mesh->answered_count > 0 && takes_blames(peer)) {
-            link_send(peer->link, &answered);
-        }
+    if (mesh->blame_count > 0) {
+        mesh_broadcast(mesh, &blames, MESSAGE_VERSION_BLAMES);
+    }
+    if (mesh->answered_count > 0) {
+        mesh_broadcast(mesh, &answered, MESSAGE_VERSION_BLAMES);
     }
     mesh->blame_count = 0;
     mesh->answered_count = 0;
--- a/net/caller.c
+++ b/net/caller.c
@@ -15,7 +15,6 @@
 
 #include "caller_state.h"
 #include "core/xmalloc.h"
-#include "dandelionvalve/counter.h"
 #include "http.h"
 #include "http1.h"
 #include "input.h"
@@ -166,9 +165,7 @@
         caller->request.bytes, memory_held(memory, MEMORY_READING),
         memory_share_bytes(memory, MEMORY_READING),
         (long long)(clock_ms(server->options.clock) - caller->progress_ms));
-    if (server->options.counters != NULL) {
-        counter_add(server->options.counters, COUNTER_REFUSED_MEMORY, 1);
-    }
+    caller_count(server, COUNTER_REFUSED_MEMORY);
     snprintf(fields, sizeof(fields), "Retry-After: %d.%03u\r\n", RETRY_AFTER_S,
              server->refusals++ * RETRY_STEP_MS % RETRY_SPREAD_MS);
     reject_with_fields(caller, 503, str_from(fields));
@@ -375,9 +372,7 @@
     LOG_WARNING("event=connection-refused reason=descriptors "
                 "connections=%zu limit=%zu",
                 server->connections, server->connections_max);
-    if (server->options.counters != NULL) {
-        counter_add(server->options.counters, COUNTER_CONNECTIONS_REFUSED, 1);
-    }
+    caller_count(server, COUNTER_CONNECTIONS_REFUSED);
     return false;
 }
 
--- a/net/caller_room.c
+++ b/net/caller_room.c
@@ -9,7 +9,6 @@
 #include "caller_state.h"
 #include "core/eviction.h"
 #include "core/xmalloc.h"
-#include "dandelionvalve/counter.h"
 #include "log.h"
 
 #define LOG_MODULE "caller"
@@ -32,6 +31,14 @@
     return clock_ms(server->options.clock);
 }
 
+void
+caller_count(const struct caller_server *server, enum counter_id counter)
+{
+    if (server->options.counters != NULL) {
+        counter_add(server->options.counters, counter, 1);
+    }
+}
+
 void
 caller_update_charge(struct caller *caller)
 {
@@ -190,9 +197,7 @@
              eviction_state_name(describe_connection(caller).state),
              server->connections, server->connections_max,
              (long long)(now_of(server) - caller->progress_ms));
-    if (server->options.counters != NULL) {
-        counter_add(server->options.counters, COUNTER_CONNECTIONS_EVICTED, 1);
-    }
+    caller_count(server, COUNTER_CONNECTIONS_EVICTED);
     caller_disconnect(caller);
     return true;
 }
@@ -220,9 +225,7 @@
         memory_held(options->memory, MEMORY_RESPONSES),
         memory_share_bytes(options->memory, MEMORY_RESPONSES),
         (long long)(clock_ms(options->clock) - caller->output.progress_ms));
-    if (options->counters != NULL) {
-        counter_add(options->counters, COUNTER_CALLERS_TOO_SLOW, 1);
-    }
+    caller_count(caller->server, COUNTER_CALLERS_TOO_SLOW);
 }
 
 /// Time without progress after which a caller may be disconnected for what it
--- a/net/caller_state.h
+++ b/net/caller_state.h
@@ -9,6 +9,7 @@
 #include "caller.h"
 #include "charge.h"
 #include "core/memory.h"
+#include "dandelionvalve/counter.h"
 #include "http1.h"
 #include "input.h"
 
@@ -66,6 +67,9 @@
     bool draining;
 };
 
+/// Counts one event, if the server has counters.
+void caller_count(const struct caller_server *server, enum counter_id counter);
+
 /// Charges what the connection holds of its request now.
 void caller_update_charge(struct caller *caller);
 
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -63,20 +63,20 @@
     free(text);
 }
 
-static void
-put_entry(struct direct_harness *harness, const char *topic_id,
-          const struct origin *origin, const char *service, const char *state,
-          int64_t born_ms)
+void
+direct_entry_put(struct keyed_store *store, const struct direct_entry *entry)
 {
-    struct address address = origin_address(origin);
     char text[512];
 
     snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
              "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-             "\"cold_left_ms\":0,\"seq\":1,\"born\":%lld}",
-             service, address.ip, address.port, state, (long long)born_ms);
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, topic_id,
+             "\"cold_left_ms\":%lld,\"seq\":1,\"born\":%lld}",
+             entry->service, entry->address.ip, entry->address.port,
+             entry->zone != NULL ? entry->zone : "z",
+             entry->state != NULL ? entry->state : "ready",
+             (long long)entry->cold_ms, (long long)entry->born_ms);
+    keyed_store_put(store, KEYED_STORE_TOPIC_ENDPOINTS, entry->id,
                     str_from(text));
 }
 
@@ -90,15 +90,25 @@
                         (struct str){0});
         return;
     }
-    put_entry(harness, topic_id, origin, service, state, 1);
+    direct_entry_put(harness->store, &(struct direct_entry){
+                                         .id = topic_id,
+                                         .service = service,
+                                         .address = origin_address(origin),
+                                         .state = state,
+                                         .born_ms = 1,
+                                     });
 }
 
 void
 direct_harness_put_restarted(struct direct_harness *harness,
                              const char *topic_id, const struct origin *origin)
 {
-    put_entry(harness, topic_id, origin, "models", "ready",
-              clock_ms(&clock_monotonic));
+    direct_entry_put(harness->store, &(struct direct_entry){
+                                         .id = topic_id,
+                                         .service = "models",
+                                         .address = origin_address(origin),
+                                         .born_ms = clock_ms(&clock_monotonic),
+                                     });
 }
 
 static struct keyed_store *
--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -73,6 +73,20 @@
 void direct_harness_configure(struct direct_harness *harness, const char *key,
                               bool added, int timeout_ms);
 
+/// An endpoint's entry in the store.
+struct direct_entry {
+    const char *id;
+    const char *service;
+    struct address address;
+    const char *zone;  ///< NULL: "z"
+    const char *state; ///< NULL: "ready"
+    int64_t cold_ms;   ///< remaining time in which the endpoint is cold
+    int64_t born_ms;   ///< differs after a restart
+};
+
+void direct_entry_put(struct keyed_store *store,
+                      const struct direct_entry *entry);
+
 /// Writes the entry of an endpoint; `state` NULL removes it.
 void direct_harness_put_entry(struct direct_harness *harness,
                               const char *topic_id,
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -44,16 +44,16 @@
           int64_t cold_ms)
 {
     static const char *const ids[] = {"e-0", "e-1", "e-2", "e-3"};
-    struct address address = origin_address(harness->origins[index]);
-    char *text =
-        xasprintf("{\"service\":\"models\",\"address\":\"%s:%u\",\"zone\":"
-                  "\"%s\",\"slots\":8,\"state\":\"ready\","
-                  "\"cold_left_ms\":%lld,\"born\":1}",
-                  address.ip, address.port, zone, (long long)cold_ms);
 
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, ids[index],
-                    str_from(text));
-    free(text);
+    direct_entry_put(harness->store,
+                     &(struct direct_entry){
+                         .id = ids[index],
+                         .service = "models",
+                         .address = origin_address(harness->origins[index]),
+                         .zone = zone,
+                         .cold_ms = cold_ms,
+                         .born_ms = 1,
+                     });
 }
 
 static void
--- a/tests/test_crowd.c
+++ b/tests/test_crowd.c
@@ -19,6 +19,7 @@
 #include <sys/wait.h>
 
 #include "core/xmalloc.h"
+#include "direct_harness.h"
 #include "net/caller.h"
 #include "net/http1.h"
 #include "net/loop.h"
@@ -146,14 +147,12 @@
     for (size_t i = 0; i < 2; i++) {
         static const char *const services[] = {"models", "orders"};
 
-        text = xasprintf("{\"service\":\"%s\",\"address\":\"%s:%u\","
-                         "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
-                         "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,"
-                         "\"born\":1}",
-                         services[i], endpoint.ip, endpoint.port);
-        keyed_store_put(fixture->store, KEYED_STORE_TOPIC_ENDPOINTS,
-                        services[i], str_from(text));
-        free(text);
+        direct_entry_put(fixture->store, &(struct direct_entry){
+                                             .id = services[i],
+                                             .service = services[i],
+                                             .address = endpoint,
+                                             .born_ms = 1,
+                                         });
     }
 }
 
--- a/tests/test_late_copies.c
+++ b/tests/test_late_copies.c
@@ -12,7 +12,6 @@
 
 #include "core/xmalloc.h"
 #include "direct_harness.h"
-#include "standin/keyed_store.h"
 #include "suites.h"
 
 /// Time between two writes that are read separately.
@@ -244,7 +243,6 @@
     struct address any;
     struct address address;
     struct err err = {0};
-    char entry[256];
 
     direct_harness_start(harness, &(struct direct_harness_options){
                                       .routers = 1,
@@ -258,15 +256,13 @@
         (const struct sockaddr *)&any.storage, (int)any.len);
     INVARIANT(server->listener != NULL);
     address_of_socket(evconnlistener_get_fd(server->listener), &address);
-    snprintf(entry, sizeof(entry),
-             "{\"service\":\"orders\",\"address\":\"127.0.0.1:%u\","
-             "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
-             "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
-             address.port);
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, "o-0",
-                    (struct str){0});
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, "o-1",
-                    str_from(entry));
+    direct_harness_put_entry(harness, "o-0", harness->orders, "orders", NULL);
+    direct_entry_put(harness->store, &(struct direct_entry){
+                                         .id = "o-1",
+                                         .service = "orders",
+                                         .address = address,
+                                         .born_ms = 1,
+                                     });
     direct_harness_run(harness, 400);
 }
 
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -61,17 +61,14 @@
 outside_start(struct outside *outside, struct direct_harness *harness,
               const char *service)
 {
-    char text[512];
-
     outside_listen(outside);
     outside->harness = harness;
-    snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
-             "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
-             "\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
-             service, outside->address.ip, outside->address.port);
-    keyed_store_put(harness->store, KEYED_STORE_TOPIC_ENDPOINTS, "outside",
-                    str_from(text));
+    direct_entry_put(harness->store, &(struct direct_entry){
+                                         .id = "outside",
+                                         .service = service,
+                                         .address = outside->address,
+                                         .born_ms = 1,
+                                     });
     direct_harness_run(harness, 500);
 }
 
