comments: what would stop a reader of the code for hard loads

Comments that used words of their own, referred to something without naming it or had to be read twice are rewritten. Constants of the simulation of crowded fleets say what they are of, and those of the memory test have their units in their names. No behaviour changes.

--- a/core/admission.c
+++ b/core/admission.c
@@ -14,6 +14,7 @@
 #define PRIORITY_MAX 9
 /// Interval in which the level is computed again.
 #define LEVEL_INTERVAL_MS 50
+/// Bisection steps to find the level.
 #define LEVEL_STEPS 40
 /// Least part of a request's cost that does not depend on its prompt, and the
 /// bounds of the cost as a multiple of the mean.
@@ -292,7 +293,7 @@
                               (1 - COST_PER_REQUEST) * tokens / mean_tokens);
 }
 
-/// Requests that are admitted if the level is this.
+/// Expected number of requests that are admitted at this level.
 static double
 admitted_at(const struct group *group, double level)
 {
@@ -440,7 +441,7 @@
         return result;
     }
     rest = share * all - value(&account->preferred_refused, at_ms);
-    // The other requests are never refused less for it.
+    // Preferring some requests must not lower the share refused of others.
     return fmax(share, fmin(SHED_SHARE_MAX, rest / (all - preferred)));
 }
 
--- a/core/admission.h
+++ b/core/admission.h
@@ -9,9 +9,10 @@
 /// recently asked for at all routers, as each reports it to its peers.
 ///
 /// A request of a long prompt counts for more than one of a short prompt.
-/// Within an account, callers that were refused before go ahead of new ones,
-/// and prompts that are long for their route are not refused more often than
-/// by ADMISSION_LARGE_FACTOR; other requests of the account make up for it.
+/// Within an account, callers that were refused before are preferred to new
+/// ones, and prompts that are long for their route are admitted at least as
+/// often as ADMISSION_LARGE_FACTOR states. Other requests of the account are
+/// refused more often in return.
 #pragma once
 
 #include <stdbool.h>
@@ -38,9 +39,9 @@
 enum admission_reason {
     ADMISSION_ADMITTED,
     ADMISSION_OVER_SHARE, ///< its account asks for more than an equal part
-    ADMISSION_OVERLOAD,   ///< those over their shares are not enough
-    ADMISSION_LATE,       ///< it can no longer meet its objective
-    ADMISSION_DEADLINE,   ///< it cannot begin before its deadline
+    ADMISSION_OVERLOAD, ///< refusing accounts over their shares is not enough
+    ADMISSION_LATE,     ///< it can no longer meet its objective
+    ADMISSION_DEADLINE, ///< it cannot begin before its deadline
     ADMISSION_REASON_END,
 };
 
--- a/core/eject.h
+++ b/core/eject.h
@@ -8,7 +8,8 @@
 /// samples. After the ejection an endpoint is on trial: it receives one
 /// request at a time until one succeeds.
 ///
-/// With many routers each would have to fail some requests to learn the same.
+/// With many routers, each would lose some requests before it ejects the
+/// endpoint.
 /// An ejection is therefore reported to the peers, which start a trial, and
 /// for a while only requests that may be repeated elsewhere are tried.
 #pragma once
@@ -62,7 +63,7 @@
 /// so this only starts a trial.
 void eject_begin_trial(struct eject *eject, int64_t now_ms);
 
-/// True while a trial is left to requests that may be repeated.
+/// True while only requests that may be repeated are used for a trial.
 bool eject_spares_once(const struct eject *eject, int64_t now_ms);
 
 /// True while no request should be sent to the endpoint: it is ejected, or on
--- a/core/eviction.h
+++ b/core/eviction.h
@@ -1,4 +1,5 @@
-/// Which caller yields when memory or descriptors are short.
+/// Chooses the caller to refuse or disconnect when memory or descriptors are
+/// short.
 ///
 /// Load pattern: many clients send bodies that they do not complete, or open
 /// connections that they do not use, while ordinary callers send short
@@ -10,8 +11,8 @@
 #include <stdint.h>
 
 #define EVICTION_NONE SIZE_MAX
-/// A caller inside the limits sends a request in one go. One that has sent
-/// nothing for this long in the middle of it is stalled.
+/// A caller inside the limits sends a request without pauses. One that has
+/// sent nothing for this long in the middle of it is stalled.
 #define EVICTION_STALLED_MS 200
 
 /// A request that is being read.
@@ -27,7 +28,7 @@
 /// EVICTION_NONE if there is no body.
 size_t eviction_choose_body(const struct eviction_body *bodies, size_t count);
 
-/// How a connection can be closed without a loss, the best first.
+/// State of a connection, in the order in which connections are closed.
 enum eviction_state {
     EVICTION_ENDING,       ///< its last answer has been sent
     EVICTION_UNUSED,       ///< no request yet
--- a/core/footprint.h
+++ b/core/footprint.h
@@ -1,8 +1,9 @@
 /// Estimates how much of an endpoint's memory the requests there will need.
 ///
 /// Load pattern: an endpoint crashes if the requests that it holds exceed its
-/// memory, which happens when long ones meet. Callers give an estimate of the
-/// output, which is right at the median and often far off.
+/// memory, which happens when several long ones run at the same time. Callers
+/// give an estimate of the output, which is right at the median and often far
+/// off.
 #pragma once
 
 #include <stdbool.h>
--- a/core/memory.h
+++ b/core/memory.h
@@ -2,9 +2,10 @@
 /// kind. Each holder charges what it holds and releases it; the limit is
 /// divided so that no kind can take the room of another.
 ///
-/// Load pattern: clients that nobody controls send many bodies at once, most
-/// of which stop just short of their end, or read nothing of long answers.
-/// Without a common limit the process outgrows its machine, which ends it.
+/// Load pattern: clients outside the operator's control send many bodies at
+/// once, most of which stop just short of their end, or read nothing of long
+/// answers. Without a common limit the process uses up the memory of its
+/// machine and is killed.
 #pragma once
 
 #include <stdbool.h>
--- a/core/shed.h
+++ b/core/shed.h
@@ -79,7 +79,7 @@
 double shed_share(struct shed *shed, double share_min);
 
 /// The share to be refused of requests that can no longer meet their
-/// objective, where it is `share` of the others.
+/// objective, if `share` of the others is refused.
 double shed_late_share(double share);
 
 /// True if this request is to be refused: a random choice by these shares.
--- a/core/timing.h
+++ b/core/timing.h
@@ -63,8 +63,8 @@
 bool timing_is_late(int64_t typical_ms, int64_t deadline_ms,
                     int64_t objective_ms);
 
-/// True if the caller has used part of the typical deadline before, as one
-/// does that was refused and came back.
+/// True if the caller has used part of the typical deadline before, which
+/// indicates that it was refused and has returned.
 bool timing_is_returning(int64_t typical_ms, int64_t deadline_ms);
 
 /// Retry-After delay for a refused caller, in ms; `remaining_ms` is the time
--- a/core/warmup.c
+++ b/core/warmup.c
@@ -60,8 +60,9 @@
     return until_ms > now_ms ? until_ms - now_ms : 0;
 }
 
-/// The first token comes one interval after the endpoint has become cold, so
-/// that a state that was lost and is learned again yields no second burst.
+/// The first request may be sent one interval after the endpoint has become
+/// cold, so that a state that was lost and is learned again allows no second
+/// burst.
 static void
 begin(struct warmup *warmup, int64_t now_ms)
 {
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -19,17 +19,18 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/// Senders beyond the planned ones that the bound has room for, as far as they
-/// are no more than these: routers that do not know of each other yet.
+/// Routers that do not know of each other yet may send in addition to the
+/// planned senders. The bound has room for this many of them, but for no more
+/// than there are planned ones.
 #define WARMUP_EXTRA_SENDERS 2
 /// Interval between two updates above which the process was frozen: what it
 /// knows of the other routers is outdated.
 #define WARMUP_FROZEN_MS 1000
-/// A router that is no longer known may be cut off instead of ended: the
-/// highest number of known ones stands for so long.
+/// A router that is no longer known may be partitioned instead of stopped: the
+/// highest number of known routers is kept for this time.
 #define WARMUP_KNOWN_HOLD_MS 600000
-/// A suspicion that no answer settles ends after this time: the endpoint's
-/// entry has stated its state several times since.
+/// A suspicion that no answer confirms or refutes ends after this time: the
+/// endpoint's entry has stated its state several times since.
 #define WARMUP_SUSPECT_MAX_MS 60000
 /// Entries that reach a router later than this after the endpoint was lost
 /// were written after its return: they are written every 1.2 s, and take some
@@ -38,7 +39,7 @@
 /// An answer may have been on its way when the endpoint was lost. Later ones
 /// show that the process has not ended.
 #define WARMUP_IN_TRANSIT_MS 1000
-/// A longer time is a fault of the endpoint.
+/// Bound on the time that an endpoint states; a longer one is a fault.
 #define WARMUP_LEFT_MAX_MS (3600 * 1000)
 
 /// How a service's endpoints start. No request limit with `per_s` 0.
@@ -57,7 +58,7 @@
 
 struct warmup_plan warmup_make_plan(const struct warmup_limits *limits);
 
-/// From where a router knows that an endpoint is cold.
+/// How a router has learned that an endpoint is cold.
 enum warmup_source {
     WARMUP_ENTRY,      ///< its entry in the store
     WARMUP_ANSWER,     ///< an answer
@@ -74,18 +75,18 @@
     /// When its connections were refused or lost, so that it may have started
     /// again; 0: not since it last answered.
     int64_t suspected_ms;
-    double sent_ms; ///< last token
+    double sent_ms; ///< when this router last sent a request
     enum warmup_source source;
 };
 
-/// True if the endpoint is cold or may be. The answer is the same for the same
-/// time whether a token is taken or not.
+/// True if the endpoint is cold or may be. Requests that are counted by
+/// warmup_take() do not change the result.
 bool warmup_is_cold(const struct warmup *warmup, int64_t now_ms);
 
 /// Time until it is warm; 0: it is.
 int64_t warmup_left_ms(const struct warmup *warmup, int64_t now_ms);
 
-/// The endpoint is cold for `left_ms` from now; the latest end stands. False
+/// The endpoint is cold for `left_ms` from now; the latest end applies. False
 /// if nothing changes.
 bool warmup_extend(struct warmup *warmup, int64_t now_ms, int64_t left_ms,
                    enum warmup_source source);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -332,8 +332,8 @@
     *value = number;
 }
 
-/// Defaults for what not every platform states: a template of the settings
-/// file would have no value for it there.
+/// Reads defaults of settings that some platforms do not state: the template
+/// of the settings file has no values for them there.
 static void
 read_environment(struct settings_direct *settings, struct err *err)
 {
--- a/direct/cold.h
+++ b/direct/cold.h
@@ -1,5 +1,6 @@
-/// Applies the limits of core/warmup to the endpoints: notes from where each
-/// is known to be cold, and whether this router may send to it.
+/// Applies the limits of core/warmup to the endpoints: records how this router
+/// has learned that an endpoint is cold, and decides whether it may send to
+/// it.
 #pragma once
 
 #include <stdbool.h>
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -46,8 +46,8 @@
 #define BODY_BYTES_MAX_DEFAULT (4 * 1024 * 1024)
 #define HEAD_TIMEOUT_MS_DEFAULT 3000
 #define IDLE_TIMEOUT_MS_DEFAULT 15000
-/// Of a caller's connection: what has arrived and is not read is memory of the
-/// machine, too. The kernel doubles it.
+/// Receive buffer of a caller's connection: data that has arrived and is not
+/// read takes memory of the machine as well. The kernel doubles the value.
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
 /// Share of the retry budget that is used. The rest covers what other routers
 /// have yet to count.
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -75,7 +75,7 @@
 /// Sets the bounds on memory and descriptors that the settings state.
 void limits_apply(struct direct *direct);
 
-/// Account of a caller, to choose who yields when memory is short.
+/// Account of a caller, to choose the request to refuse when memory is short.
 uint64_t limits_account(void *ctx, const struct caller *caller);
 
 /// Accepts links from other routers and dials them; does nothing and returns
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -25,7 +25,8 @@
 
 #define LOG_MODULE "exchange"
 
-/// Until callers are to ask again for endpoints that are all evacuated.
+/// Least delay after which callers of endpoints that are all evacuated are to
+/// retry, and the range over which the delays are spread.
 #define EVACUATED_WAIT_MS 1000
 #define EVACUATED_SPREAD_MS 3000
 
--- a/direct/limits.c
+++ b/direct/limits.c
@@ -10,11 +10,11 @@
 
 #define LOG_MODULE "limits"
 
-/// Without a stated limit. A router that serves some hundred requests at once
-/// within the callers' limits needs less than a tenth of it.
+/// Memory of the machine if none is stated. A router that serves some hundred
+/// requests at once within the callers' limits needs less than a tenth of it.
 #define MACHINE_BYTES_DEFAULT (256 * 1000 * 1000LL)
-/// Descriptors that are not available to connections, but no more than a part
-/// of all.
+/// Descriptors that are kept for other uses than connections, but at most one
+/// in RESERVED_DIVISOR.
 #define RESERVED_DESCRIPTORS 200
 #define RESERVED_DIVISOR 4
 /// Share of the rest for callers; the others are for endpoints, routers and
--- a/measure/crowded_choice.c
+++ b/measure/crowded_choice.c
@@ -5,6 +5,7 @@
 #include "core/spread.h"
 #include "direct/endpoints.h"
 
+/// Time in which the weight of a reported load decays to 1/e.
 #define DECAY_MS 500.0
 #define SUBSET_ENDPOINTS 8
 
--- a/measure/crowded_fleet.c
+++ b/measure/crowded_fleet.c
@@ -16,15 +16,17 @@
 #define CONTEXT_TOKENS_MIN 2000
 #define CONTEXT_TOKENS_MAX 10500
 #define QUESTION_TOKENS 400
-#define RETURNING_SHARE 0.5
+#define RETURNING_SHARE 0.5 ///< of requests: the next ones of a session
 #define OUTPUT_TOKENS_MEAN 300
 #define EVENT_TOKENS 8
+/// Duration of an engine step, which grows with the running requests.
 #define STEP_US 3500
 #define STEP_US_PER_RUNNING 35
-#define CHUNK_TOKENS 1536
+#define CHUNK_TOKENS 1536 ///< most prompt tokens in a step
 #define SLOW_PERIOD_MS 600
-#define SLOW_SHARE 0.15
+#define SLOW_SHARE 0.15 ///< of the time
 #define SLOW_FACTOR 2.5
+/// Objectives of a stream.
 #define FIRST_EVENT_MS 800
 #define GAP_MS 300
 #define PLACED_DELAY_MS 50 ///< until peers know of a placement
--- a/net/caller.c
+++ b/net/caller.c
@@ -35,7 +35,8 @@
 #define LINGER_MS 1000
 /// What a connection takes without any request, its buffers included.
 #define CONNECTION_BYTES 4096
-/// A refused request is worth a new attempt once others have ended.
+/// Retry-After of a request that is refused for lack of memory, and the range
+/// over which the delays are spread.
 #define RETRY_AFTER_S 1
 #define RETRY_SPREAD_MS 1000
 /// Spreads successive refusals over RETRY_SPREAD_MS.
--- a/net/caller.h
+++ b/net/caller.h
@@ -38,7 +38,7 @@
     /// argument of caller_set_user().
     void (*disconnected)(void *ctx, void *user);
     /// Account of the caller whose request head has been received, to choose
-    /// who yields when memory is short; 0: not known. May be NULL.
+    /// the request to refuse when memory is short; 0: not known. May be NULL.
     uint64_t (*account)(void *ctx, const struct caller *caller);
     struct memory *memory;     ///< NULL: not accounted and not limited
     struct counters *counters; ///< may be NULL
--- a/net/caller_room.c
+++ b/net/caller_room.c
@@ -1,5 +1,5 @@
-/// What callers may hold, and which of them yields when there is too little
-/// memory or too few descriptors.
+/// Limits on what callers may hold, and the choice of the callers that are
+/// refused or disconnected when memory or descriptors are short.
 #include <stdlib.h>
 
 #include <event2/buffer.h>
@@ -22,7 +22,7 @@
 /// A caller that has taken nothing of a response in progress for this long,
 /// and has more unread than caller_output_max(), does not read.
 #define RUNNING_STALLED_MS 1000
-/// An event and what a short burst adds.
+/// Room for an event and for a short burst.
 #define OUTPUT_BYTES_MIN (32 * 1024)
 
 static int64_t
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -403,8 +403,8 @@
     CU_ASSERT(served(&shares, 1) > 0.95);
 }
 
-/// Load pattern: the callers of a large account ignore Retry-After and come
-/// back at once. That gains them nothing.
+/// Load pattern: the callers of a large account ignore Retry-After and retry
+/// at once. They must not get more than otherwise.
 static void
 test_retry_after_ignored(void)
 {
@@ -424,8 +424,8 @@
     CU_ASSERT(served(&shares, 0) > served(&shed, 0) - SLACK);
 }
 
-/// Load pattern: the callers of a large account leave soon, and the endpoints
-/// go on with their requests.
+/// Load pattern: the callers of a large account disconnect soon, and the
+/// endpoints continue to process their requests.
 static void
 test_abandoned_requests(void)
 {
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -10,7 +10,8 @@
 #include "standin/platform_document.h"
 #include "suites.h"
 
-/// Of the operator's page: no request from then on.
+/// Time after the record of an evacuation from which the zone must get no
+/// request, as the operator requires.
 #define EVACUATED_MS 5000
 /// Records reach a router and its peers within this time while the store
 /// answers.
@@ -159,7 +160,7 @@
 }
 
 /// All endpoints are cold: a request without a token is refused at once, with
-/// a time to come back, and has not run.
+/// a Retry-After delay, and has not run.
 static void
 test_all_cold(void)
 {
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -1,5 +1,5 @@
-/// The account of memory and the choice of who yields, under crowds of clients
-/// outside the limits, without a network.
+/// The account of memory and the choice of requests to refuse and connections
+/// to close, with many clients outside the limits and without a network.
 #include <signal.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -11,16 +11,16 @@
 #include "core/memory.h"
 #include "suites.h"
 
-#define LIMIT 1000000
-#define CROWD 60
-#define STEPS 2000
-#define PIECE 4096
+#define LIMIT_BYTES 1000000
+#define CLIENTS 60
+#define STEPS 2000 ///< of 1 ms
+#define PIECE_BYTES 4096
 
 static void
 test_balance(void)
 {
     struct memory *memory =
-        memory_new(&(struct memory_options){.limit_bytes = LIMIT});
+        memory_new(&(struct memory_options){.limit_bytes = LIMIT_BYTES});
     struct memory_holding holding = {.memory = memory};
 
     CU_ASSERT(memory_charge(memory, MEMORY_READING, 400000));
@@ -35,7 +35,7 @@
     CU_ASSERT(memory_held(memory, MEMORY_READING) == 400000);
     CU_ASSERT(memory_held(memory, MEMORY_REQUESTS) == 207000);
     memory_hold(&holding, MEMORY_REQUESTS, 0);
-    CU_ASSERT(memory_held_total(memory) == LIMIT);
+    CU_ASSERT(memory_held_total(memory) == LIMIT_BYTES);
     memory_release(memory, MEMORY_READING, 400000);
     memory_release(memory, MEMORY_BUFFERED, 400000);
     memory_release(memory, MEMORY_REQUESTS, 200000);
@@ -53,7 +53,7 @@
 
     if (pid == 0) {
         close(STDERR_FILENO);
-        run(memory_new(&(struct memory_options){.limit_bytes = LIMIT}));
+        run(memory_new(&(struct memory_options){.limit_bytes = LIMIT_BYTES}));
         _exit(0);
     }
     waitpid(pid, &status, 0);
@@ -82,42 +82,42 @@
 }
 
 /// The crowd's bodies stop short of their end. Ordinary requests arrive, and
-/// must never be the ones that yield; the held bytes stay within the share.
+/// must never be refused; the held bytes stay within the share.
 static void
 test_stopped_bodies_yield(void)
 {
-    struct eviction_body bodies[CROWD + 1] = {0};
+    struct eviction_body bodies[CLIENTS + 1] = {0};
     size_t held = 0;
     size_t ordinary_refused = 0;
 
-    bodies[CROWD] = (struct eviction_body){.account = 2};
+    bodies[CLIENTS] = (struct eviction_body){.account = 2};
     for (int64_t now_ms = 0; now_ms < STEPS; now_ms++) {
-        size_t sender = (size_t)(now_ms * 7) % CROWD;
+        size_t sender = (size_t)(now_ms * 7) % CLIENTS;
 
         // Half of the crowd has stopped, the other half goes on.
         sender = now_ms > STEPS / 2 ? sender / 2 : sender;
         bodies[sender].account = 1;
-        bodies[sender].held_bytes += 10 * PIECE;
+        bodies[sender].held_bytes += 10 * PIECE_BYTES;
         bodies[sender].progress_ms = now_ms;
-        held += 10 * PIECE;
-        bodies[CROWD].held_bytes = PIECE;
-        bodies[CROWD].progress_ms = now_ms - now_ms % 100;
-        while (held > LIMIT) {
-            size_t chosen = eviction_choose_body(bodies, CROWD + 1);
+        held += 10 * PIECE_BYTES;
+        bodies[CLIENTS].held_bytes = PIECE_BYTES;
+        bodies[CLIENTS].progress_ms = now_ms - now_ms % 100;
+        while (held > LIMIT_BYTES) {
+            size_t chosen = eviction_choose_body(bodies, CLIENTS + 1);
 
             CU_ASSERT_FATAL(chosen != EVICTION_NONE);
-            ordinary_refused += chosen == CROWD;
+            ordinary_refused += chosen == CLIENTS;
             held -= bodies[chosen].held_bytes;
             bodies[chosen].held_bytes = 0;
         }
     }
     CU_ASSERT(ordinary_refused == 0);
-    CU_ASSERT(held <= LIMIT);
+    CU_ASSERT(held <= LIMIT_BYTES);
     CU_ASSERT(eviction_choose_body(bodies, 0) == EVICTION_NONE);
 }
 
-/// Within the account that holds most, the stalled one yields and not the one
-/// that is about to be complete.
+/// Within the account that holds most, the stalled one is refused and not the
+/// one that is about to be complete.
 static void
 test_account_and_progress(void)
 {
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -125,7 +125,7 @@
 }
 
 /// Gaps alone change nothing where no endpoint states a speed; an endpoint
-/// that states 100 while its gaps are long is found out, once.
+/// that states 100 while its gaps are long is detected and reported once.
 static void
 test_gaps_contradict(void)
 {
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -188,7 +188,7 @@
 }
 
 /// A router that has just started, was frozen, or has lost its links may not
-/// know the others, or they not it.
+/// know the others, or may be unknown to them.
 static void
 test_standing(void)
 {
