--- a/net/caller.c
+++ b/net/caller.c
@@ -15,7 +15,6 @@
 
 #include "caller_state.h"
 #include "core/xmalloc.h"
-#include "dandelionvalve/counter.h"
 #include "http.h"
 #include "http1.h"
 #include "input.h"
@@ -36,7 +35,8 @@
 #define LINGER_MS 1000
 /// What a connection takes without any request, its buffers included.
 #define CONNECTION_BYTES 4096
-/// A refused request is worth a new attempt once others have ended.
+/// Retry-After of a request that is refused for lack of memory, and the range
+/// over which the delays are spread.
 #define RETRY_AFTER_S 1
 #define RETRY_SPREAD_MS 1000
 /// Spreads successive refusals over RETRY_SPREAD_MS.
@@ -166,9 +166,7 @@
         caller->request.bytes, memory_held(memory, MEMORY_READING),
         memory_share_bytes(memory, MEMORY_READING),
         (long long)(clock_ms(server->options.clock) - caller->progress_ms));
-    if (server->options.counters != NULL) {
-        counter_add(server->options.counters, COUNTER_REFUSED_MEMORY, 1);
-    }
+    caller_count(server, COUNTER_REFUSED_MEMORY);
     snprintf(fields, sizeof(fields), "Retry-After: %d.%03u\r\n", RETRY_AFTER_S,
              server->refusals++ * RETRY_STEP_MS % RETRY_SPREAD_MS);
     reject_with_fields(caller, 503, str_from(fields));
@@ -375,9 +373,7 @@
     LOG_WARNING("event=connection-refused reason=descriptors "
                 "connections=%zu limit=%zu",
                 server->connections, server->connections_max);
-    if (server->options.counters != NULL) {
-        counter_add(server->options.counters, COUNTER_CONNECTIONS_REFUSED, 1);
-    }
+    caller_count(server, COUNTER_CONNECTIONS_REFUSED);
     return false;
 }
 
