soak: endpoints report loads with a fourth figure

Streams carry loads with three and four figures, and malformed fourth ones: empty, 0, negative, 1e9, text, too long. The choice has its own random source, so that the faults of a seed stay as they were.

--- a/soak/main.c
+++ b/soak/main.c
@@ -61,6 +61,7 @@
     (void)fd;
     (void)events;
     soak_supervise(soak);
+    soak_vary(soak);
     if (passed_ms < WARM_UP_MS) {
         return;
     }
@@ -129,6 +130,8 @@
     soak->dir = dir;
     soak->seeded.state = (uint64_t)seed;
     soak->random = random_seeded_interface(&soak->seeded);
+    soak->other_seeded.state = ~(uint64_t)seed;
+    soak->other_random = random_seeded_interface(&soak->other_seeded);
     soak_start(soak);
     event = event_new(soak->base, -1, EV_PERSIST, on_tick, &phases);
     event_add(event, &tick);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -62,6 +62,10 @@
     const char *dir;     ///< of settings and logs
     struct random_seeded seeded;
     struct random_source random;
+    /// For what is not a fault: the faults of a seed do not depend on it.
+    struct random_seeded other_seeded;
+    struct random_source other_random;
+    int64_t next_loads_ms;
     struct keyed_store *store;
     int64_t store_fault_end_ms;
     struct soak_router routers[SOAK_ROUTERS];
@@ -103,6 +107,10 @@
 void soak_inject_fault(struct soak *soak);
 void soak_end_faults(struct soak *soak, bool all);
 
+/// variations.c: changes what endpoints and the operator publish, also after
+/// the faults have ended.
+void soak_vary(struct soak *soak);
+
 /// callers.c: sends a request; checks at the end which requests have run.
 void soak_call_start(struct soak *soak);
 void soak_check_ledgers(struct soak *soak);
