soak: evacuated zones, cold endpoints and a crowd of clients

The last endpoint of models is in a zone of its own that the operator evacuates and takes back. It must receive nothing later than 5 s after the record, or after the router was last paused, started or cut off from the store, or the store had a fault.

Two endpoints of a new service restart or become cold while they run. No more than cold_per_s * 1.5 + 5 requests may reach one in a second. For a restart only routers that were paused since are excused: the others see refused connections. For a running endpoint, also those that may have missed its entry; docs/design/warmup.md states this limit. Starts and kills of routers excuse nothing.

Sixteen clients send unfinished bodies, or do not read answers of 6 MB; the memory of each process must stay under its limit of 32 MB.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -22,6 +22,7 @@
     CALL_CHAT,
     CALL_DRAFT,
     CALL_KINDS,
+    CALL_WARM = CALL_KINDS, ///< only by soak_warm_call_start()
 };
 
 struct soak_call {
@@ -36,8 +37,8 @@
     size_t body_len;
 };
 
-static const char *const paths[CALL_KINDS] = {
-    "/book/", "/look/", "/stream/chat/", "/stream/draft/"};
+static const char *const paths[CALL_KINDS + 1] = {
+    "/book/", "/look/", "/stream/chat/", "/stream/draft/", "/warm/"};
 
 static bool
 is_at_most_once(enum call_kind kind)
@@ -45,6 +46,18 @@
     return kind == CALL_BOOK || kind == CALL_DRAFT;
 }
 
+static bool
+is_plain(enum call_kind kind)
+{
+    return kind == CALL_BOOK || kind == CALL_LOOK || kind == CALL_WARM;
+}
+
+static bool
+has_body(enum call_kind kind)
+{
+    return kind != CALL_LOOK && kind != CALL_WARM;
+}
+
 static enum channel_verdict
 on_head(void *ctx, const struct http1 *head)
 {
@@ -69,7 +82,7 @@
 {
     size_t len = 0;
 
-    if (call->kind == CALL_BOOK || call->kind == CALL_LOOK) {
+    if (is_plain(call->kind)) {
         snprintf(out, size, "answer to %s, %d bytes", call->id,
                  call->kind == CALL_BOOK ? 4 : 0);
         return;
@@ -102,7 +115,7 @@
 {
     uint64_t runs = 0;
 
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
         runs += origin_runs_of(soak->origins[i].origin, id);
     }
     return runs;
@@ -122,7 +135,7 @@
 check_lost_connection(struct soak_call *call)
 {
     const struct soak_router *router = call->router;
-    bool plain = call->kind == CALL_BOOK || call->kind == CALL_LOOK;
+    bool plain = is_plain(call->kind);
 
     if (call->status == 200) {
         check_body(call, false);
@@ -180,8 +193,8 @@
     free(call);
 }
 
-void
-soak_call_start(struct soak *soak)
+static void
+start_call(struct soak *soak, enum call_kind kind, size_t router)
 {
     const struct channel_handler handler = {on_head, on_data, on_end, NULL};
     struct channel_handler bound = handler;
@@ -190,12 +203,15 @@
     struct soak_call *call = xcalloc(1, sizeof(*call));
 
     call->soak = soak;
-    call->router = &soak->routers[random_below(&soak->random, SOAK_ROUTERS)];
-    call->kind = (enum call_kind)random_below(&soak->random, CALL_KINDS);
+    call->router = &soak->routers[router];
+    call->kind = kind;
     call->started_ms = soak_now();
-    call->verifying = soak->verifying;
+    call->verifying = soak->verifying && kind != CALL_WARM;
     snprintf(call->id, sizeof(call->id), "c-%llu",
              (unsigned long long)soak->calls++);
+    INVARIANT(soak->calls <= SOAK_LEDGER_MAX);
+    soak->call_routers[soak->calls - 1] =
+        (unsigned char)(call->router - soak->routers);
     soak->verify_calls += call->verifying ? 1 : 0;
     if (is_at_most_once(call->kind)) {
         record_id(soak->at_most_once_ids, &soak->at_most_once_count, call->id);
@@ -205,10 +221,10 @@
                         "Dandelionvalve-Request-Id: %s\r\n"
                         "Dandelionvalve-Deadline-Ms: 3000\r\n"
                         "Authorization: Bearer key\r\n%s\r\n%s",
-                        call->kind == CALL_LOOK ? "GET" : "POST",
-                        paths[call->kind], call->id,
-                        call->kind == CALL_LOOK ? "" : "Content-Length: 4\r\n",
-                        call->kind == CALL_LOOK ? "" : "body");
+                        has_body(kind) ? "POST" : "GET", paths[call->kind],
+                        call->id,
+                        has_body(kind) ? "Content-Length: 4\r\n" : "",
+                        has_body(kind) ? "body" : "");
     bound.ctx = call;
     soak->in_flight++;
     if (channel_send(call->router->pool, &request, &bound) == NULL) {
@@ -217,6 +233,22 @@
     evbuffer_free(out);
 }
 
+void
+soak_call_start(struct soak *soak)
+{
+    size_t router = random_below(&soak->random, SOAK_ROUTERS);
+
+    start_call(soak, (enum call_kind)random_below(&soak->random, CALL_KINDS),
+               router);
+}
+
+void
+soak_warm_call_start(struct soak *soak)
+{
+    start_call(soak, CALL_WARM,
+               random_below(&soak->other_random, SOAK_ROUTERS));
+}
+
 void
 soak_check_ledgers(struct soak *soak)
 {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -73,8 +73,11 @@
 static void
 fault_store_link(struct soak *soak)
 {
-    struct relay *relay = random_router(soak)->store;
+    struct soak_router *router = random_router(soak);
+    struct relay *relay = router->store;
+    int64_t delay_ms;
 
+    router->cut_ms = soak_now();
     switch (random_less_than(soak, 4)) {
     case 0:
         relay_reset(relay);
@@ -84,10 +87,12 @@
         return;
     case 2:
         relay_drop(relay, random_less_than(soak, 2) == 0, true);
+        router->cut = true;
         return;
     default:
-        relay_delay(relay,
-                    100 + random_less_than(soak, FAULT_DURATION_SPREAD_MS));
+        delay_ms = 100 + random_less_than(soak, FAULT_DURATION_SPREAD_MS);
+        relay_delay(relay, delay_ms);
+        router->cut_ms += delay_ms;
     }
 }
 
@@ -170,6 +175,9 @@
 {
     int64_t now_ms = soak_now();
 
+    if (soak->store_fault_end_ms != 0) {
+        soak->store_faulted_ms = now_ms;
+    }
     if (all || (soak->store_fault_end_ms != 0 &&
                 now_ms >= soak->store_fault_end_ms)) {
         keyed_store_set_fault(soak->store, KEYED_STORE_OK);
@@ -186,10 +194,14 @@
         }
     }
     for (size_t i = 0; i < SOAK_ROUTERS; i++) {
+        struct soak_router *router = &soak->routers[i];
+
         // With a probability of 1/64 at each check, the relay stops dropping
         // bytes.
         if (all || random_less_than(soak, 64) == 0) {
-            relay_drop(soak->routers[i].store, false, false);
+            relay_drop(router->store, false, false);
+            router->cut_ms = router->cut ? now_ms : router->cut_ms;
+            router->cut = false;
         }
     }
 }
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -37,11 +37,13 @@
             "store = \"%s:%u\"\ncallers = \"%s:%u\"\nready = \"%s:%u\"\n"
             "[links]\naddress = \"%s:%u\"\nkeys = [\"" KEY "\"]\n"
             "seeds = [%s]\n[bounds]\ngrace_s = %.1f\nretry_ratio = 0.2\n"
-            "retry_slack = %u\n",
+            "retry_slack = %u\ncold_rate_factor = %.1f\n"
+            "cold_slack = %.1f\n[memory]\nlimit_mb = %d\n",
             router->name, store.ip, store.port, router->callers.ip,
             router->callers.port, router->ready.ip, router->ready.port,
             router->links.ip, router->links.port, other,
-            SOAK_GRACE_MS / 1000.0, 40 + router->settings_version);
+            SOAK_GRACE_MS / 1000.0, 40 + router->settings_version,
+            SOAK_COLD_FACTOR, SOAK_COLD_SLACK, SOAK_MEMORY_MB);
     fclose(out);
 }
 
@@ -59,6 +61,7 @@
     printf("%lld start of %s as process %ld\n", (long long)soak_now(),
            router->name, (long)router->pid);
     router->paused = router->terminating = router->killed = false;
+    router->over_memory = false;
     router->disrupted_ms = soak_now();
 }
 
@@ -66,14 +69,19 @@
 soak_write_entry(struct soak *soak, const struct soak_origin *origin,
                  const char *state)
 {
-    struct address address = relay_address(origin->relay);
+    struct address address = origin->relay != NULL
+                                 ? relay_address(origin->relay)
+                                 : origin_address(origin->origin);
+    int64_t cold_ms = origin->cold_end_ms - soak_now();
     char text[300];
 
     snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
-             "\"slots\":8,\"state\":\"%s\",\"seq\":1,\"born\":%u}",
-             origin->service, address.ip, address.port, state,
-             origin->incarnation);
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
+             "\"slots\":8,\"state\":\"%s\",\"seq\":%u,\"born\":%u,"
+             "\"cold_left_ms\":%lld}",
+             origin->service, address.ip, address.port, origin->zone, state,
+             origin->entries + 1, origin->incarnation,
+             (long long)(cold_ms > 0 ? cold_ms : 0));
     keyed_store_put(soak->store, KEYED_STORE_TOPIC_ENDPOINTS, origin->id,
                     str_from(state[0] != '\0' ? text : ""));
 }
@@ -91,13 +99,17 @@
             .name = origin->id,
             .work_us = WORK_US,
             .events = SOAK_EVENTS,
+            .received = soak_check_received,
+            .ctx = origin,
         },
         &err);
     if (origin->origin == NULL) {
         BUG("%s", err.message);
     }
-    address = origin_address(origin->origin);
-    origin->relay = relay_new(soak->base, &address);
+    if (origin < soak->origins + SOAK_ORIGINS) {
+        address = origin_address(origin->origin);
+        origin->relay = relay_new(soak->base, &address);
+    }
     soak_write_entry(soak, origin, "ready");
 }
 
@@ -116,17 +128,42 @@
     soak_write_entry(soak, origin, "ready");
 }
 
+/// Adds the services of endpoints that become cold, and of long answers.
+static char *
+add_services(const char *document)
+{
+    static const char routes[] = "\"routes\":[";
+    static const char services[] = "\"services\":[";
+    const char *route = strstr(document, routes) + strlen(routes);
+    const char *service = strstr(route, services) + strlen(services);
+
+    return xasprintf(
+        "%.*s{\"name\":\"warm\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/warm/\",\"kind\":\"idempotent\",\"timeout_ms\":800,\"slo_ms\":"
+        "300,\"service\":\"warming\",\"max_attempts\":2},"
+        "{\"name\":\"bulk\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/bulk/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"slo_ms\":"
+        "500,\"service\":\"bulk\",\"max_attempts\":1},"
+        "%.*s{\"name\":\"warming\",\"max_conns\":100,\"cold_start_s\":%.1f,"
+        "\"cold_per_s\":%.1f},{\"name\":\"bulk\",\"max_conns\":100},%s",
+        (int)(route - document), document, (int)(service - route), route,
+        SOAK_COLD_START_MS / 1000.0, SOAK_COLD_PER_S, service);
+}
+
 void
 soak_publish_configuration(struct soak *soak)
 {
     char *text;
+    char *complete;
 
     soak->version += 1 + (int64_t)random_below(&soak->random, 5);
     text = platform_document(soak->version,
                              soak->version % 2 == 0 ? "key" : "key\",\"second",
                              soak->version % 3 == 0, 800, 15000);
+    complete = add_services(text);
     keyed_store_put(soak->store, KEYED_STORE_TOPIC_OPERATOR, "config",
-                    str_from(text));
+                    str_from(complete));
+    free(complete);
     free(text);
 }
 
@@ -146,11 +183,15 @@
         BUG("%s", err.message);
     }
     soak_publish_configuration(soak);
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
         struct soak_origin *origin = &soak->origins[i];
 
         snprintf(origin->id, sizeof(origin->id), "e-%zu", i);
-        origin->service = i == 0 ? "orders" : "models";
+        origin->soak = soak;
+        origin->service = i == 0             ? "orders"
+                          : i < SOAK_ORIGINS ? "models"
+                                             : "warming";
+        origin->zone = i == SOAK_ORIGINS - 1 ? SOAK_ZONE : "z";
         start_origin(soak, origin);
     }
     for (size_t i = 0; i < SOAK_ROUTERS; i++) {
@@ -191,8 +232,10 @@
         channel_pool_free(router->pool);
         relay_free(router->store);
     }
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
-        relay_free(soak->origins[i].relay);
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
+        if (soak->origins[i].relay != NULL) {
+            relay_free(soak->origins[i].relay);
+        }
         origin_free(soak->origins[i].origin);
     }
     keyed_store_free(soak->store);
@@ -210,6 +253,9 @@
         router->terminating = true;
         router->sigterm_ms = soak_now();
     }
+    if (number == SIGSTOP || number == SIGCONT) {
+        router->frozen_ms = soak_now();
+    }
     if (number == SIGKILL || number == SIGSTOP || number == SIGCONT) {
         router->disrupted_ms = soak_now();
     }
--- a/soak/main.c
+++ b/soak/main.c
@@ -62,6 +62,7 @@
     (void)events;
     soak_supervise(soak);
     soak_vary(soak);
+    soak_crowd_change(soak);
     if (passed_ms < WARM_UP_MS) {
         return;
     }
@@ -84,6 +85,7 @@
     for (size_t i = 0; i < phases->calls_per_tick; i++) {
         soak_call_start(soak);
     }
+    soak_warm_call_start(soak);
 }
 
 static void
@@ -103,11 +105,16 @@
     }
     soak_check_ledgers(soak);
     printf("soak: seed %ld faults %llu calls %llu served %llu refused %zu "
-           "calm %llu of %llu violations %llu\n",
+           "calm %llu of %llu evacuations %llu cold starts %llu requests %llu "
+           "long answers %llu peak %ld kB violations %llu\n",
            seed, (unsigned long long)soak->faults,
            (unsigned long long)soak->calls, (unsigned long long)soak->served,
            soak->refused_count, (unsigned long long)soak->verify_served,
            (unsigned long long)soak->verify_calls,
+           (unsigned long long)soak->evacuations,
+           (unsigned long long)soak->cold_starts,
+           (unsigned long long)soak->cold_requests,
+           (unsigned long long)soak->bulk_answers, soak->peak_kb,
            (unsigned long long)soak->violations);
 }
 
@@ -133,12 +140,14 @@
     soak->other_seeded.state = ~(uint64_t)seed;
     soak->other_random = random_seeded_interface(&soak->other_seeded);
     soak_start(soak);
+    soak_crowd_start(soak);
     event = event_new(soak->base, -1, EV_PERSIST, on_tick, &phases);
     event_add(event, &tick);
     event_base_dispatch(soak->base);
     check_results(soak, seed);
     event_free(event);
     ok = soak->violations == 0;
+    soak_crowd_stop(soak);
     soak_stop(soak);
     loop_free(soak->base);
     free(soak);
@@ -173,6 +182,8 @@
         goto out;
     }
     signal(SIGPIPE, SIG_IGN);
+    // In a build with a sanitizer, memory that was freed must not count.
+    setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 0);
     status = run(program, dir, seed, seconds) ? 0 : 1;
 out:
     poptFreeContext(context);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -16,11 +16,25 @@
 #include "standin/relay.h"
 
 #define SOAK_ROUTERS 4
+/// Endpoints that faults.c disturbs, and those that become cold.
 #define SOAK_ORIGINS 4
+#define SOAK_ORIGINS_ALL 6
+#define SOAK_COLD_START_MS 4000
+/// Low enough that not every router may send to a cold endpoint.
+#define SOAK_COLD_PER_S 4.0
+#define SOAK_COLD_FACTOR 1.5
+#define SOAK_COLD_SLACK 5.0
+/// More than the requests that a cold endpoint may receive in a second.
+#define SOAK_COLD_COUNTED 16
 #define SOAK_EVENTS 12
 #define SOAK_GRACE_MS 4000
+#define SOAK_MEMORY_MB 32
+#define SOAK_CLIENTS 16
 #define SOAK_LEDGER_MAX 60000
+/// The zone of the last endpoint, which is evacuated.
+#define SOAK_ZONE "y"
 
+struct caller_server;
 struct event;
 struct event_base;
 struct soak_call;
@@ -42,20 +56,40 @@
     int64_t restart_ms;
     int64_t sigterm_ms;
     int64_t disrupted_ms; ///< last kill, pause, resumption or start
+    int64_t cut_ms;       ///< last moment at which the store was cut off
+    int64_t frozen_ms;    ///< last pause or resumption
+    bool over_memory;     ///< reported
+    bool cut;             ///< until the relay forwards again
     unsigned settings_version;
 };
 
 /// An endpoint and the relay in front of it.
 struct soak_origin {
+    struct soak *soak;
     char id[24];
     const char *service;
+    const char *zone;
     struct origin *origin;
-    struct relay *relay;
+    struct relay *relay;  ///< NULL: reached directly
+    int64_t cold_from_ms; ///< became cold, or stopped before
+    int64_t cold_end_ms;
+    bool restarted; ///< when it last became cold
+    int64_t next_cold_ms;
+    int64_t next_entry_ms;
+    unsigned entries; ///< written again; routers ignore an equal one
+    int64_t counted[SOAK_COLD_COUNTED]; ///< last requests while cold
+    size_t counted_next;
     int64_t fault_end_ms; ///< 0: no fault
     int64_t faulted_ms;
     unsigned incarnation;
 };
 
+/// A client outside the limits.
+struct soak_client {
+    int fd; ///< -1: not connected
+    bool sent;
+};
+
 struct soak {
     struct event_base *base;
     const char *program; ///< executable of a router
@@ -66,14 +100,27 @@
     struct random_seeded other_seeded;
     struct random_source other_random;
     int64_t next_loads_ms;
+    int64_t next_evacuation_ms;
+    int64_t evacuated_ms; ///< 0: the last zone is not evacuated
+    uint64_t evacuations;
+    struct soak_client clients[SOAK_CLIENTS];
+    struct caller_server *bulk; ///< endpoint with long answers
+    int64_t next_client_ms;
+    uint64_t bulk_answers;
+    long peak_kb; ///< of any router
+    uint64_t cold_starts;
+    uint64_t cold_requests;      ///< received by cold endpoints and counted
+    uint64_t evacuated_requests; ///< received within the allowed time
+    int64_t store_faulted_ms;    ///< last moment of a fault
     struct keyed_store *store;
     int64_t store_fault_end_ms;
     struct soak_router routers[SOAK_ROUTERS];
-    struct soak_origin origins[SOAK_ORIGINS];
+    struct soak_origin origins[SOAK_ORIGINS_ALL];
     int64_t version;
     int64_t next_fault_ms;
     bool verifying; ///< faults are over, requests must succeed
-    char *refused_ids[SOAK_LEDGER_MAX]; ///< must not have run
+    unsigned char call_routers[SOAK_LEDGER_MAX]; ///< by the call's number
+    char *refused_ids[SOAK_LEDGER_MAX];          ///< must not have run
     size_t refused_count;
     char *at_most_once_ids[SOAK_LEDGER_MAX]; ///< must not run twice
     size_t at_most_once_count;
@@ -111,6 +158,16 @@
 /// the faults have ended.
 void soak_vary(struct soak *soak);
 
+/// crowd.c: clients outside the limits; checks the processes' memory.
+void soak_crowd_start(struct soak *soak);
+void soak_crowd_stop(struct soak *soak);
+void soak_crowd_change(struct soak *soak);
+
+/// received.c: checks a request that an endpoint has received.
+void soak_check_received(void *origin, const char *id);
+
 /// callers.c: sends a request; checks at the end which requests have run.
 void soak_call_start(struct soak *soak);
+/// The same to the service whose endpoints become cold.
+void soak_warm_call_start(struct soak *soak);
 void soak_check_ledgers(struct soak *soak);
--- a/soak/variations.c
+++ b/soak/variations.c
@@ -1,6 +1,14 @@
+#include <stdio.h>
+
 #include "soak.h"
 
 #define LOAD_CHANGE_MS 200
+#define EVACUATION_FIRST_MS 1500
+#define EVACUATED_MIN_MS 6000
+#define EVACUATION_PAUSE_MS 500
+#define COLD_PAUSE_MS 500
+/// Endpoints write their entries again and again.
+#define ENTRY_INTERVAL_MS 1200
 
 /// Varies the load that endpoints report. Routers must ignore a fourth figure
 /// that is missing or malformed.
@@ -34,8 +42,102 @@
     }
 }
 
+/// The zone is evacuated for longer than routers may take to notice, and then
+/// taken back; the last evacuation may last until the end.
+static void
+vary_evacuation(struct soak *soak, int64_t now_ms)
+{
+    bool begins = soak->evacuated_ms == 0;
+    uint64_t spread_ms = random_below(&soak->other_random, 2000);
+
+    if (soak->next_evacuation_ms == 0) {
+        soak->next_evacuation_ms =
+            now_ms + EVACUATION_FIRST_MS + (int64_t)spread_ms;
+    }
+    if (now_ms < soak->next_evacuation_ms) {
+        return;
+    }
+    keyed_store_put(soak->store, KEYED_STORE_TOPIC_OPERATOR,
+                    "evacuate/" SOAK_ZONE, str_from(begins ? "{}" : ""));
+    printf("%lld evacuation of " SOAK_ZONE " %s\n", (long long)now_ms,
+           begins ? "begins" : "ends");
+    soak->evacuated_ms = begins ? now_ms : 0;
+    soak->evacuations += begins ? 1 : 0;
+    soak->next_evacuation_ms =
+        now_ms + (int64_t)spread_ms +
+        (begins ? EVACUATED_MIN_MS : EVACUATION_PAUSE_MS);
+}
+
+static void
+renew_entry(struct soak *soak, struct soak_origin *origin)
+{
+    origin->entries++;
+    origin->next_entry_ms = soak_now() + ENTRY_INTERVAL_MS;
+    soak_write_entry(soak, origin, "ready");
+}
+
+static void
+become_cold(struct soak *soak, struct soak_origin *origin)
+{
+    origin->cold_end_ms = soak_now() + SOAK_COLD_START_MS;
+    soak->cold_starts++;
+    renew_entry(soak, origin);
+}
+
+static void
+on_back(void *ctx, struct origin *stand_in)
+{
+    struct soak_origin *origin = ctx;
+
+    (void)stand_in;
+    origin->incarnation++;
+    become_cold(origin->soak, origin);
+}
+
+/// Endpoints restart, or become cold while they run.
+static void
+vary_cold(struct soak *soak, int64_t now_ms)
+{
+    for (size_t i = SOAK_ORIGINS; i < SOAK_ORIGINS_ALL; i++) {
+        struct soak_origin *origin = &soak->origins[i];
+        uint64_t spread_ms = random_below(&soak->other_random, 3000);
+        bool first = origin->next_cold_ms == 0;
+
+        if (now_ms >= origin->next_entry_ms && origin_is_up(origin->origin)) {
+            renew_entry(soak, origin);
+        }
+        if (now_ms < origin->next_cold_ms) {
+            continue;
+        }
+        origin->next_cold_ms =
+            now_ms + SOAK_COLD_START_MS + COLD_PAUSE_MS + (int64_t)spread_ms;
+        if (first) {
+            continue;
+        }
+        origin->cold_from_ms = now_ms;
+        origin->restarted = random_below(&soak->other_random, 2) == 0;
+        printf("%lld %s %s\n", (long long)now_ms, origin->id,
+               origin->restarted ? "restarts" : "becomes cold");
+        if (!origin->restarted) {
+            become_cold(soak, origin);
+            continue;
+        }
+        origin_set_crash(origin->origin,
+                         &(struct origin_crash_options){
+                             .away_ms = 300 + (int64_t)(spread_ms / 4),
+                             .back = on_back,
+                             .ctx = origin,
+                         });
+        origin_crash(origin->origin);
+    }
+}
+
 void
 soak_vary(struct soak *soak)
 {
-    vary_loads(soak, soak_now());
+    int64_t now_ms = soak_now();
+
+    vary_loads(soak, now_ms);
+    vary_evacuation(soak, now_ms);
+    vary_cold(soak, now_ms);
 }
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -625,6 +625,9 @@
     }
     origin->last_body_bytes = conn->body_bytes;
     origin->requests++;
+    if (origin->options.received != NULL) {
+        origin->options.received(origin->options.ctx, conn->id);
+    }
     if (origin->fault == ORIGIN_SHEDS || origin->fault == ORIGIN_MISDIRECTED) {
         refuse(conn, origin->fault == ORIGIN_SHEDS ? 503 : 421);
         return;
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -75,6 +75,9 @@
     const char *name; ///< id in its entry in the store
     int64_t work_us;  ///< time before an answer and between events
     size_t events;    ///< events of a stream
+    /// A request with this id was received, run or not; may be NULL.
+    void (*received)(void *ctx, const char *id);
+    void *ctx;
 };
 
 struct origin *origin_new(const struct origin_options *options,
