soak: endpoints that end when their memory is exceeded

Two endpoints of a new service crash when the prompt tokens of the requests that they hold exceed what the configuration states, and are back after 300 ms with another incarnation.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -15,6 +15,10 @@
 /// last byte of a request may have crossed the request.
 #define CLOSE_RACE_MS 200
 #define BODY_BYTES_MAX 4096
+#define PROMPT_TOKENS_MIN 20000
+#define PROMPT_TOKENS_SPREAD 40000
+/// Ticks for each request with a large prompt.
+#define LARGE_EVERY 4
 
 enum call_kind {
     CALL_BOOK,
@@ -22,7 +26,10 @@
     CALL_CHAT,
     CALL_DRAFT,
     CALL_KINDS,
-    CALL_WARM = CALL_KINDS, ///< only by soak_warm_call_start()
+    // Only by soak_other_calls_start():
+    CALL_WARM = CALL_KINDS,
+    CALL_LARGE,
+    CALL_KINDS_ALL,
 };
 
 struct soak_call {
@@ -37,8 +44,9 @@
     size_t body_len;
 };
 
-static const char *const paths[CALL_KINDS + 1] = {
-    "/book/", "/look/", "/stream/chat/", "/stream/draft/", "/warm/"};
+static const char *const paths[CALL_KINDS_ALL] = {
+    "/book/",         "/look/", "/stream/chat/",
+    "/stream/draft/", "/warm/", "/stream/large/"};
 
 static bool
 is_at_most_once(enum call_kind kind)
@@ -193,6 +201,19 @@
     free(call);
 }
 
+/// A few large prompts exceed an endpoint's memory.
+static void
+add_usage(struct soak *soak, enum call_kind kind, struct evbuffer *out)
+{
+    if (kind == CALL_LARGE) {
+        evbuffer_add_printf(
+            out, "Dandelionvalve-Token-Usage: %llu,100\r\n",
+            (unsigned long long)(PROMPT_TOKENS_MIN +
+                                 random_below(&soak->other_random,
+                                              PROMPT_TOKENS_SPREAD)));
+    }
+}
+
 static void
 start_call(struct soak *soak, enum call_kind kind, size_t router)
 {
@@ -206,7 +227,7 @@
     call->router = &soak->routers[router];
     call->kind = kind;
     call->started_ms = soak_now();
-    call->verifying = soak->verifying && kind != CALL_WARM;
+    call->verifying = soak->verifying && kind < CALL_KINDS;
     snprintf(call->id, sizeof(call->id), "c-%llu",
              (unsigned long long)soak->calls++);
     INVARIANT(soak->calls <= SOAK_LEDGER_MAX);
@@ -220,11 +241,20 @@
                         "%s %s HTTP/1.1\r\nHost: h.example\r\n"
                         "Dandelionvalve-Request-Id: %s\r\n"
                         "Dandelionvalve-Deadline-Ms: 3000\r\n"
-                        "Authorization: Bearer key\r\n%s\r\n%s",
-                        has_body(kind) ? "POST" : "GET", paths[call->kind],
-                        call->id,
-                        has_body(kind) ? "Content-Length: 4\r\n" : "",
-                        has_body(kind) ? "body" : "");
+                        "Authorization: Bearer key\r\n",
+                        has_body(kind) ? "POST" : "GET", paths[kind],
+                        call->id);
+    add_usage(soak, kind, out);
+    // Requests that are alike and meet crashes are refused as their cause.
+    if (kind == CALL_LARGE) {
+        evbuffer_add_printf(out, "Content-Length: 8\r\n\r\n%08llx",
+                            (unsigned long long)soak->calls);
+    }
+    else {
+        evbuffer_add_printf(out, "%s",
+                            has_body(kind) ? "Content-Length: 4\r\n\r\nbody"
+                                           : "\r\n");
+    }
     bound.ctx = call;
     soak->in_flight++;
     if (channel_send(call->router->pool, &request, &bound) == NULL) {
@@ -243,10 +273,14 @@
 }
 
 void
-soak_warm_call_start(struct soak *soak)
+soak_other_calls_start(struct soak *soak)
 {
     start_call(soak, CALL_WARM,
                random_below(&soak->other_random, SOAK_ROUTERS));
+    if (random_below(&soak->other_random, LARGE_EVERY) == 0) {
+        start_call(soak, CALL_LARGE,
+                   random_below(&soak->other_random, SOAK_ROUTERS));
+    }
 }
 
 void
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -14,6 +14,7 @@
 #define KEY "6b1d9c0e5f2a48b7c3d41e6f8a90b2c47d5e6f1a2b3c4d5e6f708192a3b4c5d6"
 #define RESTART_MS 150
 #define WORK_US 4000
+#define AWAY_MS 300
 #define HEAD_BYTES_MAX 65536
 
 void
@@ -86,9 +87,22 @@
                     str_from(state[0] != '\0' ? text : ""));
 }
 
+/// The endpoint has ended since its requests exceeded its memory.
+static void
+on_back(void *ctx, struct origin *stand_in)
+{
+    struct soak_origin *origin = ctx;
+
+    (void)stand_in;
+    printf("%lld %s ended: memory\n", (long long)soak_now(), origin->id);
+    origin->incarnation++;
+    soak_write_entry(origin->soak, origin, "ready");
+}
+
 static void
 start_origin(struct soak *soak, struct soak_origin *origin)
 {
+    bool is_small = origin >= soak->origins + SOAK_ORIGINS_COLD_END;
     struct err err = {0};
     struct address address;
 
@@ -99,6 +113,7 @@
             .name = origin->id,
             .work_us = WORK_US,
             .events = SOAK_EVENTS,
+            .memory_tokens = is_small ? SOAK_MEMORY_TOKENS : 0,
             .received = soak_check_received,
             .ctx = origin,
         },
@@ -106,6 +121,13 @@
     if (origin->origin == NULL) {
         BUG("%s", err.message);
     }
+    if (is_small) {
+        origin_set_crash(origin->origin, &(struct origin_crash_options){
+                                             .away_ms = AWAY_MS,
+                                             .back = on_back,
+                                             .ctx = origin,
+                                         });
+    }
     if (origin < soak->origins + SOAK_ORIGINS) {
         address = origin_address(origin->origin);
         origin->relay = relay_new(soak->base, &address);
@@ -128,7 +150,8 @@
     soak_write_entry(soak, origin, "ready");
 }
 
-/// Adds the services of endpoints that become cold, and of long answers.
+/// Adds the services of endpoints that become cold, that have long answers,
+/// and that have little memory.
 static char *
 add_services(const char *document)
 {
@@ -144,10 +167,18 @@
         "{\"name\":\"bulk\",\"host\":\"h.example\",\"path_prefix\":"
         "\"/bulk/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"slo_ms\":"
         "500,\"service\":\"bulk\",\"max_attempts\":1},"
+        "{\"name\":\"large\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/stream/large/\",\"kind\":\"streaming\",\"timeout_ms\":8000,"
+        "\"slo_ms\":500,\"service\":\"small\",\"max_attempts\":2,"
+        "\"resumable\":true,\"gap_target_ms\":400},"
         "%.*s{\"name\":\"warming\",\"max_conns\":100,\"cold_start_s\":%.1f,"
-        "\"cold_per_s\":%.1f},{\"name\":\"bulk\",\"max_conns\":100},%s",
+        "\"cold_per_s\":%.1f},{\"name\":\"bulk\",\"max_conns\":100},"
+        "{\"name\":\"small\",\"max_conns\":100,\"engine\":{\"slots\":8,"
+        "\"kv_capacity\":%d,\"kv_token_bytes\":18432,"
+        "\"link_mbps\":370000.0}},%s",
         (int)(route - document), document, (int)(service - route), route,
-        SOAK_COLD_START_MS / 1000.0, SOAK_COLD_PER_S, service);
+        SOAK_COLD_START_MS / 1000.0, SOAK_COLD_PER_S, SOAK_MEMORY_TOKENS,
+        service);
 }
 
 void
@@ -167,6 +198,18 @@
     free(text);
 }
 
+static const char *
+service_of(size_t origin)
+{
+    if (origin == 0) {
+        return "orders";
+    }
+    if (origin < SOAK_ORIGINS) {
+        return "models";
+    }
+    return origin < SOAK_ORIGINS_COLD_END ? "warming" : "small";
+}
+
 void
 soak_start(struct soak *soak)
 {
@@ -188,9 +231,7 @@
 
         snprintf(origin->id, sizeof(origin->id), "e-%zu", i);
         origin->soak = soak;
-        origin->service = i == 0             ? "orders"
-                          : i < SOAK_ORIGINS ? "models"
-                                             : "warming";
+        origin->service = service_of(i);
         origin->zone = i == SOAK_ORIGINS - 1 ? SOAK_ZONE : "z";
         start_origin(soak, origin);
     }
--- a/soak/main.c
+++ b/soak/main.c
@@ -85,7 +85,18 @@
     for (size_t i = 0; i < phases->calls_per_tick; i++) {
         soak_call_start(soak);
     }
-    soak_warm_call_start(soak);
+    soak_other_calls_start(soak);
+}
+
+static uint64_t
+memory_ends(const struct soak *soak)
+{
+    uint64_t ends = 0;
+
+    for (size_t i = SOAK_ORIGINS_COLD_END; i < SOAK_ORIGINS_ALL; i++) {
+        ends += origin_crashes(soak->origins[i].origin);
+    }
+    return ends;
 }
 
 static void
@@ -104,18 +115,20 @@
             (unsigned long long)soak->verify_calls);
     }
     soak_check_ledgers(soak);
-    printf("soak: seed %ld faults %llu calls %llu served %llu refused %zu "
-           "calm %llu of %llu evacuations %llu cold starts %llu requests %llu "
-           "long answers %llu peak %ld kB violations %llu\n",
-           seed, (unsigned long long)soak->faults,
-           (unsigned long long)soak->calls, (unsigned long long)soak->served,
-           soak->refused_count, (unsigned long long)soak->verify_served,
-           (unsigned long long)soak->verify_calls,
-           (unsigned long long)soak->evacuations,
-           (unsigned long long)soak->cold_starts,
-           (unsigned long long)soak->cold_requests,
-           (unsigned long long)soak->bulk_answers, soak->peak_kb,
-           (unsigned long long)soak->violations);
+    printf(
+        "soak: seed %ld faults %llu calls %llu served %llu refused %zu "
+        "calm %llu of %llu evacuations %llu cold starts %llu requests %llu "
+        "long answers %llu peak %ld kB ended by memory %llu violations %llu\n",
+        seed, (unsigned long long)soak->faults,
+        (unsigned long long)soak->calls, (unsigned long long)soak->served,
+        soak->refused_count, (unsigned long long)soak->verify_served,
+        (unsigned long long)soak->verify_calls,
+        (unsigned long long)soak->evacuations,
+        (unsigned long long)soak->cold_starts,
+        (unsigned long long)soak->cold_requests,
+        (unsigned long long)soak->bulk_answers, soak->peak_kb,
+        (unsigned long long)memory_ends(soak),
+        (unsigned long long)soak->violations);
 }
 
 static bool
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -16,9 +16,11 @@
 #include "standin/relay.h"
 
 #define SOAK_ROUTERS 4
-/// Endpoints that faults.c disturbs, and those that become cold.
+/// Endpoints that faults.c disturbs, then those that become cold, then those
+/// that end when their memory is exceeded.
 #define SOAK_ORIGINS 4
-#define SOAK_ORIGINS_ALL 6
+#define SOAK_ORIGINS_COLD_END 6
+#define SOAK_ORIGINS_ALL 8
 #define SOAK_COLD_START_MS 4000
 /// Low enough that not every router may send to a cold endpoint.
 #define SOAK_COLD_PER_S 4.0
@@ -30,6 +32,8 @@
 #define SOAK_GRACE_MS 4000
 #define SOAK_MEMORY_MB 32
 #define SOAK_CLIENTS 16
+/// Memory of an endpoint, as the configuration states it.
+#define SOAK_MEMORY_TOKENS 100000
 #define SOAK_LEDGER_MAX 60000
 /// The zone of the last endpoint, which is evacuated.
 #define SOAK_ZONE "y"
@@ -168,6 +172,6 @@
 
 /// callers.c: sends a request; checks at the end which requests have run.
 void soak_call_start(struct soak *soak);
-/// The same to the service whose endpoints become cold.
-void soak_warm_call_start(struct soak *soak);
+/// The same to endpoints that become cold, and to those with little memory.
+void soak_other_calls_start(struct soak *soak);
 void soak_check_ledgers(struct soak *soak);
--- a/soak/variations.c
+++ b/soak/variations.c
@@ -34,7 +34,7 @@
         return;
     }
     soak->next_loads_ms = now_ms + LOAD_CHANGE_MS;
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
         size_t number = random_below(&soak->other_random,
                                      sizeof(loads) / sizeof(loads[0]));
 
@@ -98,7 +98,7 @@
 static void
 vary_cold(struct soak *soak, int64_t now_ms)
 {
-    for (size_t i = SOAK_ORIGINS; i < SOAK_ORIGINS_ALL; i++) {
+    for (size_t i = SOAK_ORIGINS; i < SOAK_ORIGINS_COLD_END; i++) {
         struct soak_origin *origin = &soak->origins[i];
         uint64_t spread_ms = random_below(&soak->other_random, 3000);
         bool first = origin->next_cold_ms == 0;
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -26,6 +26,7 @@
 #define ID_FIELD "Dandelionvalve-Request-Id"
 #define SIGNATURE_FIELD "Dandelionvalve-Server-Signature"
 #define LOAD_FIELD "Dandelionvalve-Instance-Load"
+#define USAGE_FIELD "Dandelionvalve-Token-Usage"
 #define PARTS_FIELD "Dandelionvalve-Prefix-Hash"
 
 struct conn {
@@ -45,6 +46,7 @@
     uint64_t filler_bytes;
     size_t next_event;
     size_t body_bytes;
+    int64_t prompt_tokens;
     struct conn *prev;
     struct conn *next;
 };
@@ -612,6 +614,21 @@
     reset_request(conn);
 }
 
+/// True if the running requests need more memory than there is.
+static bool
+is_memory_exceeded(const struct origin *origin)
+{
+    const struct conn *conn;
+    int64_t tokens = 0;
+
+    DL_FOREACH(origin->conns, conn)
+    {
+        tokens += conn->running ? conn->prompt_tokens : 0;
+    }
+    return origin->options.memory_tokens > 0 &&
+           tokens > origin->options.memory_tokens;
+}
+
 static void
 on_end(void *ctx)
 {
@@ -642,7 +659,7 @@
     INVARIANT(origin->runs < RUNS_MAX);
     origin->run_ids[origin->runs++] = xstrdup(conn->id);
     conn->running = true;
-    conn->crashes = has_crash_part(conn);
+    conn->crashes = has_crash_part(conn) || is_memory_exceeded(origin);
     if (conn->crashes) {
         write_crash_head(conn);
         set_timer(conn, origin->options.work_us);
@@ -671,6 +688,19 @@
     }
 }
 
+static void
+set_prompt_tokens(struct conn *conn)
+{
+    struct str usage = http1_value(&conn->http, USAGE_FIELD);
+    size_t len = 0;
+
+    while (len < usage.len && usage.data[len] != ',') {
+        len++;
+    }
+    conn->prompt_tokens = 0;
+    (void)str_to_int64((struct str){usage.data, len}, &conn->prompt_tokens);
+}
+
 static void
 on_head(void *ctx)
 {
@@ -683,6 +713,7 @@
     snprintf(conn->id, sizeof(conn->id), STR_FMT,
              STR_ARG(http1_value(&conn->http, ID_FIELD)));
     set_call_line(conn);
+    set_prompt_tokens(conn);
     if (origin->has_resume_fault &&
         http1_value(&conn->http, "Last-Event-Id").len > 0) {
         origin_set_fault(origin, origin->resume_fault);
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -78,6 +78,9 @@
     /// A request with this id was received, run or not; may be NULL.
     void (*received)(void *ctx, const char *id);
     void *ctx;
+    /// Prompt tokens of running requests above which the endpoint crashes; 0:
+    /// no limit.
+    int64_t memory_tokens;
 };
 
 struct origin *origin_new(const struct origin_options *options,
