--- a/soak/callers.c
+++ b/soak/callers.c
@@ -230,9 +230,10 @@
     call->verifying = soak->verifying && kind < CALL_KINDS;
     snprintf(call->id, sizeof(call->id), "c-%llu",
              (unsigned long long)soak->calls++);
-    INVARIANT(soak->calls <= SOAK_LEDGER_MAX);
-    soak->call_routers[soak->calls - 1] =
-        (unsigned char)(call->router - soak->routers);
+    if (soak->calls <= SOAK_LEDGER_MAX) {
+        soak->call_routers[soak->calls - 1] =
+            (unsigned char)(call->router - soak->routers);
+    }
     soak->verify_calls += call->verifying ? 1 : 0;
     if (is_at_most_once(call->kind)) {
         record_id(soak->at_most_once_ids, &soak->at_most_once_count, call->id);
--- a/soak/crowd.c
+++ b/soak/crowd.c
@@ -16,7 +16,9 @@
 
 /// The process with all that its settings allow it to hold for clients.
 #define MEMORY_MAX_KB (SOAK_MEMORY_MB * 1000)
-#define CHANGE_MS 60
+#define CHANGE_MS 15
+/// The crowd is at one router for so long, then at the next one.
+#define STAY_MS 4000
 #define CHUNK_BYTES 16384
 /// An answer that slow readers do not read: longer than the buffers of both
 /// sockets.
@@ -70,8 +72,7 @@
 {
     static const int receive_bytes = RECEIVE_BYTES;
     const struct address *address =
-        &soak->routers[random_below(&soak->other_random, SOAK_ROUTERS)]
-             .callers;
+        &soak->routers[soak_now() / STAY_MS % SOAK_ROUTERS].callers;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 
     if (fd < 0) {
--- a/soak/received.c
+++ b/soak/received.c
@@ -16,7 +16,8 @@
 {
     unsigned long long number;
 
-    if (sscanf(id, "c-%llu", &number) != 1 || number >= soak->calls) {
+    if (sscanf(id, "c-%llu", &number) != 1 || number >= soak->calls ||
+        number >= SOAK_LEDGER_MAX) {
         return NULL;
     }
     return &soak->routers[soak->call_routers[number]];
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -32,7 +32,7 @@
 #define SOAK_GRACE_MS 4000
 /// Less than one of the long answers.
 #define SOAK_MEMORY_MB 16
-#define SOAK_CLIENTS 16
+#define SOAK_CLIENTS 32
 /// Memory of an endpoint, as the configuration states it.
 #define SOAK_MEMORY_TOKENS 100000
 #define SOAK_LEDGER_MAX 60000
