--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -14,6 +14,7 @@
 #define KEY "6b1d9c0e5f2a48b7c3d41e6f8a90b2c47d5e6f1a2b3c4d5e6f708192a3b4c5d6"
 #define RESTART_MS 150
 #define WORK_US 4000
+#define AWAY_MS 300
 #define HEAD_BYTES_MAX 65536
 
 void
@@ -37,11 +38,13 @@
             "store = \"%s:%u\"\ncallers = \"%s:%u\"\nready = \"%s:%u\"\n"
             "[links]\naddress = \"%s:%u\"\nkeys = [\"" KEY "\"]\n"
             "seeds = [%s]\n[bounds]\ngrace_s = %.1f\nretry_ratio = 0.2\n"
-            "retry_slack = %u\n",
+            "retry_slack = %u\ncold_rate_factor = %.1f\n"
+            "cold_slack = %.1f\n[memory]\nlimit_mb = %d\n",
             router->name, store.ip, store.port, router->callers.ip,
             router->callers.port, router->ready.ip, router->ready.port,
             router->links.ip, router->links.port, other,
-            SOAK_GRACE_MS / 1000.0, 40 + router->settings_version);
+            SOAK_GRACE_MS / 1000.0, 40 + router->settings_version,
+            SOAK_COLD_FACTOR, SOAK_COLD_SLACK, SOAK_MEMORY_MB);
     fclose(out);
 }
 
@@ -59,6 +62,7 @@
     printf("%lld start of %s as process %ld\n", (long long)soak_now(),
            router->name, (long)router->pid);
     router->paused = router->terminating = router->killed = false;
+    router->over_memory = false;
     router->disrupted_ms = soak_now();
 }
 
@@ -66,21 +70,39 @@
 soak_write_entry(struct soak *soak, const struct soak_origin *origin,
                  const char *state)
 {
-    struct address address = relay_address(origin->relay);
+    struct address address = origin->relay != NULL
+                                 ? relay_address(origin->relay)
+                                 : origin_address(origin->origin);
+    int64_t cold_ms = origin->cold_end_ms - soak_now();
     char text[300];
 
     snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"z\","
-             "\"slots\":8,\"state\":\"%s\",\"seq\":1,\"born\":%u}",
-             origin->service, address.ip, address.port, state,
-             origin->incarnation);
+             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
+             "\"slots\":8,\"state\":\"%s\",\"seq\":%u,\"born\":%u,"
+             "\"cold_left_ms\":%lld}",
+             origin->service, address.ip, address.port, origin->zone, state,
+             origin->entries + 1, origin->incarnation,
+             (long long)(cold_ms > 0 ? cold_ms : 0));
     keyed_store_put(soak->store, KEYED_STORE_TOPIC_ENDPOINTS, origin->id,
                     str_from(state[0] != '\0' ? text : ""));
 }
 
+/// The endpoint has ended since its requests exceeded its memory.
+static void
+on_back(void *ctx, struct origin *stand_in)
+{
+    struct soak_origin *origin = ctx;
+
+    (void)stand_in;
+    printf("%lld %s ended: memory\n", (long long)soak_now(), origin->id);
+    origin->incarnation++;
+    soak_write_entry(origin->soak, origin, "ready");
+}
+
 static void
 start_origin(struct soak *soak, struct soak_origin *origin)
 {
+    bool is_small = origin >= soak->origins + SOAK_ORIGINS_COLD_END;
     struct err err = {0};
     struct address address;
 
@@ -91,13 +113,25 @@
             .name = origin->id,
             .work_us = WORK_US,
             .events = SOAK_EVENTS,
+            .memory_tokens = is_small ? SOAK_MEMORY_TOKENS : 0,
+            .received = soak_check_received,
+            .ctx = origin,
         },
         &err);
     if (origin->origin == NULL) {
         BUG("%s", err.message);
     }
-    address = origin_address(origin->origin);
-    origin->relay = relay_new(soak->base, &address);
+    if (is_small) {
+        origin_set_crash(origin->origin, &(struct origin_crash_options){
+                                             .away_ms = AWAY_MS,
+                                             .back = on_back,
+                                             .ctx = origin,
+                                         });
+    }
+    if (origin < soak->origins + SOAK_ORIGINS) {
+        address = origin_address(origin->origin);
+        origin->relay = relay_new(soak->base, &address);
+    }
     soak_write_entry(soak, origin, "ready");
 }
 
@@ -116,20 +150,66 @@
     soak_write_entry(soak, origin, "ready");
 }
 
+/// Adds the services of endpoints that become cold, that have long answers,
+/// and that have little memory.
+static char *
+add_services(const char *document)
+{
+    static const char routes[] = "\"routes\":[";
+    static const char services[] = "\"services\":[";
+    const char *route = strstr(document, routes) + strlen(routes);
+    const char *service = strstr(route, services) + strlen(services);
+
+    return xasprintf(
+        "%.*s{\"name\":\"warm\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/warm/\",\"kind\":\"idempotent\",\"timeout_ms\":800,\"slo_ms\":"
+        "300,\"service\":\"warming\",\"max_attempts\":2},"
+        "{\"name\":\"bulk\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/bulk/\",\"kind\":\"streaming\",\"timeout_ms\":8000,\"slo_ms\":"
+        "500,\"service\":\"bulk\",\"max_attempts\":1},"
+        "{\"name\":\"large\",\"host\":\"h.example\",\"path_prefix\":"
+        "\"/stream/large/\",\"kind\":\"streaming\",\"timeout_ms\":8000,"
+        "\"slo_ms\":500,\"service\":\"small\",\"max_attempts\":2,"
+        "\"resumable\":true,\"gap_target_ms\":400},"
+        "%.*s{\"name\":\"warming\",\"max_conns\":100,\"cold_start_s\":%.1f,"
+        "\"cold_per_s\":%.1f},{\"name\":\"bulk\",\"max_conns\":100},"
+        "{\"name\":\"small\",\"max_conns\":100,\"engine\":{\"slots\":8,"
+        "\"kv_capacity\":%d,\"kv_token_bytes\":18432,"
+        "\"link_mbps\":370000.0}},%s",
+        (int)(route - document), document, (int)(service - route), route,
+        SOAK_COLD_START_MS / 1000.0, SOAK_COLD_PER_S, SOAK_MEMORY_TOKENS,
+        service);
+}
+
 void
 soak_publish_configuration(struct soak *soak)
 {
     char *text;
+    char *complete;
 
     soak->version += 1 + (int64_t)random_below(&soak->random, 5);
     text = platform_document(soak->version,
                              soak->version % 2 == 0 ? "key" : "key\",\"second",
                              soak->version % 3 == 0, 800, 15000);
+    complete = add_services(text);
     keyed_store_put(soak->store, KEYED_STORE_TOPIC_OPERATOR, "config",
-                    str_from(text));
+                    str_from(complete));
+    free(complete);
     free(text);
 }
 
+static const char *
+service_of(size_t origin)
+{
+    if (origin == 0) {
+        return "orders";
+    }
+    if (origin < SOAK_ORIGINS) {
+        return "models";
+    }
+    return origin < SOAK_ORIGINS_COLD_END ? "warming" : "small";
+}
+
 void
 soak_start(struct soak *soak)
 {
@@ -146,11 +226,13 @@
         BUG("%s", err.message);
     }
     soak_publish_configuration(soak);
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
         struct soak_origin *origin = &soak->origins[i];
 
         snprintf(origin->id, sizeof(origin->id), "e-%zu", i);
-        origin->service = i == 0 ? "orders" : "models";
+        origin->soak = soak;
+        origin->service = service_of(i);
+        origin->zone = i == SOAK_ORIGINS - 1 ? SOAK_ZONE : "z";
         start_origin(soak, origin);
     }
     for (size_t i = 0; i < SOAK_ROUTERS; i++) {
@@ -191,8 +273,10 @@
         channel_pool_free(router->pool);
         relay_free(router->store);
     }
-    for (size_t i = 0; i < SOAK_ORIGINS; i++) {
-        relay_free(soak->origins[i].relay);
+    for (size_t i = 0; i < SOAK_ORIGINS_ALL; i++) {
+        if (soak->origins[i].relay != NULL) {
+            relay_free(soak->origins[i].relay);
+        }
         origin_free(soak->origins[i].origin);
     }
     keyed_store_free(soak->store);
@@ -210,6 +294,9 @@
         router->terminating = true;
         router->sigterm_ms = soak_now();
     }
+    if (number == SIGSTOP || number == SIGCONT) {
+        router->frozen_ms = soak_now();
+    }
     if (number == SIGKILL || number == SIGSTOP || number == SIGCONT) {
         router->disrupted_ms = soak_now();
     }
--- a/soak/main.c
+++ b/soak/main.c
@@ -61,6 +61,8 @@
     (void)fd;
     (void)events;
     soak_supervise(soak);
+    soak_vary(soak);
+    soak_crowd_change(soak);
     if (passed_ms < WARM_UP_MS) {
         return;
     }
@@ -83,6 +85,18 @@
     for (size_t i = 0; i < phases->calls_per_tick; i++) {
         soak_call_start(soak);
     }
+    soak_other_calls_start(soak);
+}
+
+static uint64_t
+memory_ends(const struct soak *soak)
+{
+    uint64_t ends = 0;
+
+    for (size_t i = SOAK_ORIGINS_COLD_END; i < SOAK_ORIGINS_ALL; i++) {
+        ends += origin_crashes(soak->origins[i].origin);
+    }
+    return ends;
 }
 
 static void
@@ -101,13 +115,20 @@
             (unsigned long long)soak->verify_calls);
     }
     soak_check_ledgers(soak);
-    printf("soak: seed %ld faults %llu calls %llu served %llu refused %zu "
-           "calm %llu of %llu violations %llu\n",
-           seed, (unsigned long long)soak->faults,
-           (unsigned long long)soak->calls, (unsigned long long)soak->served,
-           soak->refused_count, (unsigned long long)soak->verify_served,
-           (unsigned long long)soak->verify_calls,
-           (unsigned long long)soak->violations);
+    printf(
+        "soak: seed %ld faults %llu calls %llu served %llu refused %zu "
+        "calm %llu of %llu evacuations %llu cold starts %llu requests %llu "
+        "long answers %llu peak %ld kB ended by memory %llu violations %llu\n",
+        seed, (unsigned long long)soak->faults,
+        (unsigned long long)soak->calls, (unsigned long long)soak->served,
+        soak->refused_count, (unsigned long long)soak->verify_served,
+        (unsigned long long)soak->verify_calls,
+        (unsigned long long)soak->evacuations,
+        (unsigned long long)soak->cold_starts,
+        (unsigned long long)soak->cold_requests,
+        (unsigned long long)soak->bulk_answers, soak->peak_kb,
+        (unsigned long long)memory_ends(soak),
+        (unsigned long long)soak->violations);
 }
 
 static bool
@@ -129,13 +150,17 @@
     soak->dir = dir;
     soak->seeded.state = (uint64_t)seed;
     soak->random = random_seeded_interface(&soak->seeded);
+    soak->other_seeded.state = ~(uint64_t)seed;
+    soak->other_random = random_seeded_interface(&soak->other_seeded);
     soak_start(soak);
+    soak_crowd_start(soak);
     event = event_new(soak->base, -1, EV_PERSIST, on_tick, &phases);
     event_add(event, &tick);
     event_base_dispatch(soak->base);
     check_results(soak, seed);
     event_free(event);
     ok = soak->violations == 0;
+    soak_crowd_stop(soak);
     soak_stop(soak);
     loop_free(soak->base);
     free(soak);
@@ -170,6 +195,8 @@
         goto out;
     }
     signal(SIGPIPE, SIG_IGN);
+    // In a build with a sanitizer, memory that was freed must not count.
+    setenv("ASAN_OPTIONS", "quarantine_size_mb=1", 0);
     status = run(program, dir, seed, seconds) ? 0 : 1;
 out:
     poptFreeContext(context);
