process: one reader of a process's peak memory; candidates, dispatch: less work, plain wrapping

The soak and the crowd test each read VmHWM in the same way. The mean tokens of a service's requests were summed up also for requests without a length hint, which do not use them.

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -658,11 +658,9 @@
     LOG_INFO(
         "event=offer id=%s route=" STR_FMT " endpoint=" STR_FMT
         " reason=%s context=%08x in_flight=%u load=%u compared=%u "
-        "report_age_ms=%lld "
-        "mean=%.1f usable=%zu cached=%u uncached=%u source=" STR_FMT
-        " fetched=%u predicted_ms=%.0f pause_ms=%.0f slow_down=%.2f "
-        "left_ms=%lld "
-        "version=%lld offer=%zu",
+        "report_age_ms=%lld mean=%.1f usable=%zu cached=%u uncached=%u "
+        "source=" STR_FMT " fetched=%u predicted_ms=%.0f pause_ms=%.0f "
+        "slow_down=%.2f left_ms=%lld version=%lld offer=%zu",
         exchange->id, STR_ARG(exchange->route->name), STR_ARG(endpoint->id),
         place_reason_name(place->reason),
         (uint32_t)prefix_affinity(&exchange->facts.prefix),
--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -208,12 +208,13 @@
 {
     struct place_candidate *candidates = set->candidates;
     struct endpoint **all = set->endpoints;
-    double mean = mean_request_tokens(all, count);
     size_t fitting = 0;
+    double mean;
 
     if (query->tokens <= 0 || query->capacity_tokens <= 0) {
         return;
     }
+    mean = mean_request_tokens(all, count);
     for (size_t i = 0; i < count; i++) {
         double others = endpoint_load(all[i], now_ms) - all[i]->in_flight;
 
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -166,8 +166,8 @@
 
     if (!found && exchange->offers > 0 && exchange->runs == 0 &&
         exchange->offers < EXCHANGE_OFFERS_MAX) {
-        // No endpoint has run the request: offer it to the first one
-        // again, which may have recovered.
+        // No endpoint has run the request: offer it to the first one again,
+        // which may have recovered.
         found = dispatch_choose(exchange, 1, random, NULL, &choice);
     }
     if (found) {
--- a/soak/crowd.c
+++ b/soak/crowd.c
@@ -11,6 +11,7 @@
 #include "core/xmalloc.h"
 #include "net/caller.h"
 #include "net/http1.h"
+#include "process.h"
 #include "soak.h"
 #include "standin/ports.h"
 
@@ -37,33 +38,12 @@
 /// Small, so that a slow reader stops taking answers early.
 #define RECEIVE_BYTES 2048
 
-/// The peak of the process's memory; -1: it has just ended.
-static long
-peak_kb(pid_t pid)
-{
-    char line[256];
-    long kb = -1;
-    FILE *in;
-
-    snprintf(line, sizeof(line), "/proc/%ld/status", (long)pid);
-    in = fopen(line, "r");
-    while (in != NULL && fgets(line, sizeof(line), in) != NULL) {
-        if (sscanf(line, "VmHWM: %ld kB", &kb) == 1) {
-            break;
-        }
-    }
-    if (in != NULL) {
-        fclose(in);
-    }
-    return kb;
-}
-
 static void
 check_memory(struct soak *soak)
 {
     for (size_t i = 0; i < SOAK_ROUTERS; i++) {
         struct soak_router *router = &soak->routers[i];
-        long kb = router->pid != 0 ? peak_kb(router->pid) : -1;
+        long kb = router->pid != 0 ? process_peak_kb(router->pid) : -1;
 
         soak->peak_kb = kb > soak->peak_kb ? kb : soak->peak_kb;
         if (CHECKS_MEMORY && kb > MEMORY_MAX_KB && !router->over_memory) {
--- a/soak/process.c
+++ b/soak/process.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -51,3 +52,23 @@
     }
     return pid;
 }
+
+long
+process_peak_kb(pid_t pid)
+{
+    char line[256];
+    long kb = -1;
+    FILE *in;
+
+    snprintf(line, sizeof(line), "/proc/%ld/status", (long)pid);
+    in = fopen(line, "r");
+    while (in != NULL && fgets(line, sizeof(line), in) != NULL) {
+        if (sscanf(line, "VmHWM: %ld kB", &kb) == 1) {
+            break;
+        }
+    }
+    if (in != NULL) {
+        fclose(in);
+    }
+    return kb;
+}
--- a/soak/process.h
+++ b/soak/process.h
@@ -17,3 +17,6 @@
 /// without its doing, afterwards it unblocks them itself. Aborts if no process
 /// can be started.
 pid_t process_start(const struct process_options *options);
+
+/// The peak of the process's memory; -1: it has just ended.
+long process_peak_kb(pid_t pid);
--- a/tests/test_crowd.c
+++ b/tests/test_crowd.c
@@ -288,27 +288,6 @@
     unlink(fixture->log);
 }
 
-/// The most memory that the process has had.
-static long
-peak_kb(const struct fixture *fixture)
-{
-    char line[256];
-    long kb = -1;
-    FILE *in;
-
-    snprintf(line, sizeof(line), "/proc/%ld/status", (long)fixture->pid);
-    in = fopen(line, "r");
-    while (in != NULL && fgets(line, sizeof(line), in) != NULL) {
-        if (sscanf(line, "VmHWM: %ld", &kb) == 1) {
-            break;
-        }
-    }
-    if (in != NULL) {
-        fclose(in);
-    }
-    return kb;
-}
-
 static int
 count_descriptors(const struct fixture *fixture)
 {
@@ -394,8 +373,8 @@
         now_ms = clock_ms(&clock_monotonic);
         if (now_ms - peak_ms >= PEAK_INTERVAL_MS) {
             peak_ms = now_ms;
-            sent_ms = peak_kb(fixture) > peak ? now_ms : sent_ms;
-            peak = peak_kb(fixture);
+            sent_ms = process_peak_kb(fixture->pid) > peak ? now_ms : sent_ms;
+            peak = process_peak_kb(fixture->pid);
         }
     }
     free(units);
@@ -412,7 +391,7 @@
 
     start(fixture);
     run_crowd(fixture, options);
-    memory_kb = peak_kb(fixture);
+    memory_kb = process_peak_kb(fixture->pid);
     descriptors = count_descriptors(fixture);
     is_running = is_alive(fixture);
     answers = is_running && is_served(fixture);
