--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -94,6 +94,10 @@
 
     write_file(name, "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"
                      "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
+#define LINKS                                                                 \
+    "[links]\naddress = \"127.0.0.1:0\"\n"                                    \
+    "keys = [\"00000000000000000000000000000000"                              \
+    "00000000000000000000000000000000\"]\n"
                      "[bounds]\ngrace_s = 7.5\nstore_settle_ms = 2999.5\n"
                      "retry_window_s = 9.5\nretry_ratio = 1\n"
                      "retry_slack = 24.6\nload_cap_factor = 2\n"
@@ -111,45 +115,6 @@
     unlink(name);
 }
 
-/// Shares of accounts are off unless they are asked for; the value is a
-/// boolean.
-static void
-test_admission_shares(void)
-{
-    static const struct {
-        const char *table;
-        bool valid;
-        bool shares;
-    } cases[] = {
-        {"", true, false},
-        {"[admission]\n", true, false},
-        {"[admission]\nshares = true\n", true, true},
-        {"[admission]\nshares = 1\n", false, false},
-        {"[admission]\nshare = true\n", false, false},
-    };
-
-    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-        char name[] = "/tmp/dandelionvalve-settings-XXXXXX";
-        char text[256];
-        struct settings_direct settings;
-        struct toml_doc *doc = NULL;
-        struct err err = {0};
-
-        snprintf(text, sizeof(text),
-                 "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"
-                 "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n%s",
-                 cases[i].table);
-        write_file(name, text);
-        CU_ASSERT(settings_read_direct(name, &settings, &doc, &err) ==
-                  cases[i].valid);
-        if (doc != NULL) {
-            CU_ASSERT(settings.shares == cases[i].shares);
-            toml_free(doc);
-        }
-        unlink(name);
-    }
-}
-
 #define DIRECT                                                                \
     "name = \"a\"\nzone = \"z\"\nstore = \"127.0.0.1:1\"\n"                   \
     "callers = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n"
@@ -171,6 +136,42 @@
     return ok;
 }
 
+/// Features that change decisions are off unless they are asked for; the value
+/// is a boolean.
+static void
+test_features(void)
+{
+    static const struct {
+        const char *table;
+        bool valid;
+        bool shares;
+        bool share_ejections;
+    } cases[] = {
+        {"", true, false, false},
+        {"[admission]\n", true, false, false},
+        {"[admission]\nshares = true\n", true, true, false},
+        {"[admission]\nshares = 1\n", false, false, false},
+        {"[admission]\nshare = true\n", false, false, false},
+        {LINKS, true, false, false},
+        {LINKS "share_ejections = true\n", true, false, true},
+        {LINKS "share_ejections = \"yes\"\n", false, false, false},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        struct settings_direct settings = {0};
+        struct err err = {0};
+        char text[512];
+        bool valid;
+
+        snprintf(text, sizeof(text), DIRECT "%s", cases[i].table);
+        valid = read_direct(text, &settings, &err);
+        CU_ASSERT(valid == cases[i].valid);
+        CU_ASSERT(!valid || settings.shares == cases[i].shares);
+        CU_ASSERT(!valid ||
+                  settings.share_ejections == cases[i].share_ejections);
+    }
+}
+
 /// A platform may state neither limit, one of them, or fractions.
 static void
 test_memory_limits(void)
@@ -251,7 +252,7 @@
 {
     CU_pSuite suite = CU_add_suite("settings", NULL, NULL);
 
-    CU_add_test(suite, "admission shares", test_admission_shares);
+    CU_add_test(suite, "features", test_features);
     CU_add_test(suite, "valid settings", test_valid_settings);
     CU_add_test(suite, "invalid settings", test_invalid_settings);
     CU_add_test(suite, "fractional bounds", test_fractional_bounds);
