direct: mark the endpoints of a returned zone before logging it

apply_evacuation() called endpoints_return(), which marks the zone's endpoints as cold, among the arguments of its log line. Nothing was lost: LOG_INFO passes its arguments to a function and so evaluates them at every level. A LOG_INFO that skips its arguments below the configured level would have dropped the cold start of a returned zone without any message.

The call is now a statement of its own.

--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -85,11 +85,12 @@
     }
     lasted_ms = evacuation_end(direct->evacuation, zone, now_ms);
     if (lasted_ms >= 0) {
+        const size_t returned = endpoints_return(direct->endpoints, zone);
+
         LOG_INFO("event=zone-returned zone=" STR_FMT
                  " offset=%lld age_ms=%lld endpoints=%zu",
                  STR_ARG(zone), (long long)record->offset,
-                 (long long)lasted_ms,
-                 endpoints_return(direct->endpoints, zone));
+                 (long long)lasted_ms, returned);
     }
 }
 
