rate-limits: log and count the rates that endpoints state

platform/fields decodes the field; core/rate_limit has its state at an endpoint, direct/rate_limits logs its begin, changes and end, and counts what is sent meanwhile and values that are no decimal number in range (one log line an endpoint). No request is placed or refused otherwise.

Test: rate-limit: odd stated rates. Suites rate-limit, wire, leaving, cold pass.

--- a/core/wire.h
+++ b/core/wire.h
@@ -65,6 +65,10 @@
     uint32_t work_percent;     ///< time that work takes; 100: as long as usual
     bool has_cold;             ///< the endpoint states whether it is cold
     int64_t cold_ms;
+    bool has_rate_limit;     ///< it states what it takes from all routers
+    bool rate_limit_invalid; ///< stated, but not one number within the limits
+    double rate_limit_per_s;
+    struct str rate_limit_text;
 };
 
 enum endpoint_state {
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -25,6 +25,7 @@
 #include "net/caller.h"
 #include "net/log.h"
 #include "mesh.h"
+#include "rate_limits.h"
 #include "services.h"
 
 #define LOG_MODULE "direct"
@@ -232,6 +233,10 @@
         .settle_ms = cold_settle_ms,
         .ctx = direct,
     });
+    direct->rate_limits = rate_limits_new(&(struct rate_limits_options){
+        .clock = direct->options.clock,
+        .counters = direct->options.counters,
+    });
     direct->evacuation = evacuation_new();
     direct->endpoints = endpoints_new(&(struct endpoints_options){
         .base = direct->options.base,
@@ -359,6 +364,7 @@
     admin_free(direct->metrics);
     endpoints_free(direct->endpoints);
     cold_free(direct->cold);
+    rate_limits_free(direct->rate_limits);
     evacuation_free(direct->evacuation);
     records_free(direct->records);
     quarantine_free(direct->quarantine);
@@ -458,6 +464,12 @@
     return direct->cold;
 }
 
+struct rate_limits *
+direct_rate_limits(const struct direct *direct)
+{
+    return direct->rate_limits;
+}
+
 bool
 direct_has_deployment(const struct direct *direct)
 {
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -42,6 +42,7 @@
     void *store;
     struct catalog *catalog;
     struct cold *cold;
+    struct rate_limits *rate_limits;
     struct evacuation *evacuation;
     struct endpoints *endpoints;
     struct caller_server *callers;
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -16,6 +16,7 @@
 struct event_base;
 struct exchange;
 struct quarantine;
+struct rate_limits;
 struct retry_budget;
 struct services;
 struct settings_direct;
@@ -24,6 +25,7 @@
 struct catalog *direct_catalog(const struct direct *direct);
 struct endpoints *direct_endpoints(const struct direct *direct);
 struct cold *direct_cold(const struct direct *direct);
+struct rate_limits *direct_rate_limits(const struct direct *direct);
 
 /// True once configuration and endpoints have been received.
 bool direct_has_deployment(const struct direct *direct);
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -14,6 +14,7 @@
 #include "core/pause.h"
 #include "core/place.h"
 #include "core/prefix.h"
+#include "core/rate_limit.h"
 #include "core/speed.h"
 #include "core/warmup.h"
 #include "core/wire.h"
@@ -68,6 +69,8 @@
     struct warmup warmup;
     bool is_logged_cold;
     enum warmup_source logged_cold_source;
+    struct rate_limit rate_limit; ///< as its answers state
+    bool is_logged_rate_invalid;
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
     struct footprint footprint;  ///< of own requests
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -141,6 +141,11 @@
                 STR_ARG(endpoint->id), endpoint->in_flight,
                 STR_ARG(endpoint->id),
                 eject_is_blocked(&endpoint->eject, now_ms, 0));
+        if (endpoint->rate_limit.holds) {
+            fprintf(out,
+                    "endpoint_rate_limit{endpoint=\"" STR_FMT "\"} %.3f\n",
+                    STR_ARG(endpoint->id), endpoint->rate_limit.per_s);
+        }
         if (endpoint->footprint.held_tokens > 0) {
             fprintf(out,
                     "endpoint_held_tokens{endpoint=\"" STR_FMT "\"} %.0f\n",
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -26,6 +26,10 @@
     X(COLD_SENT, "cold_sent_total", "", "requests sent to cold endpoints")    \
     X(COLD_REFUSED, "cold_refused_total", "",                                 \
       "requests refused as all endpoints were cold or evacuated")             \
+    X(RATE_LIMITED_SENT, "rate_limited_sent_total", "",                       \
+      "requests sent to endpoints that state a rate")                         \
+    X(RATE_LIMITS_IGNORED, "rate_limits_ignored_total", "",                   \
+      "answers with an invalid rate of requests")                             \
     X(EVACUATIONS, "evacuations_total", "", "evacuations of zones begun")     \
     X(REFUSED_MEMORY, "requests_refused_for_memory_total", "",                \
       "incomplete requests refused as memory is short")                       \
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -67,6 +67,7 @@
     bool leaving;
     bool echoes_calls;
     const char *rejection_fields;
+    const char *fields;
     bool has_resume_fault;
     enum origin_fault resume_fault;
     uint64_t requests;
@@ -137,6 +138,12 @@
     return conn->origin->leaving ? "Server-Leaving: 1\r\n" : "";
 }
 
+static const char *
+added_fields(const struct conn *conn)
+{
+    return conn->origin->fields != NULL ? conn->origin->fields : "";
+}
+
 static void
 write_answer(struct conn *conn, const char *id, int status,
              const char *extra_headers, const char *body)
@@ -144,10 +151,11 @@
     struct evbuffer *out = bufferevent_get_output(conn->bufferevent);
 
     evbuffer_add_printf(out,
-                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s%s%s"
+                        "HTTP/1.1 %d X\r\n" ID_FIELD ": %s\r\n%s%s%s%s"
                         "Content-Length: %zu\r\n\r\n%s",
                         status, id, extra_headers, leaving_field(conn),
-                        conn->call_line, strlen(body), body);
+                        added_fields(conn), conn->call_line, strlen(body),
+                        body);
 }
 
 static void
@@ -214,8 +222,8 @@
     if (conn->origin->load != NULL) {
         evbuffer_add_printf(out, LOAD_FIELD ": %s\r\n", conn->origin->load);
     }
-    evbuffer_add_printf(out, "%sContent-Type: text/event-stream\r\n",
-                        leaving_field(conn));
+    evbuffer_add_printf(out, "%s%sContent-Type: text/event-stream\r\n",
+                        leaving_field(conn), added_fields(conn));
     if (is_unframed_stream(conn->origin->fault)) {
         evbuffer_add_printf(out, "\r\n");
     }
@@ -938,6 +946,12 @@
     origin->rejection_fields = fields;
 }
 
+void
+origin_set_fields(struct origin *origin, const char *fields)
+{
+    origin->fields = fields;
+}
+
 void
 origin_set_call_echo(struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -115,6 +115,10 @@
 /// Adds these field lines to rejections with 503; NULL: none. Not copied.
 void origin_set_rejection_fields(struct origin *origin, const char *fields);
 
+/// Adds these field lines to all complete answers and streams from now on;
+/// NULL: none. Not copied.
+void origin_set_fields(struct origin *origin, const char *fields);
+
 /// Adds "Server-Leaving: 1" to all answers from now on.
 void origin_set_leaving(struct origin *origin);
 
--- a/tests/main.c
+++ b/tests/main.c
@@ -49,6 +49,7 @@
     {"suspects", suite_suspects},
     {"warmup", suite_warmup},
     {"cold", suite_cold},
+    {"rate-limit", suite_rate_limit},
     {"wire", suite_wire},
     {"direct", suite_direct},
     {"blame", suite_blame},
