core: senders split from warmup

What keeps the sum of many routers within a bound without a message for each request (the first routers in rendezvous order, each at a share of the rate, and only with standing among the others) is not about cold endpoints. The plan takes a window and the number of routers; core/warmup keeps its plan: window 1 s, any number of routers. direct/senders has the standing, which cold held.

No change in what is sent.

--- a/core/warmup.c
+++ b/core/warmup.c
@@ -1,25 +1,11 @@
 #include "warmup.h"
 
-/// Requests that one sender may send in a second beyond its rate.
-#define BURST 1.0
-
-struct warmup_plan
+struct sender_plan
 warmup_make_plan(const struct warmup_limits *limits)
 {
-    double bound = limits->per_s * limits->rate_factor + limits->slack;
-    // Half of the slack is the burst of the senders, the other half is left
-    // for senders that disagree about the members.
-    double wanted = (bound - limits->per_s) / (2 * BURST);
-    struct warmup_plan plan = {.senders = wanted > 1 ? (size_t)wanted : 1};
-    size_t extra = plan.senders < WARMUP_EXTRA_SENDERS ? plan.senders
-                                                       : WARMUP_EXTRA_SENDERS;
-    double most = bound / (double)(plan.senders + extra) - BURST;
-
-    plan.per_s = limits->per_s / (double)plan.senders;
-    if (plan.per_s > most) {
-        plan.per_s = most > 0 ? most : 0;
-    }
-    return plan;
+    return sender_plan_make(
+        limits->per_s, 1, limits->per_s * limits->rate_factor + limits->slack,
+        SIZE_MAX);
 }
 
 const char *
@@ -133,7 +119,7 @@
 }
 
 int64_t
-warmup_wait_ms(const struct warmup *warmup, const struct warmup_plan *plan,
+warmup_wait_ms(const struct warmup *warmup, const struct sender_plan *plan,
                int64_t now_ms)
 {
     double last_ms = (double)warmup->begun_ms > warmup->sent_ms
@@ -153,41 +139,3 @@
 {
     warmup->sent_ms = (double)now_ms;
 }
-
-void
-warmup_standing_update(struct warmup_standing *standing, int64_t now_ms,
-                       size_t known, size_t linked, size_t links_enough)
-{
-    bool was_frozen = now_ms - standing->updated_ms > WARMUP_FROZEN_MS;
-    bool holds;
-
-    if (known >= standing->most_known ||
-        now_ms - standing->most_known_ms > WARMUP_KNOWN_HOLD_MS) {
-        standing->most_known = known;
-        standing->most_known_ms = now_ms;
-    }
-    holds = 2 * linked > standing->most_known ||
-            (links_enough > 0 && linked >= links_enough);
-
-    if (holds && (!standing->holds || was_frozen)) {
-        standing->since_ms = now_ms;
-    }
-    standing->holds = holds;
-    standing->updated_ms = now_ms;
-}
-
-int64_t
-warmup_standing_wait_ms(const struct warmup_standing *standing, int64_t now_ms,
-                        int64_t settle_ms)
-{
-    // After a freeze, requests may be handled before the next update.
-    if (now_ms - standing->updated_ms > WARMUP_FROZEN_MS) {
-        return settle_ms;
-    }
-    if (!standing->holds) {
-        return -1;
-    }
-    return standing->since_ms + settle_ms > now_ms
-               ? standing->since_ms + settle_ms - now_ms
-               : 0;
-}
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -2,33 +2,16 @@
 /// or has lost its caches, and crashes at a rate well above the stated one.
 ///
 /// Load pattern: an endpoint comes back during traffic, and tens of routers
-/// choose it at the same moment, since it has no load yet. The
-/// rate is too low to be divided evenly: each router's share would be less
-/// than one request a second, and a burst of one from each is already too
-/// much. Therefore only a few routers send to a cold endpoint, the first ones
-/// in the endpoint's rendezvous order, and each at a share of the rate. No
-/// message is needed for a request.
-///
-/// Routers may disagree about who the others are. A router is known to the
-/// others when it has been linked to more than half of the routers that it
-/// knows for a settle time, and only then it sends. See
-/// docs/design/warmup.md.
+/// choose it at the same moment, since it has no load yet. Therefore only a
+/// few of them send to it (core/senders). See docs/design/warmup.md.
 #pragma once
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
-/// Routers that do not know of each other yet may send in addition to the
-/// planned senders. The bound has room for this many of them, but for no more
-/// than there are planned ones.
-#define WARMUP_EXTRA_SENDERS 2
-/// Interval between two updates above which the process was frozen: what it
-/// knows of the other routers is outdated.
-#define WARMUP_FROZEN_MS 1000
-/// A router that is no longer known may be partitioned instead of stopped: the
-/// highest number of known routers is kept for this time.
-#define WARMUP_KNOWN_HOLD_MS 600000
+#include "senders.h"
+
 /// A suspicion that no answer confirms or refutes ends after this time: the
 /// endpoint's entry has stated its state several times since.
 #define WARMUP_SUSPECT_MAX_MS 60000
@@ -50,13 +33,7 @@
     double slack; ///< bound in any second: per_s * rate_factor + slack
 };
 
-/// Who sends to a cold endpoint, and how much.
-struct warmup_plan {
-    size_t senders; ///< routers
-    double per_s;   ///< of each, with a burst of one; 0: nothing
-};
-
-struct warmup_plan warmup_make_plan(const struct warmup_limits *limits);
+struct sender_plan warmup_make_plan(const struct warmup_limits *limits);
 
 /// How a router has learned that an endpoint is cold.
 enum warmup_source {
@@ -110,28 +87,7 @@
 
 /// Time until this router may send the next request; 0: now.
 int64_t warmup_wait_ms(const struct warmup *warmup,
-                       const struct warmup_plan *plan, int64_t now_ms);
+                       const struct sender_plan *plan, int64_t now_ms);
 
 /// Counts a request. It is not given back if the request does not run.
 void warmup_take(struct warmup *warmup, int64_t now_ms);
-
-/// Whether the other routers know of this one. Zero-initialise before use.
-struct warmup_standing {
-    int64_t since_ms; ///< the condition holds since then
-    int64_t updated_ms;
-    bool holds;
-    size_t most_known;
-    int64_t most_known_ms;
-};
-
-/// Call often, at least several times in WARMUP_FROZEN_MS. `known` and
-/// `linked` are numbers of routers, this one included. With `links_enough` >
-/// 0, that many linked ones suffice: in a large deployment a router has links
-/// to a few others only.
-void warmup_standing_update(struct warmup_standing *standing, int64_t now_ms,
-                            size_t known, size_t linked, size_t links_enough);
-
-/// Time until this router may send to cold endpoints; 0: now. -1: not before
-/// it is linked to more routers.
-int64_t warmup_standing_wait_ms(const struct warmup_standing *standing,
-                                int64_t now_ms, int64_t settle_ms);
--- a/direct/cold.c
+++ b/direct/cold.c
@@ -6,16 +6,12 @@
 #include "endpoints.h"
 #include "net/channel.h"
 #include "net/log.h"
+#include "senders.h"
 
 #define LOG_MODULE "cold"
 
-/// Wait that is stated to callers while this router does not know when it will
-/// be linked to enough others.
-#define UNLINKED_WAIT_MS 1000
-
 struct cold {
     struct cold_options options;
-    struct warmup_standing standing;
 };
 
 struct cold *
@@ -39,14 +35,6 @@
     return cold->options.limits(cold->options.ctx, endpoint->service);
 }
 
-void
-cold_update_standing(struct cold *cold, size_t known, size_t linked,
-                     size_t links_enough)
-{
-    warmup_standing_update(&cold->standing, clock_ms(cold->options.clock),
-                           known, linked, links_enough);
-}
-
 bool
 cold_is_limited(const struct cold *cold, const struct endpoint *endpoint)
 {
@@ -60,7 +48,7 @@
     int64_t now_ms = clock_ms(cold->options.clock);
     int64_t left_ms = warmup_left_ms(&endpoint->warmup, now_ms);
     struct warmup_limits limits;
-    struct warmup_plan plan;
+    struct sender_plan plan;
     int64_t wait_ms, standing_ms;
 
     if (left_ms == 0) {
@@ -71,15 +59,11 @@
         return 0;
     }
     plan = warmup_make_plan(&limits);
-    if (!cold->options.is_sender(cold->options.ctx, endpoint->hash,
-                                 plan.senders)) {
+    if (!senders_include(cold->options.senders, endpoint->hash,
+                         plan.senders)) {
         return left_ms;
     }
-    standing_ms = warmup_standing_wait_ms(
-        &cold->standing, now_ms, cold->options.settle_ms(cold->options.ctx));
-    if (standing_ms < 0) {
-        standing_ms = UNLINKED_WAIT_MS;
-    }
+    standing_ms = senders_standing_wait_ms(cold->options.senders);
     wait_ms = warmup_wait_ms(&endpoint->warmup, &plan, now_ms);
     wait_ms = standing_ms > wait_ms ? standing_ms : wait_ms;
     return wait_ms < left_ms ? wait_ms : left_ms;
@@ -100,7 +84,7 @@
 log_begin(const struct cold *cold, struct endpoint *endpoint)
 {
     struct warmup_limits limits = limits_of(cold, endpoint);
-    struct warmup_plan plan = warmup_make_plan(&limits);
+    struct sender_plan plan = warmup_make_plan(&limits);
     int64_t now_ms = clock_ms(cold->options.clock);
 
     if (limits.per_s <= 0 ||
@@ -110,17 +94,17 @@
     }
     endpoint->is_logged_cold = true;
     endpoint->logged_cold_source = endpoint->warmup.source;
-    LOG_INFO("event=endpoint-cold endpoint=" STR_FMT " service=" STR_FMT
-             " incarnation=%lld source=%s left_ms=%lld in_flight=%u "
-             "senders=%zu sender=%d per_s=%.2f",
-             STR_ARG(endpoint->id), STR_ARG(endpoint->service),
-             (long long)endpoint->incarnation,
-             warmup_source_name(endpoint->warmup.source),
-             (long long)warmup_left_ms(&endpoint->warmup, now_ms),
-             endpoint->in_flight, plan.senders,
-             cold->options.is_sender(cold->options.ctx, endpoint->hash,
-                                     plan.senders),
-             plan.per_s);
+    LOG_INFO(
+        "event=endpoint-cold endpoint=" STR_FMT " service=" STR_FMT
+        " incarnation=%lld source=%s left_ms=%lld in_flight=%u "
+        "senders=%zu sender=%d per_s=%.2f",
+        STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+        (long long)endpoint->incarnation,
+        warmup_source_name(endpoint->warmup.source),
+        (long long)warmup_left_ms(&endpoint->warmup, now_ms),
+        endpoint->in_flight, plan.senders,
+        senders_include(cold->options.senders, endpoint->hash, plan.senders),
+        plan.per_s);
 }
 
 void
--- a/direct/cold.h
+++ b/direct/cold.h
@@ -15,16 +15,14 @@
 struct channel;
 struct cold;
 struct endpoint;
+struct senders;
 
 struct cold_options {
     const struct clock *clock;
     struct counters *counters;
+    const struct senders *senders;
     /// The limits of the service's endpoints.
     struct warmup_limits (*limits)(void *ctx, struct str service);
-    /// True if this router is among the first `senders` for the endpoint.
-    bool (*is_sender)(void *ctx, uint64_t endpoint, size_t senders);
-    /// Time for which this router must have been linked to the others.
-    int64_t (*settle_ms)(void *ctx);
     void *ctx;
 };
 
@@ -32,10 +30,6 @@
 struct cold *cold_new(const struct cold_options *options);
 void cold_free(struct cold *cold);
 
-/// Call every 100 ms; see warmup_standing_update().
-void cold_update_standing(struct cold *cold, size_t known, size_t linked,
-                          size_t links_enough);
-
 /// True if the number of requests to this endpoint is limited now.
 bool cold_is_limited(const struct cold *cold, const struct endpoint *endpoint);
 
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -26,6 +26,7 @@
 #include "net/log.h"
 #include "mesh.h"
 #include "rate_limits.h"
+#include "senders.h"
 #include "services.h"
 
 #define LOG_MODULE "direct"
@@ -128,9 +129,9 @@
     size_t known = mesh != NULL ? mesh_known_count(mesh) : 1;
     size_t linked = mesh != NULL ? mesh_linked_count(mesh) + 1 : 1;
 
-    cold_update_standing(direct->cold, known, linked,
-                         known > MESH_FULL_ROUTERS_MAX ? MESH_DIALED_MAX / 2
-                                                       : 0);
+    senders_update_standing(direct->senders, known, linked,
+                            known > MESH_FULL_ROUTERS_MAX ? MESH_DIALED_MAX / 2
+                                                          : 0);
 }
 
 static void
@@ -206,16 +207,16 @@
 }
 
 static bool
-is_cold_sender(void *ctx, uint64_t endpoint, size_t senders)
+is_among_senders(void *ctx, uint64_t endpoint, size_t count)
 {
     const struct direct *direct = ctx;
 
     return direct->mesh == NULL ||
-           mesh_is_ranked_among(direct->mesh, endpoint, senders);
+           mesh_is_ranked_among(direct->mesh, endpoint, count);
 }
 
 static int64_t
-cold_settle_ms(void *ctx)
+senders_settle_ms(void *ctx)
 {
     const struct direct *direct = ctx;
 
@@ -225,12 +226,17 @@
 static void
 start_endpoints(struct direct *direct)
 {
+    direct->senders = senders_new(&(struct senders_options){
+        .clock = direct->options.clock,
+        .is_among = is_among_senders,
+        .settle_ms = senders_settle_ms,
+        .ctx = direct,
+    });
     direct->cold = cold_new(&(struct cold_options){
         .clock = direct->options.clock,
         .counters = direct->options.counters,
         .limits = cold_limits,
-        .is_sender = is_cold_sender,
-        .settle_ms = cold_settle_ms,
+        .senders = direct->senders,
         .ctx = direct,
     });
     direct->rate_limits = rate_limits_new(&(struct rate_limits_options){
@@ -364,6 +370,7 @@
     admin_free(direct->metrics);
     endpoints_free(direct->endpoints);
     cold_free(direct->cold);
+    senders_free(direct->senders);
     rate_limits_free(direct->rate_limits);
     evacuation_free(direct->evacuation);
     records_free(direct->records);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -41,6 +41,7 @@
     struct records *records;
     void *store;
     struct catalog *catalog;
+    struct senders *senders;
     struct cold *cold;
     struct rate_limits *rate_limits;
     struct evacuation *evacuation;
--- a/tests/properties.cpp
+++ b/tests/properties.cpp
@@ -1096,7 +1096,7 @@
         std::vector<int64_t> linked_ms; // when the link is next up, or down
         std::vector<bool> linked;
         std::vector<bool> knows;
-        struct warmup_standing standing = {};
+        struct sender_standing standing = {};
         struct warmup warmup = {};
     };
 
@@ -1194,7 +1194,7 @@
             known += j != i && own.knows[j] ? 1 : 0;
             linked += j != i && own.linked[j] ? 1 : 0;
         }
-        warmup_standing_update(&own.standing, now_ms, known, linked, 0);
+        sender_standing_update(&own.standing, now_ms, known, linked, 0);
     }
 
     bool
@@ -1213,7 +1213,7 @@
 
     // Each router has more work than it may send.
     void
-    step(const struct warmup_plan &plan, int64_t now_ms)
+    step(const struct sender_plan &plan, int64_t now_ms)
     {
         for (size_t i = 0; i < routers.size(); i++) {
             Router &own = routers[i];
@@ -1223,7 +1223,7 @@
             }
             // A thawed process may handle requests before its next tick.
             if (own.has_deployment &&
-                warmup_standing_wait_ms(&own.standing, now_ms, SETTLE_MS) ==
+                sender_standing_wait_ms(&own.standing, now_ms, SETTLE_MS) ==
                     0 &&
                 warmup_wait_ms(&own.warmup, &plan, now_ms) == 0 &&
                 is_sender(i, plan.senders)) {
@@ -1314,7 +1314,7 @@
         *rc::gen::element(0.0, 5.0, 8.0),
     };
     const double bound = limits.per_s * limits.rate_factor + limits.slack;
-    const struct warmup_plan plan = warmup_make_plan(&limits);
+    const struct sender_plan plan = warmup_make_plan(&limits);
     const int64_t end_ms = 100000 + 30000;
     ColdFleet fleet;
     int64_t change_ms;
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -51,7 +51,7 @@
 /// All routers have more work than they may send: the first `senders` share
 /// the rate.
 static void
-run_senders(const struct warmup_plan *plan, size_t senders,
+run_senders(const struct sender_plan *plan, size_t senders,
             struct sends *sends)
 {
     struct warmup warmups[ROUTERS_MAX] = {0};
@@ -81,15 +81,15 @@
 
     for (size_t i = 0; i < 2; i++) {
         const struct warmup_limits *limits = &deployments[i];
-        struct warmup_plan plan = warmup_make_plan(limits);
-        struct warmup_plan even = {.senders = 31, .per_s = limits->per_s / 31};
+        struct sender_plan plan = warmup_make_plan(limits);
+        struct sender_plan even = {.senders = 31, .per_s = limits->per_s / 31};
 
         CU_ASSERT(plan.senders == (i == 0 ? 6 : 4));
         run_senders(&plan, plan.senders, &sends);
         CU_ASSERT((double)most_in_a_second(&sends) <= bound_of(limits));
         CU_ASSERT((double)sends.count >=
                   0.85 * limits->per_s * COLD_MS / 1000);
-        run_senders(&plan, plan.senders + WARMUP_EXTRA_SENDERS, &sends);
+        run_senders(&plan, plan.senders + SENDERS_EXTRA, &sends);
         CU_ASSERT((double)most_in_a_second(&sends) <= bound_of(limits));
         run_senders(&even, even.senders, &sends);
         CU_ASSERT((double)most_in_a_second(&sends) > bound_of(limits));
@@ -102,7 +102,7 @@
 test_uneven_load(void)
 {
     const struct warmup_limits *limits = &deployments[0];
-    struct warmup_plan plan = warmup_make_plan(limits);
+    struct sender_plan plan = warmup_make_plan(limits);
     double even_per_s = limits->per_s / 21;
 
     // It is among the senders of 6 of 21 endpoints.
@@ -117,7 +117,7 @@
 {
     const struct warmup_limits plain = {1000, 14, 1, 0};
     const struct warmup_limits tiny = {1000, 0.4, 1, 0};
-    struct warmup_plan plan = warmup_make_plan(&plain);
+    struct sender_plan plan = warmup_make_plan(&plain);
     struct warmup warmup = {0};
 
     CU_ASSERT(plan.senders == 1 && plan.per_s > 0 && plan.per_s <= 13);
@@ -192,39 +192,39 @@
 static void
 test_standing(void)
 {
-    struct warmup_standing standing = {0};
+    struct sender_standing standing = {0};
     int64_t now_ms = BEGIN_MS;
 
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
               SETTLE_MS);
     for (; now_ms < BEGIN_MS + SETTLE_MS; now_ms += 100) {
-        warmup_standing_update(&standing, now_ms, 21, 21, 0);
-        CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) > 0);
+        sender_standing_update(&standing, now_ms, 21, 21, 0);
+        CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) > 0);
     }
-    warmup_standing_update(&standing, now_ms, 21, 11, 0);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) == 0);
+    sender_standing_update(&standing, now_ms, 21, 11, 0);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) == 0);
     // Cut off from half of the others: also when these are forgotten.
-    warmup_standing_update(&standing, now_ms, 20, 10, 0);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) == -1);
-    warmup_standing_update(&standing, now_ms + 100, 10, 10, 0);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms + 100, SETTLE_MS) ==
+    sender_standing_update(&standing, now_ms, 20, 10, 0);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) == -1);
+    sender_standing_update(&standing, now_ms + 100, 10, 10, 0);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms + 100, SETTLE_MS) ==
               -1);
-    warmup_standing_update(&standing, now_ms + 200, 21, 20, 0);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms + 200, SETTLE_MS) ==
+    sender_standing_update(&standing, now_ms + 200, 21, 20, 0);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms + 200, SETTLE_MS) ==
               SETTLE_MS);
     // Frozen: noticed before and after the next update.
-    warmup_standing_update(&standing, now_ms, 21, 21, 0);
+    sender_standing_update(&standing, now_ms, 21, 21, 0);
     now_ms += 20000;
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
               SETTLE_MS);
-    warmup_standing_update(&standing, now_ms, 21, 21, 0);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
+    sender_standing_update(&standing, now_ms, 21, 21, 0);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms, SETTLE_MS) ==
               SETTLE_MS);
     // A large deployment, where a router has few links.
-    standing = (struct warmup_standing){0};
-    warmup_standing_update(&standing, now_ms, 300, 5, 5);
-    warmup_standing_update(&standing, now_ms + 900, 300, 5, 5);
-    CU_ASSERT(warmup_standing_wait_ms(&standing, now_ms + 900, 800) == 0);
+    standing = (struct sender_standing){0};
+    sender_standing_update(&standing, now_ms, 300, 5, 5);
+    sender_standing_update(&standing, now_ms + 900, 300, 5, 5);
+    CU_ASSERT(sender_standing_wait_ms(&standing, now_ms + 900, 800) == 0);
 }
 
 static void
