message: rates that endpoints state, version 6 between routers

A router that sends nothing to an endpoint gets no answers that state its rate or show that the statement has ended. Routers are to report this to each other: endpoint, incarnation, rate, and the age of the last answer. Versions 1 to 5 are still linked and get no such message.

Test: message: rates round trip.

--- a/core/message.c
+++ b/core/message.c
@@ -163,7 +163,7 @@
         [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
         [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
-        [MESSAGE_FAILING] = 1,
+        [MESSAGE_FAILING] = 1,       [MESSAGE_RATES] = 1,
     };
 
     return counts[type];
@@ -220,6 +220,20 @@
     }
 }
 
+static void
+put_rates(msgpack_packer *packer, const struct message_rate *items,
+          size_t count)
+{
+    msgpack_pack_array(packer, 5 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].endpoint);
+        put_uint(packer, items[i].incarnation);
+        put_bool(packer, items[i].holds);
+        put_uint(packer, items[i].milli_per_s);
+        put_uint(packer, items[i].age_ms);
+    }
+}
+
 static void
 put_blames(msgpack_packer *packer, const struct message_blame *items,
            size_t count)
@@ -323,6 +337,9 @@
     case MESSAGE_SHARES:
         put_shares(packer, m->shares.items, m->shares.count);
         return;
+    case MESSAGE_RATES:
+        put_rates(packer, m->rates.items, m->rates.count);
+        return;
     case MESSAGE_BLAMES:
         put_blames(packer, m->blames.items, m->blames.count);
         return;
@@ -660,6 +677,26 @@
     m->shares.count = count;
 }
 
+static void
+get_rates(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = begin_groups(cursor, 5, MESSAGE_RATES_MAX, &fields);
+    struct message_rate *items =
+        allocate(cursor, (count + 1) * sizeof(*items));
+
+    for (size_t i = 0; i < count && items != NULL; i++) {
+        items[i].endpoint = get_uint(&fields, UINT64_MAX);
+        items[i].incarnation = get_uint(&fields, UINT64_MAX);
+        items[i].holds = get_bool(&fields);
+        items[i].milli_per_s = get_u32(&fields);
+        items[i].age_ms = get_u32(&fields);
+    }
+    cursor->failed = cursor->failed || fields.failed;
+    m->rates.items = items;
+    m->rates.count = count;
+}
+
 /// Enters an array whose items have different lengths.
 static bool
 begin_items(struct cursor *cursor, struct cursor *fields)
@@ -801,6 +838,9 @@
     case MESSAGE_SHARES:
         get_shares(cursor, m);
         return;
+    case MESSAGE_RATES:
+        get_rates(cursor, m);
+        return;
     case MESSAGE_BLAMES:
         get_blames(cursor, m);
         return;
@@ -1066,6 +1106,7 @@
         [MESSAGE_LISTING] = "listing",
         [MESSAGE_SHARES] = "shares",
         [MESSAGE_FAILING] = "failing",
+        [MESSAGE_RATES] = "rates",
     };
 
     return names[type];
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -13,13 +13,14 @@
 /// between routers.
 #define MESSAGE_VERSION 1
 /// Version of the messages between routers, and the first ones with beats and
-/// compressed records, with blames, with listings, and with shares
-/// and failing endpoints.
-#define MESSAGE_VERSION_ROUTERS 5
+/// compressed records, with blames, with listings, with shares
+/// and failing endpoints, and with stated rates.
+#define MESSAGE_VERSION_ROUTERS 6
 #define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_VERSION_BLAMES 3
 #define MESSAGE_VERSION_LISTINGS 4
 #define MESSAGE_VERSION_SHARES 5
+#define MESSAGE_VERSION_RATES 6
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -68,6 +69,8 @@
     // Version 5:
     MESSAGE_SHARES,  ///< recent requests of a router, by service and account
     MESSAGE_FAILING, ///< an endpoint fails its requests
+    // Version 6:
+    MESSAGE_RATES, ///< rates of requests that endpoints state in their answers
     MESSAGE_TYPE_END,
 };
 
@@ -237,6 +240,18 @@
     uint32_t admitted_tokens; ///< of their prompts
 };
 
+/// Items in one MESSAGE_RATES; further ones follow in the next.
+#define MESSAGE_RATES_MAX 256
+
+/// What an endpoint states in its answers that it takes from all routers.
+struct message_rate {
+    uint64_t endpoint;    ///< hash of its id
+    uint64_t incarnation; ///< of the endpoint
+    bool holds;           ///< false: its answers state no rate any more
+    uint32_t milli_per_s;
+    uint32_t age_ms; ///< of the last answer
+};
+
 /// Contexts in one MESSAGE_CONTEXTS; further ones follow in the next.
 #define MESSAGE_CONTEXTS_MAX 500
 
@@ -352,6 +367,10 @@
             const struct message_share *items;
             size_t count;
         } shares;
+        struct {
+            const struct message_rate *items;
+            size_t count;
+        } rates;
         struct {
             const struct message_blame *items;
             size_t count;
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -157,6 +157,38 @@
     message_codec_free(codec);
 }
 
+/// Guards against: stated rates are lost or changed on their way to a peer.
+static void
+test_rates_round_trip(void)
+{
+    const struct message_rate items[] = {
+        {UINT64_MAX, 1791239589532, true, 1900, 40},
+        {7, 0, false, 0, UINT32_MAX},
+    };
+    const struct message message = {
+        .type = MESSAGE_RATES,
+        .rates = {items, 2},
+    };
+    struct message_codec *codec = message_codec_new();
+    struct message decoded;
+    struct err err = {0};
+
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT(decoded.type == MESSAGE_RATES);
+    CU_ASSERT_FATAL(decoded.rates.count == 2);
+    for (size_t i = 0; i < 2; i++) {
+        const struct message_rate *rate = &decoded.rates.items[i];
+
+        CU_ASSERT(rate->endpoint == items[i].endpoint);
+        CU_ASSERT(rate->incarnation == items[i].incarnation);
+        CU_ASSERT(rate->holds == items[i].holds);
+        CU_ASSERT(rate->milli_per_s == items[i].milli_per_s);
+        CU_ASSERT(rate->age_ms == items[i].age_ms);
+    }
+    message_codec_free(codec);
+}
+
 /// Guards against: numbers of a full report are lost, or half an item passes.
 static void
 test_shares_round_trip(void)
@@ -425,6 +457,7 @@
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
+    CU_add_test(suite, "rates round trip", test_rates_round_trip);
     CU_add_test(suite, "shares round trip", test_shares_round_trip);
     CU_add_test(suite, "blames round trip", test_blames_round_trip);
     CU_add_test(suite, "answered round trip", test_answered_round_trip);
