rate-limits: few routers send to an endpoint that states a rate

Cause: nothing read the statement; a router knew a bound on an endpoint only by load, cap and Retry-After. The class: a limit of an endpoint that holds for the sum of all routers, which a router can neither see nor keep alone.

Now core/rate_limit divides the stated rate among the first few routers in the endpoint's rendezvous order (core/senders, as for cold endpoints; window 4 s, bound 1.5 x rate x 4 s + 5, with room for two routers that do not know the others). In a full mesh only routers with traffic count; a router whose own traffic has just begun counts all, so that routers that wake together agree. Routers report begin, change and end to each other at the next tick, renew a statement every 5 s, tell new peers, and beyond a full mesh pass reports on. An answer whose request was sent before the present rate was learned neither ends nor raises it; a lower one applies at once; a failure ends nothing. Zero counts as 0.1. If no answer has confirmed a rate for 15 s, the other routers try one request in turn, one in 2 s over all. All sends count: offers, repeats, resumed streams, queries for contexts.

endpoints_block() is now the one answer to whether an endpoint gets a request of this router, and when (entry, evacuation, Retry-After, cold, rate); candidates, refusals, Retry-After, metrics and context queries use it.

Tests: rate-limit (9).

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -261,7 +261,8 @@
         cold_answered(direct_cold(exchange->direct), exchange->endpoint,
                       exchange->channel, &facts);
         rate_limits_answered(direct_rate_limits(exchange->direct),
-                             exchange->endpoint, &facts);
+                             exchange->endpoint, exchange->channel, status,
+                             &facts);
     }
     if (facts.has_retry_after) {
         endpoint_note_retry_after(exchange->endpoint, exchange_now(exchange),
@@ -693,8 +694,7 @@
     exchange->endpoint = endpoint_ref(endpoint);
     endpoint->in_flight++;
     holding_begin(exchange);
-    cold_count_send(direct_cold(exchange->direct), endpoint);
-    rate_limits_count_send(direct_rate_limits(exchange->direct), endpoint);
+    endpoints_count_send(direct_endpoints(exchange->direct), endpoint);
     exchange->uncached_tokens = prompt - cached - place->fetched_tokens;
     exchange->backlog_tokens = exchange->uncached_tokens;
     endpoint->backlog_tokens += exchange->backlog_tokens;
--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 
-#include "core/evacuation.h"
 #include "core/spread.h"
 #include "core/xmalloc.h"
 #include "endpoints.h"
@@ -62,12 +61,18 @@
 candidate_exclusion_name(enum candidate_exclusion exclusion)
 {
     static const char *const names[] = {
-        [CANDIDATE_USABLE] = "none",         [CANDIDATE_DRAINING] = "draining",
-        [CANDIDATE_LEAVING] = "leaving",     [CANDIDATE_HELD] = "held",
-        [CANDIDATE_EVACUATED] = "evacuated", [CANDIDATE_COLD] = "cold",
-        [CANDIDATE_TRIED] = "tried",         [CANDIDATE_EJECTED] = "ejected",
-        [CANDIDATE_ON_TRIAL] = "on trial",   [CANDIDATE_FAILING] = "failing",
+        [CANDIDATE_USABLE] = "none",
+        [CANDIDATE_DRAINING] = "draining",
+        [CANDIDATE_LEAVING] = "leaving",
+        [CANDIDATE_HELD] = "held",
+        [CANDIDATE_EVACUATED] = "evacuated",
+        [CANDIDATE_COLD] = "cold",
+        [CANDIDATE_TRIED] = "tried",
+        [CANDIDATE_EJECTED] = "ejected",
+        [CANDIDATE_ON_TRIAL] = "on trial",
+        [CANDIDATE_FAILING] = "failing",
         [CANDIDATE_FULL] = "full",
+        [CANDIDATE_RATE_LIMITED] = "rate limited",
     };
 
     return names[exclusion];
@@ -86,22 +91,22 @@
 /// Why no request goes there, whatever the request is.
 static enum candidate_exclusion
 standing_exclusion(const struct endpoints *endpoints,
-                   const struct endpoint *endpoint, int64_t now_ms)
+                   const struct endpoint *endpoint)
 {
-    const struct endpoints_options *options = endpoints_options(endpoints);
+    static const enum candidate_exclusion exclusions[] = {
+        [ENDPOINT_UNBLOCKED] = CANDIDATE_USABLE,
+        [ENDPOINT_NOT_READY] = CANDIDATE_DRAINING,
+        [ENDPOINT_EVACUATED] = CANDIDATE_EVACUATED,
+        [ENDPOINT_HELD] = CANDIDATE_HELD,
+        [ENDPOINT_COLD] = CANDIDATE_COLD,
+        [ENDPOINT_RATE_LIMITED] = CANDIDATE_RATE_LIMITED,
+    };
+    enum candidate_exclusion exclusion =
+        exclusions[endpoints_block(endpoints, endpoint)];
 
-    if (!endpoint_is_ready(endpoint)) {
-        return endpoint->is_leaving ? CANDIDATE_LEAVING : CANDIDATE_DRAINING;
-    }
-    if (hold_left_ms(&endpoint->hold, now_ms) > 0) {
-        return CANDIDATE_HELD;
-    }
-    if (!endpoints_allow(endpoints, endpoint)) {
-        return evacuation_covers(options->evacuation, endpoint->zone)
-                   ? CANDIDATE_EVACUATED
-                   : CANDIDATE_COLD;
-    }
-    return CANDIDATE_USABLE;
+    return exclusion == CANDIDATE_DRAINING && endpoint->is_leaving
+               ? CANDIDATE_LEAVING
+               : exclusion;
 }
 
 static bool
@@ -277,8 +282,7 @@
         avoided[count] =
             ejected[count] || (query->at_most_once && query->spares_trials &&
                                eject_spares_once(&endpoint->eject, now_ms));
-        set->exclusions[count] =
-            standing_exclusion(endpoints, endpoint, now_ms);
+        set->exclusions[count] = standing_exclusion(endpoints, endpoint);
         takes_requests[count] = set->exclusions[count] == CANDIDATE_USABLE;
         if (takes_requests[count] && was_tried(query, endpoint->hash)) {
             set->exclusions[count] = CANDIDATE_TRIED;
@@ -286,7 +290,9 @@
         candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
             .usable = set->exclusions[count] == CANDIDATE_USABLE,
-            // A draining endpoint still serves its contexts to others.
+            // A draining endpoint still serves its contexts to others, and so
+            // does one that states a rate: the transfer is no request, and the
+            // others would have to prefill its prompts.
             .sends_contexts = !ejected[count],
             .same_zone = str_equal(endpoint->zone, options->zone),
             .zone = endpoint->zone_hash,
--- a/direct/contexts.c
+++ b/direct/contexts.c
@@ -5,7 +5,6 @@
 #include <event2/buffer.h>
 #include <utlist.h>
 
-#include "cold.h"
 #include "core/prefix.h"
 #include "core/xmalloc.h"
 #include "endpoints.h"
@@ -187,7 +186,7 @@
     query->deadline_ms =
         clock_ms(contexts->options.clock) + ENDPOINT_TIMEOUT_MS;
     DL_APPEND(contexts->queries, query);
-    cold_count_send(contexts->options.cold, endpoint);
+    endpoints_count_send(contexts->options.endpoints, endpoint);
     contexts->options.wire->write_contexts_query(out);
     query->channel = channel_send(endpoint->pool, &request, &handler);
     evbuffer_free(out);
@@ -213,9 +212,8 @@
 
     for (endpoint = endpoints_first(contexts->options.endpoints);
          endpoint != NULL; endpoint = endpoint->hh.next) {
-        if (endpoint_is_ready(endpoint) &&
-            hold_left_ms(&endpoint->hold, now_ms) == 0 &&
-            endpoints_allow(contexts->options.endpoints, endpoint) &&
+        if (endpoints_block(contexts->options.endpoints, endpoint) ==
+                ENDPOINT_UNBLOCKED &&
             contexts->options.caches_prompts(contexts->options.ctx,
                                              endpoint) &&
             is_assigned(contexts, endpoint)) {
--- a/direct/contexts.h
+++ b/direct/contexts.h
@@ -27,7 +27,6 @@
     const struct clock *clock;
     const struct wire *wire;
     struct endpoints *endpoints;
-    struct cold *cold;
     struct mesh *mesh; ///< NULL: no other routers
     /// True if the endpoint caches prompts.
     bool (*caches_prompts)(void *ctx, const struct endpoint *endpoint);
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -215,6 +215,18 @@
            mesh_is_ranked_among(direct->mesh, endpoint, count);
 }
 
+static size_t
+rank_among_senders(void *ctx, uint64_t endpoint, size_t *routers)
+{
+    const struct direct *direct = ctx;
+
+    if (direct->mesh == NULL) {
+        *routers = 1;
+        return 0;
+    }
+    return mesh_rank(direct->mesh, endpoint, routers);
+}
+
 static int64_t
 senders_settle_ms(void *ctx)
 {
@@ -229,6 +241,7 @@
     direct->senders = senders_new(&(struct senders_options){
         .clock = direct->options.clock,
         .is_among = is_among_senders,
+        .rank = rank_among_senders,
         .settle_ms = senders_settle_ms,
         .ctx = direct,
     });
@@ -242,6 +255,7 @@
     direct->rate_limits = rate_limits_new(&(struct rate_limits_options){
         .clock = direct->options.clock,
         .counters = direct->options.counters,
+        .senders = direct->senders,
     });
     direct->evacuation = evacuation_new();
     direct->endpoints = endpoints_new(&(struct endpoints_options){
@@ -249,6 +263,7 @@
         .clock = direct->options.clock,
         .zone = direct->settings.zone,
         .cold = direct->cold,
+        .rate_limits = direct->rate_limits,
         .evacuation = direct->evacuation,
         .memory = direct->memory,
     });
@@ -262,7 +277,6 @@
         .clock = direct->options.clock,
         .wire = direct->options.wire,
         .endpoints = direct->endpoints,
-        .cold = direct->cold,
         .mesh = direct->mesh,
         .caches_prompts = caches_prompts,
         .ctx = direct,
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -129,30 +129,34 @@
 }
 
 const char *
-dispatch_refusal(const struct exchange *exchange, bool *is_cold)
+dispatch_refusal(const struct exchange *exchange, enum counter_id *counter)
 {
     const struct endpoints *endpoints = direct_endpoints(exchange->direct);
 
-    *is_cold = true;
+    *counter = COUNTER_COLD_REFUSED;
     if (endpoints_are_evacuated(endpoints, exchange->service)) {
         return "the zones of all endpoints are evacuated";
     }
-    if (endpoints_are_cold(endpoints, exchange->service)) {
+    switch (endpoints_block_of_service(endpoints, exchange->service)) {
+    case ENDPOINT_COLD:
         return "all endpoints are cold";
+    case ENDPOINT_RATE_LIMITED:
+        *counter = COUNTER_RATE_LIMITED_REFUSED;
+        return "all endpoints get as many requests as they state";
+    default:
+        *counter = COUNTER_END;
+        return "no endpoint is usable";
     }
-    *is_cold = false;
-    return "no endpoint is usable";
 }
 
 static void
 refuse(struct exchange *exchange)
 {
-    bool is_cold;
-    const char *reason = dispatch_refusal(exchange, &is_cold);
+    enum counter_id counter;
+    const char *reason = dispatch_refusal(exchange, &counter);
 
-    if (is_cold) {
-        counter_add(direct_counters(exchange->direct), COUNTER_COLD_REFUSED,
-                    1);
+    if (counter != COUNTER_END) {
+        counter_add(direct_counters(exchange->direct), counter, 1);
     }
     exchange_refuse_not_run(exchange, reason);
 }
--- a/direct/dispatch.h
+++ b/direct/dispatch.h
@@ -5,6 +5,7 @@
 
 #include "candidates.h"
 #include "core/admission.h"
+#include "dandelionvalve/counter.h"
 
 struct exchange;
 struct random_source;
@@ -22,8 +23,10 @@
                      struct place_choice *considered,
                      struct endpoints_choice *choice);
 
-/// Why no endpoint is usable. `is_cold` is set if all are cold or evacuated.
-const char *dispatch_refusal(const struct exchange *exchange, bool *is_cold);
+/// Why no endpoint is usable. `counter` is set to that of such refusals, or
+/// COUNTER_END.
+const char *dispatch_refusal(const struct exchange *exchange,
+                             enum counter_id *counter);
 
 /// What load shedding decides on a request.
 struct dispatch_verdict {
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -9,6 +9,7 @@
 #include "core/xmalloc.h"
 #include "net/channel.h"
 #include "net/log.h"
+#include "rate_limits.h"
 
 #define LOG_MODULE "endpoints"
 
@@ -314,12 +315,97 @@
     return evacuation_covers(endpoints->options.evacuation, endpoint->zone);
 }
 
-bool
-endpoints_allow(const struct endpoints *endpoints,
+/// The block that lasts longest, and the time until its end; without an end
+/// for a zone or an entry.
+static enum endpoint_block
+find_block(const struct endpoints *endpoints, const struct endpoint *endpoint,
+           int64_t *wait_ms)
+{
+    const struct endpoints_options *options = &endpoints->options;
+    const struct {
+        enum endpoint_block block;
+        int64_t wait_ms;
+    } blocks[] = {
+        {ENDPOINT_HELD,
+         hold_left_ms(&endpoint->hold, clock_ms(options->clock))},
+        {ENDPOINT_COLD, cold_wait_ms(options->cold, endpoint)},
+        {ENDPOINT_RATE_LIMITED,
+         rate_limits_wait_ms(options->rate_limits, endpoint)},
+    };
+    enum endpoint_block longest = ENDPOINT_UNBLOCKED;
+
+    *wait_ms = 0;
+    if (!endpoint_is_ready(endpoint)) {
+        return ENDPOINT_NOT_READY;
+    }
+    if (is_evacuated(endpoints, endpoint)) {
+        return ENDPOINT_EVACUATED;
+    }
+    for (size_t i = 0; i < sizeof(blocks) / sizeof(blocks[0]); i++) {
+        if (blocks[i].wait_ms > *wait_ms) {
+            *wait_ms = blocks[i].wait_ms;
+            longest = blocks[i].block;
+        }
+    }
+    return longest;
+}
+
+enum endpoint_block
+endpoints_block(const struct endpoints *endpoints,
                 const struct endpoint *endpoint)
 {
-    return !is_evacuated(endpoints, endpoint) &&
-           cold_wait_ms(endpoints->options.cold, endpoint) == 0;
+    int64_t wait_ms;
+
+    return find_block(endpoints, endpoint, &wait_ms);
+}
+
+/// The block of the service's endpoint that takes a request first.
+static enum endpoint_block
+find_first_block(const struct endpoints *endpoints, struct str service,
+                 int64_t *least_ms)
+{
+    const struct endpoint *endpoint;
+    enum endpoint_block first = ENDPOINT_UNBLOCKED;
+
+    *least_ms = 0;
+    for (endpoint = endpoints->all; endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        enum endpoint_block block;
+        int64_t wait_ms;
+
+        if (!str_equal(endpoint->service, service)) {
+            continue;
+        }
+        block = find_block(endpoints, endpoint, &wait_ms);
+        if (block == ENDPOINT_NOT_READY || block == ENDPOINT_EVACUATED) {
+            continue;
+        }
+        if (block == ENDPOINT_UNBLOCKED) {
+            *least_ms = 0;
+            return block;
+        }
+        if (first == ENDPOINT_UNBLOCKED || wait_ms < *least_ms) {
+            first = block;
+            *least_ms = wait_ms;
+        }
+    }
+    return first;
+}
+
+enum endpoint_block
+endpoints_block_of_service(const struct endpoints *endpoints,
+                           struct str service)
+{
+    int64_t least_ms;
+
+    return find_first_block(endpoints, service, &least_ms);
+}
+
+void
+endpoints_count_send(struct endpoints *endpoints, struct endpoint *endpoint)
+{
+    cold_count_send(endpoints->options.cold, endpoint);
+    rate_limits_count_send(endpoints->options.rate_limits, endpoint);
 }
 
 size_t
@@ -339,27 +425,6 @@
     return count;
 }
 
-bool
-endpoints_are_cold(const struct endpoints *endpoints, struct str service)
-{
-    const struct endpoint *endpoint;
-    bool found = false;
-
-    for (endpoint = endpoints->all; endpoint != NULL;
-         endpoint = endpoint->hh.next) {
-        if (!endpoint_is_ready(endpoint) ||
-            !str_equal(endpoint->service, service) ||
-            is_evacuated(endpoints, endpoint)) {
-            continue;
-        }
-        if (cold_wait_ms(endpoints->options.cold, endpoint) == 0) {
-            return false;
-        }
-        found = true;
-    }
-    return found;
-}
-
 bool
 endpoints_are_evacuated(const struct endpoints *endpoints, struct str service)
 {
@@ -383,29 +448,9 @@
 int64_t
 endpoints_held_ms(const struct endpoints *endpoints, struct str service)
 {
-    int64_t now_ms = clock_ms(endpoints->options.clock);
-    const struct endpoint *endpoint;
-    int64_t least_ms = 0;
-
-    for (endpoint = endpoints->all; endpoint != NULL;
-         endpoint = endpoint->hh.next) {
-        int64_t left_ms = hold_left_ms(&endpoint->hold, now_ms);
-        int64_t cold_ms;
+    int64_t least_ms;
 
-        if (!endpoint_is_ready(endpoint) ||
-            !str_equal(endpoint->service, service) ||
-            is_evacuated(endpoints, endpoint)) {
-            continue;
-        }
-        cold_ms = cold_wait_ms(endpoints->options.cold, endpoint);
-        left_ms = cold_ms > left_ms ? cold_ms : left_ms;
-        if (left_ms == 0) {
-            return 0;
-        }
-        if (least_ms == 0 || left_ms < least_ms) {
-            least_ms = left_ms;
-        }
-    }
+    find_first_block(endpoints, service, &least_ms);
     return least_ms;
 }
 
@@ -506,9 +551,10 @@
 
     for (endpoint = endpoints->all; endpoint != NULL;
          endpoint = endpoint->hh.next) {
-        if (endpoint_is_ready(endpoint) &&
-            str_equal(endpoint->service, service) &&
-            endpoints_allow(endpoints, endpoint)) {
+        enum endpoint_block block = endpoints_block(endpoints, endpoint);
+
+        if (str_equal(endpoint->service, service) &&
+            (block == ENDPOINT_UNBLOCKED || block == ENDPOINT_HELD)) {
             count++;
         }
     }
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -27,6 +27,7 @@
 struct evacuation;
 struct event_base;
 struct memory;
+struct rate_limits;
 
 /// How long an entry may be missing after a store outage before the endpoint
 /// is removed. Healthy endpoints have renewed their entries two seconds after
@@ -97,6 +98,7 @@
     const struct clock *clock;
     struct str zone; ///< own availability zone
     struct cold *cold;
+    struct rate_limits *rate_limits;
     const struct evacuation *evacuation;
     struct memory *memory;
 };
@@ -135,9 +137,9 @@
 void endpoint_note_retry_after(struct endpoint *endpoint, int64_t now_ms,
                                int64_t wait_ms);
 
-/// If all ready endpoints of the service turn requests away or are cold: the
-/// time until the first one takes one of this router. Otherwise 0. Those in
-/// evacuated zones are left out.
+/// If all ready endpoints of the service are blocked: the time until the first
+/// one takes a request of this router. Otherwise 0. Those in evacuated zones
+/// are left out.
 int64_t endpoints_held_ms(const struct endpoints *endpoints,
                           struct str service);
 
@@ -151,19 +153,34 @@
 /// True if the endpoint takes new requests, by its entry and its answers.
 bool endpoint_is_ready(const struct endpoint *endpoint);
 
+/// Why an endpoint gets no request of this router now, whatever the request.
+enum endpoint_block {
+    ENDPOINT_UNBLOCKED,
+    ENDPOINT_NOT_READY,
+    ENDPOINT_EVACUATED, ///< its zone is
+    ENDPOINT_HELD,      ///< it turns requests away
+    ENDPOINT_COLD,
+    ENDPOINT_RATE_LIMITED, ///< it states a rate
+};
+
+/// If several apply, the one that lasts longest.
+enum endpoint_block endpoints_block(const struct endpoints *endpoints,
+                                    const struct endpoint *endpoint);
+
 /// True if all ready endpoints of the service are in evacuated zones, and
 /// there is one.
 bool endpoints_are_evacuated(const struct endpoints *endpoints,
                              struct str service);
 
-/// The same for cold endpoints that get no request of this router now.
-/// Evacuated ones are left out.
-bool endpoints_are_cold(const struct endpoints *endpoints, struct str service);
+/// If all ready endpoints of the service are blocked: why the first one is
+/// that takes a request of this router. Those in evacuated zones are left out.
+enum endpoint_block
+endpoints_block_of_service(const struct endpoints *endpoints,
+                           struct str service);
 
-/// False if the endpoint's zone is evacuated or it is cold and gets no request
-/// of this router now.
-bool endpoints_allow(const struct endpoints *endpoints,
-                     const struct endpoint *endpoint);
+/// A request is being sent to the endpoint.
+void endpoints_count_send(struct endpoints *endpoints,
+                          struct endpoint *endpoint);
 
 /// Marks the endpoints of a zone whose evacuation has ended as cold; returns
 /// their number.
--- a/direct/explain.c
+++ b/direct/explain.c
@@ -253,7 +253,7 @@
     struct place_choice *considered =
         xcalloc(CANDIDATES_MAX, sizeof(*considered));
     struct endpoints_choice choice = {0};
-    bool is_cold;
+    enum counter_id counter;
     bool found =
         dispatch_choose(exchange, 0, &middle_draw, considered, &choice);
     json_t *json = json_pack(
@@ -277,7 +277,7 @@
     json_object_set_new(
         json, "refusal",
         found ? json_null()
-              : json_string(dispatch_refusal(exchange, &is_cold)));
+              : json_string(dispatch_refusal(exchange, &counter)));
     json_object_set_new(json, "candidate_count",
                         json_integer((json_int_t)candidates_count(
                             endpoints_candidates(direct->endpoints))));
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -27,6 +27,13 @@
 /// this time.
 #define FLEET_SIZE_HOLD_MS 30000
 #define LISTEN_BACKLOG 64
+/// A router that has reported no load for this long has no traffic.
+#define TRAFFIC_HOLD_MS 10000
+/// Time in which routers whose traffic has begun at the same moment know this
+/// of each other.
+#define TRAFFIC_SETTLE_MS 1500
+/// Time for which a router whose link was lost is presumed to go on.
+#define UNLINKED_HOLD_MS 5000
 
 int64_t
 mesh_now_ms(const struct mesh *mesh)
@@ -95,6 +102,7 @@
 
     peer->link = link;
     peer->id = process_id(link_peer_name(link), link_peer_incarnation(link));
+    peer->traffic_ms = mesh_now_ms(mesh);
     link_set_busy(link, true);
     send_own_address(mesh, link);
     relay_peer_ready(mesh, link);
@@ -220,7 +228,7 @@
 on_message(void *ctx, struct link *link, const struct message *message)
 {
     struct mesh *mesh = ctx;
-    const struct peer *peer = mesh_find_peer(mesh, link);
+    struct peer *peer = mesh_find_peer(mesh, link);
 
     if (relay_message(mesh, link, message)) {
         return;
@@ -231,6 +239,7 @@
         return;
     case MESSAGE_LOADS:
         if (peer != NULL) {
+            peer->traffic_ms = mesh_now_ms(mesh);
             mesh->options.loads(mesh->options.ctx, peer->id,
                                 message->loads.items, message->loads.count);
         }
@@ -269,6 +278,10 @@
         mesh->options.answered(mesh->options.ctx, message->answered.parts,
                                message->answered.count);
         return;
+    case MESSAGE_RATES:
+        mesh->options.rates(mesh->options.ctx, message->rates.items,
+                            message->rates.count);
+        return;
     case MESSAGE_STRIKE:
         mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
                              message->strike.crash_id);
@@ -379,6 +392,51 @@
     }
 }
 
+/// True if the router at this address may send requests at present.
+static bool
+has_traffic(const struct mesh *mesh, const struct target *target,
+            int64_t now_ms)
+{
+    const struct peer *peer;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (!strcmp(peer->address, target->text)) {
+            return now_ms - peer->traffic_ms < TRAFFIC_HOLD_MS;
+        }
+    }
+    return now_ms - target->last_seen_ms < UNLINKED_HOLD_MS;
+}
+
+static void
+update_rivals(struct mesh *mesh, int64_t now_ms)
+{
+    const struct target *target;
+    bool knows_traffic;
+
+    if (now_ms - mesh->traffic.last_ms >= TRAFFIC_HOLD_MS) {
+        mesh->traffic.begun_ms = 0;
+    }
+    // Beyond a full mesh, most routers report nothing to this one.
+    knows_traffic = !mesh_relays_reports(mesh) &&
+                    mesh->traffic.begun_ms != 0 &&
+                    now_ms - mesh->traffic.begun_ms >= TRAFFIC_SETTLE_MS;
+    mesh->rival_count = 0;
+    LL_FOREACH(mesh->targets, target)
+    {
+        if (knows_traffic && !has_traffic(mesh, target, now_ms)) {
+            continue;
+        }
+        if (mesh->rival_count == mesh->rival_max) {
+            mesh->rival_max = 2 * mesh->rival_max + 16;
+            mesh->rivals = xrealloc(mesh->rivals,
+                                    mesh->rival_max * sizeof(*mesh->rivals));
+        }
+        mesh->rivals[mesh->rival_count++] =
+            str_hash(str_from(target->text), 0);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short events, void *ctx)
 {
@@ -389,6 +447,7 @@
     (void)events;
     dial(mesh);
     mesh_flush(mesh);
+    update_rivals(mesh, now_ms);
     update_fleet_size(mesh, now_ms);
     relay_tick(mesh);
     if (now_ms >= mesh->next_report_ms) {
@@ -474,6 +533,7 @@
     accept_pause_init(&mesh->accept_pause, options->base, mesh->listener);
     address_of_socket(evconnlistener_get_fd(mesh->listener), &bound);
     address_format((const struct sockaddr *)&bound.storage, mesh->own_address);
+    mesh->own_hash = str_hash(str_from(mesh->own_address), 0);
     mesh->rank_seed = str_hash(str_from(mesh->own_address), 1);
     mesh->tick = event_new(options->base, -1, EV_PERSIST, on_tick, mesh);
     event_add(mesh->tick, &tick);
@@ -508,6 +568,7 @@
     }
     readers_free(mesh->readers);
     free((char *)mesh->packed.value.data);
+    free(mesh->rivals);
     free(mesh);
 }
 
@@ -623,6 +684,34 @@
     return before < count;
 }
 
+/// Cheaper than a hash of the address for each key.
+static uint64_t
+rank_score(uint64_t router, uint64_t key)
+{
+    const uint64_t pair[] = {router, key};
+
+    return str_hash((struct str){(const char *)pair, sizeof(pair)}, 0);
+}
+
+size_t
+mesh_rank(const struct mesh *mesh, uint64_t key, size_t *routers)
+{
+    uint64_t own = rank_score(mesh->own_hash, key);
+    size_t before = 0;
+
+    for (size_t i = 0; i < mesh->rival_count; i++) {
+        before += rank_score(mesh->rivals[i], key) < own ? 1 : 0;
+    }
+    *routers = mesh->rival_count + 1;
+    return before;
+}
+
+bool
+mesh_relays_reports(const struct mesh *mesh)
+{
+    return mesh_known_count(mesh) > MESH_FULL_ROUTERS_MAX;
+}
+
 void
 mesh_set_draining(struct mesh *mesh)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -73,6 +73,11 @@
     /// accepts no connections.
     void (*endpoint_failed)(void *ctx, uint64_t endpoint, bool is_down);
     void (*strike)(void *ctx, uint64_t fingerprint, uint32_t crash_id);
+    /// Writes the stated rates that peers do not know yet; returns their
+    /// number. Called at each tick.
+    size_t (*collect_rates)(void *ctx, struct message_rate *items, size_t max);
+    /// A peer reports the rates that endpoints state in their answers.
+    void (*rates)(void *ctx, const struct message_rate *items, size_t count);
     /// A link to a peer is ready; it may have just started.
     void (*peer_ready)(void *ctx, struct link *link);
     /// A peer reports a request that an endpoint crashed with.
@@ -127,6 +132,11 @@
 void mesh_send_blames(struct mesh *mesh, const struct link *link,
                       const struct message_blame *items, size_t count);
 
+/// Sends stated rates, MESSAGE_RATES_MAX at most, to one peer, if it supports
+/// that.
+void mesh_send_rates(struct mesh *mesh, struct link *link,
+                     const struct message_rate *items, size_t count);
+
 /// Queues blamed parts that have been answered, likewise.
 void mesh_queue_answered(struct mesh *mesh, const uint64_t *parts,
                          size_t count);
@@ -144,6 +154,16 @@
 /// linked or not, in the rendezvous hash of `key`. Divides work between them.
 bool mesh_is_ranked_among(const struct mesh *mesh, uint64_t key, size_t count);
 
+/// Rank of this router, from 0, in the rendezvous hash of `key` among the
+/// routers that have traffic; `routers` is set to their number. In a large
+/// deployment, and while this router has had traffic for a short time only,
+/// all known ones count: it cannot tell which of the others have.
+size_t mesh_rank(const struct mesh *mesh, uint64_t key, size_t *routers);
+
+/// True if the deployment is too large for a full mesh: what a peer reports is
+/// passed on to the others.
+bool mesh_relays_reports(const struct mesh *mesh);
+
 /// Sends the end of each topic to all peers at once, ahead of the next report.
 void mesh_send_topic_ends(struct mesh *mesh);
 
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -32,8 +32,9 @@
     char address[ADDRESS_TEXT_BYTES]; ///< where the peer accepts links
     uint64_t id;
     uint64_t ends[RECORDS_TOPIC_COUNT];
-    int64_t ends_reported_ms;        ///< when `ends` was last received
-    bool reads_endpoints;            ///< as a peer of version 1 states
+    int64_t traffic_ms;       ///< when linked, or when it last reported a load
+    int64_t ends_reported_ms; ///< when `ends` was last received
+    bool reads_endpoints;     ///< as a peer of version 1 states
     bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
     struct peer *next;
 };
@@ -83,7 +84,16 @@
     uint64_t answered[MESSAGE_ANSWERED_MAX]; ///< to be sent
     size_t answered_count;
     char own_address[ADDRESS_TEXT_BYTES];
+    uint64_t own_hash;  ///< of `own_address`
     uint64_t rank_seed; ///< differs between routers
+    struct {
+        int64_t begun_ms; ///< of the present traffic of this router; 0: none
+        int64_t last_ms;  ///< of the last load reported
+    } traffic;
+    uint64_t *rivals; ///< hashes of the others that mesh_rank() counts
+    size_t rival_count;
+    size_t rival_max;
+    struct message_rate rates[MESSAGE_RATES_MAX];
 };
 
 int64_t mesh_now_ms(const struct mesh *mesh);
--- a/direct/mesh_reports.c
+++ b/direct/mesh_reports.c
@@ -46,6 +46,10 @@
     message.loads.count = mesh->options.collect_loads(
         mesh->options.ctx, mesh->loads, MESSAGE_LOADS_MAX);
     if (message.loads.count > 0) {
+        mesh->traffic.last_ms = mesh_now_ms(mesh);
+        if (mesh->traffic.begun_ms == 0) {
+            mesh->traffic.begun_ms = mesh->traffic.last_ms;
+        }
         mesh_broadcast(mesh, &message, MESSAGE_VERSION);
     }
     send_shares(mesh);
@@ -96,11 +100,25 @@
     mesh->answered_count = 0;
 }
 
+static void
+flush_rates(struct mesh *mesh)
+{
+    struct message message = {.type = MESSAGE_RATES};
+
+    message.rates.items = mesh->rates;
+    message.rates.count = mesh->options.collect_rates(
+        mesh->options.ctx, mesh->rates, MESSAGE_RATES_MAX);
+    if (message.rates.count > 0) {
+        mesh_broadcast(mesh, &message, MESSAGE_VERSION_RATES);
+    }
+}
+
 void
 mesh_flush(struct mesh *mesh)
 {
     flush_placements(mesh);
     flush_blames(mesh);
+    flush_rates(mesh);
 }
 
 void
@@ -137,6 +155,20 @@
     }
 }
 
+void
+mesh_send_rates(struct mesh *mesh, struct link *link,
+                const struct message_rate *items, size_t count)
+{
+    (void)mesh;
+    if (link_version(link) >= MESSAGE_VERSION_RATES) {
+        link_send(link, &(struct message){
+                            .type = MESSAGE_RATES,
+                            .rates.items = items,
+                            .rates.count = count,
+                        });
+    }
+}
+
 void
 mesh_queue_answered(struct mesh *mesh, const uint64_t *parts, size_t count)
 {
--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -55,6 +55,9 @@
     if (cold_is_limited(direct->cold, endpoint)) {
         return "cold";
     }
+    if (endpoint->rate_limit.holds) {
+        return "rate limited";
+    }
     return endpoint->eject.trial ? "on trial" : "none";
 }
 
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -10,6 +10,7 @@
 #include "endpoints.h"
 #include "mesh.h"
 #include "net/log.h"
+#include "rate_limits.h"
 #include "services.h"
 
 #define LOG_MODULE "peers"
@@ -87,10 +88,41 @@
     quarantine_strike(direct->quarantine, fingerprint, crash_id);
 }
 
+static size_t
+collect_rates(void *ctx, struct message_rate *items, size_t max)
+{
+    struct direct *direct = ctx;
+
+    return rate_limits_collect(direct->rate_limits, direct->endpoints, items,
+                               max, false);
+}
+
+static void
+on_rates(void *ctx, const struct message_rate *items, size_t count)
+{
+    struct direct *direct = ctx;
+
+    rate_limits_receive(direct->rate_limits, direct->endpoints, items, count,
+                        mesh_relays_reports(direct->mesh));
+}
+
+static void
+send_rates(struct direct *direct, struct link *link)
+{
+    struct message_rate items[MESSAGE_RATES_MAX];
+    size_t count = rate_limits_collect(direct->rate_limits, direct->endpoints,
+                                       items, MESSAGE_RATES_MAX, true);
+
+    if (count > 0) {
+        mesh_send_rates(direct->mesh, link, items, count);
+    }
+}
+
 static void
 on_peer_ready(void *ctx, struct link *link)
 {
     blame_send_held(ctx, link);
+    send_rates(ctx, link);
 }
 
 static void
@@ -225,6 +257,8 @@
         .placement = on_placement,
         .endpoint_failed = on_endpoint_failed,
         .strike = on_strike,
+        .collect_rates = collect_rates,
+        .rates = on_rates,
         .peer_ready = on_peer_ready,
         .blame = on_blame,
         .answered = on_answered,
--- a/direct/senders.c
+++ b/direct/senders.c
@@ -48,6 +48,12 @@
     return wait_ms < 0 ? UNLINKED_WAIT_MS : wait_ms;
 }
 
+size_t
+senders_rank(const struct senders *senders, uint64_t endpoint, size_t *routers)
+{
+    return senders->options.rank(senders->options.ctx, endpoint, routers);
+}
+
 bool
 senders_include(const struct senders *senders, uint64_t endpoint, size_t count)
 {
--- a/direct/senders.h
+++ b/direct/senders.h
@@ -14,6 +14,8 @@
     const struct clock *clock;
     /// True if this router is among the first `count` for the endpoint.
     bool (*is_among)(void *ctx, uint64_t endpoint, size_t count);
+    /// Rank of this router among those with traffic, and their number.
+    size_t (*rank)(void *ctx, uint64_t endpoint, size_t *routers);
     /// Time for which this router must have been linked to the others.
     int64_t (*settle_ms)(void *ctx);
     void *ctx;
@@ -30,6 +32,11 @@
 /// Time until this router may send to such endpoints; 0: now.
 int64_t senders_standing_wait_ms(const struct senders *senders);
 
+/// Rank of this router for the endpoint, from 0, among the routers that have
+/// traffic; `routers` is set to their number.
+size_t senders_rank(const struct senders *senders, uint64_t endpoint,
+                    size_t *routers);
+
 /// True if this router is among the first `count` for the endpoint.
 bool senders_include(const struct senders *senders, uint64_t endpoint,
                      size_t count);
--- a/include/dandelionvalve/counter.h
+++ b/include/dandelionvalve/counter.h
@@ -28,6 +28,8 @@
       "requests refused as all endpoints were cold or evacuated")             \
     X(RATE_LIMITED_SENT, "rate_limited_sent_total", "",                       \
       "requests sent to endpoints that state a rate")                         \
+    X(RATE_LIMITED_REFUSED, "rate_limited_refused_total", "",                 \
+      "requests refused as all endpoints get the rate that they state")       \
     X(RATE_LIMITS_IGNORED, "rate_limits_ignored_total", "",                   \
       "answers with an invalid rate of requests")                             \
     X(EVACUATIONS, "evacuations_total", "", "evacuations of zones begun")     \
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -1,10 +1,12 @@
 /// Endpoints that state in their answers how many requests a second they take
-/// from all routers.
+/// from all routers: the decisions of core/rate_limit.c in simulated time, and
+/// what several routers send together.
 #include <stdio.h>
 #include <stdlib.h>
 
 #include <CUnit/CUnit.h>
 
+#include "core/rate_limit.h"
 #include "direct_harness.h"
 #include "suites.h"
 
@@ -18,6 +20,187 @@
 #define SETTLE_MS 400
 #define SAMPLES_MAX 100000
 
+#define ROUTERS_MAX 103
+#define BEGIN_MS 50000
+#define SENDS_MAX 8192
+
+struct sends {
+    int64_t at_ms[SENDS_MAX];
+    size_t count;
+};
+
+static size_t
+most_sends(const struct sends *sends)
+{
+    size_t most = 0;
+    size_t first = 0;
+
+    for (size_t i = 0; i < sends->count; i++) {
+        while (sends->at_ms[i] - sends->at_ms[first] >= WINDOW_MS) {
+            first++;
+        }
+        most = i - first + 1 > most ? i - first + 1 : most;
+    }
+    return most;
+}
+
+/// `count` routers of rank 0 and following, each of which counts `routers`,
+/// send whenever they may. With `answers`, an answer confirms the rate each
+/// second.
+static void
+run_routers(double per_s, size_t routers, size_t count, bool answers,
+            int64_t ms, struct sends *sends)
+{
+    static struct rate_limit limits[ROUTERS_MAX];
+
+    sends->count = 0;
+    for (size_t i = 0; i < count; i++) {
+        limits[i] = (struct rate_limit){0};
+        rate_limit_answered(
+            &limits[i], &(struct rate_limit_statement){true, per_s, BEGIN_MS,
+                                                       BEGIN_MS - 50});
+    }
+    for (int64_t now_ms = BEGIN_MS; now_ms < BEGIN_MS + ms; now_ms += 5) {
+        for (size_t i = 0; i < count; i++) {
+            const struct rate_limit_place place = {i, routers, 0};
+
+            if (answers && now_ms % 1000 == 0) {
+                rate_limit_answered(&limits[i],
+                                    &(struct rate_limit_statement){
+                                        true, per_s, now_ms, now_ms - 50});
+            }
+            if (rate_limit_wait_ms(&limits[i], &place, now_ms) == 0 &&
+                sends->count < SENDS_MAX) {
+                rate_limit_take(&limits[i], now_ms);
+                sends->at_ms[sends->count++] = now_ms;
+            }
+        }
+    }
+}
+
+/// Routers with more work than they may send use most of the rate and stay
+/// within the bound, whether one has all the traffic or more than a hundred
+/// have: up to three tenths of the rate are left for routers that do not know
+/// of the others. Two of these more than planned stay within the bound.
+static void
+test_sum_of_routers(void)
+{
+    static const double rates[] = {0.5, 1, 1.2, 2, 5.1, 40};
+    static const size_t routers[] = {1, 4, 31, ROUTERS_MAX};
+    static struct sends sends;
+
+    for (size_t i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
+        for (size_t j = 0; j < sizeof(routers) / sizeof(routers[0]); j++) {
+            double bound = rates[i] * 6 + 5;
+            struct rate_limit limit = {.holds = true, .per_s = rates[i]};
+            size_t senders = rate_limit_plan(&limit, routers[j]).senders;
+
+            run_routers(rates[i], routers[j], routers[j], true, 60000, &sends);
+            CU_ASSERT((double)most_sends(&sends) <= bound);
+            // Each sender begins one interval after the statement.
+            CU_ASSERT((double)(sends.count + senders) >= 0.7 * 60 * rates[i]);
+            run_routers(rates[i], senders + 2, senders + 2, true, 60000,
+                        &sends);
+            CU_ASSERT((double)most_sends(&sends) <= bound);
+        }
+    }
+}
+
+/// Zero is a rate: the endpoint still gets a request now and then, since only
+/// an answer can end it.
+static void
+test_rate_of_zero(void)
+{
+    static struct sends sends;
+
+    run_routers(0, 31, 31, true, 120000, &sends);
+    CU_ASSERT(sends.count >= 2 && sends.count <= 13);
+    CU_ASSERT(most_sends(&sends) <= 5);
+}
+
+/// No router has got an answer for a while: those that are no senders try the
+/// endpoint in turn, and no crowd of them at once.
+static void
+test_routers_take_turns_without_answers(void)
+{
+    static struct sends sends;
+    struct rate_limit limit = {0};
+    const struct rate_limit_place last = {30, 31, 0};
+
+    run_routers(1, 31, 31, false, 120000, &sends);
+    CU_ASSERT(most_sends(&sends) <= 11);
+    rate_limit_answered(
+        &limit, &(struct rate_limit_statement){true, 1, BEGIN_MS, BEGIN_MS});
+    CU_ASSERT(
+        rate_limit_wait_ms(&limit, &last, BEGIN_MS + RATE_LIMIT_STALE_MS) > 0);
+    CU_ASSERT(rate_limit_wait_ms(&limit, &last,
+                                 BEGIN_MS + RATE_LIMIT_STALE_MS +
+                                     30 * RATE_LIMIT_TRY_MS) == 0);
+    rate_limit_take(&limit,
+                    BEGIN_MS + RATE_LIMIT_STALE_MS + 30 * RATE_LIMIT_TRY_MS);
+    CU_ASSERT(rate_limit_wait_ms(&limit, &last,
+                                 BEGIN_MS + RATE_LIMIT_STALE_MS +
+                                     60 * RATE_LIMIT_TRY_MS) > 0);
+}
+
+/// An answer that was on its way when a rate was stated neither ends nor
+/// raises it; one that lowers it applies at once.
+static void
+test_answers_overtake_each_other(void)
+{
+    struct rate_limit limit = {0};
+
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              true, 2, 1000, 900}) == RATE_LIMIT_BEGUN);
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              false, 0, 1050, 950}) == RATE_LIMIT_UNCHANGED);
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              true, 3, 1060, 960}) == RATE_LIMIT_UNCHANGED);
+    CU_ASSERT(limit.holds && limit.per_s == 2);
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              true, 1, 1070, 960}) == RATE_LIMIT_CHANGED);
+    CU_ASSERT(limit.per_s == 1);
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              true, 4, 1200, 1080}) == RATE_LIMIT_CHANGED);
+    CU_ASSERT(rate_limit_answered(
+                  &limit, &(struct rate_limit_statement){
+                              false, 0, 1400, 1300}) == RATE_LIMIT_ENDED);
+    CU_ASSERT(!limit.holds);
+}
+
+/// The newest answer of all routers applies. Beyond a full mesh, a report is
+/// passed on once; a rate that goes on is reported at intervals only.
+static void
+test_reports_of_peers(void)
+{
+    struct rate_limit limit = {0};
+    const struct rate_limit_statement stated = {true, 2, 1000, 0};
+    const struct rate_limit_statement later = {true, 2, 3000, 0};
+    const struct rate_limit_statement ended = {false, 0, 4000, 0};
+
+    CU_ASSERT(!rate_limit_is_known(&limit, 1000));
+    CU_ASSERT(rate_limit_reported(&limit, 1100, &stated, true) ==
+              RATE_LIMIT_BEGUN);
+    CU_ASSERT(rate_limit_take_report(&limit, 1100));
+    CU_ASSERT(!rate_limit_take_report(&limit, 1100));
+    CU_ASSERT(rate_limit_reported(&limit, 3100, &later, true) ==
+              RATE_LIMIT_UNCHANGED);
+    CU_ASSERT(!rate_limit_take_report(&limit, 3100));
+    CU_ASSERT(rate_limit_reported(&limit, 4100, &ended, false) ==
+              RATE_LIMIT_ENDED);
+    CU_ASSERT(!rate_limit_take_report(&limit, 4100));
+    CU_ASSERT(rate_limit_reported(&limit, 4200, &later, true) ==
+              RATE_LIMIT_UNCHANGED);
+    CU_ASSERT(!limit.holds);
+    CU_ASSERT(rate_limit_is_known(&limit, 5000));
+    CU_ASSERT(!rate_limit_is_known(&limit, 4000 + RATE_LIMIT_ENDED_MS));
+}
+
 static void
 start(struct direct_harness *harness, size_t routers, size_t origins)
 {
@@ -96,6 +279,96 @@
     direct_harness_stop(&harness);
 }
 
+/// True if all of more calls than the bound allows are served by the only
+/// endpoint, one right after the other.
+static bool
+is_unlimited(struct direct_harness *harness)
+{
+    bool all_served = true;
+
+    for (size_t i = 0; i < 2 * BOUND; i++) {
+        all_served = call_once(harness, i % harness->options.routers,
+                               "/look/") == 200 &&
+                     all_served;
+    }
+    return all_served;
+}
+
+static bool
+is_limited_at_first(void *ctx)
+{
+    const struct direct_harness *harness = ctx;
+
+    return counter_get(&harness->counters[0], COUNTER_RATE_LIMITED_SENT) > 0;
+}
+
+/// Routers that have got no answer of the endpoint keep the rate that a peer
+/// was told, also one that is started meanwhile. The endpoint is the only one:
+/// what it does not take is refused at once, and has not run.
+static void
+test_stated_rate_known_from_peers(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+    int64_t before_ms;
+    uint64_t before;
+
+    start(&harness, 3, 1);
+    origin_set_fields(harness.origins[0], RATE_FIELD);
+    CU_ASSERT(call_once(&harness, 0, "/look/") == 200);
+    direct_harness_run(&harness, 300);
+    before = origin_requests(harness.origins[0]);
+    call_once(&harness, 1, "/look/");
+    call_once(&harness, 2, "/look/");
+    CU_ASSERT(origin_requests(harness.origins[0]) == before);
+    direct_harness_stop_router(&harness, 1);
+    direct_harness_start_router(&harness, 1);
+    direct_harness_run(&harness, 2000);
+    CU_ASSERT(most_in_a_window(&harness, WINDOW_MS) <= BOUND);
+    CU_ASSERT(is_limited_at_first(&harness));
+    before_ms = clock_ms(&clock_monotonic);
+    for (int i = 0; i < 8 && call.status != 503; i++) {
+        char id[24];
+
+        snprintf(id, sizeof(id), "refused-%d", i);
+        direct_call_free(&call);
+        direct_call_do(&harness, 0, &call, "POST", "/look/", id, NULL, "x");
+    }
+    CU_ASSERT(call.status == 503);
+    CU_ASSERT(atof(call.retry_after) > 0);
+    CU_ASSERT(clock_ms(&clock_monotonic) - before_ms < 500);
+    CU_ASSERT(counter_get(&harness.counters[0], COUNTER_RATE_LIMITED_REFUSED) >
+              0);
+    direct_call_free(&call);
+    direct_harness_stop(&harness);
+}
+
+/// The statement ends with an answer at one router; all send without a limit
+/// then. So they do to the next incarnation of an endpoint.
+static void
+test_stated_rate_ends(void)
+{
+    for (int restarted = 0; restarted < 2; restarted++) {
+        struct direct_harness harness;
+
+        start(&harness, 3, 1);
+        origin_set_fields(harness.origins[0], RATE_FIELD);
+        call_once(&harness, 0, "/look/");
+        direct_harness_run(&harness, 300);
+        CU_ASSERT(!is_unlimited(&harness));
+        origin_set_fields(harness.origins[0], NULL);
+        if (restarted) {
+            direct_harness_put_restarted(&harness, "e-0", harness.origins[0]);
+            direct_harness_run(&harness, 500);
+        }
+        else {
+            most_in_a_window(&harness, 2500);
+        }
+        CU_ASSERT(is_unlimited(&harness));
+        direct_harness_stop(&harness);
+    }
+}
+
 /// A value that is not one decimal number in range limits nothing.
 static void
 test_odd_stated_rates(void)
@@ -134,7 +407,17 @@
 {
     CU_pSuite suite = CU_add_suite("rate-limit", NULL, NULL);
 
+    CU_add_test(suite, "sum of routers", test_sum_of_routers);
+    CU_add_test(suite, "rate of zero", test_rate_of_zero);
+    CU_add_test(suite, "routers take turns without answers",
+                test_routers_take_turns_without_answers);
+    CU_add_test(suite, "answers overtake each other",
+                test_answers_overtake_each_other);
+    CU_add_test(suite, "reports of peers", test_reports_of_peers);
     CU_add_test(suite, "stated rate exceeded by the fleet",
                 test_stated_rate_exceeded_by_the_fleet);
+    CU_add_test(suite, "stated rate known from peers",
+                test_stated_rate_known_from_peers);
+    CU_add_test(suite, "stated rate ends", test_stated_rate_ends);
     CU_add_test(suite, "odd stated rates", test_odd_stated_rates);
 }
