place: endpoints that state a rate are used first

Callers of the fleet's other endpoints waited or were refused while an endpoint that states a rate got less than it states: a request that such an endpoint does not get now is lost to it, but its cost was compared like that of any other.

A request now costs 500 ms less at such an endpoint (which it only is a candidate of while this router may send there).

Test: place: room of limited endpoints unused (fails without the change).

--- a/core/place.c
+++ b/core/place.c
@@ -343,7 +343,8 @@
         saving = find_best_saving(request, candidates, &sources, candidate);
         predict(request, candidate, home, &saving, &here);
         here.cost.even_load_ms = even_load_cost_ms(request, candidate);
-        here.cost_ms += here.cost.even_load_ms;
+        here.cost.rate_ms = candidate->rate_limited ? -PLACE_RATE_BONUS_MS : 0;
+        here.cost_ms += here.cost.even_load_ms + here.cost.rate_ms;
         here.index = i;
         here.load = candidate->load;
         here.reason = reason_of(candidate, fits, home);
--- a/core/place.h
+++ b/core/place.h
@@ -20,6 +20,9 @@
 /// Further cost of one request in flight with `even_load`. 4 ms made the
 /// routers prefill more shared tokens again than without it.
 #define PLACE_EVEN_LOAD_COST_MS 2.0
+/// What a request costs less at an endpoint that takes few requests: one that
+/// is not sent now cannot be sent later, and the others are left with more.
+#define PLACE_RATE_BONUS_MS 500.0
 /// Weight of prefill time relative to queueing time: a prefill delays every
 /// request at the endpoint.
 #define PLACE_PREFILL_WEIGHT 3.0
@@ -48,6 +51,7 @@
     uint64_t hash; ///< of the endpoint's identity
     bool usable;
     bool sends_contexts; ///< contexts can be fetched from it
+    bool rate_limited;   ///< it takes few requests
     bool same_zone;
     uint64_t zone;
     uint32_t load;  ///< requests in flight; with a prompt, of all routers
@@ -95,6 +99,7 @@
     double jitter_ms;
     double pause_ms;
     double even_load_ms;
+    double rate_ms;
 };
 
 enum place_reason {
--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -294,6 +294,7 @@
             // does one that states a rate: the transfer is no request, and the
             // others would have to prefill its prompts.
             .sends_contexts = !ejected[count],
+            .rate_limited = endpoint->rate_limit.holds,
             .same_zone = str_equal(endpoint->zone, options->zone),
             .zone = endpoint->zone_hash,
             // A plain call ends before peers report it. Their outdated loads
--- a/direct/explain.c
+++ b/direct/explain.c
@@ -131,12 +131,12 @@
 {
     const struct place_cost *cost = &choice->cost;
 
-    return json_pack("{s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "sum",
+    return json_pack("{s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "sum",
                      choice->cost_ms, "prefill", cost->prefill_ms, "fetch",
                      cost->fetch_ms, "backlog", cost->backlog_ms, "load",
                      cost->load_ms, "zone", cost->zone_ms, "jitter",
                      cost->jitter_ms, "pause", cost->pause_ms, "even_load",
-                     cost->even_load_ms);
+                     cost->even_load_ms, "rate", cost->rate_ms);
 }
 
 static json_t *
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -728,11 +728,40 @@
     sse_buffer_destroy(&events);
 }
 
+/// Load pattern: some endpoints take few requests, the others get the rest and
+/// have the contexts. What the former take is used first.
+static void
+test_room_of_limited_endpoints_unused(void)
+{
+    const struct place_request request = {
+        .random = &random_system,
+        .has_prompt = true,
+        .prompt_tokens = 3000,
+        .shared_tokens = 2000,
+        .prefill_tokens_per_ms = 50,
+        .cap_factor = CAP_FACTOR,
+        .cap_slack = CAP_SLACK,
+    };
+    struct place_candidate candidates[] = {
+        {.hash = 1, .usable = true, .slots = SLOTS, .rate_limited = true},
+        {.hash = 2, .usable = true, .slots = SLOTS, .cached_tokens = 2000},
+    };
+    struct place_choice choice;
+
+    CU_ASSERT(place_choose(&request, candidates, 2, &choice));
+    CU_ASSERT(choice.index == 0);
+    candidates[0].usable = false;
+    CU_ASSERT(place_choose(&request, candidates, 2, &choice));
+    CU_ASSERT(choice.index == 1);
+}
+
 void
 suite_place(void)
 {
     CU_pSuite suite = CU_add_suite("place", NULL, NULL);
 
+    CU_add_test(suite, "room of limited endpoints unused",
+                test_room_of_limited_endpoints_unused);
     CU_add_test(suite, "steady reuse", test_steady_reuse);
     CU_add_test(suite, "hot context", test_hot_context);
     CU_add_test(suite, "crash at the peak", test_crash_at_peak);
