shed: delays at endpoints that state a rate do not count

Callers waited seconds for the other endpoints of a service until they gave up (Cooperativa, all endpoints but one state a rate: 161 of 760 at that one within 11 s), where a refusal at once would have let them come back: shedding follows the 0.4 quantile of the delays of all answers, and a third to half of these came from endpoints that get too few requests to be slow.

Their delays are left out. If all endpoints state a rate, the rate refuses.

Test: rate-limit: overload hidden by limited endpoints (fails without the change).

--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -303,7 +303,12 @@
 void
 attempt_record_delay(struct exchange *exchange)
 {
-    if (!exchange->delay_recorded) {
+    const struct endpoint *endpoint = exchange->endpoint;
+
+    // An endpoint that states a rate gets too few requests to be slow. Its
+    // delays do not show that the others are overloaded meanwhile.
+    if (!exchange->delay_recorded && endpoint != NULL &&
+        !endpoint->rate_limit.holds) {
         exchange->delay_recorded = true;
         shed_add_delay(dispatch_shed(exchange),
                        exchange_now(exchange) - exchange->offered_ms,
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -369,6 +369,70 @@
     }
 }
 
+#define SLOW_CALLS 12
+#define SLOW_ROUNDS 6
+
+static bool
+all_ended(void *ctx)
+{
+    struct direct_call *calls = ctx;
+
+    for (size_t i = 0; i < SLOW_CALLS; i++) {
+        if (!calls[i].ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Returns how many calls are refused as overload while all answers are late.
+static uint64_t
+count_shed(const char *fields)
+{
+    struct direct_harness harness;
+    uint64_t shed;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 1,
+                                       .work_us = 600000,
+                                   });
+    harness.settings[0].settle_ms = 0;
+    direct_harness_stop_router(&harness, 0);
+    direct_harness_start_router(&harness, 0);
+    direct_harness_run(&harness, 1000);
+    origin_set_fields(harness.origins[0], fields);
+    call_once(&harness, 0, "/look/");
+    for (size_t round = 0; round < SLOW_ROUNDS; round++) {
+        struct direct_call calls[SLOW_CALLS];
+
+        for (size_t i = 0; i < SLOW_CALLS; i++) {
+            char id[24];
+
+            snprintf(id, sizeof(id), "slow-%zu-%zu", round, i);
+            direct_call_start(&harness, 0, &calls[i], "POST", "/look/", id,
+                              NULL, "x");
+            direct_harness_run(&harness, 5);
+        }
+        CU_ASSERT(direct_harness_wait(&harness, all_ended, calls, 5000));
+        for (size_t i = 0; i < SLOW_CALLS; i++) {
+            direct_call_free(&calls[i]);
+        }
+    }
+    shed = counter_get(&harness.counters[0], COUNTER_SHED);
+    direct_harness_stop(&harness);
+    return shed;
+}
+
+/// Answers of endpoints that state a rate do not count for the overload of the
+/// service: they hid that of the other endpoints.
+static void
+test_overload_hidden_by_limited_endpoints(void)
+{
+    CU_ASSERT(count_shed(NULL) > 0);
+    CU_ASSERT(count_shed("Server-Limit: 100000\r\n") == 0);
+}
+
 /// A value that is not one decimal number in range limits nothing.
 static void
 test_odd_stated_rates(void)
@@ -419,5 +483,7 @@
     CU_add_test(suite, "stated rate known from peers",
                 test_stated_rate_known_from_peers);
     CU_add_test(suite, "stated rate ends", test_stated_rate_ends);
+    CU_add_test(suite, "overload hidden by limited endpoints",
+                test_overload_hidden_by_limited_endpoints);
     CU_add_test(suite, "odd stated rates", test_odd_stated_rates);
 }
