tests: answers whose endpoint closes within the head

Tried here on both paths (direct; router and agent), cut within a field line and behind the last one: callers get 502 without a signature, or a failed connection through the agent. It cannot happen; the tests stay.

Test: endings: head cut looks complete; agent-endings: reset of an unframed answer has both cuts.

--- a/standin/origin.c
+++ b/standin/origin.c
@@ -437,6 +437,15 @@
                           conn->id);
         close_conn(conn);
         return;
+    case ORIGIN_HEAD_CUT:
+    case ORIGIN_HEAD_CUT_LINE:
+        write_immediately(
+            conn,
+            "HTTP/1.1 200 X\r\n" ID_FIELD ": %s\r\n" SIGNATURE_FIELD
+            ": s\r\nContent-Length: %s",
+            conn->id, conn->origin->fault == ORIGIN_HEAD_CUT ? "1" : "0\r\n");
+        close_conn(conn);
+        return;
     case ORIGIN_UNFRAMED:
     case ORIGIN_UNFRAMED_RESET:
     case ORIGIN_UNFRAMED_KEPT:
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -22,6 +22,8 @@
     ORIGIN_TRUNCATES,       ///< closes the connection within the body
     ORIGIN_UNFRAMED,        ///< a body delimited by the connection's end
     ORIGIN_UNFRAMED_RESET,  ///< the same, ended by a reset
+    ORIGIN_HEAD_CUT,        ///< closes the connection within a field line
+    ORIGIN_HEAD_CUT_LINE,   ///< the same, behind the last one of the head
     ORIGIN_ANSWERS_TWICE,   ///< a second answer follows the first
     ORIGIN_STALE_ANSWER,    ///< an answer with another request id comes first
     ORIGIN_INVALID_HTTP,    ///< bytes that are not HTTP
--- a/tests/test_agent_endings.c
+++ b/tests/test_agent_endings.c
@@ -243,6 +243,8 @@
     } cases[] = {
         {ORIGIN_UNFRAMED_RESET, "/orders"},
         {ORIGIN_TRUNCATES, "/orders"},
+        {ORIGIN_HEAD_CUT, "/orders"},
+        {ORIGIN_HEAD_CUT_LINE, "/orders"},
         {ORIGIN_STREAM_UNFRAMED_RESET, "/stream"},
     };
 
--- a/tests/test_endings.c
+++ b/tests/test_endings.c
@@ -111,6 +111,38 @@
     }
 }
 
+/// Reported: an endpoint closes within the head of its answer, and callers get
+/// a 200 with an empty body.
+static void
+test_head_cut_looks_complete(void)
+{
+    static const enum origin_fault faults[] = {ORIGIN_HEAD_CUT,
+                                               ORIGIN_HEAD_CUT_LINE};
+    static const struct {
+        const char *path;
+        int status;
+    } cases[] = {{"/book/", 502}, {"/look/", 502}, {"/stream/chat/", 502}};
+
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        struct direct_harness harness;
+
+        start(&harness, 1, faults[i]);
+        for (size_t j = 0; j < sizeof(cases) / sizeof(cases[0]); j++) {
+            struct direct_call call = {0};
+            char id[16];
+
+            snprintf(id, sizeof(id), "cut-%zu", j);
+            direct_call_do(&harness, 0, &call, "POST", cases[j].path, id, NULL,
+                           "b");
+            CU_ASSERT(call.end == CHANNEL_COMPLETE);
+            CU_ASSERT(call.status == cases[j].status);
+            CU_ASSERT(call.signature[0] == '\0');
+            direct_call_free(&call);
+        }
+        direct_harness_stop(&harness);
+    }
+}
+
 /// A stream without length and chunks that ends after an event is complete,
 /// and its connection is not used again.
 static void
@@ -458,6 +490,8 @@
 
     CU_add_test(suite, "ends of events", test_ends_of_events);
     CU_add_test(suite, "unframed answers", test_unframed_answers);
+    CU_add_test(suite, "head cut looks complete",
+                test_head_cut_looks_complete);
     CU_add_test(suite, "unframed streams", test_unframed_streams);
     CU_add_test(suite, "empty streams", test_empty_streams);
     CU_add_test(suite, "other type on a streaming route",
