soak: an endpoint states rates, and values that are none

Spells of 5 to 9 s in which one endpoint states 0, 1, 2.5 or 5 requests a second (or "often", or 1e-9), beside kills, freezes, restarts and store faults. From 3 s after the begin, routers that were not disturbed within 3 s keep 1.5 times the rate and 5 in 4 s together. The faults of a seed are as before: the rates have a random source of their own.

--- a/soak/main.c
+++ b/soak/main.c
@@ -118,6 +118,7 @@
     printf(
         "soak: seed %ld faults %llu calls %llu served %llu refused %zu "
         "calm %llu of %llu evacuations %llu cold starts %llu requests %llu "
+        "rates %llu requests %llu "
         "long answers %llu peak %ld kB ended by memory %llu violations %llu\n",
         seed, (unsigned long long)soak->faults,
         (unsigned long long)soak->calls, (unsigned long long)soak->served,
@@ -126,6 +127,8 @@
         (unsigned long long)soak->evacuations,
         (unsigned long long)soak->cold_starts,
         (unsigned long long)soak->cold_requests,
+        (unsigned long long)soak->rates,
+        (unsigned long long)soak->rate_requests,
         (unsigned long long)soak->bulk_answers, soak->peak_kb,
         (unsigned long long)memory_ends(soak),
         (unsigned long long)soak->violations);
@@ -152,6 +155,8 @@
     soak->random = random_seeded_interface(&soak->seeded);
     soak->other_seeded.state = ~(uint64_t)seed;
     soak->other_random = random_seeded_interface(&soak->other_seeded);
+    soak->rate_seeded.state = (uint64_t)seed ^ UINT64_C(0x5bd1e995);
+    soak->rate_random = random_seeded_interface(&soak->rate_seeded);
     soak_start(soak);
     soak_crowd_start(soak);
     event = event_new(soak->base, -1, EV_PERSIST, on_tick, &phases);
--- a/soak/received.c
+++ b/soak/received.c
@@ -6,6 +6,14 @@
 #define EVACUATE_MS 5000
 /// A relay in front of an endpoint delays requests for less than this.
 #define ENDPOINT_DELAY_MS 800
+/// Bound on the requests to an endpoint with a stated rate, over all routers.
+#define RATE_WINDOW_MS 4000
+#define RATE_FACTOR 1.5
+#define RATE_SLACK 5
+/// Time in which routers learn the rate, from the first answer that states it.
+#define RATE_KNOWN_MS 3000
+/// A restart or a freeze excuses a router until it has been told again.
+#define RATE_EXCUSED_MS 3000
 /// Time in which a router learns from its entry that a running endpoint has
 /// become cold.
 #define ENTRY_MS 1500
@@ -105,6 +113,45 @@
     }
 }
 
+/// From a while after the begin, routers that were not disturbed keep the rate
+/// together.
+static void
+check_rate(struct soak_origin *origin, const struct soak_router *router,
+           const char *id)
+{
+    double bound =
+        origin->rate_per_s * RATE_WINDOW_MS / 1000 * RATE_FACTOR + RATE_SLACK;
+    int64_t now_ms = soak_now();
+    size_t first = origin->rated_next > SOAK_RATE_COUNTED
+                       ? origin->rated_next - SOAK_RATE_COUNTED
+                       : 0;
+    size_t count = 0;
+
+    if (origin->rate_from_ms == 0 ||
+        origin->rate_incarnation != origin->incarnation ||
+        now_ms - origin->rate_from_ms < RATE_KNOWN_MS || router == NULL ||
+        router->paused || now_ms - router->disrupted_ms < RATE_EXCUSED_MS ||
+        now_ms - router->frozen_ms < RATE_EXCUSED_MS ||
+        now_ms - origin->faulted_ms < RATE_WINDOW_MS + ENDPOINT_DELAY_MS) {
+        return;
+    }
+    origin->soak->rate_requests++;
+    origin->rated[origin->rated_next++ % SOAK_RATE_COUNTED] = now_ms;
+    for (size_t i = first; i < origin->rated_next; i++) {
+        count += now_ms - origin->rated[i % SOAK_RATE_COUNTED] < RATE_WINDOW_MS
+                     ? 1
+                     : 0;
+    }
+    if ((double)count > bound) {
+        soak_violation(origin->soak,
+                       "%s: %s received %zu requests in 4 s, states %.1f a "
+                       "second for %lld ms, the last from %s",
+                       id, origin->id, count, origin->rate_per_s,
+                       (long long)(now_ms - origin->rate_from_ms),
+                       router->name);
+    }
+}
+
 void
 soak_check_received(void *ctx, const char *id)
 {
@@ -112,4 +159,5 @@
 
     check_evacuation(origin, router_of(origin->soak, id), id);
     check_cold(origin, router_of(origin->soak, id), id);
+    check_rate(origin, router_of(origin->soak, id), id);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -28,6 +28,9 @@
 #define SOAK_COLD_SLACK 5.0
 /// More than the requests that a cold endpoint may receive in a second.
 #define SOAK_COLD_COUNTED 16
+/// More than the requests that an endpoint with a stated rate may receive in
+/// the window of its bound.
+#define SOAK_RATE_COUNTED 64
 #define SOAK_EVENTS 12
 #define SOAK_GRACE_MS 4000
 /// Less than one of the long answers.
@@ -87,6 +90,11 @@
     int64_t fault_end_ms; ///< 0: no fault
     int64_t faulted_ms;
     unsigned incarnation;
+    int64_t rate_from_ms; ///< states a rate since then; 0: none
+    double rate_per_s;
+    unsigned rate_incarnation;
+    int64_t rated[SOAK_RATE_COUNTED]; ///< last requests under the rate
+    size_t rated_next;
 };
 
 /// A client outside the limits.
@@ -104,6 +112,12 @@
     /// For what is not a fault: the faults of a seed do not depend on it.
     struct random_seeded other_seeded;
     struct random_source other_random;
+    /// For the rates, so that nothing else of a seed depends on them.
+    struct random_seeded rate_seeded;
+    struct random_source rate_random;
+    int64_t next_rate_ms;
+    uint64_t rates;
+    uint64_t rate_requests; ///< received under a rate and counted
     int64_t next_loads_ms;
     int64_t next_evacuation_ms;
     int64_t evacuated_ms; ///< 0: the last zone is not evacuated
--- a/soak/variations.c
+++ b/soak/variations.c
@@ -7,6 +7,9 @@
 #define EVACUATED_MIN_MS 6000
 #define EVACUATION_PAUSE_MS 500
 #define COLD_PAUSE_MS 500
+/// The endpoint that states rates, and for how long at least.
+#define RATED_ORIGIN 1
+#define RATE_MIN_MS 5000
 /// Endpoints write their entries again and again.
 #define ENTRY_INTERVAL_MS 1200
 
@@ -132,6 +135,52 @@
     }
 }
 
+/// One endpoint at a time states a rate for a spell; values that are none,
+/// too.
+static void
+vary_rates(struct soak *soak, int64_t now_ms)
+{
+    static const struct {
+        const char *fields;
+        double per_s; ///< negative: not a rate
+    } rates[] = {
+        {"Server-Limit: 1\r\n", 1},      {"Server-Limit: 2.5\r\n", 2.5},
+        {"server-limit: 5\r\n", 5},      {"Server-Limit: 0\r\n", 0},
+        {"Server-Limit: often\r\n", -1}, {"Server-Limit: 1e-9\r\n", -1},
+    };
+    struct soak_origin *origin = &soak->origins[RATED_ORIGIN];
+    size_t number;
+
+    if (origin->rate_incarnation != origin->incarnation) {
+        origin->rate_from_ms = 0;
+    }
+    if (soak->verifying) {
+        origin_set_fields(origin->origin, NULL);
+        origin->rate_from_ms = 0;
+        return;
+    }
+    if (now_ms < soak->next_rate_ms) {
+        return;
+    }
+    number =
+        random_below(&soak->rate_random, 1 + sizeof(rates) / sizeof(rates[0]));
+    soak->next_rate_ms =
+        now_ms + RATE_MIN_MS + (int64_t)random_below(&soak->rate_random, 4000);
+    origin->rate_from_ms = 0;
+    if (number >= sizeof(rates) / sizeof(rates[0])) {
+        origin_set_fields(origin->origin, NULL);
+        return;
+    }
+    origin_set_fields(origin->origin, rates[number].fields);
+    if (rates[number].per_s >= 0) {
+        origin->rate_from_ms = now_ms;
+        origin->rate_per_s = rates[number].per_s;
+        origin->rate_incarnation = origin->incarnation;
+        origin->rated_next = 0;
+        soak->rates++;
+    }
+}
+
 void
 soak_vary(struct soak *soak)
 {
@@ -140,4 +189,5 @@
     vary_loads(soak, now_ms);
     vary_evacuation(soak, now_ms);
     vary_cold(soak, now_ms);
+    vary_rates(soak, now_ms);
 }
