--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -404,7 +404,7 @@
     origin_set_fields(harness.origins[0], fields);
     call_once(&harness, 0, "/look/");
     for (size_t round = 0; round < SLOW_ROUNDS; round++) {
-        struct direct_call calls[SLOW_CALLS];
+        struct direct_call calls[SLOW_CALLS] = {0};
 
         for (size_t i = 0; i < SLOW_CALLS; i++) {
             char id[24];
