cold: routers that start are told of refused connections

Cause: a router that starts between an endpoint's crash and its next entry reads the entry from before. The others know from refused connections that the endpoint may start again, and reported that once, before this router was linked. Class: what peers report once is missing at a router that is linked later; parts of prompts and stated rates are told at linking already.

Ruled out: reporting lost connections too (often reset on the way, and one router with a broken path would make endpoints cold for others); taking all endpoints as cold until linked (a fleet whose routers all start would serve next to nothing).

Left: the time until the link is made.

--- a/core/warmup.c
+++ b/core/warmup.c
@@ -74,10 +74,12 @@
 }
 
 bool
-warmup_suspect(struct warmup *warmup, int64_t now_ms)
+warmup_suspect(struct warmup *warmup, int64_t now_ms, bool refused)
 {
     bool is_new = !is_suspected(warmup, now_ms);
 
+    warmup->refused =
+        refused || (warmup->refused && warmup_is_cold(warmup, now_ms));
     begin(warmup, now_ms);
     warmup->suspected_ms = now_ms;
     if (is_new && now_ms >= warmup->until_ms) {
@@ -86,6 +88,14 @@
     return is_new;
 }
 
+bool
+warmup_entry_may_be_old(const struct warmup *warmup, int64_t now_ms)
+{
+    return warmup->refused &&
+           (is_suspected(warmup, now_ms) ||
+            (now_ms < warmup->until_ms && warmup->source == WARMUP_RESTART));
+}
+
 bool
 warmup_answered(struct warmup *warmup, int64_t now_ms, int64_t connected_ms,
                 int64_t sent_ms, int64_t start_ms)
--- a/core/warmup.h
+++ b/core/warmup.h
@@ -52,6 +52,9 @@
     /// When its connections were refused or lost, so that it may have started
     /// again; 0: not since it last answered.
     int64_t suspected_ms;
+    /// Its connections were refused, here or at a peer, since it was last
+    /// known to be warm.
+    bool refused;
     double sent_ms; ///< when this router last sent a request
     enum warmup_source source;
 };
@@ -68,9 +71,13 @@
 bool warmup_extend(struct warmup *warmup, int64_t now_ms, int64_t left_ms,
                    enum warmup_source source);
 
-/// A connection was refused or lost: the endpoint may start again at any
-/// moment. False if this was known.
-bool warmup_suspect(struct warmup *warmup, int64_t now_ms);
+/// A connection was refused, or with `refused` false lost: the endpoint may
+/// start again at any moment. False if this was known.
+bool warmup_suspect(struct warmup *warmup, int64_t now_ms, bool refused);
+
+/// True if a router that starts now is to be told that connections were
+/// refused: the endpoint's entry may still be the one from before.
+bool warmup_entry_may_be_old(const struct warmup *warmup, int64_t now_ms);
 
 /// The endpoint has answered a request that was sent at `sent_ms`, on a
 /// connection that was made at `connected_ms`. A connection made after the
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -102,7 +102,7 @@
 {
     struct endpoint *endpoint = exchange->endpoint;
 
-    cold_suspect(direct_cold(exchange->direct), endpoint);
+    cold_suspect(direct_cold(exchange->direct), endpoint, true);
     if (!eject_connect_failure(&endpoint->eject, exchange_now(exchange))) {
         return;
     }
@@ -580,7 +580,7 @@
         attempt_failed(exchange, ATTEMPT_UNSENT, detail);
         return;
     case CHANNEL_LOST:
-        cold_suspect(direct_cold(exchange->direct), exchange->endpoint);
+        cold_suspect(direct_cold(exchange->direct), exchange->endpoint, false);
         attempt_record_failure(exchange, detail);
         record_crash(exchange);
         attempt_failed(exchange, ATTEMPT_LOST, detail);
--- a/direct/cold.c
+++ b/direct/cold.c
@@ -134,15 +134,23 @@
 }
 
 void
-cold_suspect(struct cold *cold, struct endpoint *endpoint)
+cold_suspect(struct cold *cold, struct endpoint *endpoint, bool refused)
 {
     // Endpoints of other services are not cold after a start.
     if (limits_of(cold, endpoint).start_ms > 0 &&
-        warmup_suspect(&endpoint->warmup, clock_ms(cold->options.clock))) {
+        warmup_suspect(&endpoint->warmup, clock_ms(cold->options.clock),
+                       refused)) {
         log_begin(cold, endpoint);
     }
 }
 
+bool
+cold_is_to_be_told(const struct cold *cold, const struct endpoint *endpoint)
+{
+    return warmup_entry_may_be_old(&endpoint->warmup,
+                                   clock_ms(cold->options.clock));
+}
+
 void
 cold_answered(struct cold *cold, struct endpoint *endpoint,
               const struct channel *channel, const struct answer_facts *answer)
--- a/direct/cold.h
+++ b/direct/cold.h
@@ -48,8 +48,14 @@
 void cold_entry_renewed(struct cold *cold, struct endpoint *endpoint,
                         int64_t left_ms);
 
-/// A connection to the endpoint was refused or lost, here or at a peer.
-void cold_suspect(struct cold *cold, struct endpoint *endpoint);
+/// A connection to the endpoint was refused, here or at a peer, or with
+/// `refused` false lost here.
+void cold_suspect(struct cold *cold, struct endpoint *endpoint, bool refused);
+
+/// True if a router that has just been linked is to be told that connections
+/// to the endpoint were refused.
+bool cold_is_to_be_told(const struct cold *cold,
+                        const struct endpoint *endpoint);
 
 /// The endpoint has answered a request on the channel. `answer` may state that
 /// it is cold; NULL: part of a stream.
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -609,6 +609,15 @@
                    MESSAGE_VERSION);
 }
 
+void
+mesh_send_down_to(struct link *link, uint64_t endpoint)
+{
+    link_send(link, &(struct message){
+                        .type = MESSAGE_DOWN,
+                        .down.endpoint = endpoint,
+                    });
+}
+
 void
 mesh_send_failing(struct mesh *mesh, uint64_t endpoint)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -117,6 +117,9 @@
 /// Reports to all peers that an endpoint accepts no connections.
 void mesh_send_down(struct mesh *mesh, uint64_t endpoint);
 
+/// The same to one peer.
+void mesh_send_down_to(struct link *link, uint64_t endpoint);
+
 /// Reports to all peers that an endpoint fails its requests.
 void mesh_send_failing(struct mesh *mesh, uint64_t endpoint);
 
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -118,11 +118,27 @@
     }
 }
 
+/// A peer that has just started may have read only entries from before a
+/// crash.
+static void
+send_down(struct direct *direct, struct link *link)
+{
+    struct endpoint *endpoint;
+
+    for (endpoint = endpoints_first(direct->endpoints); endpoint != NULL;
+         endpoint = endpoint->hh.next) {
+        if (cold_is_to_be_told(direct->cold, endpoint)) {
+            mesh_send_down_to(link, endpoint->hash);
+        }
+    }
+}
+
 static void
 on_peer_ready(void *ctx, struct link *link)
 {
     blame_send_held(ctx, link);
     send_rates(ctx, link);
+    send_down(ctx, link);
 }
 
 static void
@@ -197,7 +213,7 @@
     struct endpoint *endpoint = endpoints_find_hash(direct->endpoints, hash);
 
     if (endpoint != NULL && is_down) {
-        cold_suspect(direct->cold, endpoint);
+        cold_suspect(direct->cold, endpoint, true);
     }
     if (endpoint != NULL && !endpoint->eject.trial) {
         eject_begin_trial(&endpoint->eject, clock_ms(direct->options.clock));
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -18,12 +18,13 @@
 #define RECORD_MS 700
 #define SETTLE_MS 400
 /// Rate 4 and slack 2: bound 8, two senders.
-#define COLD_SERVICE "\"cold_start_s\":1.5,\"cold_per_s\":4,"
+#define COLD_SERVICE "\"cold_start_s\":%.1f,\"cold_per_s\":4,"
+#define COLD_START_S 1.5
 #define COLD_BOUND 8
 #define SAMPLES_MAX 100000
 
 static void
-put_document(struct direct_harness *harness)
+put_document(struct direct_harness *harness, double cold_start_s)
 {
     static const char mark[] = "\"name\":\"models\",";
     char *text;
@@ -33,7 +34,8 @@
     harness->version += 3;
     text = platform_document(harness->version, "key", false, 800, 3000);
     at = strstr(text, mark) + sizeof(mark) - 1;
-    changed = xasprintf("%.*s" COLD_SERVICE "%s", (int)(at - text), text, at);
+    changed = xasprintf("%.*s" COLD_SERVICE "%s", (int)(at - text), text,
+                        cold_start_s, at);
     keyed_store_put(harness->store, KEYED_STORE_TOPIC_OPERATOR, "config",
                     str_from(changed));
     free(changed);
@@ -82,7 +84,7 @@
         harness->settings[i].cold_rate_factor = 1.5;
         harness->settings[i].cold_slack = 2;
     }
-    put_document(harness);
+    put_document(harness, COLD_START_S);
     for (size_t i = 0; i < origins; i++) {
         put_entry(harness, i, i == 0 ? "z" : "y", 0);
     }
@@ -112,10 +114,10 @@
     return status;
 }
 
-/// Calls all routers in turn for a time. Returns the highest number of
+/// Calls the first `routers` in turn for a time. Returns the highest number of
 /// requests that endpoint 0 received within a second.
 static uint64_t
-most_in_a_second(struct direct_harness *harness, int64_t ms)
+most_in_a_second_by(struct direct_harness *harness, size_t routers, int64_t ms)
 {
     static struct {
         int64_t at_ms;
@@ -135,11 +137,17 @@
         if (samples[i].count - samples[first].count > most) {
             most = samples[i].count - samples[first].count;
         }
-        call_once(harness, i % harness->options.routers, "/look/", NULL);
+        call_once(harness, i % routers, "/look/", NULL);
     }
     return most;
 }
 
+static uint64_t
+most_in_a_second(struct direct_harness *harness, int64_t ms)
+{
+    return most_in_a_second_by(harness, harness->options.routers, ms);
+}
+
 /// True if all of more calls than the bound allows are served, one right after
 /// the other. A limited endpoint would refuse most of them, however slow the
 /// machine is: its routers send few in a row.
@@ -215,6 +223,36 @@
     direct_harness_stop(&harness);
 }
 
+/// A router starts between an endpoint's crash and its next entry: it has read
+/// only the entry from before.
+static void
+test_router_starts_after_crash(void)
+{
+    for (int answered = 0; answered < 2; answered++) {
+        struct direct_harness harness;
+
+        start(&harness, 3, 1, 0);
+        put_document(&harness, 4);
+        direct_harness_run(&harness, RECORD_MS);
+        direct_harness_stop_router(&harness, 2);
+        origin_set_crash(harness.origins[0],
+                         &(struct origin_crash_options){.away_ms = 300});
+        origin_crash(harness.origins[0]);
+        for (size_t i = 0; i < 4; i++) {
+            CU_ASSERT(call_once(&harness, i % 2, "/look/", NULL) != 200);
+        }
+        direct_harness_run(&harness, 400);
+        if (answered) {
+            // Enough for a sender among the two to have sent.
+            most_in_a_second_by(&harness, 2, 600);
+        }
+        direct_harness_start_router(&harness, 2);
+        direct_harness_run(&harness, RECORD_MS);
+        CU_ASSERT(most_in_a_second(&harness, 1000) <= COLD_BOUND);
+        direct_harness_stop(&harness);
+    }
+}
+
 /// An evacuated zone gets nothing: new requests, retries and resumed streams,
 /// also of a router that has the record from a peer, and of one that starts.
 static void
@@ -291,6 +329,8 @@
     CU_add_test(suite, "cold entry", test_cold_entry);
     CU_add_test(suite, "all cold", test_all_cold);
     CU_add_test(suite, "restart before entry", test_restart_before_entry);
+    CU_add_test(suite, "router starts after crash",
+                test_router_starts_after_crash);
     CU_add_test(suite, "evacuated zone", test_evacuated_zone);
     CU_add_test(suite, "returned zone", test_returned_zone);
 }
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -155,8 +155,8 @@
     struct warmup warmup = {0};
     int64_t now_ms = BEGIN_MS;
 
-    CU_ASSERT(warmup_suspect(&warmup, now_ms));
-    CU_ASSERT(!warmup_suspect(&warmup, now_ms + 100));
+    CU_ASSERT(warmup_suspect(&warmup, now_ms, true));
+    CU_ASSERT(!warmup_suspect(&warmup, now_ms + 100, true));
     CU_ASSERT(warmup_is_cold(&warmup, now_ms + 100));
     CU_ASSERT(!warmup_answered(&warmup, now_ms + 200, now_ms - 90, now_ms - 10,
                                6000));
@@ -166,24 +166,24 @@
     CU_ASSERT(warmup_left_ms(&warmup, now_ms + 2000) == 6000);
 
     warmup = (struct warmup){0};
-    warmup_suspect(&warmup, now_ms);
+    warmup_suspect(&warmup, now_ms, true);
     CU_ASSERT(warmup_answered(&warmup, now_ms + 1200, now_ms - 90, now_ms - 10,
                               6000));
     CU_ASSERT(!warmup_is_cold(&warmup, now_ms + 1200));
 
     warmup = (struct warmup){0};
-    warmup_suspect(&warmup, now_ms);
+    warmup_suspect(&warmup, now_ms, true);
     CU_ASSERT(
         warmup_answered(&warmup, now_ms + 30, now_ms - 90, now_ms + 10, 6000));
     CU_ASSERT(!warmup_is_cold(&warmup, now_ms + 30));
 
     warmup = (struct warmup){0};
-    warmup_suspect(&warmup, now_ms);
+    warmup_suspect(&warmup, now_ms, true);
     CU_ASSERT(warmup_renewed(&warmup, now_ms + WARMUP_ENTRY_LAG_MS, 6000));
     CU_ASSERT(warmup_left_ms(&warmup, now_ms + WARMUP_ENTRY_LAG_MS) == 6000);
 
     warmup = (struct warmup){0};
-    warmup_suspect(&warmup, now_ms);
+    warmup_suspect(&warmup, now_ms, true);
     CU_ASSERT(!warmup_is_cold(&warmup, now_ms + WARMUP_SUSPECT_MAX_MS));
 }
 
