rate-limits: a router that is linked is told of all rates

What callers would see: endpoints that state a rate get more than they take from a router that has just started, in a fleet with more than 256 such endpoints; 600 are planned.

Cause: at linking, the first MESSAGE_RATES_MAX rates were sent and the rest never, unless an endpoint's state changed or was renewed (5 s). The reports of changes do not have this fault: what has no room stays due.

Change: the rates are sent in as many messages as they need.

`rate-limit: more rates than a message holds` failed with one message and passes now; the suite has 11 passed.

--- a/direct/peers.c
+++ b/direct/peers.c
@@ -94,7 +94,7 @@
     struct direct *direct = ctx;
 
     return rate_limits_collect(direct->rate_limits, direct->endpoints, items,
-                               max, false);
+                               max);
 }
 
 static void
@@ -110,11 +110,15 @@
 send_rates(struct direct *direct, struct link *link)
 {
     struct message_rate items[MESSAGE_RATES_MAX];
-    size_t count = rate_limits_collect(direct->rate_limits, direct->endpoints,
-                                       items, MESSAGE_RATES_MAX, true);
+    const struct endpoint *next = endpoints_first(direct->endpoints);
 
-    if (count > 0) {
-        mesh_send_rates(direct->mesh, link, items, count);
+    while (next != NULL) {
+        size_t count = rate_limits_collect_known(direct->rate_limits, &next,
+                                                 items, MESSAGE_RATES_MAX);
+
+        if (count > 0) {
+            mesh_send_rates(direct->mesh, link, items, count);
+        }
     }
 }
 
--- a/direct/rate_limits.c
+++ b/direct/rate_limits.c
@@ -173,9 +173,23 @@
     }
 }
 
+static struct message_rate
+describe(const struct endpoint *endpoint, int64_t now_ms)
+{
+    const struct rate_limit *limit = &endpoint->rate_limit;
+
+    return (struct message_rate){
+        .endpoint = endpoint->hash,
+        .incarnation = (uint64_t)endpoint->incarnation,
+        .holds = limit->holds,
+        .milli_per_s = (uint32_t)(limit->per_s * 1000 + 0.5),
+        .age_ms = (uint32_t)(now_ms - limit->confirmed_ms),
+    };
+}
+
 size_t
 rate_limits_collect(struct rate_limits *limits, struct endpoints *endpoints,
-                    struct message_rate *items, size_t max, bool all)
+                    struct message_rate *items, size_t max)
 {
     int64_t now_ms = clock_ms(limits->options.clock);
     struct endpoint *endpoint;
@@ -183,19 +197,26 @@
 
     for (endpoint = endpoints_first(endpoints);
          endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
-        struct rate_limit *limit = &endpoint->rate_limit;
-        bool is_wanted = all ? rate_limit_is_known(limit, now_ms)
-                             : rate_limit_take_report(limit, now_ms);
-
-        if (is_wanted) {
-            items[count++] = (struct message_rate){
-                .endpoint = endpoint->hash,
-                .incarnation = (uint64_t)endpoint->incarnation,
-                .holds = limit->holds,
-                .milli_per_s = (uint32_t)(limit->per_s * 1000 + 0.5),
-                .age_ms = (uint32_t)(now_ms - limit->confirmed_ms),
-            };
+        if (rate_limit_take_report(&endpoint->rate_limit, now_ms)) {
+            items[count++] = describe(endpoint, now_ms);
+        }
+    }
+    return count;
+}
+
+size_t
+rate_limits_collect_known(const struct rate_limits *limits,
+                          const struct endpoint **next,
+                          struct message_rate *items, size_t max)
+{
+    int64_t now_ms = clock_ms(limits->options.clock);
+    size_t count = 0;
+
+    while (*next != NULL && count < max) {
+        if (rate_limit_is_known(&(*next)->rate_limit, now_ms)) {
+            items[count++] = describe(*next, now_ms);
         }
+        *next = (*next)->hh.next;
     }
     return count;
 }
--- a/direct/rate_limits.h
+++ b/direct/rate_limits.h
@@ -47,8 +47,15 @@
                          const struct message_rate *items, size_t count,
                          bool relays);
 
-/// Writes the rates that peers do not know yet, or with `all` those that a
-/// peer which has just been linked is to know; returns their number.
+/// Writes the rates that peers do not know yet; returns their number. Those
+/// beyond `max` are left for the next call.
 size_t rate_limits_collect(struct rate_limits *limits,
                            struct endpoints *endpoints,
-                           struct message_rate *items, size_t max, bool all);
+                           struct message_rate *items, size_t max);
+
+/// Writes the rates that a peer which has just been linked is to know, from
+/// `next` on, which is set to the endpoint behind the last one; NULL: all are
+/// written.
+size_t rate_limits_collect_known(const struct rate_limits *limits,
+                                 const struct endpoint **next,
+                                 struct message_rate *items, size_t max);
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -7,6 +7,9 @@
 #include <CUnit/CUnit.h>
 
 #include "core/rate_limit.h"
+#include "dandelionvalve/message.h"
+#include "direct/direct_state.h"
+#include "direct/endpoints.h"
 #include "direct_harness.h"
 #include "suites.h"
 
@@ -369,6 +372,52 @@
     }
 }
 
+#define MANY (MESSAGE_RATES_MAX + 20)
+
+/// A router that is linked learns all rates that hold, also if they are more
+/// than one message has room for.
+static void
+test_more_rates_than_a_message_holds(void)
+{
+    struct direct_harness harness;
+    struct endpoint *endpoint;
+    size_t holding = 0, told = 0;
+
+    start(&harness, 2, 1);
+    direct_harness_stop_router(&harness, 1);
+    for (int i = 0; i < MANY; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "many-%d", i);
+        direct_entry_put(harness.store,
+                         &(struct direct_entry){
+                             .id = id,
+                             .service = "models",
+                             .address = origin_address(harness.origins[0]),
+                             .born_ms = 1,
+                         });
+    }
+    direct_harness_run(&harness, 1000);
+    for (endpoint = endpoints_first(direct_endpoints(harness.routers[0]));
+         endpoint != NULL; endpoint = endpoint->hh.next) {
+        rate_limit_answered(&endpoint->rate_limit,
+                            &(struct rate_limit_statement){
+                                true, RATE_PER_S, clock_ms(&clock_monotonic),
+                                clock_ms(&clock_monotonic)});
+        endpoint->rate_limit.report_due = false;
+        holding++;
+    }
+    direct_harness_start_router(&harness, 1);
+    direct_harness_run(&harness, 1500);
+    for (endpoint = endpoints_first(direct_endpoints(harness.routers[1]));
+         endpoint != NULL; endpoint = endpoint->hh.next) {
+        told += endpoint->rate_limit.holds ? 1 : 0;
+    }
+    CU_ASSERT(holding > MESSAGE_RATES_MAX);
+    CU_ASSERT(told == holding);
+    direct_harness_stop(&harness);
+}
+
 #define SLOW_CALLS 12
 #define SLOW_ROUNDS 6
 
@@ -485,5 +534,7 @@
     CU_add_test(suite, "stated rate ends", test_stated_rate_ends);
     CU_add_test(suite, "overload hidden by limited endpoints",
                 test_overload_hidden_by_limited_endpoints);
+    CU_add_test(suite, "more rates than a message holds",
+                test_more_rates_than_a_message_holds);
     CU_add_test(suite, "odd stated rates", test_odd_stated_rates);
 }
