candidates: endpoints with taken slots get nothing while others state rates

Cause: the cap on an endpoint's load follows the mean of the usable endpoints, and those without room by their rate are not usable; so the cap rises with the load of the few that it is to protect. Shedding follows answers, which come late just then.

Change: while an endpoint has no room by its rate, a new request is not placed where all slots are taken, and refused at once if there is no other endpoint (counted in rate_limited_refused_total, `queueing` in explain). Repeats and resumed streams still wait: they have run.

--- a/core/place.c
+++ b/core/place.c
@@ -37,6 +37,12 @@
     return *usable > 0 ? sum / (double)*usable : 0;
 }
 
+bool
+place_has_queue(const struct place_candidate *candidate)
+{
+    return candidate->slots > 0 && candidate->load >= candidate->slots;
+}
+
 /// Finds the first usable endpoints in the prompt's rendezvous order.
 static void
 find_homes(const struct place_request *request,
--- a/core/place.h
+++ b/core/place.h
@@ -67,6 +67,9 @@
     double slow_down;       ///< see speed_slow_down(); 0: unknown
 };
 
+/// True if a request would wait there until another one has run.
+bool place_has_queue(const struct place_candidate *candidate);
+
 struct place_choice;
 
 struct place_request {
--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -72,6 +72,7 @@
         [CANDIDATE_ON_TRIAL] = "on trial",
         [CANDIDATE_FAILING] = "failing",
         [CANDIDATE_FULL] = "full",
+        [CANDIDATE_QUEUEING] = "queueing",
         [CANDIDATE_RATE_LIMITED] = "rate limited",
     };
 
@@ -235,6 +236,29 @@
     }
 }
 
+/// Makes the candidates unusable whose slots are taken, while the stated rates
+/// of others leave them with all the work: the requests would wait there until
+/// load shedding has noticed. True if there are any.
+static bool
+exclude_queueing(struct candidates *set, size_t count)
+{
+    bool any_limited = false;
+    bool any_queueing = false;
+
+    for (size_t i = 0; i < count; i++) {
+        any_limited =
+            any_limited || set->exclusions[i] == CANDIDATE_RATE_LIMITED;
+    }
+    for (size_t i = 0; i < count && any_limited; i++) {
+        if (set->candidates[i].usable &&
+            place_has_queue(&set->candidates[i])) {
+            exclude_one(set, i, CANDIDATE_QUEUEING);
+            any_queueing = true;
+        }
+    }
+    return any_queueing;
+}
+
 /// Presumes the mean gap where none has been learned yet.
 static void
 fill_unknown_gaps(struct place_candidate *candidates, size_t count)
@@ -324,11 +348,13 @@
         exclude_failing(set, count);
     }
     exclude_full(set, query, count, now_ms);
+    *choice = (struct endpoints_choice){0};
+    choice->is_queueing =
+        query->may_be_refused && exclude_queueing(set, count);
     fill_unknown_gaps(candidates, count);
     if (request->even_load) {
         spread_estimate(candidates, count, request->known_share);
     }
-    *choice = (struct endpoints_choice){0};
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
     }
--- a/direct/candidates.h
+++ b/direct/candidates.h
@@ -24,8 +24,9 @@
     CANDIDATE_TRIED,
     CANDIDATE_EJECTED,
     CANDIDATE_ON_TRIAL,
-    CANDIDATE_FAILING, ///< fails more than others, and this is a repeat
-    CANDIDATE_FULL,    ///< the request would fill its memory
+    CANDIDATE_FAILING,  ///< fails more than others, and this is a repeat
+    CANDIDATE_FULL,     ///< the request would fill its memory
+    CANDIDATE_QUEUEING, ///< its slots are taken, while others state rates
 };
 
 struct candidates;
@@ -61,6 +62,7 @@
     bool at_most_once;      ///< the request may not be repeated
     bool spares_trials;     ///< such a request avoids endpoints on trial
     bool is_repeat;         ///< an endpoint has run the request, and failed
+    bool may_be_refused;    ///< no endpoint has been offered the request
     double tokens;          ///< that the request will need there; 0: not known
     double capacity_tokens; ///< memory of an endpoint; 0: not known
 };
@@ -69,6 +71,7 @@
     struct endpoint *endpoint;
     struct endpoint *source; ///< has more of the prompt cached; NULL: none
     struct place_choice place;
+    bool is_queueing; ///< usable endpoints were left out as CANDIDATE_QUEUEING
 };
 
 /// Chooses an endpoint; false if none is usable.
--- a/direct/dispatch.c
+++ b/direct/dispatch.c
@@ -41,6 +41,8 @@
         .at_most_once = !exchange_is_repeatable(exchange),
         .spares_trials = direct_settings(direct)->share_ejections,
         .is_repeat = exchange->runs > 0,
+        .may_be_refused =
+            exchange->offers == 0 && exchange->facts.last_event_id.len == 0,
         .tokens = exchange->facts.has_output_hint
                       ? holding_expect_tokens(exchange)
                       : 0,
@@ -129,10 +131,16 @@
 }
 
 const char *
-dispatch_refusal(const struct exchange *exchange, enum counter_id *counter)
+dispatch_refusal(const struct exchange *exchange,
+                 const struct endpoints_choice *choice,
+                 enum counter_id *counter)
 {
     const struct endpoints *endpoints = direct_endpoints(exchange->direct);
 
+    if (choice->is_queueing) {
+        *counter = COUNTER_RATE_LIMITED_REFUSED;
+        return "endpoints state rates, and the slots of the others are taken";
+    }
     *counter = COUNTER_COLD_REFUSED;
     if (endpoints_are_evacuated(endpoints, exchange->service)) {
         return "the zones of all endpoints are evacuated";
@@ -150,10 +158,10 @@
 }
 
 static void
-refuse(struct exchange *exchange)
+refuse(struct exchange *exchange, const struct endpoints_choice *choice)
 {
     enum counter_id counter;
-    const char *reason = dispatch_refusal(exchange, &counter);
+    const char *reason = dispatch_refusal(exchange, choice, &counter);
 
     if (counter != COUNTER_END) {
         counter_add(direct_counters(exchange->direct), counter, 1);
@@ -184,7 +192,7 @@
             exchange, "no endpoint is usable to continue the stream");
     }
     else {
-        refuse(exchange);
+        refuse(exchange, &choice);
     }
 }
 
--- a/direct/dispatch.h
+++ b/direct/dispatch.h
@@ -23,9 +23,10 @@
                      struct place_choice *considered,
                      struct endpoints_choice *choice);
 
-/// Why no endpoint is usable. `counter` is set to that of such refusals, or
-/// COUNTER_END.
+/// Why no endpoint is usable, as `choice` found. `counter` is set to that of
+/// such refusals, or COUNTER_END.
 const char *dispatch_refusal(const struct exchange *exchange,
+                             const struct endpoints_choice *choice,
                              enum counter_id *counter);
 
 /// What load shedding decides on a request.
--- a/direct/explain.c
+++ b/direct/explain.c
@@ -277,7 +277,7 @@
     json_object_set_new(
         json, "refusal",
         found ? json_null()
-              : json_string(dispatch_refusal(exchange, &counter)));
+              : json_string(dispatch_refusal(exchange, &choice, &counter)));
     json_object_set_new(json, "candidate_count",
                         json_integer((json_int_t)candidates_count(
                             endpoints_candidates(direct->endpoints))));
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -372,6 +372,64 @@
     }
 }
 
+/// Requests that an endpoint processes at once, by its entry.
+#define SLOTS 8
+#define BURIED_CALLS (SLOTS + 12)
+
+/// Starts many calls at once; returns how many are refused before any of the
+/// others can have ended. Endpoint 0 states a rate, or not.
+static size_t
+count_refused_at_once(const char *fields)
+{
+    struct direct_call calls[BURIED_CALLS] = {0};
+    struct direct_harness harness;
+    size_t refused = 0;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 2,
+                                       .work_us = 250000,
+                                   });
+    harness.settings[0].settle_ms = 0;
+    direct_harness_stop_router(&harness, 0);
+    direct_harness_start_router(&harness, 0);
+    direct_harness_run(&harness, 1000);
+    origin_set_fields(harness.origins[0], fields);
+    for (int i = 0; i < 8; i++) {
+        call_once(&harness, 0, "/look/");
+    }
+    for (size_t i = 0; i < BURIED_CALLS; i++) {
+        char id[24];
+
+        snprintf(id, sizeof(id), "buried-%zu", i);
+        direct_call_start(&harness, 0, &calls[i], "POST", "/look/", id, NULL,
+                          "x");
+    }
+    direct_harness_run(&harness, 150);
+    for (size_t i = 0; i < BURIED_CALLS; i++) {
+        refused += calls[i].ended && calls[i].status == 503 ? 1 : 0;
+    }
+    CU_ASSERT(counter_get(&harness.counters[0],
+                          COUNTER_RATE_LIMITED_REFUSED) >= refused);
+    direct_harness_run(&harness, 2000);
+    for (size_t i = 0; i < BURIED_CALLS; i++) {
+        CU_ASSERT(calls[i].ended);
+        direct_call_free(&calls[i]);
+    }
+    direct_harness_stop(&harness);
+    return refused;
+}
+
+/// An endpoint without a rate gets the requests of all that state one, and
+/// they wait behind its slots until they are late.
+static void
+test_other_endpoint_buried(void)
+{
+    CU_ASSERT(count_refused_at_once(NULL) == 0);
+    CU_ASSERT(count_refused_at_once("Server-Limit: 0.5\r\n") >=
+              BURIED_CALLS - SLOTS - 4);
+}
+
 #define MANY (MESSAGE_RATES_MAX + 20)
 
 /// A router that is linked learns all rates that hold, also if they are more
@@ -536,5 +594,6 @@
                 test_overload_hidden_by_limited_endpoints);
     CU_add_test(suite, "more rates than a message holds",
                 test_more_rates_than_a_message_holds);
+    CU_add_test(suite, "other endpoint buried", test_other_endpoint_buried);
     CU_add_test(suite, "odd stated rates", test_odd_stated_rates);
 }
