--- a/direct/candidates.c
+++ b/direct/candidates.c
@@ -277,20 +277,14 @@
     }
 }
 
-bool
-endpoints_choose(struct endpoints *endpoints,
-                 const struct endpoints_query *query,
-                 const struct place_request *request,
-                 struct endpoints_choice *choice)
+/// Lists the service's endpoints with their figures, before those that the
+/// request does not use are made unusable; returns their number.
+static size_t
+list_candidates(struct candidates *set, struct endpoints *endpoints,
+                const struct endpoints_query *query, bool has_prompt)
 {
-    struct candidates *set = endpoints_candidates(endpoints);
     const struct endpoints_options *options = endpoints_options(endpoints);
-    struct place_candidate *candidates = set->candidates;
-    struct endpoint **candidate_endpoints = set->endpoints;
-    bool *ejected = set->ejected;
-    bool *avoided = set->avoided;
-    bool *takes_requests = set->takes_requests;
-    int64_t now_ms = clock_ms(options->clock);
+    int64_t now_ms = set->now_ms;
     struct endpoint *endpoint;
     size_t count = 0;
 
@@ -300,31 +294,32 @@
         if (!str_equal(endpoint->service, query->service)) {
             continue;
         }
-        candidate_endpoints[count] = endpoint;
-        ejected[count] =
+        set->endpoints[count] = endpoint;
+        set->ejected[count] =
             eject_is_blocked(&endpoint->eject, now_ms, endpoint->in_flight);
-        avoided[count] =
-            ejected[count] || (query->at_most_once && query->spares_trials &&
+        set->avoided[count] = set->ejected[count] ||
+                              (query->at_most_once && query->spares_trials &&
                                eject_spares_once(&endpoint->eject, now_ms));
         set->exclusions[count] = standing_exclusion(endpoints, endpoint);
-        takes_requests[count] = set->exclusions[count] == CANDIDATE_USABLE;
-        if (takes_requests[count] && was_tried(query, endpoint->hash)) {
+        set->takes_requests[count] =
+            set->exclusions[count] == CANDIDATE_USABLE;
+        if (set->takes_requests[count] && was_tried(query, endpoint->hash)) {
             set->exclusions[count] = CANDIDATE_TRIED;
         }
-        candidates[count] = (struct place_candidate){
+        set->candidates[count] = (struct place_candidate){
             .hash = endpoint->hash,
             .usable = set->exclusions[count] == CANDIDATE_USABLE,
             // A draining endpoint still serves its contexts to others, and so
             // does one that states a rate: the transfer is no request, and the
             // others would have to prefill its prompts.
-            .sends_contexts = !ejected[count],
+            .sends_contexts = !set->ejected[count],
             .rate_limited = endpoint->rate_limit.holds,
             .same_zone = str_equal(endpoint->zone, options->zone),
             .zone = endpoint->zone_hash,
             // A plain call ends before peers report it. Their outdated loads
             // would make all routers choose the same endpoint.
-            .load = request->has_prompt ? endpoint_load(endpoint, now_ms)
-                                        : endpoint->in_flight,
+            .load = has_prompt ? endpoint_load(endpoint, now_ms)
+                               : endpoint->in_flight,
             .slots = endpoint->slots,
             .backlog_tokens = endpoint_backlog_tokens(endpoint, now_ms),
             .own_load = endpoint->in_flight,
@@ -340,14 +335,29 @@
         };
         count++;
     }
+    return count;
+}
+
+bool
+endpoints_choose(struct endpoints *endpoints,
+                 const struct endpoints_query *query,
+                 const struct place_request *request,
+                 struct endpoints_choice *choice)
+{
+    struct candidates *set = endpoints_candidates(endpoints);
+    const struct endpoints_options *options = endpoints_options(endpoints);
+    struct place_candidate *candidates = set->candidates;
+    size_t count;
+
+    set->now_ms = clock_ms(options->clock);
+    count = list_candidates(set, endpoints, query, request->has_prompt);
     set->count = count;
-    set->now_ms = now_ms;
-    exclude(set, count, avoided, AVOIDED_PERCENT_MAX);
-    exclude(set, count, ejected, EJECTED_PERCENT_MAX);
+    exclude(set, count, set->avoided, AVOIDED_PERCENT_MAX);
+    exclude(set, count, set->ejected, EJECTED_PERCENT_MAX);
     if (query->is_repeat) {
         exclude_failing(set, count);
     }
-    exclude_full(set, query, count, now_ms);
+    exclude_full(set, query, count, set->now_ms);
     *choice = (struct endpoints_choice){0};
     choice->is_queueing =
         query->may_be_refused && exclude_queueing(set, count);
@@ -358,9 +368,9 @@
     if (!place_choose(request, candidates, count, &choice->place)) {
         return false;
     }
-    choice->endpoint = candidate_endpoints[choice->place.index];
+    choice->endpoint = set->endpoints[choice->place.index];
     if (choice->place.source != PLACE_NO_SOURCE) {
-        choice->source = candidate_endpoints[choice->place.source];
+        choice->source = set->endpoints[choice->place.source];
     }
     return true;
 }
