tests: memory of the crowd is judged by the rest of the sanitizer on x86-64

The growth is alike: 7 to 8 MB.

Ruled out: the router's own memory: the plain build has 10,060 to 11,676 kB on arm64.

Change: in a sanitizer build, what the router has at rest beyond 18,500 kB is taken off before the comparison. So the bound is that of x86-64 before, on each kind of processor; in the plain build nothing changes.

--- a/tests/test_crowd.c
+++ b/tests/test_crowd.c
@@ -32,6 +32,9 @@
 /// Settings of the router, and the bounds that follow from them.
 #define LIMIT_MB 32
 #define MEMORY_MAX_KB (LIMIT_MB * 1000)
+/// The memory that a router with a sanitizer has at rest differs between kinds
+/// of processors; the bound is for this one, measured on x86-64.
+#define SANITIZER_REST_KB 18500
 /// In a build with a sanitizer, memory that was freed must not count.
 #define SANITIZER_OPTIONS                                                     \
     "quarantine_size_mb=0:thread_local_quarantine_size_kb=0:"                 \
@@ -380,28 +383,43 @@
     free(units);
 }
 
+/// Memory of the sanitizer at rest beyond SANITIZER_REST_KB; 0 in a build
+/// without it.
+static long
+sanitizer_excess_kb(const struct fixture *fixture)
+{
+#ifdef __SANITIZE_ADDRESS__
+    return process_peak_kb(fixture->pid) - SANITIZER_REST_KB;
+#else
+    (void)fixture;
+    return 0;
+#endif
+}
+
 static void
 check(const char *name, const struct crowd_options *options)
 {
     struct fixture *fixture = xcalloc(1, sizeof(*fixture));
     bool is_running, answers;
     struct stat log = {0};
-    long memory_kb;
+    long memory_kb, excess_kb;
     int descriptors;
 
     start(fixture);
+    excess_kb = sanitizer_excess_kb(fixture);
     run_crowd(fixture, options);
     memory_kb = process_peak_kb(fixture->pid);
     descriptors = count_descriptors(fixture);
     is_running = is_alive(fixture);
     answers = is_running && is_served(fixture);
     stat(fixture->log, &log);
-    printf("crowd %s: alive=%d memory_kb=%ld descriptors=%d answers=%d "
+    printf("crowd %s: alive=%d memory_kb=%ld excess_kb=%ld descriptors=%d "
+           "answers=%d "
            "log_kb=%lld\n",
-           name, is_running, memory_kb, descriptors, answers,
+           name, is_running, memory_kb, excess_kb, descriptors, answers,
            (long long)log.st_size / 1024);
     CU_ASSERT(is_running);
-    CU_ASSERT(memory_kb > 0 && memory_kb <= MEMORY_MAX_KB);
+    CU_ASSERT(memory_kb > 0 && memory_kb - excess_kb <= MEMORY_MAX_KB);
     CU_ASSERT(descriptors <= DESCRIPTORS_MAX);
     CU_ASSERT(answers);
     CU_ASSERT(log.st_size <= LOG_BYTES_MAX);
