tests: one count of requests in a sliding window

test_rate_limit, test_cold and test_warmup each had a count of their own of the requests in a window, and the first two a loop that calls all routers in turn and a call with an id of its own. tests/sliding and two functions of the harness serve all three. Limits of the tables no longer drop what does not fit: sliding_add() aborts.

--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -14,6 +14,7 @@
 #include "platform/wire.h"
 #include "standin/platform_document.h"
 #include "standin/ports.h"
+#include "sliding.h"
 
 #define READY_MS 5000
 #define CALL_MS 15000
@@ -375,3 +376,38 @@
     }
     return runs;
 }
+
+int
+direct_call_once(struct direct_harness *harness, size_t router,
+                 const char *path)
+{
+    static unsigned number;
+    struct direct_call call = {0};
+    char id[24];
+
+    snprintf(id, sizeof(id), "once-%u", number++);
+    direct_call_do(harness, router, &call, "POST", path, id, NULL, "x");
+    direct_call_free(&call);
+    return call.status;
+}
+
+size_t
+direct_most_received(struct direct_harness *harness, size_t routers,
+                     int64_t window_ms, int64_t pause_ms, int64_t ms)
+{
+    static struct sliding received;
+    const struct origin *origin = harness->origins[0];
+    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
+    uint64_t before = origin_requests(origin);
+
+    sliding_reset(&received, window_ms);
+    for (size_t i = 0; clock_ms(&clock_monotonic) < end_ms; i++) {
+        direct_call_once(harness, i % routers, "/look/");
+        while (before < origin_requests(origin)) {
+            sliding_add(&received, clock_ms(&clock_monotonic));
+            before++;
+        }
+        direct_harness_run(harness, pause_ms);
+    }
+    return received.most;
+}
--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -116,5 +116,15 @@
                     const char *path, const char *id, const char *fields,
                     const char *body);
 
+/// Calls a router once with an id of its own; returns the status.
+int direct_call_once(struct direct_harness *harness, size_t router,
+                     const char *path);
+
+/// Calls the first `routers` in turn for `ms`, with a pause in between.
+/// Returns the highest number of requests that endpoint 0 has received in a
+/// window.
+size_t direct_most_received(struct direct_harness *harness, size_t routers,
+                            int64_t window_ms, int64_t pause_ms, int64_t ms);
+
 /// Requests that all endpoints have run.
 uint64_t direct_harness_runs(const struct direct_harness *harness);
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -24,7 +24,6 @@
 #define COLD_SERVICE "\"cold_start_s\":%.1f,\"cold_per_s\":4,"
 #define COLD_START_S 1.5
 #define COLD_BOUND 8
-#define SAMPLES_MAX 100000
 
 static void
 put_document(struct direct_harness *harness, double cold_start_s)
@@ -98,57 +97,23 @@
 }
 
 static int
-call_once(struct direct_harness *harness, size_t router, const char *path,
-          char *retry_after)
+call_with_retry_after(struct direct_harness *harness, const char *id,
+                      char retry_after[16])
 {
-    static unsigned number;
     struct direct_call call = {0};
-    char id[24];
-    int status;
 
-    snprintf(id, sizeof(id), "id-%u", number++);
-    direct_call_do(harness, router, &call, "POST", path, id, NULL, "x");
-    status = call.status;
-    if (retry_after != NULL) {
-        snprintf(retry_after, sizeof(call.retry_after), "%s",
-                 call.retry_after);
-    }
+    direct_call_do(harness, 0, &call, "POST", "/look/", id, NULL, "x");
+    snprintf(retry_after, sizeof(call.retry_after), "%s", call.retry_after);
     direct_call_free(&call);
-    return status;
+    return call.status;
 }
 
-/// Calls the first `routers` in turn for a time. Returns the highest number of
-/// requests that endpoint 0 received within a second.
-static uint64_t
-most_in_a_second_by(struct direct_harness *harness, size_t routers, int64_t ms)
-{
-    static struct {
-        int64_t at_ms;
-        uint64_t count;
-    } samples[SAMPLES_MAX];
-    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
-    uint64_t most = 0;
-    size_t first = 0;
-
-    for (size_t i = 0; i < SAMPLES_MAX && clock_ms(&clock_monotonic) < end_ms;
-         i++) {
-        samples[i].at_ms = clock_ms(&clock_monotonic);
-        samples[i].count = origin_requests(harness->origins[0]);
-        while (samples[i].at_ms - samples[first].at_ms > 1000) {
-            first++;
-        }
-        if (samples[i].count - samples[first].count > most) {
-            most = samples[i].count - samples[first].count;
-        }
-        call_once(harness, i % routers, "/look/", NULL);
-    }
-    return most;
-}
-
-static uint64_t
+/// The highest number of requests that endpoint 0 receives within a second.
+static size_t
 most_in_a_second(struct direct_harness *harness, int64_t ms)
 {
-    return most_in_a_second_by(harness, harness->options.routers, ms);
+    return direct_most_received(harness, harness->options.routers, 1000, 0,
+                                ms);
 }
 
 /// True if all of more calls than the bound allows are served, one right after
@@ -160,8 +125,8 @@
     bool all_served = true;
 
     for (size_t i = 0; i < 3 * COLD_BOUND; i++) {
-        all_served = call_once(harness, i % harness->options.routers, "/look/",
-                               NULL) == 200 &&
+        all_served = direct_call_once(harness, i % harness->options.routers,
+                                      "/look/") == 200 &&
                      all_served;
     }
     return all_served;
@@ -203,7 +168,10 @@
     direct_harness_run(&harness, RECORD_MS);
     before_ms = clock_ms(&clock_monotonic);
     for (int i = 0; i < 8 && status != 503; i++) {
-        status = call_once(&harness, 0, "/look/", retry_after);
+        char id[16];
+
+        snprintf(id, sizeof(id), "cold-%d", i);
+        status = call_with_retry_after(&harness, id, retry_after);
     }
     CU_ASSERT(status == 503);
     CU_ASSERT(atof(retry_after) > 0 && atof(retry_after) < 3);
@@ -242,11 +210,11 @@
                          &(struct origin_crash_options){.away_ms = 1000});
         origin_crash(harness.origins[0]);
         for (size_t i = 0; i < 4; i++) {
-            CU_ASSERT(call_once(&harness, i % 2, "/look/", NULL) != 200);
+            CU_ASSERT(direct_call_once(&harness, i % 2, "/look/") != 200);
         }
         direct_harness_run(&harness, 1100);
         if (answered) {
-            CU_ASSERT(most_in_a_second_by(&harness, 2, 600) > 0);
+            CU_ASSERT(direct_most_received(&harness, 2, 1000, 0, 600) > 0);
         }
         direct_harness_start_router(&harness, 2);
         direct_harness_run(&harness, RECORD_MS);
@@ -296,24 +264,25 @@
     direct_harness_run(&harness, RECORD_MS);
     before = origin_requests(harness.origins[0]);
     for (size_t i = 0; i < 40; i++) {
-        CU_ASSERT(call_once(&harness, i % 2, "/look/", NULL) == 200);
-        CU_ASSERT(call_once(&harness, i % 2, "/stream/chat/", NULL) == 200);
+        CU_ASSERT(direct_call_once(&harness, i % 2, "/look/") == 200);
+        CU_ASSERT(direct_call_once(&harness, i % 2, "/stream/chat/") == 200);
     }
     direct_harness_stop_router(&harness, 0);
     direct_harness_start_router(&harness, 0);
     for (size_t i = 0; i < 300; i++) {
-        call_once(&harness, 0, "/look/", NULL);
+        direct_call_once(&harness, 0, "/look/");
         direct_harness_run(&harness, 10);
     }
-    CU_ASSERT(call_once(&harness, 0, "/look/", NULL) == 200);
+    CU_ASSERT(direct_call_once(&harness, 0, "/look/") == 200);
     origin_set_fault(harness.origins[1], ORIGIN_RESETS);
-    CU_ASSERT(call_once(&harness, 1, "/look/", NULL) != 200);
+    CU_ASSERT(direct_call_once(&harness, 1, "/look/") != 200);
     origin_set_fault(harness.origins[1], ORIGIN_RESETS_IN_EVENT);
-    call_once(&harness, 0, "/stream/chat/", NULL);
+    direct_call_once(&harness, 0, "/stream/chat/");
     origin_set_fault(harness.origins[1], ORIGIN_OK);
     set_evacuated(&harness, "evacuate/y", true);
     direct_harness_run(&harness, RECORD_MS);
-    CU_ASSERT(call_once(&harness, 0, "/look/", retry_after) == 503);
+    CU_ASSERT(call_with_retry_after(&harness, "evacuated", retry_after) ==
+              503);
     CU_ASSERT(atof(retry_after) >= 1);
     CU_ASSERT(origin_requests(harness.origins[0]) == before);
     direct_harness_stop(&harness);
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -12,6 +12,7 @@
 #include "direct/endpoints.h"
 #include "direct/rate_limits.h"
 #include "direct_harness.h"
+#include "sliding.h"
 #include "suites.h"
 
 #define RATE_PER_S 2
@@ -22,42 +23,20 @@
 /// Time from the first statement in which routers may learn of it.
 #define LEARN_MS 3000
 #define SETTLE_MS 400
-#define SAMPLES_MAX 100000
 
 #define ROUTERS_MAX 103
 #define BEGIN_MS 50000
-#define SENDS_MAX 8192
-
-struct sends {
-    int64_t at_ms[SENDS_MAX];
-    size_t count;
-};
-
-static size_t
-most_sends(const struct sends *sends)
-{
-    size_t most = 0;
-    size_t first = 0;
-
-    for (size_t i = 0; i < sends->count; i++) {
-        while (sends->at_ms[i] - sends->at_ms[first] >= WINDOW_MS) {
-            first++;
-        }
-        most = i - first + 1 > most ? i - first + 1 : most;
-    }
-    return most;
-}
 
 /// `count` routers of rank 0 and following, each of which counts `routers`,
 /// send whenever they may. With `answers`, an answer confirms the rate each
 /// second.
 static void
 run_routers(double per_s, size_t routers, size_t count, bool answers,
-            int64_t ms, struct sends *sends)
+            int64_t ms, struct sliding *sends)
 {
     static struct rate_limit limits[ROUTERS_MAX];
 
-    sends->count = 0;
+    sliding_reset(sends, WINDOW_MS);
     for (size_t i = 0; i < count; i++) {
         limits[i] = (struct rate_limit){0};
         rate_limit_answered(
@@ -73,10 +52,9 @@
                                     &(struct rate_limit_statement){
                                         true, per_s, now_ms, now_ms - 50});
             }
-            if (rate_limit_wait_ms(&limits[i], &place, now_ms) == 0 &&
-                sends->count < SENDS_MAX) {
+            if (rate_limit_wait_ms(&limits[i], &place, now_ms) == 0) {
                 rate_limit_take(&limits[i], now_ms);
-                sends->at_ms[sends->count++] = now_ms;
+                sliding_add(sends, now_ms);
             }
         }
     }
@@ -91,7 +69,7 @@
 {
     static const double rates[] = {0.5, 1, 1.2, 2, 5.1, 40};
     static const size_t routers[] = {1, 4, 31, ROUTERS_MAX};
-    static struct sends sends;
+    static struct sliding sends;
 
     for (size_t i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
         for (size_t j = 0; j < sizeof(routers) / sizeof(routers[0]); j++) {
@@ -100,12 +78,12 @@
             size_t senders = rate_limit_plan(&limit, routers[j]).senders;
 
             run_routers(rates[i], routers[j], routers[j], true, 60000, &sends);
-            CU_ASSERT((double)most_sends(&sends) <= bound);
+            CU_ASSERT((double)sends.most <= bound);
             // Each sender begins one interval after the statement.
             CU_ASSERT((double)(sends.count + senders) >= 0.7 * 60 * rates[i]);
             run_routers(rates[i], senders + 2, senders + 2, true, 60000,
                         &sends);
-            CU_ASSERT((double)most_sends(&sends) <= bound);
+            CU_ASSERT((double)sends.most <= bound);
         }
     }
 }
@@ -115,11 +93,11 @@
 static void
 test_rate_of_zero(void)
 {
-    static struct sends sends;
+    static struct sliding sends;
 
     run_routers(0, 31, 31, true, 120000, &sends);
     CU_ASSERT(sends.count >= 2 && sends.count <= 13);
-    CU_ASSERT(most_sends(&sends) <= 5);
+    CU_ASSERT(sends.most <= 5);
 }
 
 /// No router has got an answer for a while: those that are no senders try the
@@ -127,12 +105,12 @@
 static void
 test_routers_take_turns_without_answers(void)
 {
-    static struct sends sends;
+    static struct sliding sends;
     struct rate_limit limit = {0};
     const struct rate_limit_place last = {30, 31, 0};
 
     run_routers(1, 31, 31, false, 120000, &sends);
-    CU_ASSERT(most_sends(&sends) <= 11);
+    CU_ASSERT(sends.most <= 11);
     rate_limit_answered(
         &limit, &(struct rate_limit_statement){true, 1, BEGIN_MS, BEGIN_MS});
     CU_ASSERT(
@@ -224,46 +202,13 @@
     direct_harness_run(harness, 2000);
 }
 
-static int
-call_once(struct direct_harness *harness, size_t router, const char *path)
-{
-    static unsigned number;
-    struct direct_call call = {0};
-    char id[24];
-
-    snprintf(id, sizeof(id), "id-%u", number++);
-    direct_call_do(harness, router, &call, "POST", path, id, NULL, "x");
-    direct_call_free(&call);
-    return call.status;
-}
-
-/// Calls all routers in turn for a time. Returns the highest number of
-/// requests that endpoint 0 received in a window of the bound.
-static uint64_t
+/// The highest number of requests that endpoint 0 receives in a window of the
+/// bound.
+static size_t
 most_in_a_window(struct direct_harness *harness, int64_t ms)
 {
-    static struct {
-        int64_t at_ms;
-        uint64_t count;
-    } samples[SAMPLES_MAX];
-    int64_t end_ms = clock_ms(&clock_monotonic) + ms;
-    uint64_t most = 0;
-    size_t first = 0;
-
-    for (size_t i = 0; i < SAMPLES_MAX && clock_ms(&clock_monotonic) < end_ms;
-         i++) {
-        samples[i].at_ms = clock_ms(&clock_monotonic);
-        samples[i].count = origin_requests(harness->origins[0]);
-        while (samples[i].at_ms - samples[first].at_ms > WINDOW_MS) {
-            first++;
-        }
-        if (samples[i].count - samples[first].count > most) {
-            most = samples[i].count - samples[first].count;
-        }
-        call_once(harness, i % harness->options.routers, "/look/");
-        direct_harness_run(harness, 2);
-    }
-    return most;
+    return direct_most_received(harness, harness->options.routers, WINDOW_MS,
+                                2, ms);
 }
 
 /// Four routers send an endpoint more in 4 s than it states that it takes from
@@ -291,8 +236,8 @@
     bool all_served = true;
 
     for (size_t i = 0; i < 2 * BOUND; i++) {
-        all_served = call_once(harness, i % harness->options.routers,
-                               "/look/") == 200 &&
+        all_served = direct_call_once(harness, i % harness->options.routers,
+                                      "/look/") == 200 &&
                      all_served;
     }
     return all_served;
@@ -319,11 +264,11 @@
 
     start(&harness, 3, 1);
     origin_set_fields(harness.origins[0], RATE_FIELD);
-    CU_ASSERT(call_once(&harness, 0, "/look/") == 200);
+    CU_ASSERT(direct_call_once(&harness, 0, "/look/") == 200);
     direct_harness_run(&harness, 300);
     before = origin_requests(harness.origins[0]);
-    call_once(&harness, 1, "/look/");
-    call_once(&harness, 2, "/look/");
+    direct_call_once(&harness, 1, "/look/");
+    direct_call_once(&harness, 2, "/look/");
     CU_ASSERT(origin_requests(harness.origins[0]) == before);
     direct_harness_stop_router(&harness, 1);
     direct_harness_start_router(&harness, 1);
@@ -357,7 +302,7 @@
 
         start(&harness, 3, 1);
         origin_set_fields(harness.origins[0], RATE_FIELD);
-        call_once(&harness, 0, "/look/");
+        direct_call_once(&harness, 0, "/look/");
         direct_harness_run(&harness, 300);
         CU_ASSERT(!is_unlimited(&harness));
         origin_set_fields(harness.origins[0], NULL);
@@ -435,7 +380,7 @@
     direct_harness_run(&harness, 1000);
     origin_set_fields(harness.origins[0], fields);
     for (int i = 0; i < 8; i++) {
-        call_once(&harness, 0, "/look/");
+        direct_call_once(&harness, 0, "/look/");
     }
     for (size_t i = 0; i < BURIED_CALLS; i++) {
         char id[24];
@@ -546,7 +491,7 @@
     direct_harness_start_router(&harness, 0);
     direct_harness_run(&harness, 1000);
     origin_set_fields(harness.origins[0], fields);
-    call_once(&harness, 0, "/look/");
+    direct_call_once(&harness, 0, "/look/");
     for (size_t round = 0; round < SLOW_ROUNDS; round++) {
         struct direct_call calls[SLOW_CALLS] = {0};
 
@@ -601,7 +546,7 @@
     for (size_t i = 0; i < count; i++) {
         origin_set_fields(harness.origins[0], fields[i]);
         for (size_t j = 0; j < 3; j++) {
-            CU_ASSERT(call_once(&harness, 0, "/look/") == 200);
+            CU_ASSERT(direct_call_once(&harness, 0, "/look/") == 200);
         }
     }
     CU_ASSERT(origin_requests(harness.origins[0]) == 3 * count);
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -9,10 +9,10 @@
 #include "core/evacuation.h"
 #include "core/warmup.h"
 #include "dandelionvalve/clock.h"
+#include "sliding.h"
 #include "suites.h"
 
 #define ROUTERS_MAX 40
-#define SENDS_MAX 4096
 #define BEGIN_MS 50000
 #define COLD_MS 10000
 #define SETTLE_MS 4000
@@ -28,44 +28,23 @@
     return limits->per_s * limits->rate_factor + limits->slack;
 }
 
-struct sends {
-    int64_t at_ms[SENDS_MAX];
-    size_t count;
-};
-
-static size_t
-most_in_a_second(const struct sends *sends)
-{
-    size_t most = 0;
-    size_t first = 0;
-
-    for (size_t i = 0; i < sends->count; i++) {
-        while (sends->at_ms[i] - sends->at_ms[first] >= 1000) {
-            first++;
-        }
-        most = i - first + 1 > most ? i - first + 1 : most;
-    }
-    return most;
-}
-
 /// All routers have more work than they may send: the first `senders` share
 /// the rate.
 static void
 run_senders(const struct sender_plan *plan, size_t senders,
-            struct sends *sends)
+            struct sliding *sends)
 {
     struct warmup warmups[ROUTERS_MAX] = {0};
 
-    sends->count = 0;
+    sliding_reset(sends, 1000);
     for (size_t i = 0; i < senders; i++) {
         warmup_extend(&warmups[i], BEGIN_MS, COLD_MS, WARMUP_ENTRY);
     }
     for (int64_t now_ms = BEGIN_MS; now_ms < BEGIN_MS + COLD_MS; now_ms++) {
         for (size_t i = 0; i < senders; i++) {
-            if (warmup_wait_ms(&warmups[i], plan, now_ms) == 0 &&
-                sends->count < SENDS_MAX) {
+            if (warmup_wait_ms(&warmups[i], plan, now_ms) == 0) {
                 warmup_take(&warmups[i], now_ms);
-                sends->at_ms[sends->count++] = now_ms;
+                sliding_add(sends, now_ms);
             }
         }
     }
@@ -77,7 +56,7 @@
 static void
 test_sum_is_bounded(void)
 {
-    static struct sends sends;
+    static struct sliding sends;
 
     for (size_t i = 0; i < 2; i++) {
         const struct warmup_limits *limits = &deployments[i];
@@ -86,13 +65,13 @@
 
         CU_ASSERT(plan.senders == (i == 0 ? 6 : 4));
         run_senders(&plan, plan.senders, &sends);
-        CU_ASSERT((double)most_in_a_second(&sends) <= bound_of(limits));
+        CU_ASSERT((double)sends.most <= bound_of(limits));
         CU_ASSERT((double)sends.count >=
                   0.85 * limits->per_s * COLD_MS / 1000);
         run_senders(&plan, plan.senders + SENDERS_EXTRA, &sends);
-        CU_ASSERT((double)most_in_a_second(&sends) <= bound_of(limits));
+        CU_ASSERT((double)sends.most <= bound_of(limits));
         run_senders(&even, even.senders, &sends);
-        CU_ASSERT((double)most_in_a_second(&sends) > bound_of(limits));
+        CU_ASSERT((double)sends.most > bound_of(limits));
     }
 }
 
