stated-load: loads of busy endpoints are told beyond a full mesh

Cause: a router of 103 knows the requests of its peers, a tenth of all. An endpoint that holds 128 requests looks like one with ten, so that neither the bound by slots nor the cap takes effect: the slack of the cap is absolute, and 2 x 1.5 + 3 admits what is 40 of a true mean of 9. The endpoint states its load in each answer, but a router gets few answers from one endpoint, and none from one that is late. Class: a bound that holds for the sum of all routers, judged by a sample.

Nothing changes in a full mesh.

--- a/core/message.c
+++ b/core/message.c
@@ -164,6 +164,7 @@
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
         [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
         [MESSAGE_FAILING] = 1,       [MESSAGE_RATES] = 1,
+        [MESSAGE_BUSY] = 1,
     };
 
     return counts[type];
@@ -234,6 +235,19 @@
     }
 }
 
+static void
+put_busy(msgpack_packer *packer, const struct message_busy *items,
+         size_t count)
+{
+    msgpack_pack_array(packer, 4 * count);
+    for (size_t i = 0; i < count; i++) {
+        put_uint(packer, items[i].endpoint);
+        put_uint(packer, items[i].incarnation);
+        put_uint(packer, items[i].load);
+        put_uint(packer, items[i].age_ms);
+    }
+}
+
 static void
 put_blames(msgpack_packer *packer, const struct message_blame *items,
            size_t count)
@@ -340,6 +354,9 @@
     case MESSAGE_RATES:
         put_rates(packer, m->rates.items, m->rates.count);
         return;
+    case MESSAGE_BUSY:
+        put_busy(packer, m->busy.items, m->busy.count);
+        return;
     case MESSAGE_BLAMES:
         put_blames(packer, m->blames.items, m->blames.count);
         return;
@@ -697,6 +714,25 @@
     m->rates.count = count;
 }
 
+static void
+get_busy(struct cursor *cursor, struct message *m)
+{
+    struct cursor fields;
+    size_t count = begin_groups(cursor, 4, MESSAGE_BUSY_MAX, &fields);
+    struct message_busy *items =
+        allocate(cursor, (count + 1) * sizeof(*items));
+
+    for (size_t i = 0; i < count && items != NULL; i++) {
+        items[i].endpoint = get_uint(&fields, UINT64_MAX);
+        items[i].incarnation = get_uint(&fields, UINT64_MAX);
+        items[i].load = get_u32(&fields);
+        items[i].age_ms = get_u32(&fields);
+    }
+    cursor->failed = cursor->failed || fields.failed;
+    m->busy.items = items;
+    m->busy.count = count;
+}
+
 /// Enters an array whose items have different lengths.
 static bool
 begin_items(struct cursor *cursor, struct cursor *fields)
@@ -841,6 +877,9 @@
     case MESSAGE_RATES:
         get_rates(cursor, m);
         return;
+    case MESSAGE_BUSY:
+        get_busy(cursor, m);
+        return;
     case MESSAGE_BLAMES:
         get_blames(cursor, m);
         return;
@@ -1107,6 +1146,7 @@
         [MESSAGE_SHARES] = "shares",
         [MESSAGE_FAILING] = "failing",
         [MESSAGE_RATES] = "rates",
+        [MESSAGE_BUSY] = "busy",
     };
 
     return names[type];
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -272,6 +272,8 @@
         endpoint_note_stated_load(exchange->endpoint,
                                   facts.running + facts.waiting,
                                   exchange_now(exchange));
+        direct_share_stated_load(exchange->direct, exchange->endpoint,
+                                 facts.running + facts.waiting);
     }
     if (status != 421) {
         pace_record_answer(exchange, &facts);
--- a/direct/direct_state.h
+++ b/direct/direct_state.h
@@ -53,6 +53,11 @@
                             const struct prefix *prefix);
 
 /// Reports to the peers that the endpoint accepts no connections.
+/// An endpoint states its load; the other routers are told if it is busy and
+/// they cannot know.
+void direct_share_stated_load(struct direct *direct, struct endpoint *endpoint,
+                              uint32_t load);
+
 void direct_report_down(struct direct *direct,
                         const struct endpoint *endpoint);
 
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -471,11 +471,13 @@
 endpoint_load(const struct endpoint *endpoint, int64_t now_ms)
 {
     uint32_t load = endpoint_reported_load(endpoint, now_ms);
+    uint32_t stated;
 
     if (now_ms - endpoint->unreported_ms < ENDPOINTS_UNREPORTED_LOAD_MS) {
         load += (uint32_t)endpoint->unreported_load;
     }
-    return load;
+    stated = stated_load_now(&endpoint->stated_load, now_ms);
+    return stated > load ? stated : load;
 }
 
 void
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -15,6 +15,7 @@
 #include "core/place.h"
 #include "core/prefix.h"
 #include "core/rate_limit.h"
+#include "core/stated_load.h"
 #include "core/speed.h"
 #include "core/warmup.h"
 #include "core/wire.h"
@@ -70,7 +71,8 @@
     struct warmup warmup;
     bool is_logged_cold;
     enum warmup_source logged_cold_source;
-    struct rate_limit rate_limit; ///< as its answers state
+    struct rate_limit rate_limit;   ///< as its answers state
+    struct stated_load stated_load; ///< used beyond a full mesh
     bool is_logged_rate_invalid;
     struct prefix_estimate *cache;
     uint32_t in_flight;          ///< own requests
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -282,6 +282,10 @@
         mesh->options.rates(mesh->options.ctx, message->rates.items,
                             message->rates.count);
         return;
+    case MESSAGE_BUSY:
+        mesh->options.busy(mesh->options.ctx, message->busy.items,
+                           message->busy.count);
+        return;
     case MESSAGE_STRIKE:
         mesh->options.strike(mesh->options.ctx, message->strike.fingerprint,
                              message->strike.crash_id);
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -76,6 +76,9 @@
     /// Writes the stated rates that peers do not know yet; returns their
     /// number. Called at each tick.
     size_t (*collect_rates)(void *ctx, struct message_rate *items, size_t max);
+    /// Likewise for the loads that busy endpoints state.
+    size_t (*collect_busy)(void *ctx, struct message_busy *items, size_t max);
+    void (*busy)(void *ctx, const struct message_busy *items, size_t count);
     /// A peer reports the rates that endpoints state in their answers.
     void (*rates)(void *ctx, const struct message_rate *items, size_t count);
     /// A link to a peer is ready; it may have just started.
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -94,6 +94,7 @@
     size_t rival_count;
     size_t rival_max;
     struct message_rate rates[MESSAGE_RATES_MAX];
+    struct message_busy busy[MESSAGE_BUSY_MAX];
 };
 
 int64_t mesh_now_ms(const struct mesh *mesh);
--- a/direct/mesh_reports.c
+++ b/direct/mesh_reports.c
@@ -113,12 +113,26 @@
     }
 }
 
+static void
+flush_busy(struct mesh *mesh)
+{
+    struct message message = {.type = MESSAGE_BUSY};
+
+    message.busy.items = mesh->busy;
+    message.busy.count = mesh->options.collect_busy(
+        mesh->options.ctx, mesh->busy, MESSAGE_BUSY_MAX);
+    if (message.busy.count > 0) {
+        mesh_broadcast(mesh, &message, MESSAGE_VERSION_RATES);
+    }
+}
+
 void
 mesh_flush(struct mesh *mesh)
 {
     flush_placements(mesh);
     flush_blames(mesh);
     flush_rates(mesh);
+    flush_busy(mesh);
 }
 
 void
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -107,6 +107,57 @@
                         mesh_relays_reports(direct->mesh));
 }
 
+void
+direct_share_stated_load(struct direct *direct, struct endpoint *endpoint,
+                         uint32_t load)
+{
+    // In a full mesh all routers report what they have there.
+    if (direct->mesh != NULL && mesh_relays_reports(direct->mesh)) {
+        stated_load_answered(&endpoint->stated_load, load, endpoint->slots,
+                             clock_ms(direct->options.clock));
+    }
+}
+
+static size_t
+collect_busy(void *ctx, struct message_busy *items, size_t max)
+{
+    struct direct *direct = ctx;
+    int64_t now_ms = clock_ms(direct->options.clock);
+    struct endpoint *endpoint;
+    size_t count = 0;
+
+    for (endpoint = endpoints_first(direct->endpoints);
+         endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
+        if (stated_load_take_report(&endpoint->stated_load, now_ms)) {
+            items[count++] = (struct message_busy){
+                .endpoint = endpoint->hash,
+                .incarnation = (uint64_t)endpoint->incarnation,
+                .load = endpoint->stated_load.load,
+                .age_ms = (uint32_t)(now_ms - endpoint->stated_load.at_ms),
+            };
+        }
+    }
+    return count;
+}
+
+static void
+on_busy(void *ctx, const struct message_busy *items, size_t count)
+{
+    struct direct *direct = ctx;
+    int64_t now_ms = clock_ms(direct->options.clock);
+
+    for (size_t i = 0; i < count; i++) {
+        struct endpoint *endpoint =
+            endpoints_find_hash(direct->endpoints, items[i].endpoint);
+
+        if (endpoint != NULL &&
+            (uint64_t)endpoint->incarnation == items[i].incarnation) {
+            stated_load_reported(&endpoint->stated_load, items[i].load,
+                                 now_ms - items[i].age_ms, now_ms);
+        }
+    }
+}
+
 static void
 send_rates(struct direct *direct, struct link *link)
 {
@@ -319,6 +370,8 @@
         .strike = on_strike,
         .collect_rates = collect_rates,
         .rates = on_rates,
+        .collect_busy = collect_busy,
+        .busy = on_busy,
         .peer_ready = on_peer_ready,
         .blame = on_blame,
         .answered = on_answered,
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -71,6 +71,7 @@
     MESSAGE_FAILING, ///< an endpoint fails its requests
     // Version 6:
     MESSAGE_RATES, ///< rates of requests that endpoints state in their answers
+    MESSAGE_BUSY,  ///< loads that busy endpoints state in their answers
     MESSAGE_TYPE_END,
 };
 
@@ -252,6 +253,17 @@
     uint32_t age_ms; ///< of the last answer
 };
 
+/// Items in one MESSAGE_BUSY; further ones follow in the next.
+#define MESSAGE_BUSY_MAX 256
+
+/// What a busy endpoint states in its answers that it has, of all routers.
+struct message_busy {
+    uint64_t endpoint;    ///< hash of its id
+    uint64_t incarnation; ///< of the endpoint
+    uint32_t load;
+    uint32_t age_ms; ///< of the answer
+};
+
 /// Contexts in one MESSAGE_CONTEXTS; further ones follow in the next.
 #define MESSAGE_CONTEXTS_MAX 500
 
@@ -371,6 +383,10 @@
             const struct message_rate *items;
             size_t count;
         } rates;
+        struct {
+            const struct message_busy *items;
+            size_t count;
+        } busy;
         struct {
             const struct message_blame *items;
             size_t count;
--- a/tests/direct_harness.c
+++ b/tests/direct_harness.c
@@ -377,6 +377,20 @@
     return runs;
 }
 
+void
+direct_harness_put_unlinked_routers(struct direct_harness *harness,
+                                    size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        char key[16], value[32];
+
+        snprintf(key, sizeof(key), "u-%zu", i);
+        snprintf(value, sizeof(value), "127.0.0.1:%zu", 1 + i);
+        keyed_store_put(harness->store, KEYED_STORE_TOPIC_ROUTERS, key,
+                        str_from(value));
+    }
+}
+
 int
 direct_call_once(struct direct_harness *harness, size_t router,
                  const char *path)
--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -116,6 +116,10 @@
                     const char *path, const char *id, const char *fields,
                     const char *body);
 
+/// Writes the records of routers that have no links to the others.
+void direct_harness_put_unlinked_routers(struct direct_harness *harness,
+                                         size_t count);
+
 /// Calls a router once with an id of its own; returns the status.
 int direct_call_once(struct direct_harness *harness, size_t router,
                      const char *path);
--- a/tests/main.c
+++ b/tests/main.c
@@ -50,6 +50,7 @@
     {"warmup", suite_warmup},
     {"cold", suite_cold},
     {"rate-limit", suite_rate_limit},
+    {"stated-load", suite_stated_load},
     {"wire", suite_wire},
     {"direct", suite_direct},
     {"blame", suite_blame},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -37,6 +37,7 @@
 void suite_warmup(void);
 void suite_cold(void);
 void suite_rate_limit(void);
+void suite_stated_load(void);
 void suite_wire(void);
 void suite_direct(void);
 void suite_blame(void);
--- a/tests/test_direct_store.c
+++ b/tests/test_direct_store.c
@@ -483,20 +483,6 @@
     direct_harness_stop(&harness);
 }
 
-/// Writes the records of routers that have no links to the others.
-static void
-put_unlinked_routers(struct direct_harness *harness, size_t count)
-{
-    for (size_t i = 0; i < count; i++) {
-        char key[16], value[32];
-
-        snprintf(key, sizeof(key), "u-%zu", i);
-        snprintf(value, sizeof(value), "127.0.0.1:%zu", 1 + i);
-        keyed_store_put(harness->store, KEYED_STORE_TOPIC_ROUTERS, key,
-                        str_from(value));
-    }
-}
-
 static void
 restart_all(struct direct_harness *harness, size_t routers)
 {
@@ -534,7 +520,7 @@
     struct direct_harness harness;
 
     start(&harness, 2, 0);
-    put_unlinked_routers(&harness, 98);
+    direct_harness_put_unlinked_routers(&harness, 98);
     restart_all(&harness, 2);
     direct_harness_run(&harness, 2000);
     for (size_t i = 0; i < 2; i++) {
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -189,6 +189,35 @@
     message_codec_free(codec);
 }
 
+/// Guards against: loads of busy endpoints are changed on their way to a peer.
+static void
+test_busy_round_trip(void)
+{
+    const struct message_busy items[] = {
+        {UINT64_MAX, 1791239589532, 128, 40},
+        {7, 0, UINT32_MAX, UINT32_MAX},
+    };
+    const struct message message = {
+        .type = MESSAGE_BUSY,
+        .busy = {items, 2},
+    };
+    struct message_codec *codec = message_codec_new();
+    struct message decoded;
+    struct err err = {0};
+
+    CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                   &decoded, &err));
+    CU_ASSERT(decoded.type == MESSAGE_BUSY);
+    CU_ASSERT_FATAL(decoded.busy.count == 2);
+    for (size_t i = 0; i < 2; i++) {
+        CU_ASSERT(decoded.busy.items[i].endpoint == items[i].endpoint);
+        CU_ASSERT(decoded.busy.items[i].incarnation == items[i].incarnation);
+        CU_ASSERT(decoded.busy.items[i].load == items[i].load);
+        CU_ASSERT(decoded.busy.items[i].age_ms == items[i].age_ms);
+    }
+    message_codec_free(codec);
+}
+
 /// Guards against: numbers of a full report are lost, or half an item passes.
 static void
 test_shares_round_trip(void)
@@ -458,6 +487,7 @@
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
     CU_add_test(suite, "rates round trip", test_rates_round_trip);
+    CU_add_test(suite, "busy round trip", test_busy_round_trip);
     CU_add_test(suite, "shares round trip", test_shares_round_trip);
     CU_add_test(suite, "blames round trip", test_blames_round_trip);
     CU_add_test(suite, "answered round trip", test_answered_round_trip);
