mesh, candidates: no parameter without use; what may be refused is said in full

mesh_send_rates() took a mesh that it did not use, unlike mesh_send_down_to(). The comment of may_be_refused left out that resumed streams are excepted. No change of what the program does.

--- a/direct/candidates.h
+++ b/direct/candidates.h
@@ -62,7 +62,7 @@
     bool at_most_once;      ///< the request may not be repeated
     bool spares_trials;     ///< such a request avoids endpoints on trial
     bool is_repeat;         ///< an endpoint has run the request, and failed
-    bool may_be_refused;    ///< no endpoint has been offered the request
+    bool may_be_refused;    ///< not a repeat, and resumes no stream
     double tokens;          ///< that the request will need there; 0: not known
     double capacity_tokens; ///< memory of an endpoint; 0: not known
 };
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -140,8 +140,8 @@
 
 /// Sends stated rates, MESSAGE_RATES_MAX at most, to one peer, if it supports
 /// that.
-void mesh_send_rates(struct mesh *mesh, struct link *link,
-                     const struct message_rate *items, size_t count);
+void mesh_send_rates(struct link *link, const struct message_rate *items,
+                     size_t count);
 
 /// Queues blamed parts that have been answered, likewise.
 void mesh_queue_answered(struct mesh *mesh, const uint64_t *parts,
--- a/direct/mesh_reports.c
+++ b/direct/mesh_reports.c
@@ -170,10 +170,9 @@
 }
 
 void
-mesh_send_rates(struct mesh *mesh, struct link *link,
-                const struct message_rate *items, size_t count)
+mesh_send_rates(struct link *link, const struct message_rate *items,
+                size_t count)
 {
-    (void)mesh;
     if (link_version(link) >= MESSAGE_VERSION_RATES) {
         link_send(link, &(struct message){
                             .type = MESSAGE_RATES,
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -169,7 +169,7 @@
                                                  items, MESSAGE_RATES_MAX);
 
         if (count > 0) {
-            mesh_send_rates(direct->mesh, link, items, count);
+            mesh_send_rates(link, items, count);
         }
     }
 }
