--- a/direct/metrics.c
+++ b/direct/metrics.c
@@ -122,6 +122,7 @@
     };
     const struct direct *direct = ctx;
     const struct endpoint *endpoint;
+    uint32_t stated;
     int64_t now_ms = clock_ms(direct->options.clock);
     size_t cold = 0;
     char *text = NULL;
@@ -149,6 +150,11 @@
                     "endpoint_rate_limit{endpoint=\"" STR_FMT "\"} %.3f\n",
                     STR_ARG(endpoint->id), endpoint->rate_limit.per_s);
         }
+        stated = stated_load_now(&endpoint->stated_load, now_ms);
+        if (stated > 0) {
+            fprintf(out, "endpoint_stated_load{endpoint=\"" STR_FMT "\"} %u\n",
+                    STR_ARG(endpoint->id), stated);
+        }
         if (endpoint->footprint.held_tokens > 0) {
             fprintf(out,
                     "endpoint_held_tokens{endpoint=\"" STR_FMT "\"} %.0f\n",
