stated-load: a bound on the reports while all endpoints are busy

With 600 busy endpoints, each told of every 500 ms, a router would send 600 x 2 x 24 x 20 = 576 KB a second over its 20 links (derived), half of what the smallest machines of the large deployment can send. Found by reading; not seen.

Change: 32 items at a tick, those that found no room before first, so that 600 are told within 2 s, the time for which a statement is used. 154 KB a second at most (derived).

--- a/core/stated_load.c
+++ b/core/stated_load.c
@@ -31,10 +31,10 @@
 }
 
 bool
-stated_load_take_report(struct stated_load *stated, int64_t now_ms)
+stated_load_take_report(struct stated_load *stated, int64_t now_ms,
+                        int64_t interval_ms)
 {
-    if (!stated->report_due ||
-        now_ms - stated->reported_ms < STATED_LOAD_RENEW_MS) {
+    if (!stated->report_due || now_ms - stated->reported_ms < interval_ms) {
         return false;
     }
     stated->report_due = false;
--- a/core/stated_load.h
+++ b/core/stated_load.h
@@ -34,8 +34,10 @@
 void stated_load_reported(struct stated_load *stated, uint32_t load,
                           int64_t at_ms, int64_t now_ms);
 
-/// True if peers are to be told now; counts as told.
-bool stated_load_take_report(struct stated_load *stated, int64_t now_ms);
+/// True if peers are to be told now, and were last told `interval_ms` ago or
+/// earlier; counts as told.
+bool stated_load_take_report(struct stated_load *stated, int64_t now_ms,
+                             int64_t interval_ms);
 
 /// The load that is stated at present; 0: none.
 uint32_t stated_load_now(const struct stated_load *stated, int64_t now_ms);
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -121,20 +121,28 @@
 static size_t
 collect_busy(void *ctx, struct message_busy *items, size_t max)
 {
+    // What has found no room in earlier reports goes first.
+    static const int64_t intervals_ms[] = {2 * STATED_LOAD_RENEW_MS,
+                                           STATED_LOAD_RENEW_MS};
     struct direct *direct = ctx;
     int64_t now_ms = clock_ms(direct->options.clock);
-    struct endpoint *endpoint;
     size_t count = 0;
 
-    for (endpoint = endpoints_first(direct->endpoints);
-         endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
-        if (stated_load_take_report(&endpoint->stated_load, now_ms)) {
-            items[count++] = (struct message_busy){
-                .endpoint = endpoint->hash,
-                .incarnation = (uint64_t)endpoint->incarnation,
-                .load = endpoint->stated_load.load,
-                .age_ms = (uint32_t)(now_ms - endpoint->stated_load.at_ms),
-            };
+    for (size_t i = 0; i < sizeof(intervals_ms) / sizeof(intervals_ms[0]);
+         i++) {
+        struct endpoint *endpoint;
+
+        for (endpoint = endpoints_first(direct->endpoints);
+             endpoint != NULL && count < max; endpoint = endpoint->hh.next) {
+            if (stated_load_take_report(&endpoint->stated_load, now_ms,
+                                        intervals_ms[i])) {
+                items[count++] = (struct message_busy){
+                    .endpoint = endpoint->hash,
+                    .incarnation = (uint64_t)endpoint->incarnation,
+                    .load = endpoint->stated_load.load,
+                    .age_ms = (uint32_t)(now_ms - endpoint->stated_load.at_ms),
+                };
+            }
         }
     }
     return count;
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -253,8 +253,9 @@
     uint32_t age_ms; ///< of the last answer
 };
 
-/// Items in one MESSAGE_BUSY; further ones follow in the next.
-#define MESSAGE_BUSY_MAX 256
+/// Items in one MESSAGE_BUSY, of which a router sends one at each tick: a
+/// bound on the traffic while all endpoints are busy.
+#define MESSAGE_BUSY_MAX 32
 
 /// What a busy endpoint states in its answers that it has, of all routers.
 struct message_busy {
--- a/tests/test_stated_load.c
+++ b/tests/test_stated_load.c
@@ -29,7 +29,8 @@
     bool due[ROUTERS];
 
     for (size_t i = 0; i < ROUTERS; i++) {
-        due[i] = stated_load_take_report(&fleet->stated[i], now_ms);
+        due[i] = stated_load_take_report(&fleet->stated[i], now_ms,
+                                         STATED_LOAD_RENEW_MS);
         fleet->reports += due[i] ? LINKS : 0;
     }
     for (size_t i = 0; i < ROUTERS; i++) {
@@ -80,12 +81,13 @@
     struct stated_load stated = {0};
 
     stated_load_answered(&stated, BUSY - 1, SLOTS, NOW_MS);
-    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS));
+    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS, STATED_LOAD_RENEW_MS));
     CU_ASSERT(stated_load_now(&stated, NOW_MS) == 0);
     stated_load_answered(&stated, BUSY, SLOTS, NOW_MS + 1);
     CU_ASSERT(stated_load_now(&stated, NOW_MS + 1) == BUSY);
     stated_load_answered(&stated, BUSY - 1, SLOTS, NOW_MS + 2);
-    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS + 2));
+    CU_ASSERT(
+        !stated_load_take_report(&stated, NOW_MS + 2, STATED_LOAD_RENEW_MS));
     CU_ASSERT(stated_load_now(&stated, NOW_MS + 2) == 0);
     // Without a number of slots no endpoint is known to be busy.
     stated_load_answered(&stated, 1000, 0, NOW_MS + 3);
@@ -100,15 +102,17 @@
 
     stated_load_reported(&stated, 50, NOW_MS - 100, NOW_MS);
     CU_ASSERT(stated_load_now(&stated, NOW_MS) == 50);
-    CU_ASSERT(stated_load_take_report(&stated, NOW_MS));
+    CU_ASSERT(stated_load_take_report(&stated, NOW_MS, STATED_LOAD_RENEW_MS));
     stated_load_reported(&stated, 40, NOW_MS - 200, NOW_MS);
     CU_ASSERT(stated_load_now(&stated, NOW_MS) == 50);
     stated_load_reported(&stated, 60, NOW_MS, NOW_MS + 1);
-    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS + 1));
-    CU_ASSERT(stated_load_take_report(&stated, NOW_MS + STATED_LOAD_RENEW_MS));
+    CU_ASSERT(
+        !stated_load_take_report(&stated, NOW_MS + 1, STATED_LOAD_RENEW_MS));
+    CU_ASSERT(stated_load_take_report(&stated, NOW_MS + STATED_LOAD_RENEW_MS,
+                                      STATED_LOAD_RENEW_MS));
     stated = (struct stated_load){0};
     stated_load_reported(&stated, 70, NOW_MS - STATED_LOAD_HOLD_MS, NOW_MS);
-    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS));
+    CU_ASSERT(!stated_load_take_report(&stated, NOW_MS, STATED_LOAD_RENEW_MS));
 }
 
 /// Load of the endpoint at a router that has got no answer of it, after the
