--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -127,10 +127,12 @@
         self.topics = {}
         self.changed = asyncio.Event()
         self.mode = {}
+        self.waiting = {}
         self.servers = []
 
     def listen(self, ip, port):
         self.mode[(ip, port)] = "up"
+        self.waiting[(ip, port)] = set()
 
         async def start():
             return await asyncio.start_server(
@@ -143,6 +145,11 @@
         if mode != "up":
             self.loop.soon(self._wake)
 
+    def readers(self, topic):
+        """The addresses at which a read of the topic is waiting."""
+        return [address for address, topics in list(self.waiting.items())
+                if topic in topics]
+
     def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -216,6 +223,9 @@
         if url.path == "/v1/log-read":
             start = int(query["from"])
             until = now() + int(query.get("wait_ms", "0")) / 1000
+            waits = until > now()
+            if waits:
+                self.waiting[address].add(query["topic"])
             while len(records) <= start and now() < until and \
                     self.mode[address] == "up":
                 try:
@@ -223,6 +233,8 @@
                                            max(0.001, until - now()))
                 except asyncio.TimeoutError:
                     pass
+            if waits:
+                self.waiting[address].discard(query["topic"])
             body = struct.pack(">QQ", len(records), 0)
             for key, value in records[start:]:
                 item = bytes([len(key)]) + key + value
