review 10: a late entry brings a leaving engine back into use

endpoints_remove() forgets what the engine's answers have said, and the next entry of the same incarnation makes a new endpoint.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,5 @@
-"""Callers that send requests one behind the other on a channel and read the
-answers slowly: the answers pile up in the router without a bound."""
+"""A leaving engine gets new requests again, since an entry that it had written
+before was executed late."""
 import os
 import sys
 
@@ -7,107 +7,125 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-2"))
 from rig import *
 
-CALLERS = 8
-REQUESTS = 700  # of each caller
-ANSWER_BYTES = 64 * 1024
-# Of each caller: 42 MB/s of answers in all, a third of the machine's link.
-REQUESTS_PER_S = 80
-READ_BYTES_PER_S = 200 * 1000
-ORDINARY_WORK_S = 14
+DRAIN_S = 2.0
+WORK_S = 1.2
+CALLERS = 12
+# The store executes a write without an answer up to 6 s later.
+LATE_S = 3.0
+# After the removal of its entry, the engine serves on for drain_ms and a
+# little longer.
+SERVES_ON_S = 3.6
+
+
+class Leaver:
+    leaving = False
+    gone = False
 
 
 async def serve(engine, request, reader, writer):
-    if request.target.startswith("/book/"):
-        engine.rig.record.say("engine %s: runs id=%s" % (
-            engine.name, request.id))
-        await asyncio.sleep(ORDINARY_WORK_S)
-        writer.write(message(200, engine.signed(request), b"booked"))
-        return
-    writer.write(message(200, engine.signed(request), b"o" * ANSWER_BYTES))
+    leaver = engine.name == "i-leaver"
+    await asyncio.sleep(WORK_S)
+    if leaver and Leaver.gone:
+        writer.transport.abort()
+        return False
+    more = [("Server-Leaving", "1")] if leaver and Leaver.leaving else []
+    writer.write(message(200, engine.signed(request, *more), b"booked"))
 
 
-def read_on(sock, stop, total):
-    started = now()
-    try:
-        while not stop.is_set():
-            sock.settimeout(0.5)
-            try:
-                piece = sock.recv(65536)
-            except socket.timeout:
-                continue
-            if not piece:
-                break
-            total[0] += len(piece)
-            wait = started + total[0] / READ_BYTES_PER_S - now()
-            if trouble() and wait > 0:
-                stop.wait(wait)
-    except OSError:
-        pass
+class Calls:
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sent = {}      # id -> (router, time)
+        self.told = {}      # router -> when it first passed the word on
+        self.answers = {}   # id -> status or error
 
 
-def press(rig, router, stop, totals):
-    total = [0]
-    sent = 0
-    sock = slow_connection(router.callers)
-    reader = threading.Thread(target=read_on, args=(sock, stop, total))
-    reader.start()
-    started = now()
-    error = ""
-    try:
-        while sent < REQUESTS and not stop.is_set():
-            sock.sendall(request_bytes("GET", "/lookup/1", new_id(), b"",
-                                       15000))
-            sent += 1
-            wait = started + sent / REQUESTS_PER_S - now()
-            if wait > 0:
-                stop.wait(wait)
-    except OSError as failed:
-        error = str(failed)
-    stop.wait(2)
-    stop.set()
-    reader.join()
-    sock.close()
-    totals.append(sent)
-    rig.record.say("caller: sent %d requests, read %d bytes %s" % (
-        sent, total[0], error))
+def call_on(rig, router, calls, stop):
+    sock = None
+    while not stop.is_set():
+        request_id = new_id()
+        with calls.lock:
+            calls.sent[request_id] = (router.name, now())
+        try:
+            sock = sock or socket.create_connection(router.callers, 1)
+            sock.sendall(request_bytes("POST", "/booking/1", request_id,
+                                       b"slot", 5000))
+            answer = read_answer(sock, 5)
+        except OSError as error:
+            sock = None
+            with calls.lock:
+                calls.answers[request_id] = str(error)
+            continue
+        with calls.lock:
+            calls.answers[request_id] = answer.status
+            if answer.fields.get("server-leaving") == "1" and \
+                    router.name not in calls.told:
+                calls.told[router.name] = now()
+                rig.record.say("router %s: has passed on Server-Leaving of "
+                               "i-leaver" % router.name)
+        if not answer.complete or answer.fields.get("connection") == "close":
+            sock.close()
+            sock = None
+        stop.wait(0.02)
+    if sock:
+        sock.close()
 
 
 def case(rig):
-    rig.add_routers(1)
-    for index in range(3):
-        rig.add_engine("i-%d" % index, "orders", serve)
+    rig.add_routers(2)
+    leaver = rig.add_engine("i-leaver", "orders", serve, slots=6)
+    rig.add_engine("i-1", "orders", serve, slots=6)
+    rig.add_engine("i-2", "orders", serve, slots=6)
     rig.configure(configuration(
-        1, [route("lookup", "orders", "idempotent", "/lookup/"),
-            route("book", "orders", "non_idempotent", "/book/",
-                  timeout_ms=30000, max_attempts=1)], [("orders", {})]))
+        1, [route("booking", "orders", "non_idempotent", "/booking/",
+                  max_attempts=1)], [("orders", {})]))
     rig.start()
-    router = rig.routers[0]
-    watch = MemoryWatch(rig, router)
-    ordinary = []
-    ordinary_id = new_id("ordinary")
-    rig.record.say("caller: sends id=%s, an ordinary booking" % ordinary_id)
-    waiting = threading.Thread(target=lambda: ordinary.append(ask(
-        router.callers, request_bytes("POST", "/book/1", ordinary_id, b"slot",
-                                      30000), 30)))
-    waiting.start()
-    totals = []
-    threads = [threading.Thread(
-        target=press, args=(rig, router, threading.Event(), totals))
-        for _ in range(CALLERS)]
-    for thread in threads:
-        thread.start()
+    calls, stop, threads = Calls(), threading.Event(), []
+    for index in range(CALLERS):
+        threads.append(threading.Thread(target=call_on, args=(
+            rig, rig.routers[index % 2], calls, stop)))
+        threads[-1].start()
+    time.sleep(4)
+    rig.record.say("engine i-leaver: sends its entry once more; the store "
+                   "gives no answer")
+    sent_at = now()
+    time.sleep(0.2)
+    Leaver.leaving = True
+    rig.record.say("engine i-leaver: leaves, and says so in its answers")
+    time.sleep(0.3)
+    leaver.lapse()
+    removed_at = now()
+    time.sleep(max(0, sent_at + LATE_S - now()))
+    if trouble():
+        rig.record.say("store: executes the late write of i-leaver, %.1f s "
+                       "after it was sent" % (now() - sent_at))
+        leaver.announce()
+    time.sleep(max(0, removed_at + SERVES_ON_S - now()))
+    Leaver.gone = True
+    leaver.lapse()
+    rig.record.say("engine i-leaver: exits")
+    time.sleep(1)
+    stop.set()
     for thread in threads:
         thread.join()
-    waiting.join()
-    watch.stop()
-    rig.record.say("caller: id=%s status=%d %s" % (
-        ordinary_id, ordinary[0].status, ordinary[0].error))
-    if router.process.poll() is not None and not watch.killed:
-        return "Fault: the router ended by itself"
-    return "Fault: the router exceeded the memory of its machine (%d MB) " \
-        "and was killed; the ordinary booking got: %s" % (
-            MEMORY_MB, ordinary[0].status or ordinary[0].error) \
-        if watch.killed else ""
+    if len(calls.told) != 2:
+        raise CannotRun("a router has not passed on Server-Leaving")
+    late = []
+    for request in leaver.arrivals:
+        name, at = calls.sent.get(request.id, ("", 0))
+        if name and at - calls.told[name] > DRAIN_S:
+            late.append((request.id, at - calls.told[name]))
+            rig.record.say("late: id=%s was sent %.2f s after %s had passed on "
+                           "Server-Leaving, answer %s" % (
+                               request.id, at - calls.told[name], name,
+                               calls.answers.get(request.id)))
+    cut = [request_id for request_id, _ in late
+           if calls.answers.get(request_id) != 200]
+    return "DRAIN: %d bookings reached the leaving engine that were sent over " \
+        "%.0f s after Server-Leaving had been passed on (up to %.1f s), %d of " \
+        "them were lost at its end" % (
+            len(late), DRAIN_S, max(after for _, after in late),
+            len(cut)) if late else ""
 
 
 main(HERE, case)
