--- a/review/10/case.py
+++ b/review/10/case.py
@@ -56,6 +56,8 @@
             with calls.lock:
                 calls.answers[request_id] = str(error)
             continue
+        rig.record.say("caller: id=%s sent to %s -> %d %s" % (
+            request_id, router.name, answer.status, answer.error))
         with calls.lock:
             calls.answers[request_id] = answer.status
             if answer.fields.get("server-leaving") == "1" and \
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -44,10 +44,10 @@
             sock = None
             continue
         after = sent - acked
+        rig.record.say("caller: id=%s with the revoked key, sent %.2f s after "
+                       "the ack to %s -> %d" % (
+                           request_id, after, router.name, answer.status))
         if answer.status == 200 and after > CONFIG_DEADLINE_S:
-            rig.record.say("caller: id=%s with the revoked key, sent %.2f s "
-                           "after the ack to %s -> %d" % (
-                               request_id, after, router.name, answer.status))
             late.append((router.name, after))
         stop.wait(0.05)
     if sock:
@@ -115,7 +115,13 @@
     for number in range(1, ROUNDS + 1):
         if now() - started > LAST_ROUND_AT_S:
             break
-        late = play(rig, number)
+        try:
+            late = play(rig, number)
+        except CannotRun as error:
+            if rounds == 0:
+                raise
+            rig.record.say("no further round: %s" % error)
+            break
         rounds += 1
         if late:
             broken.append("%d requests, up to %.2f s" % (
