--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -12,6 +12,7 @@
 #include "platform/bind.h"
 #include "standin/keyed_store.h"
 #include "standin/origin.h"
+#include "standin/relay.h"
 
 #define DIRECT_MAX 4
 
@@ -21,6 +22,7 @@
     size_t events;  ///< in a stream
     int64_t work_us;
     size_t isolated; ///< last routers that use a store that refuses all calls
+    bool store_relays; ///< the routers reach the store through relays
     const struct random_source *random; ///< of the routers; NULL: the system's
 };
 
@@ -29,6 +31,7 @@
     struct event_base *base;
     struct keyed_store *store;
     struct keyed_store *empty_store;
+    struct relay *store_relays[DIRECT_MAX];
     struct origin *origins[DIRECT_MAX];
     struct origin *orders;
     struct settings_direct settings[DIRECT_MAX];
--- a/tests/main.c
+++ b/tests/main.c
@@ -40,6 +40,7 @@
     {"store", suite_store},
     {"signals", suite_signals},
     {"readers", suite_readers},
+    {"reader cut", suite_reader_cut},
     {"records", suite_records},
     {"place", suite_place},
     {"pace", suite_pace},
