endpoints: an entry that returns brings back what the endpoint has stated

Cause: what an endpoint states lived and died with its entry.

Ruled out: peers' messages, the order of the records.

Change: removed endpoints are remembered for 60 s, or until their hold ends, and an entry of the same incarnation takes the same one into use again. An entry of an earlier incarnation that comes within 10 s of one of the present incarnation is ignored. The same holds for the end of Retry-After, the stated rate, cold starts, ejections and placed contexts.

Suites direct, direct-store, cold, leaving, rate-limit passed.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -18,6 +18,7 @@
     struct endpoints_options options;
     struct endpoint *all;
     struct endpoint *by_hash;
+    struct endpoint *removed; ///< and remembered, by id
     struct candidates *candidates;
 };
 
@@ -53,6 +54,32 @@
     free(endpoint);
 }
 
+static struct endpoint *
+find_removed(const struct endpoints *endpoints, struct str id)
+{
+    struct endpoint *endpoint;
+
+    HASH_FIND(hh, endpoints->removed, id.data, id.len, endpoint);
+    return endpoint;
+}
+
+static void
+forget_removed(struct endpoints *endpoints, struct endpoint *endpoint)
+{
+    HASH_DEL(endpoints->removed, endpoint);
+    endpoint_unref(endpoint);
+}
+
+static void
+insert_endpoint(struct endpoints *endpoints, struct endpoint *endpoint)
+{
+    HASH_ADD_KEYPTR(hh, endpoints->all, endpoint->id.data, endpoint->id.len,
+                    endpoint);
+    HASH_ADD(by_hash, endpoints->by_hash, hash, sizeof(endpoint->hash),
+             endpoint);
+}
+
+/// Takes an endpoint out of use and remembers it.
 static void
 remove_endpoint(struct endpoints *endpoints, struct endpoint *endpoint,
                 const char *reason)
@@ -64,8 +91,10 @@
              reason);
     HASH_DEL(endpoints->all, endpoint);
     HASH_DELETE(by_hash, endpoints->by_hash, endpoint);
-    endpoint->removed = true;
-    endpoint_unref(endpoint);
+    endpoint->lapse_at_ms = 0;
+    endpoint->removed_ms = clock_ms(endpoints->options.clock);
+    HASH_ADD_KEYPTR(hh, endpoints->removed, endpoint->id.data,
+                    endpoint->id.len, endpoint);
 }
 
 void
@@ -82,6 +111,10 @@
         HASH_DELETE(by_hash, endpoints->by_hash, endpoint);
         endpoint_unref(endpoint);
     }
+    HASH_ITER(hh, endpoints->removed, endpoint, next)
+    {
+        forget_removed(endpoints, endpoint);
+    }
     candidates_free(endpoints->candidates);
     free((char *)endpoints->options.zone.data);
     free(endpoints);
@@ -115,10 +148,7 @@
         .memory = endpoints->options.memory,
         .memory_kind = MEMORY_ENDPOINTS,
     });
-    HASH_ADD_KEYPTR(hh, endpoints->all, endpoint->id.data, endpoint->id.len,
-                    endpoint);
-    HASH_ADD(by_hash, endpoints->by_hash, hash, sizeof(endpoint->hash),
-             endpoint);
+    insert_endpoint(endpoints, endpoint);
     LOG_INFO("event=endpoint-added endpoint=" STR_FMT " service=" STR_FMT
              " address=%s:%u zone=" STR_FMT " slots=%u state=%s",
              STR_ARG(id), STR_ARG(facts->service), address->ip, address->port,
@@ -142,11 +172,58 @@
     return true;
 }
 
+/// True for an entry of an earlier incarnation that was written before the
+/// present one began. A clock of the endpoint that was set back also gives
+/// such entries: they hold once the time for late ones is over.
+static bool
+is_late_entry(const struct endpoints *endpoints,
+              const struct endpoint *endpoint,
+              const struct endpoint_facts *facts)
+{
+    return endpoint != NULL && facts->incarnation < endpoint->incarnation &&
+           clock_ms(endpoints->options.clock) - endpoint->renewed_ms <
+               ENDPOINTS_LATE_ENTRY_MS;
+}
+
+static bool
+is_same_process(const struct endpoint *endpoint,
+                const struct endpoint_facts *facts,
+                const struct address *address)
+{
+    return endpoint->incarnation == facts->incarnation &&
+           str_equal(endpoint->service, facts->service) &&
+           strcmp(endpoint->address.ip, address->ip) == 0 &&
+           endpoint->address.port == address->port;
+}
+
+/// Takes a removed endpoint into use again. Its answers hold for the whole
+/// incarnation.
+static void
+return_endpoint(struct endpoints *endpoints, struct endpoint *endpoint)
+{
+    LOG_INFO(
+        "event=endpoint-returned endpoint=" STR_FMT " service=" STR_FMT
+        " incarnation=%lld missing_ms=%lld leaving=%d held_ms=%lld "
+        "rate_limited=%d in_flight=%u",
+        STR_ARG(endpoint->id), STR_ARG(endpoint->service),
+        (long long)endpoint->incarnation,
+        (long long)(clock_ms(endpoints->options.clock) - endpoint->removed_ms),
+        endpoint->is_leaving,
+        (long long)hold_left_ms(&endpoint->hold,
+                                clock_ms(endpoints->options.clock)),
+        endpoint->rate_limit.holds, endpoint->in_flight);
+    HASH_DEL(endpoints->removed, endpoint);
+    endpoint->removed_ms = 0;
+    insert_endpoint(endpoints, endpoint);
+}
+
 void
 endpoints_update(struct endpoints *endpoints, struct str id,
                  const struct endpoint_facts *facts, uint64_t cache_tokens_max)
 {
     struct endpoint *endpoint = endpoints_find(endpoints, id);
+    struct endpoint *removed = find_removed(endpoints, id);
+    const struct endpoint *known = endpoint != NULL ? endpoint : removed;
     struct warmup warmup = {0};
     struct address address;
     struct err err = {0};
@@ -160,19 +237,34 @@
         }
         return;
     }
-    if (endpoint != NULL && (endpoint->incarnation != facts->incarnation ||
-                             !str_equal(endpoint->service, facts->service) ||
-                             strcmp(endpoint->address.ip, address.ip) != 0 ||
-                             endpoint->address.port != address.port)) {
+    if (is_late_entry(endpoints, known, facts)) {
+        LOG_INFO("event=endpoint-entry-late endpoint=" STR_FMT
+                 " service=" STR_FMT " incarnation=%lld present=%lld "
+                 "detail=\"ignored: a later process has the entry\"",
+                 STR_ARG(id), STR_ARG(facts->service),
+                 (long long)facts->incarnation, (long long)known->incarnation);
+        return;
+    }
+    if (endpoint == NULL && removed != NULL &&
+        is_same_process(removed, facts, &address)) {
+        return_endpoint(endpoints, removed);
+        endpoint = removed;
+    }
+    else if (removed != NULL) {
+        forget_removed(endpoints, removed);
+    }
+    if (endpoint != NULL && !is_same_process(endpoint, facts, &address)) {
         // An entry of the process before may have been delivered late.
         warmup = endpoint->warmup;
         remove_endpoint(endpoints, endpoint, "restarted");
+        forget_removed(endpoints, endpoint);
         endpoint = NULL;
     }
     if (endpoint == NULL) {
         endpoint =
             add_endpoint(endpoints, id, facts, &address, cache_tokens_max);
         endpoint->warmup = warmup;
+        endpoint->renewed_ms = clock_ms(endpoints->options.clock);
         cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
         return;
     }
@@ -185,6 +277,7 @@
     }
     endpoint->state = facts->state;
     endpoint->slots = facts->slots;
+    endpoint->renewed_ms = clock_ms(endpoints->options.clock);
     endpoint->lapse_at_ms = 0;
     cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
 }
@@ -223,6 +316,13 @@
             remove_endpoint(endpoints, endpoint, "lapsed");
         }
     }
+    HASH_ITER(hh, endpoints->removed, endpoint, next)
+    {
+        if (now_ms - endpoint->removed_ms >= ENDPOINTS_REMEMBER_MS &&
+            hold_left_ms(&endpoint->hold, now_ms) == 0) {
+            forget_removed(endpoints, endpoint);
+        }
+    }
 }
 
 struct endpoint *
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -35,6 +35,12 @@
 /// the outage; an endpoint whose entry is removed right after it must be out
 /// of use within two seconds.
 #define ENDPOINTS_LAPSE_GRACE_MS 1800
+/// Time for which an endpoint is remembered after its entry was removed: its
+/// answers hold for the whole incarnation, and the entry may come back.
+#define ENDPOINTS_REMEMBER_MS 60000
+/// Time after which a write of an entry that got no answer is no longer
+/// executed.
+#define ENDPOINTS_LATE_ENTRY_MS 10000
 /// Age at which a load reported by a peer expires.
 #define ENDPOINTS_PEER_LOAD_MS 3000
 
@@ -86,10 +92,11 @@
     double unreported_load; ///< smoothed requests there that no router reports
     double stated_excess;   ///< in the last answer, beyond the reports
     int64_t unreported_ms;  ///< time of the last answer that stated a load
-    bool removed;
-    int64_t lapse_at_ms; ///< when a missing entry expires; 0: not missing
+    int64_t renewed_ms;     ///< of the last entry of this incarnation
+    int64_t removed_ms;     ///< 0: not removed
+    int64_t lapse_at_ms;    ///< when a missing entry expires; 0: not missing
     size_t references;
-    UT_hash_handle hh;
+    UT_hash_handle hh;      ///< in the endpoints, or the removed ones
     UT_hash_handle by_hash; ///< key in messages between routers
 };
 
@@ -109,7 +116,9 @@
 struct endpoints *endpoints_new(const struct endpoints_options *options);
 void endpoints_free(struct endpoints *endpoints);
 
-/// Adds or updates the endpoint of an entry. `cache_tokens_max` is the
+/// Adds or updates the endpoint of an entry. One that returns in the same
+/// incarnation is bound by what it has stated before. An entry of an earlier
+/// incarnation that arrives late is ignored. `cache_tokens_max` is the
 /// capacity of an endpoint's prefix cache.
 void endpoints_update(struct endpoints *endpoints, struct str id,
                       const struct endpoint_facts *facts,
@@ -120,7 +129,8 @@
 void endpoints_remove(struct endpoints *endpoints, struct str id,
                       int64_t lapse_at_ms);
 
-/// Removes the endpoints whose missing entries have expired.
+/// Removes the endpoints whose missing entries have expired, and forgets those
+/// that were removed long ago.
 void endpoints_tick(struct endpoints *endpoints);
 
 /// The options given at the start, with an own copy of the zone.
--- a/standin/origin.c
+++ b/standin/origin.c
@@ -967,6 +967,12 @@
     origin->echoes_calls = true;
 }
 
+void
+origin_set_work(struct origin *origin, int64_t work_us)
+{
+    origin->options.work_us = work_us;
+}
+
 void
 origin_set_leaving(struct origin *origin)
 {
--- a/standin/origin.h
+++ b/standin/origin.h
@@ -121,6 +121,9 @@
 /// NULL: none. Not copied.
 void origin_set_fields(struct origin *origin, const char *fields);
 
+/// Sets the time before an answer and between events.
+void origin_set_work(struct origin *origin, int64_t work_us);
+
 /// Adds "Server-Leaving: 1" to all answers from now on.
 void origin_set_leaving(struct origin *origin);
 
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -90,6 +90,28 @@
     direct_harness_stop(&harness);
 }
 
+/// Writes the entry of endpoint 0 as of the process that was born then.
+static void
+put_born(struct direct_harness *harness, int64_t born_ms)
+{
+    direct_entry_put(harness->store,
+                     &(struct direct_entry){
+                         .id = "e-0",
+                         .service = "models",
+                         .address = origin_address(harness->origins[0]),
+                         .born_ms = born_ms,
+                     });
+    direct_harness_run(harness, 200);
+}
+
+static void
+remove_entry(struct direct_harness *harness)
+{
+    direct_harness_put_entry(harness, "e-0", harness->origins[0], "models",
+                             NULL);
+    direct_harness_run(harness, 200);
+}
+
 static void
 expect_statuses(struct direct_harness *harness, const char *path, int count,
                 int status)
@@ -175,6 +197,93 @@
     direct_harness_stop(&harness);
 }
 
+/// The store executed the write of an entry late, after the entry had been
+/// removed: the leaving endpoint was used again, and what it had been sent was
+/// lost at its end.
+static void
+test_late_entry_of_leaving_endpoint(void)
+{
+    struct direct_harness harness;
+    uint64_t before;
+
+    start(&harness, 2);
+    origin_set_leaving(harness.origins[0]);
+    expect_statuses(&harness, "/look/", 20, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == 1);
+    remove_entry(&harness);
+    put_born(&harness, 1);
+    expect_statuses(&harness, "/look/", 30, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == 1);
+    // The next process of the endpoint is used.
+    put_born(&harness, 2);
+    expect_statuses(&harness, "/look/", 30, 200);
+    before = origin_requests(harness.origins[0]);
+    CU_ASSERT(before == 2);
+    // An entry of the first process that arrives now changes nothing.
+    put_born(&harness, 1);
+    expect_statuses(&harness, "/look/", 30, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == before);
+    direct_harness_stop(&harness);
+}
+
+/// The answer that states the leaving arrives after the entry was removed, and
+/// the late entry behind it.
+static void
+test_leaving_stated_after_removal(void)
+{
+    struct direct_harness harness;
+    struct direct_call calls[4] = {0};
+    uint64_t before;
+
+    direct_harness_start(&harness, &(struct direct_harness_options){
+                                       .routers = 1,
+                                       .origins = 2,
+                                       .work_us = 300000,
+                                   });
+    origin_set_leaving(harness.origins[0]);
+    for (size_t i = 0; i < 4; i++) {
+        char id[16];
+
+        snprintf(id, sizeof(id), "id-%zu", i);
+        direct_call_start(&harness, 0, &calls[i], "GET", "/look/", id, NULL,
+                          NULL);
+    }
+    direct_harness_run(&harness, 50);
+    before = origin_requests(harness.origins[0]);
+    CU_ASSERT(before > 0);
+    remove_entry(&harness);
+    for (size_t i = 0; i < 4; i++) {
+        CU_ASSERT(
+            direct_harness_wait(&harness, direct_call_ended, &calls[i], 3000));
+        direct_call_free(&calls[i]);
+    }
+    put_born(&harness, 1);
+    origin_set_work(harness.origins[0], 3000);
+    origin_set_work(harness.origins[1], 3000);
+    expect_statuses(&harness, "/look/", 30, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == before);
+    direct_harness_stop(&harness);
+}
+
+/// The entry of an endpoint that turns requests away lapses and returns: the
+/// time that it has stated went with the entry.
+static void
+test_hold_outlasts_entry(void)
+{
+    struct direct_harness harness;
+
+    start(&harness, 2);
+    origin_set_fault(harness.origins[0], ORIGIN_SHEDS);
+    origin_set_rejection_fields(harness.origins[0], "Retry-After: 60\r\n");
+    expect_statuses(&harness, "/look/", 20, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == 1);
+    remove_entry(&harness);
+    put_born(&harness, 1);
+    expect_statuses(&harness, "/look/", 30, 200);
+    CU_ASSERT(origin_requests(harness.origins[0]) == 1);
+    direct_harness_stop(&harness);
+}
+
 void
 suite_leaving(void)
 {
@@ -183,6 +292,11 @@
     CU_add_test(suite, "leaving endpoint", test_leaving_endpoint);
     CU_add_test(suite, "leaving ends with the incarnation",
                 test_leaving_ends_with_incarnation);
+    CU_add_test(suite, "late entry of leaving endpoint",
+                test_late_entry_of_leaving_endpoint);
+    CU_add_test(suite, "leaving stated after removal",
+                test_leaving_stated_after_removal);
+    CU_add_test(suite, "hold outlasts the entry", test_hold_outlasts_entry);
     CU_add_test(suite, "endpoint turns requests away",
                 test_endpoint_turns_requests_away);
     CU_add_test(suite, "all endpoints turn requests away",
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -292,6 +292,30 @@
     direct_harness_stop(&harness);
 }
 
+/// The entry lapses and returns in the same incarnation: the rate that the
+/// endpoint had stated went with the entry.
+static void
+test_stated_rate_outlasts_entry(void)
+{
+    const struct str id = STR_LITERAL("e-0");
+    struct direct_harness harness;
+    const struct endpoint *endpoint;
+
+    start(&harness, 1, 1);
+    origin_set_fields(harness.origins[0], RATE_FIELD);
+    CU_ASSERT(direct_call_once(&harness, 0, "/look/") == 200);
+    direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                             NULL);
+    direct_harness_run(&harness, 200);
+    direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                             "ready");
+    direct_harness_run(&harness, 200);
+    endpoint = endpoints_find(direct_endpoints(harness.routers[0]), id);
+    CU_ASSERT_FATAL(endpoint != NULL);
+    CU_ASSERT(endpoint->rate_limit.holds);
+    direct_harness_stop(&harness);
+}
+
 /// The statement ends with an answer at one router; all send without a limit
 /// then. So they do to the next incarnation of an endpoint.
 static void
@@ -578,6 +602,8 @@
                 test_more_rates_than_a_message_holds);
     CU_add_test(suite, "rate told before the entry",
                 test_rate_told_before_the_entry);
+    CU_add_test(suite, "stated rate outlasts the entry",
+                test_stated_rate_outlasts_entry);
     CU_add_test(suite, "other endpoint buried", test_other_endpoint_buried);
     CU_add_test(suite, "odd stated rates", test_odd_stated_rates);
 }
