http: heads that are none in the protocol are no answers

What callers saw: an endpoint in trouble sent an answer with the status 000, or with a blank or a control byte in a field name, and the caller got it.

Evidence: 'odd heads', each head whole and in single bytes, to the channel of the routers and to the client of the agents. Before: 7 heads wrong at the routers (600, 999, versions 2.0 and 0.9, two codings, a control byte in a value), 21 at the agents (every odd status and field name among them, and an interim 100 before the answer, after which the call did not end).

Cause: http-parser and evhttp accept more than the protocol has.

Ruled out: that heads in pieces are read in another way (same results).

Change: checks in net/http1 that both readers use; the client of the agents reads the answer behind a 100.

Conclusion: such answers are malformed ones: 502, and the request may have run.

--- a/net/http1.c
+++ b/net/http1.c
@@ -50,11 +50,63 @@
     return append_text(http, at, len) ? 0 : 1;
 }
 
+static bool
+is_part_of_token(const char *text, size_t len)
+{
+    static const char marks[] = "!#$%&'*+-.^_`|~";
+
+    for (size_t i = 0; i < len; i++) {
+        char byte = text[i];
+
+        if (!(byte >= '0' && byte <= '9') && !(byte >= 'a' && byte <= 'z') &&
+            !(byte >= 'A' && byte <= 'Z') &&
+            (byte == '\0' || strchr(marks, byte) == NULL)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+http1_is_token(struct str name)
+{
+    return name.len > 0 && is_part_of_token(name.data, name.len);
+}
+
+bool
+http1_is_field_value(struct str value)
+{
+    for (size_t i = 0; i < value.len; i++) {
+        unsigned char byte = (unsigned char)value.data[i];
+
+        if ((byte < ' ' && byte != '\t') || byte == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+http1_is_status(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
+bool
+http1_is_chunked(struct str codings)
+{
+    return str_equal_nocase(codings, "chunked");
+}
+
 static int
 on_field_name(http_parser *parser, const char *at, size_t len)
 {
     struct http1 *http = http1_of(parser);
 
+    if (!is_part_of_token(at, len)) {
+        http->error = HTTP1_MALFORMED;
+        return 1;
+    }
     if (http->has_head) {
         // Trailers are dropped: no hop depends on them.
         return 0;
@@ -69,12 +121,6 @@
         };
         http->in_value = false;
     }
-    if (memchr(at, ' ', len) != NULL) {
-        // Servers disagree on whether "Name :" is the field Name, so that
-        // forwarding it would allow request smuggling.
-        http->error = HTTP1_MALFORMED;
-        return 1;
-    }
     http->fields[http->field_count - 1].name_len += (uint32_t)len;
     return append_text(http, at, len) ? 0 : 1;
 }
@@ -97,11 +143,32 @@
     return append_text(http, at, len) ? 0 : 1;
 }
 
+static bool
+is_answer_head(const struct http1 *http)
+{
+    size_t codings = http1_count_fields(http, "Transfer-Encoding");
+
+    for (size_t i = 0; i < http->field_count; i++) {
+        if (!http1_is_field_value(http1_value_at(http, i))) {
+            return false;
+        }
+    }
+    return http->parser.http_major == 1 &&
+           http1_is_status(http1_status(http)) && codings <= 1 &&
+           (codings == 0 ||
+            http1_is_chunked(http1_value(http, "Transfer-Encoding")));
+}
+
 static int
 on_head(http_parser *parser)
 {
     struct http1 *http = http1_of(parser);
 
+    if (http->parser.type == HTTP_RESPONSE && !is_answer_head(http)) {
+        http->error = HTTP1_MALFORMED;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
     http->has_head = true;
     http->callbacks->head(http->ctx);
     return http->no_body ? 1 : 0;
--- a/net/http1.h
+++ b/net/http1.h
@@ -93,6 +93,20 @@
 /// True if the field is hop-by-hop, so that it is not forwarded.
 bool http1_is_hop_by_hop(const struct http1 *http, struct str name);
 
+/// True if the name of a field is a token. Servers disagree on whether "Name
+/// :" is the field Name, so that forwarding it would allow request smuggling.
+bool http1_is_token(struct str name);
+
+/// True if the text has no control characters but tabs.
+bool http1_is_field_value(struct str value);
+
+/// True if an answer may have this status, interim ones included.
+bool http1_is_status(int status);
+
+/// True if the codings of a body, the value of Transfer-Encoding, can be
+/// undone: others would be passed on as a part of the body.
+bool http1_is_chunked(struct str codings);
+
 bool str_equal_nocase(struct str a, const char *text);
 
 /// Parses a non-negative decimal number of up to 18 digits; false on anything
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -4,21 +4,30 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/queue.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <utlist.h>
 
 #include "core/xmalloc.h"
 #include "http.h"
+#include "http1.h"
 
 /// Time-out of evhttp; long, since the users of this module set the time-out
 /// of each call.
 #define EVHTTP_TIMEOUT_S (24 * 3600)
 
+#define STATUS_CONTINUE 100
+/// Lower ones are those of interim answers.
+#define STATUS_FINAL_MIN 200
+/// Begin of a status line, up to the byte behind the status.
+#define STATUS_LINE_BYTES 13
+
 /// A connection that serves one call at a time.
 struct connection {
     struct http_client *client;
@@ -47,6 +56,8 @@
     char number[24]; ///< value of the call field
     bool is_identified;
     bool sent;
+    bool has_line; ///< the status line was checked
+    bool is_malformed;
     bool has_head;
     bool accepts_unframed;
     bool framed;
@@ -139,6 +150,34 @@
     recycle_connection(connection, connection->reusable);
 }
 
+/// evhttp reads any number as the status, with a sign and with other bytes
+/// behind it.
+static bool
+is_status_line(const char line[STATUS_LINE_BYTES])
+{
+    return !memcmp(line, "HTTP/1.", 7) && line[8] == ' ' && line[9] >= '1' &&
+           line[9] <= '9' && line[10] >= '0' && line[10] <= '9' &&
+           line[11] >= '0' && line[11] <= '9' &&
+           (line[12] == ' ' || line[12] == '\r' || line[12] == '\n');
+}
+
+static void
+on_input_changed(struct evbuffer *input, const struct evbuffer_cb_info *info,
+                 void *ctx)
+{
+    const struct connection *connection = ctx;
+    struct http_call *call = connection->call;
+    char line[STATUS_LINE_BYTES];
+
+    if (info->n_added == 0 || call == NULL || call->has_line ||
+        evbuffer_copyout(input, line, sizeof(line)) <
+            (ev_ssize_t)sizeof(line)) {
+        return;
+    }
+    call->has_line = true;
+    call->is_malformed = !is_status_line(line);
+}
+
 static struct connection *
 connection_new(struct http_client *client)
 {
@@ -160,6 +199,7 @@
     bev = evhttp_connection_get_bufferevent(connection->http);
     evbuffer_add_cb(bufferevent_get_output(bev), on_output_changed,
                     connection);
+    evbuffer_add_cb(bufferevent_get_input(bev), on_input_changed, connection);
     return connection;
 }
 
@@ -220,6 +260,29 @@
     return call->is_identified;
 }
 
+/// evhttp passes on heads that are none in the protocol.
+static bool
+is_head(const struct evhttp_request *request)
+{
+    const struct evkeyval *field;
+    size_t codings = 0;
+
+    TAILQ_FOREACH(field, request->input_headers, next)
+    {
+        struct str name = str_from(field->key);
+        struct str value = str_from(field->value);
+
+        if (!http1_is_token(name) || !http1_is_field_value(value)) {
+            return false;
+        }
+        if (str_equal_nocase(name, "Transfer-Encoding") &&
+            (++codings > 1 || !http1_is_chunked(value))) {
+            return false;
+        }
+    }
+    return request->major == 1 && http1_is_status(request->response_code);
+}
+
 static bool
 report_head(struct http_call *call, struct evhttp_request *request)
 {
@@ -228,7 +291,7 @@
     int status = evhttp_request_get_response_code(request);
     size_t count;
 
-    if (!identify_answer(call, input)) {
+    if (status < STATUS_FINAL_MIN || !identify_answer(call, input)) {
         return false;
     }
     count = http_copy_headers(input, headers, MESSAGE_HEADERS_MAX);
@@ -251,7 +314,23 @@
 static int
 on_head(struct evhttp_request *request, void *ctx)
 {
-    return report_head(ctx, request) ? 0 : -1;
+    struct http_call *call = ctx;
+
+    if (call->is_malformed || !is_head(request)) {
+        return -1;
+    }
+    if (evhttp_request_get_response_code(request) == STATUS_CONTINUE) {
+        // evhttp reads the answer behind it into the same request.
+        evhttp_clear_headers(evhttp_request_get_input_headers(request));
+        call->has_line = false;
+        // It waits until the rest of the request is written, also if there is
+        // none.
+        bufferevent_trigger(
+            evhttp_connection_get_bufferevent(call->connection->http),
+            EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+        return 0;
+    }
+    return report_head(call, request) ? 0 : -1;
 }
 
 static void
