endpoints: a late ready entry does not end a drain

Cause: the newest record of a key was taken as the newest state of its process.

Change: within one incarnation ready does not follow draining, also if the entry was removed between. A process that drains ends.

Evidence: 'leaving: late entry of draining endpoint' failed in both of its cases before, holds now.

--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -268,6 +268,17 @@
         cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
         return;
     }
+    if (endpoint->state == ENDPOINT_DRAINING &&
+        facts->state == ENDPOINT_READY) {
+        // A process that drains ends: this entry was written before.
+        LOG_INFO("event=endpoint-entry-late endpoint=" STR_FMT
+                 " service=" STR_FMT " incarnation=%lld state=ready "
+                 "detail=\"ignored: the process is draining\"",
+                 STR_ARG(id), STR_ARG(facts->service),
+                 (long long)facts->incarnation);
+        endpoint->lapse_at_ms = 0;
+        return;
+    }
     if (endpoint->state != facts->state) {
         LOG_INFO("event=endpoint-state endpoint=" STR_FMT " service=" STR_FMT
                  " state=%s in_flight=%u",
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -226,6 +226,31 @@
     direct_harness_stop(&harness);
 }
 
+/// The store executed the write of a ready entry late, after the one that says
+/// that the endpoint drains, or after the removal of that: it was used again.
+static void
+test_late_entry_of_draining_endpoint(void)
+{
+    for (int removed = 0; removed < 2; removed++) {
+        struct direct_harness harness;
+
+        start(&harness, 2);
+        direct_harness_put_entry(&harness, "e-0", harness.origins[0], "models",
+                                 "draining");
+        direct_harness_run(&harness, 200);
+        if (removed == 1) {
+            remove_entry(&harness);
+        }
+        put_born(&harness, 1);
+        expect_statuses(&harness, "/look/", 30, 200);
+        CU_ASSERT(origin_requests(harness.origins[0]) == 0);
+        put_born(&harness, 2);
+        expect_statuses(&harness, "/look/", 30, 200);
+        CU_ASSERT(origin_requests(harness.origins[0]) > 0);
+        direct_harness_stop(&harness);
+    }
+}
+
 /// The answer that states the leaving arrives after the entry was removed, and
 /// the late entry behind it.
 static void
@@ -294,6 +319,8 @@
                 test_leaving_ends_with_incarnation);
     CU_add_test(suite, "late entry of leaving endpoint",
                 test_late_entry_of_leaving_endpoint);
+    CU_add_test(suite, "late entry of draining endpoint",
+                test_late_entry_of_draining_endpoint);
     CU_add_test(suite, "leaving stated after removal",
                 test_leaving_stated_after_removal);
     CU_add_test(suite, "hold outlasts the entry", test_hold_outlasts_entry);
