--- a/net/channel.c
+++ b/net/channel.c
@@ -369,11 +369,10 @@
     channel->pending_request = NULL;
 }
 
-/// True if the server has closed its side properly, behind all that it wanted
-/// to send. The kernel reports a reset once: a write that takes it leaves an
-/// end of stream to the read behind it, and both arrive here together. A
-/// server that ends the connection before it could read the request has broken
-/// off.
+/// True if the server has closed its side of the connection after its answer.
+/// The kernel reports a reset once: if a write gets the error, the next read
+/// gets an end of stream, and both are in `events`. A server that closes
+/// before the request was written may have been cut off as well.
 static bool
 was_closed(const struct channel *channel, short events)
 {
