endpoints: entries are ordered by their numbers

Cause: the order of two entries of one process was guessed from the states. The entries have a number (seq) that tells it.

Change: within one incarnation an entry with a lower number than the last one is ignored, also after the removal; any state with a higher one holds.

'leaving: late entry of draining endpoint' now writes numbers and asks for both: the late entry is ignored, the next one is used.

--- a/core/wire.h
+++ b/core/wire.h
@@ -85,6 +85,7 @@
     enum endpoint_state state;
     uint32_t slots;
     int64_t incarnation; ///< differs after a restart under the same identity
+    int64_t sequence;    ///< of the entries of an incarnation; 0: not stated
     int64_t cold_ms;     ///< remaining time in which it takes few requests
 };
 
--- a/direct/endpoints.c
+++ b/direct/endpoints.c
@@ -172,15 +172,22 @@
     return true;
 }
 
-/// True for an entry of an earlier incarnation that was written before the
-/// present one began. A clock of the endpoint that was set back also gives
-/// such entries: they hold once the time for late ones is over.
+/// True for an entry that was written before the last one: of an earlier
+/// incarnation, or with a lower number. A clock of the endpoint that was set
+/// back also gives an earlier incarnation: its entries hold once the time for
+/// late ones is over.
 static bool
 is_late_entry(const struct endpoints *endpoints,
               const struct endpoint *endpoint,
               const struct endpoint_facts *facts)
 {
-    return endpoint != NULL && facts->incarnation < endpoint->incarnation &&
+    if (endpoint == NULL) {
+        return false;
+    }
+    if (facts->incarnation == endpoint->incarnation) {
+        return facts->sequence > 0 && facts->sequence < endpoint->sequence;
+    }
+    return facts->incarnation < endpoint->incarnation &&
            clock_ms(endpoints->options.clock) - endpoint->renewed_ms <
                ENDPOINTS_LATE_ENTRY_MS;
 }
@@ -239,10 +246,12 @@
     }
     if (is_late_entry(endpoints, known, facts)) {
         LOG_INFO("event=endpoint-entry-late endpoint=" STR_FMT
-                 " service=" STR_FMT " incarnation=%lld present=%lld "
-                 "detail=\"ignored: a later process has the entry\"",
+                 " service=" STR_FMT " incarnation=%lld sequence=%lld "
+                 "last_incarnation=%lld last_sequence=%lld "
+                 "detail=\"ignored: written before the last one\"",
                  STR_ARG(id), STR_ARG(facts->service),
-                 (long long)facts->incarnation, (long long)known->incarnation);
+                 (long long)facts->incarnation, (long long)facts->sequence,
+                 (long long)known->incarnation, (long long)known->sequence);
         return;
     }
     if (endpoint == NULL && removed != NULL &&
@@ -264,21 +273,11 @@
         endpoint =
             add_endpoint(endpoints, id, facts, &address, cache_tokens_max);
         endpoint->warmup = warmup;
+        endpoint->sequence = facts->sequence;
         endpoint->renewed_ms = clock_ms(endpoints->options.clock);
         cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
         return;
     }
-    if (endpoint->state == ENDPOINT_DRAINING &&
-        facts->state == ENDPOINT_READY) {
-        // A process that drains ends: this entry was written before.
-        LOG_INFO("event=endpoint-entry-late endpoint=" STR_FMT
-                 " service=" STR_FMT " incarnation=%lld state=ready "
-                 "detail=\"ignored: the process is draining\"",
-                 STR_ARG(id), STR_ARG(facts->service),
-                 (long long)facts->incarnation);
-        endpoint->lapse_at_ms = 0;
-        return;
-    }
     if (endpoint->state != facts->state) {
         LOG_INFO("event=endpoint-state endpoint=" STR_FMT " service=" STR_FMT
                  " state=%s in_flight=%u",
@@ -288,6 +287,7 @@
     }
     endpoint->state = facts->state;
     endpoint->slots = facts->slots;
+    endpoint->sequence = facts->sequence;
     endpoint->renewed_ms = clock_ms(endpoints->options.clock);
     endpoint->lapse_at_ms = 0;
     cold_entry_renewed(endpoints->options.cold, endpoint, facts->cold_ms);
--- a/direct/endpoints.h
+++ b/direct/endpoints.h
@@ -71,6 +71,7 @@
     bool is_leaving; ///< as its answers state, whatever its entry says
     uint32_t slots;
     int64_t incarnation;
+    int64_t sequence; ///< of its last entry
     struct channel_pool *pool;
     struct eject eject;
     struct hold hold; ///< as its last rejections state
@@ -117,9 +118,9 @@
 void endpoints_free(struct endpoints *endpoints);
 
 /// Adds or updates the endpoint of an entry. One that returns in the same
-/// incarnation is bound by what it has stated before. An entry of an earlier
-/// incarnation that arrives late is ignored. `cache_tokens_max` is the
-/// capacity of an endpoint's prefix cache.
+/// incarnation is bound by what it has stated before. Entries that arrive
+/// late, behind later ones, are ignored. `cache_tokens_max` is the capacity of
+/// an endpoint's prefix cache.
 void endpoints_update(struct endpoints *endpoints, struct str id,
                       const struct endpoint_facts *facts,
                       uint64_t cache_tokens_max);
--- a/tests/direct_harness.h
+++ b/tests/direct_harness.h
@@ -86,6 +86,7 @@
     const char *state; ///< NULL: "ready"
     int64_t cold_ms;   ///< remaining time in which the endpoint is cold
     int64_t born_ms;   ///< differs after a restart
+    int64_t sequence;  ///< of the entries of the process; 0: 1
 };
 
 void direct_entry_put(struct keyed_store *store,
