--- a/review/stand-ins-3/lab.py
+++ b/review/stand-ins-3/lab.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import re
@@ -499,6 +500,24 @@
             self.streams = None
 
 
+@contextlib.asynccontextmanager
+async def child(script, *arguments):
+    """A Python program beside the case's own; ended with the block."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-B",
+        script,
+        *(str(argument) for argument in arguments),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
 def run_case(script, case):
     """Runs `case(record, folder)`, which returns 0 or 1; exits with 2 if it
     cannot run."""
