--- a/review/stand-ins-3/lab.py
+++ b/review/stand-ins-3/lab.py
@@ -310,7 +310,8 @@
         ):
             pass
         finally:
-            writer.close()
+            with contextlib.suppress(RuntimeError):
+                writer.close()
 
     async def answer(self, writer, line, fields, body):
         request = fields.get("dandelionvalve-request-id")
@@ -426,11 +427,11 @@
     def is_running(self):
         return self.process.poll() is None
 
-    def resident_mb(self):
+    def resident_mib(self):
         with open("/proc/%d/status" % self.process.pid) as file:
             for line in file:
                 if line.startswith("VmRSS"):
-                    return int(line.split()[1]) * 1024 / 1e6
+                    return int(line.split()[1]) / 1024
         return 0
 
     def stop(self):
