position: eras of any size, so that any restored store is followed

Cause: a position was one number with 23 bits for the era; a larger era was taken as odd, and each answer as of the present era.

Change: a position is a pair of era and offset, in records, links and the store's client. Message version 8 carries it as an array; version 7 gets its one number if the era fits, else offsets, which is how it uses such a store. The era's field for resets of the log is not raised yet.

--- a/core/message.c
+++ b/core/message.c
@@ -8,6 +8,7 @@
 #include "xmalloc.h"
 
 #define NESTING_MAX 2
+#define POSITION_ELEMENTS 3
 #define ELEMENTS_MAX (3 * MESSAGE_LOADS_MAX)
 
 #define TAG_FIXINT_MAX 0x7f
@@ -87,6 +88,19 @@
     }
 }
 
+static void
+put_position(msgpack_packer *packer, const struct message_position *position)
+{
+    if (!position->has_era) {
+        put_uint(packer, position->number);
+        return;
+    }
+    msgpack_pack_array(packer, POSITION_ELEMENTS);
+    put_uint(packer, position->resets);
+    put_uint(packer, position->era);
+    put_uint(packer, position->number);
+}
+
 static void
 put_id(msgpack_packer *packer, const struct attempt_id *id)
 {
@@ -311,7 +325,7 @@
         return;
     case MESSAGE_KNOWN:
         for (size_t i = 0; i < MESSAGE_TOPIC_COUNT; i++) {
-            put_uint(packer, m->known.ends[i]);
+            put_position(packer, &m->known.ends[i]);
         }
         put_bool(packer, m->known.reads_store);
         return;
@@ -321,18 +335,18 @@
     case MESSAGE_LISTING:
     case MESSAGE_REACHED:
         put_uint(packer, m->position.topic);
-        put_uint(packer, m->position.position);
+        put_position(packer, &m->position.position);
         return;
     case MESSAGE_RECORD:
         put_uint(packer, m->record.topic);
-        put_uint(packer, m->record.position);
+        put_position(packer, &m->record.position);
         put_bool(packer, m->record.removed);
         put_str(packer, m->record.key);
         put_str(packer, m->record.value);
         return;
     case MESSAGE_PACKED:
         put_uint(packer, m->packed.topic);
-        put_uint(packer, m->packed.position);
+        put_position(packer, &m->packed.position);
         put_str(packer, m->packed.key);
         put_str(packer, m->packed.value);
         put_uint(packer, m->packed.value_bytes);
@@ -821,6 +835,30 @@
     m->placed.count = count;
 }
 
+static struct message_position
+get_position(struct cursor *cursor)
+{
+    struct message_position position = {0};
+    const msgpack_object *object = cursor->next;
+    struct cursor fields = {.zone = cursor->zone};
+
+    if (cursor->failed || object == cursor->end ||
+        object->type != MSGPACK_OBJECT_ARRAY) {
+        position.number = get_uint(cursor, INT64_MAX);
+        return position;
+    }
+    cursor->next++;
+    fields.next = object->via.array.ptr;
+    fields.end = fields.next + object->via.array.size;
+    position.has_era = true;
+    position.resets = get_u32(&fields);
+    position.era = get_uint(&fields, UINT64_MAX);
+    position.number = get_uint(&fields, INT64_MAX);
+    cursor->failed =
+        cursor->failed || fields.failed || fields.next != fields.end;
+    return position;
+}
+
 static void
 get_router_fields(struct cursor *cursor, struct message *m)
 {
@@ -833,7 +871,7 @@
         return;
     case MESSAGE_KNOWN:
         for (size_t i = 0; i < MESSAGE_TOPIC_COUNT; i++) {
-            m->known.ends[i] = get_uint(cursor, INT64_MAX);
+            m->known.ends[i] = get_position(cursor);
         }
         m->known.reads_store = get_bool(cursor);
         return;
@@ -844,18 +882,18 @@
     case MESSAGE_REACHED:
         m->position.topic =
             (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
-        m->position.position = get_uint(cursor, INT64_MAX);
+        m->position.position = get_position(cursor);
         return;
     case MESSAGE_RECORD:
         m->record.topic = (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
-        m->record.position = get_uint(cursor, INT64_MAX);
+        m->record.position = get_position(cursor);
         m->record.removed = get_bool(cursor);
         m->record.key = get_str(cursor);
         m->record.value = get_str(cursor);
         return;
     case MESSAGE_PACKED:
         m->packed.topic = (uint32_t)get_uint(cursor, MESSAGE_TOPIC_COUNT - 1);
-        m->packed.position = get_uint(cursor, INT64_MAX);
+        m->packed.position = get_position(cursor);
         m->packed.key = get_str(cursor);
         m->packed.value = get_str(cursor);
         m->packed.value_bytes = get_uint(cursor, UINT64_MAX);
--- a/core/position.c
+++ b/core/position.c
@@ -1,51 +1,50 @@
 #include "position.h"
 
-#include "xmalloc.h"
-
-int64_t
-position_make(int64_t era, int64_t offset)
+int
+position_compare_eras(struct position_era a, struct position_era b)
 {
-    INVARIANT(era >= 0 && era < POSITION_ERAS);
-    return era * POSITION_OFFSETS +
-           (offset < POSITION_OFFSETS ? offset : POSITION_OFFSETS - 1);
+    if (a.resets != b.resets) {
+        return a.resets < b.resets ? -1 : 1;
+    }
+    return (a.number > b.number) - (a.number < b.number);
 }
 
-int64_t
-position_era(int64_t position)
+int
+position_compare(struct position a, struct position b)
 {
-    return position > 0 ? position / POSITION_OFFSETS : 0;
-}
+    int order = position_compare_eras(a.era, b.era);
 
-int64_t
-position_offset(int64_t position)
-{
-    return position > 0 ? position % POSITION_OFFSETS : position;
+    return order != 0 ? order : (a.offset > b.offset) - (a.offset < b.offset);
 }
 
 enum position_verdict
-position_judge(struct position_eras *eras, int64_t begun, int64_t stated)
+position_judge(struct position_eras *eras, struct position_era begun,
+               uint64_t stated)
 {
+    uint64_t present = eras->present.number;
     bool confirmed = stated == eras->unconfirmed;
 
     eras->unconfirmed = 0;
-    if (stated == eras->present) {
+    if (stated == present) {
         return POSITION_CURRENT;
     }
-    if (stated < eras->present) {
-        return begun < eras->present ? POSITION_STALE : POSITION_ODD;
+    if (stated < present) {
+        return position_compare_eras(begun, eras->present) < 0 ? POSITION_STALE
+                                                               : POSITION_ODD;
     }
-    if (stated - eras->present > POSITION_ERA_STEP_MAX && !confirmed) {
+    if (present > 0 && stated - present > POSITION_ERA_STEP_MAX &&
+        !confirmed) {
         eras->unconfirmed = stated;
         return POSITION_STALE;
     }
-    eras->present = stated;
+    eras->present.number = stated;
     return POSITION_RESTORED;
 }
 
 void
-position_observe(struct position_eras *eras, int64_t era)
+position_observe(struct position_eras *eras, struct position_era era)
 {
-    if (era > eras->present) {
+    if (position_compare_eras(era, eras->present) > 0) {
         eras->present = era;
         eras->unconfirmed = 0;
     }
--- a/core/position.h
+++ b/core/position.h
@@ -13,25 +13,29 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/// Eras and offsets below these limits have positions: any number that is not
-/// negative is one.
-#define POSITION_ERAS (INT64_C(1) << 23)
-#define POSITION_OFFSETS (INT64_C(1) << 40)
-
 /// An era above the present one by more than this is used when a second answer
-/// states it too: one mistaken statement would make all later ones stale.
+/// states it too: a single mistake would have all topics listed again.
 #define POSITION_ERA_STEP_MAX 64
 
-/// One number, so that positions are compared, stored and sent as such. Era 0
-/// is that of a store which states none: there the position is the offset.
-int64_t position_make(int64_t era, int64_t offset);
-int64_t position_era(int64_t position);
-int64_t position_offset(int64_t position);
+/// A life of the log in which its offsets only rise.
+struct position_era {
+    uint32_t resets; ///< times that the store went back without a later era
+    uint64_t number; ///< stated by the store, counted from 1; 0: none is
+};
+
+struct position {
+    struct position_era era;
+    int64_t offset;
+};
+
+/// Negative if `a` is earlier than `b`, 0 if they are equal.
+int position_compare_eras(struct position_era a, struct position_era b);
+int position_compare(struct position a, struct position b);
 
 /// The era of the store, as its answers and the positions of peers show it.
 struct position_eras {
-    int64_t present;
-    int64_t unconfirmed; ///< far above it, stated by one answer; 0: none
+    struct position_era present;
+    uint64_t unconfirmed; ///< stated by one answer, and not used; 0: none
 };
 
 enum position_verdict {
@@ -41,10 +45,11 @@
     POSITION_ODD,      ///< states an earlier era, but was sent in this one
 };
 
-/// Judges an answer by the era that it states. `begun` is the era in which its
-/// call began: an answer to a call of the present era cannot be older.
-enum position_verdict position_judge(struct position_eras *eras, int64_t begun,
-                                     int64_t stated);
+/// Judges an answer by the number that it states. `begun` is the era in which
+/// its call began: an answer to a call of the present era cannot be older.
+enum position_verdict position_judge(struct position_eras *eras,
+                                     struct position_era begun,
+                                     uint64_t stated);
 
 /// A peer has records of this era.
-void position_observe(struct position_eras *eras, int64_t era);
+void position_observe(struct position_eras *eras, struct position_era era);
--- a/core/records.c
+++ b/core/records.c
@@ -5,7 +5,6 @@
 
 #include <uthash.h>
 
-#include "position.h"
 #include "xmalloc.h"
 
 /// Removed keys kept per topic so that peers receive the removal; the oldest
@@ -21,15 +20,15 @@
 
 struct topic {
     struct entry *entries;
-    int64_t end;
+    struct position end;
     size_t removed;
-    int64_t removals_from;
+    struct position removals_from;
     uint64_t ignored;
 };
 
 struct records {
     struct records_options options;
-    int64_t era; ///< highest of any record; 0: none known
+    struct position_era era; ///< latest of any record
     struct topic topics[RECORDS_TOPIC_COUNT];
 };
 
@@ -69,6 +68,19 @@
     free(records);
 }
 
+static bool
+is_before(struct position a, struct position b)
+{
+    return position_compare(a, b) < 0;
+}
+
+static struct position
+position_after(struct position position)
+{
+    position.offset++;
+    return position;
+}
+
 static void
 evict_oldest_removed(struct topic *topic)
 {
@@ -81,22 +93,22 @@
     {
         if (entry->record.removed &&
             (oldest == NULL ||
-             entry->record.position < oldest->record.position)) {
+             is_before(entry->record.position, oldest->record.position))) {
             oldest = entry;
         }
     }
     if (oldest != NULL) {
-        if (oldest->record.position >= topic->removals_from) {
-            topic->removals_from = oldest->record.position + 1;
+        if (!is_before(oldest->record.position, topic->removals_from)) {
+            topic->removals_from = position_after(oldest->record.position);
         }
         entry_free(topic, oldest);
     }
 }
 
 static void
-raise_position(struct entry *entry, int64_t position)
+raise_position(struct entry *entry, struct position position)
 {
-    if (position > entry->record.position) {
+    if (is_before(entry->record.position, position)) {
         entry->record.position = position;
     }
 }
@@ -125,16 +137,16 @@
 }
 
 static void
-observe_era(struct records *records, int64_t position)
+observe_era(struct records *records, struct position_era era)
 {
-    int64_t before = records->era;
+    bool is_first = records->era.number == 0;
 
-    if (position_era(position) <= before) {
+    if (position_compare_eras(era, records->era) <= 0) {
         return;
     }
-    records->era = position_era(position);
-    if (before > 0 && records->options.restored != NULL) {
-        records->options.restored(records->options.ctx, records->era);
+    records->era = era;
+    if (!is_first && records->options.restored != NULL) {
+        records->options.restored(records->options.ctx, era);
     }
 }
 
@@ -145,9 +157,10 @@
     const struct record *stored = &entry->record;
 
     return !stored->removed && !record->removed &&
-           (entry->is_kept || stored->position == record->position ||
-            position_era(stored->position) !=
-                position_era(record->position)) &&
+           (entry->is_kept ||
+            position_compare(stored->position, record->position) == 0 ||
+            position_compare_eras(stored->position.era,
+                                  record->position.era) != 0) &&
            !str_equal(stored->value, record->value);
 }
 
@@ -165,7 +178,8 @@
                                                   record);
         entry->is_kept = order > 0;
     }
-    return order != 0 ? order > 0 : record->position <= stored->position;
+    return order != 0 ? order > 0
+                      : !is_before(stored->position, record->position);
 }
 
 bool
@@ -175,16 +189,17 @@
     struct entry *entry;
     bool same;
 
-    observe_era(records, record->position);
+    observe_era(records, record->position.era);
     HASH_FIND(hh, topic->entries, record->key.data, record->key.len, entry);
     if (entry != NULL) {
         // A record of an earlier era says nothing of the present one.
-        if (position_era(record->position) >=
-            position_era(entry->record.position)) {
+        if (position_compare_eras(record->position.era,
+                                  entry->record.position.era) >= 0) {
             mark_listed(entry);
         }
         if (is_superseded(records, entry, record)) {
-            topic->ignored += record->position != entry->record.position;
+            topic->ignored += position_compare(record->position,
+                                               entry->record.position) != 0;
             raise_position(entry, record->position);
             return false;
         }
@@ -193,12 +208,12 @@
         entry = xcalloc(1, sizeof(*entry));
         entry->record.topic = record->topic;
         entry->record.key = str_copy(record->key);
-        entry->record.position = -1;
+        entry->record.position.offset = -1;
         mark_listed(entry);
         HASH_ADD_KEYPTR(hh, topic->entries, entry->record.key.data,
                         entry->record.key.len, entry);
     }
-    same = entry->record.position >= 0 && !record->removed &&
+    same = entry->record.position.offset >= 0 && !record->removed &&
            !entry->record.removed &&
            str_equal(entry->record.value, record->value);
     if (same) {
@@ -212,15 +227,16 @@
 }
 
 void
-records_set_end(struct records *records, enum record_topic topic, int64_t end)
+records_set_end(struct records *records, enum record_topic topic,
+                struct position end)
 {
-    observe_era(records, end);
-    if (end > records->topics[topic].end) {
+    observe_era(records, end.era);
+    if (is_before(records->topics[topic].end, end)) {
         records->topics[topic].end = end;
     }
 }
 
-int64_t
+struct position
 records_end(const struct records *records, enum record_topic topic)
 {
     return records->topics[topic].end;
@@ -233,18 +249,19 @@
 }
 
 void
-records_skip_to(struct records *records, enum record_topic topic, int64_t end)
+records_skip_to(struct records *records, enum record_topic topic,
+                struct position end)
 {
     struct topic *state = &records->topics[topic];
 
-    observe_era(records, end);
-    if (end > state->end) {
+    observe_era(records, end.era);
+    if (is_before(state->end, end)) {
         state->end = end;
         state->removals_from = end;
     }
 }
 
-int64_t
+struct position
 records_removals_from(const struct records *records, enum record_topic topic)
 {
     return records->topics[topic].removals_from;
@@ -262,9 +279,20 @@
     }
 }
 
+/// Of a key that a listing up to `end` lacks: the last one before `end` that
+/// exists, as what is written at `end` is newer.
+static struct position
+removal_position(struct position stored, struct position end)
+{
+    const struct position last = {end.era, end.offset - 1};
+
+    return end.offset > 0 && is_before(stored, last) ? last
+                                                     : position_after(stored);
+}
+
 void
 records_list_end(struct records *records, enum record_topic topic,
-                 enum records_source source, int64_t end)
+                 enum records_source source, struct position end)
 {
     struct entry *entry, *next;
 
@@ -273,12 +301,11 @@
         struct record removal = entry->record;
 
         if (entry->listed[source] || entry->record.removed ||
-            entry->record.position >= end) {
+            !is_before(entry->record.position, end)) {
             continue;
         }
         removal.removed = true;
-        removal.position =
-            end - 1 > removal.position ? end - 1 : removal.position + 1;
+        removal.position = removal_position(removal.position, end);
         removal.value = (struct str){0};
         records_apply(records, &removal);
     }
@@ -287,7 +314,7 @@
 
 void
 records_each_since(const struct records *records, enum record_topic topic,
-                   int64_t position,
+                   struct position position,
                    void (*callback)(void *ctx, const struct record *record),
                    void *ctx)
 {
@@ -295,7 +322,7 @@
 
     for (entry = records->topics[topic].entries; entry != NULL;
          entry = entry->hh.next) {
-        if (entry->record.position >= position) {
+        if (!is_before(entry->record.position, position)) {
             callback(ctx, &entry->record);
         }
     }
--- a/core/records.h
+++ b/core/records.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "dandelionvalve/str.h"
+#include "position.h"
 
 enum record_topic {
     RECORDS_CONFIGURATION,
@@ -29,7 +30,7 @@
 struct record {
     enum record_topic topic;
     struct str key;
-    int64_t position; ///< core/position.h; rises with each write
+    struct position position; ///< rises with each write
     bool removed;
     struct str value;
 };
@@ -42,7 +43,7 @@
     void (*changed)(void *ctx, const struct record *record);
     /// The store was restored from an older copy: records of a new era follow.
     /// May be NULL.
-    void (*restored)(void *ctx, int64_t era);
+    void (*restored)(void *ctx, struct position_era era);
     /// Compares the versions of the stored value of a key and of another one:
     /// negative if the stored one is older, 0 if they have none. May be NULL.
     int (*compare_versions)(void *ctx, const struct record *a,
@@ -61,11 +62,12 @@
 /// Sets the position before which all records of the topic were received. A
 /// lower one than the stored one is ignored.
 void records_set_end(struct records *records, enum record_topic topic,
-                     int64_t end);
+                     struct position end);
 /// Number of records that were not applied since a newer one was stored.
 uint64_t records_ignored(const struct records *records,
                          enum record_topic topic);
-int64_t records_end(const struct records *records, enum record_topic topic);
+struct position records_end(const struct records *records,
+                            enum record_topic topic);
 
 /// Starts a complete listing of a topic, whose records are passed to
 /// records_apply(). records_list_end() removes the keys that were not listed
@@ -73,23 +75,25 @@
 void records_list_begin(struct records *records, enum record_topic topic,
                         enum records_source source);
 void records_list_end(struct records *records, enum record_topic topic,
-                      enum records_source source, int64_t end);
+                      enum records_source source, struct position end);
 
 /// Like records_set_end(), for records that were received without the removals
 /// of keys that are not stored.
 void records_skip_to(struct records *records, enum record_topic topic,
-                     int64_t end);
+                     struct position end);
 
 /// The position from which on the removals of all keys are stored. Before it
 /// they may be missing: a listing has no removed keys, and old removals are
 /// evicted.
-int64_t records_removals_from(const struct records *records,
-                              enum record_topic topic);
+struct position records_removals_from(const struct records *records,
+                                      enum record_topic topic);
 
 /// Calls `callback` for each record of the topic from this position on,
 /// including removed ones that are still stored.
-void records_each_since(
-    const struct records *records, enum record_topic topic, int64_t position,
-    void (*callback)(void *ctx, const struct record *record), void *ctx);
+void records_each_since(const struct records *records, enum record_topic topic,
+                        struct position position,
+                        void (*callback)(void *ctx,
+                                         const struct record *record),
+                        void *ctx);
 
 const char *record_topic_name(enum record_topic topic);
--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -2,7 +2,6 @@
 /// addresses of routers.
 #include "core/catalog.h"
 #include "core/evacuation.h"
-#include "core/position.h"
 #include "direct_private.h"
 #include "direct_state.h"
 #include "endpoints.h"
@@ -29,7 +28,7 @@
     if (catalog == NULL) {
         counter_add(direct->options.counters, COUNTER_CONF_REJECTED, 1);
         LOG_WARNING("event=configuration-rejected offset=%lld detail=\"%s\"",
-                    (long long)position_offset(record->position), err.message);
+                    (long long)record->position.offset, err.message);
         return;
     }
     if (direct->catalog != NULL &&
@@ -38,7 +37,7 @@
                     "offset=%lld",
                     (long long)catalog_version(catalog),
                     (long long)catalog_version(direct->catalog),
-                    (long long)position_offset(record->position));
+                    (long long)record->position.offset);
         catalog_unref(catalog);
         return;
     }
@@ -61,9 +60,9 @@
              "head_timeout_ms=%lld "
              "took_ms=%lld",
              (long long)catalog_version(catalog), (long long)before,
-             (long long)position_offset(record->position),
-             catalog_route_count(catalog), catalog_reused_route_count(catalog),
-             record->value.len, (long long)limits->idle_timeout_ms,
+             (long long)record->position.offset, catalog_route_count(catalog),
+             catalog_reused_route_count(catalog), record->value.len,
+             (long long)limits->idle_timeout_ms,
              (long long)limits->head_timeout_ms,
              (long long)(clock_ms(direct->options.clock) - started_ms));
     streams_set_catalog(direct);
@@ -82,10 +81,10 @@
     if (!record->removed) {
         if (evacuation_begin(direct->evacuation, zone, now_ms)) {
             counter_add(direct->options.counters, COUNTER_EVACUATIONS, 1);
-            LOG_INFO(
-                "event=zone-evacuated zone=" STR_FMT " offset=%lld zones=%zu",
-                STR_ARG(zone), (long long)position_offset(record->position),
-                evacuation_count(direct->evacuation));
+            LOG_INFO("event=zone-evacuated zone=" STR_FMT
+                     " offset=%lld zones=%zu",
+                     STR_ARG(zone), (long long)record->position.offset,
+                     evacuation_count(direct->evacuation));
         }
         return;
     }
@@ -95,7 +94,7 @@
 
         LOG_INFO("event=zone-returned zone=" STR_FMT
                  " offset=%lld age_ms=%lld endpoints=%zu",
-                 STR_ARG(zone), (long long)position_offset(record->position),
+                 STR_ARG(zone), (long long)record->position.offset,
                  (long long)lasted_ms, returned);
     }
 }
@@ -171,8 +170,7 @@
     if (!is_endpoint_id(record->key)) {
         LOG_WARNING("event=endpoint-rejected offset=%lld key_bytes=%zu "
                     "detail=\"the key is not visible ASCII\"",
-                    (long long)position_offset(record->position),
-                    record->key.len);
+                    (long long)record->position.offset, record->key.len);
         return;
     }
     if (record->removed) {
@@ -184,8 +182,8 @@
                                              &entry, &err)) {
         LOG_WARNING("event=endpoint-rejected endpoint=" STR_FMT
                     " offset=%lld detail=\"%s\"",
-                    STR_ARG(record->key),
-                    (long long)position_offset(record->position), err.message);
+                    STR_ARG(record->key), (long long)record->position.offset,
+                    err.message);
         endpoints_remove(direct->endpoints, record->key, 0);
     }
 }
@@ -228,13 +226,13 @@
 }
 
 void
-direct_restored(void *ctx, int64_t era)
+direct_restored(void *ctx, struct position_era era)
 {
     struct direct *direct = ctx;
 
-    LOG_WARNING("event=restored era=%lld version=%lld endpoints=%zu "
+    LOG_WARNING("event=restored era=%llu version=%lld endpoints=%zu "
                 "detail=\"entries that the copy lacks are kept for %d ms\"",
-                (long long)era,
+                (unsigned long long)era.number - 1,
                 direct->catalog != NULL
                     ? (long long)catalog_version(direct->catalog)
                     : -1,
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -88,7 +88,7 @@
 
 /// The store was restored from an older copy; called before the first record
 /// of the new era is applied.
-void direct_restored(void *ctx, int64_t era);
+void direct_restored(void *ctx, struct position_era era);
 
 /// Compares the version of a stored configuration with that of another one; 0
 /// for other records, and if the stored one was rejected.
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -31,9 +31,10 @@
     struct link *link;
     char address[ADDRESS_TEXT_BYTES]; ///< where the peer accepts links
     uint64_t id;
-    uint64_t ends[RECORDS_TOPIC_COUNT];
+    struct position ends[RECORDS_TOPIC_COUNT];
     int64_t traffic_ms;       ///< when linked, or when it last reported a load
     int64_t ends_reported_ms; ///< when `ends` was last received
+    bool sends_offsets;       ///< without eras, in place of positions
     bool reads_endpoints;     ///< as a peer of version 1 states
     bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
     struct peer *next;
@@ -68,7 +69,7 @@
     bool ends_changed; ///< peers have not been sent the present ends
     struct {
         enum record_topic topic;
-        int64_t position;
+        struct position position;
         struct str value;
     } packed; ///< the record that was compressed last
     struct readers *readers;
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -26,30 +26,71 @@
 /// records of any size.
 #define ANY_SIZE_MS 5000
 
-/// Peers of earlier versions send and receive offsets.
+/// Peers of MESSAGE_VERSION_POSITIONS send and receive era and offset in one
+/// number, and use no later era than these.
+#define NUMBER_OFFSETS (UINT64_C(1) << 40)
+#define NUMBER_ERAS (UINT64_C(1) << 23)
+
 static bool
-takes_positions(const struct link *link)
+takes_eras(const struct link *link)
 {
-    return link_version(link) >= MESSAGE_VERSION_POSITIONS;
+    return link_version(link) >= MESSAGE_VERSION_ERAS;
 }
 
-static uint64_t
-encode_position(const struct link *link, int64_t position)
+/// True if a position of this era reaches the peer as such, and not as an
+/// offset.
+static bool
+takes_era(const struct link *link, struct position_era era)
 {
-    return (uint64_t)(takes_positions(link) ? position
-                                            : position_offset(position));
+    return takes_eras(link) ||
+           (link_version(link) >= MESSAGE_VERSION_POSITIONS &&
+            era.resets == 0 && era.number < NUMBER_ERAS);
+}
+
+static struct message_position
+encode_position(const struct link *link, struct position position)
+{
+    uint64_t offset = (uint64_t)position.offset;
+
+    if (takes_eras(link)) {
+        return (struct message_position){
+            .has_era = true,
+            .resets = position.era.resets,
+            .era = position.era.number,
+            .number = offset,
+        };
+    }
+    return (struct message_position){
+        .number = takes_era(link, position.era)
+                      ? position.era.number * NUMBER_OFFSETS + offset
+                      : offset,
+    };
+}
+
+/// True if the peer states an offset whose era is not known.
+static bool
+is_offset(const struct link *link, struct message_position position)
+{
+    return !position.has_era &&
+           (link_version(link) < MESSAGE_VERSION_POSITIONS ||
+            position.number < NUMBER_OFFSETS);
 }
 
 /// An offset is taken as of the era of this router's records.
-static int64_t
+static struct position
 decode_position(const struct mesh *mesh, const struct link *link,
-                enum record_topic topic, uint64_t number)
+                enum record_topic topic, struct message_position position)
 {
-    int64_t end = records_end(mesh->options.records, topic);
-
-    return takes_positions(link)
-               ? (int64_t)number
-               : position_make(position_era(end), (int64_t)number);
+    if (position.has_era) {
+        return (struct position){{position.resets, position.era},
+                                 (int64_t)position.number};
+    }
+    if (is_offset(link, position)) {
+        return (struct position){records_end(mesh->options.records, topic).era,
+                                 (int64_t)position.number};
+    }
+    return (struct position){{0, position.number / NUMBER_OFFSETS},
+                             (int64_t)(position.number % NUMBER_OFFSETS)};
 }
 
 static void
@@ -101,11 +142,15 @@
     mesh->round_robin++;
     LL_FOREACH(mesh->peers, peer)
     {
-        if (best == NULL || peer->ends[topic] > best->ends[topic]) {
+        int order = best == NULL ? 1
+                                 : position_compare(peer->ends[topic],
+                                                    best->ends[topic]);
+
+        if (order > 0) {
             best = peer;
             equal = 1;
         }
-        else if (peer->ends[topic] == best->ends[topic]) {
+        else if (order == 0) {
             equal++;
         }
     }
@@ -115,7 +160,8 @@
     equal = mesh->round_robin % equal;
     LL_FOREACH(mesh->peers, peer)
     {
-        if (peer->ends[topic] == best->ends[topic] && equal-- == 0) {
+        if (position_compare(peer->ends[topic], best->ends[topic]) == 0 &&
+            equal-- == 0) {
             return peer;
         }
     }
@@ -128,11 +174,11 @@
     enum record_topic topic = (enum record_topic)index;
     struct relay_topic *state = &mesh->topics[index];
     int64_t now_ms = mesh_now_ms(mesh);
-    int64_t end = records_end(mesh->options.records, topic);
+    struct position end = records_end(mesh->options.records, topic);
     struct peer *peer = most_advanced_peer(mesh, index);
     bool any_size;
 
-    if (peer == NULL || (int64_t)peer->ends[index] <= end) {
+    if (peer == NULL || position_compare(peer->ends[index], end) <= 0) {
         state->behind_since_ms = 0;
         return;
     }
@@ -166,13 +212,16 @@
     if (peer == NULL) {
         return;
     }
+    peer->sends_offsets = false;
     for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
+        const struct message_position end = message->known.ends[i];
+
+        peer->sends_offsets = peer->sends_offsets || is_offset(link, end);
         // The era of an offset is not known once there are two.
         peer->ends[i] =
-            mesh->restored && !takes_positions(link)
-                ? 0
-                : (uint64_t)decode_position(mesh, link, (enum record_topic)i,
-                                            message->known.ends[i]);
+            mesh->restored && is_offset(link, end)
+                ? (struct position){0}
+                : decode_position(mesh, link, (enum record_topic)i, end);
     }
     peer->reads_endpoints = message->known.reads_store;
     peer->ends_reported_ms = mesh_now_ms(mesh);
@@ -195,7 +244,7 @@
 {
     if (mesh->packed.value.data == NULL ||
         mesh->packed.topic != record->topic ||
-        mesh->packed.position != record->position) {
+        position_compare(mesh->packed.position, record->position) != 0) {
         free((char *)mesh->packed.value.data);
         mesh->packed.topic = record->topic;
         mesh->packed.position = record->position;
@@ -231,11 +280,12 @@
 static bool
 is_sent(const struct transfer *transfer, const struct record *record)
 {
-    int64_t end = records_end(transfer->mesh->options.records, record->topic);
+    struct position end =
+        records_end(transfer->mesh->options.records, record->topic);
 
     return (!transfer->is_listing || !record->removed) &&
-           (takes_positions(transfer->peer->link) ||
-            position_era(record->position) == position_era(end));
+           (takes_era(transfer->peer->link, record->position.era) ||
+            position_compare_eras(record->position.era, end.era) == 0);
 }
 
 static void
@@ -286,7 +336,7 @@
 
 static void
 send_position(const struct peer *peer, enum message_type type,
-              enum record_topic topic, int64_t position)
+              enum record_topic topic, struct position position)
 {
     link_send(peer->link,
               &(struct message){
@@ -304,10 +354,11 @@
 {
     const struct records *records = mesh->options.records;
     enum record_topic topic = (enum record_topic)request->position.topic;
-    int64_t from =
+    struct position from =
         decode_position(mesh, link, topic, request->position.position);
     bool is_complete =
-        !uses_removals(topic) || from >= records_removals_from(records, topic);
+        !uses_removals(topic) ||
+        position_compare(from, records_removals_from(records, topic)) >= 0;
     struct transfer transfer = {
         .mesh = mesh,
         .peer = mesh_find_peer(mesh, link),
@@ -318,7 +369,7 @@
     }
     transfer.is_listing = !is_complete && takes_listings(transfer.peer);
     if (transfer.is_listing) {
-        from = 0;
+        from = (struct position){0};
     }
     records_each_since(records, topic, from, add_bytes, &transfer);
     if (request->type == MESSAGE_WANT_SMALL &&
@@ -346,10 +397,10 @@
                      &value)) {
         LOG_WARNING(
             "event=record-rejected peer=" STR_FMT " topic=%s "
-            "position=%llu detail=\"cannot expand %zu bytes to %llu\"",
+            "offset=%llu detail=\"cannot expand %zu bytes to %llu\"",
             STR_ARG(link_peer_name(link)),
             record_topic_name((enum record_topic)message->packed.topic),
-            (unsigned long long)message->packed.position,
+            (unsigned long long)message->packed.position.number,
             message->packed.value.len,
             (unsigned long long)message->packed.value_bytes);
         return;
@@ -382,11 +433,11 @@
 
 static void
 handle_reached(struct mesh *mesh, struct link *link, enum record_topic topic,
-               int64_t position)
+               struct position position)
 {
     struct records *records = mesh->options.records;
     struct peer *peer = mesh_find_peer(mesh, link);
-    int64_t before = records_end(records, topic);
+    struct position before = records_end(records, topic);
     bool is_listing;
 
     if (peer == NULL) {
@@ -399,12 +450,11 @@
         return;
     }
     LOG_INFO("event=records-from-peer peer=" STR_FMT " topic=%s before=%lld "
-             "offset=%lld era_before=%lld era=%lld listing=%d",
+             "offset=%lld era_before=%llu era=%llu listing=%d",
              STR_ARG(link_peer_name(link)), record_topic_name(topic),
-             (long long)position_offset(before),
-             (long long)position_offset(position),
-             (long long)position_era(before),
-             (long long)position_era(position), is_listing);
+             (long long)before.offset, (long long)position.offset,
+             (unsigned long long)before.era.number,
+             (unsigned long long)position.era.number, is_listing);
     if (is_listing) {
         records_list_end(records, topic, RECORDS_FROM_PEER, position);
     }
@@ -415,7 +465,7 @@
         records_skip_to(records, topic, position);
     }
     mesh->topics[topic].requested_ms = 0;
-    if (records_end(records, topic) > before) {
+    if (position_compare(records_end(records, topic), before) > 0) {
         mesh->ends_changed = true;
     }
     mesh->options.caught_up(mesh->options.ctx, topic);
@@ -429,7 +479,7 @@
     mesh->restored = true;
     LL_FOREACH(mesh->peers, peer)
     {
-        if (!takes_positions(peer->link)) {
+        if (peer->sends_offsets) {
             memset(peer->ends, 0, sizeof(peer->ends));
         }
     }
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -14,15 +14,16 @@
 #define MESSAGE_VERSION 1
 /// Version of the messages between routers, and the first ones with beats and
 /// compressed records, with blames, with listings, with shares
-/// and failing endpoints, with stated rates, and with positions
-/// (core/position.h) in place of offsets.
-#define MESSAGE_VERSION_ROUTERS 7
+/// and failing endpoints, with stated rates, with positions
+/// (core/position.h) in place of offsets, and with eras of any size.
+#define MESSAGE_VERSION_ROUTERS 8
 #define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_VERSION_BLAMES 3
 #define MESSAGE_VERSION_LISTINGS 4
 #define MESSAGE_VERSION_SHARES 5
 #define MESSAGE_VERSION_RATES 6
 #define MESSAGE_VERSION_POSITIONS 7
+#define MESSAGE_VERSION_ERAS 8
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -187,6 +188,15 @@
 /// Beats in one MESSAGE_BEATS.
 #define MESSAGE_BEATS_MAX 16
 
+/// A position of core/position.h. Peers before MESSAGE_VERSION_ERAS use one
+/// number for it: era and offset, or the offset alone.
+struct message_position {
+    bool has_era;
+    uint32_t resets;
+    uint64_t era;
+    uint64_t number; ///< with an era: the offset
+};
+
 /// Liveness of a router that reads the platform's store for others.
 struct message_beat {
     uint64_t id;   ///< of the router's process
@@ -345,23 +355,23 @@
             size_t count;
         } loads;
         struct {
-            uint64_t ends[MESSAGE_TOPIC_COUNT]; ///< positions
+            struct message_position ends[MESSAGE_TOPIC_COUNT];
             bool reads_store; ///< the store answers for the endpoints' topic
         } known;
         struct {
             uint32_t topic;
-            uint64_t position;
+            struct message_position position;
         } position; ///< _WANT, _WANT_SMALL, _OVERSIZE, _LISTING and _REACHED
         struct {
             uint32_t topic;
-            uint64_t position;
+            struct message_position position;
             bool removed;
             struct str key;
             struct str value;
         } record;
         struct {
             uint32_t topic;
-            uint64_t position;
+            struct message_position position;
             struct str key;
             struct str value;     ///< compressed
             uint64_t value_bytes; ///< when expanded
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -99,6 +99,37 @@
     message_codec_free(codec);
 }
 
+/// A position of any era, and one number as earlier versions send it.
+static void
+test_positions_round_trip(void)
+{
+    static const struct message_position positions[] = {
+        {true, UINT32_MAX, UINT64_MAX, INT64_MAX},
+        {true, 0, 1765000001, 5},
+        {.number = 5},
+    };
+    struct message_codec *codec = message_codec_new();
+
+    for (size_t i = 0; i < sizeof(positions) / sizeof(positions[0]); i++) {
+        const struct message message = {
+            .type = MESSAGE_REACHED,
+            .position = {.topic = 1, .position = positions[i]},
+        };
+        const struct message_position *position;
+        struct message decoded;
+        struct err err = {0};
+
+        CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &message),
+                                       &decoded, &err));
+        position = &decoded.position.position;
+        CU_ASSERT(position->has_era == positions[i].has_era);
+        CU_ASSERT(position->resets == positions[i].resets);
+        CU_ASSERT(position->era == positions[i].era);
+        CU_ASSERT(position->number == positions[i].number);
+    }
+    message_codec_free(codec);
+}
+
 static void
 test_contexts_round_trip(void)
 {
@@ -483,6 +514,7 @@
 {
     CU_pSuite suite = CU_add_suite("message", NULL, NULL);
 
+    CU_add_test(suite, "positions round trip", test_positions_round_trip);
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
--- a/tests/test_missed_records.c
+++ b/tests/test_missed_records.c
@@ -152,8 +152,10 @@
     start(&fleet, DIRECT_MAX, 0);
     records = fleet.harness.routers[0]->records;
     for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
-        records_set_end(records, (enum record_topic)i,
-                        records_end(records, (enum record_topic)i) + 2);
+        struct position end = records_end(records, (enum record_topic)i);
+
+        end.offset += 2;
+        records_set_end(records, (enum record_topic)i, end);
     }
     mesh_send_topic_ends(fleet.harness.routers[0]->mesh);
     direct_harness_run(&fleet.harness, SETTLE_MS);
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -28,19 +28,38 @@
     seen->value[record->value.len] = '\0';
 }
 
+static struct position
+at(uint64_t era, int64_t offset)
+{
+    return (struct position){{.number = era}, offset};
+}
+
 static bool
-put(struct records *records, const char *key, int64_t offset,
-    const char *value)
+is_at(struct position position, int64_t offset)
+{
+    return position_compare(position, at(0, offset)) == 0;
+}
+
+static bool
+put_at(struct records *records, const char *key, struct position position,
+       const char *value)
 {
     return records_apply(records, &(struct record){
                                       .topic = RECORDS_ENDPOINTS,
                                       .key = str_from(key),
-                                      .position = offset,
+                                      .position = position,
                                       .removed = value == NULL,
                                       .value = str_from(value),
                                   });
 }
 
+static bool
+put(struct records *records, const char *key, int64_t offset,
+    const char *value)
+{
+    return put_at(records, key, at(0, offset), value);
+}
+
 /// An older record from a lagging peer or a late read changes nothing.
 static void
 test_older_records_are_ignored(void)
@@ -56,9 +75,9 @@
     CU_ASSERT(put(records, "a", 9, NULL));
     CU_ASSERT(!put(records, "a", 7, "seven"));
     CU_ASSERT(seen.changes == 2 && seen.removed == 1);
-    records_set_end(records, RECORDS_ENDPOINTS, 10);
-    records_set_end(records, RECORDS_ENDPOINTS, 4);
-    CU_ASSERT(records_end(records, RECORDS_ENDPOINTS) == 10);
+    records_set_end(records, RECORDS_ENDPOINTS, at(0, 10));
+    records_set_end(records, RECORDS_ENDPOINTS, at(0, 4));
+    CU_ASSERT(is_at(records_end(records, RECORDS_ENDPOINTS), 10));
     records_free(records);
 }
 
@@ -90,7 +109,8 @@
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
     put(records, "a", 1, "x");
     put(records, "c", 12, "x");
-    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE,
+                     at(0, 10));
     CU_ASSERT(seen.removed == 1);
     CU_ASSERT(!put(records, "b", 5, "y"));
     CU_ASSERT(put(records, "b", 11, "y"));
@@ -116,7 +136,7 @@
     put(records, "b", 2, "x");
     put(records, "c", 3, "x");
     put(records, "b", 4, NULL);
-    records_each_since(records, RECORDS_ENDPOINTS, 2, count, &counted);
+    records_each_since(records, RECORDS_ENDPOINTS, at(0, 2), count, &counted);
     CU_ASSERT(counted == 101);
     records_free(records);
 }
@@ -131,25 +151,26 @@
         &(struct records_options){.changed = on_changed, .ctx = &seen});
     int64_t offset = 20;
 
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 0);
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 0));
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
     put(records, "a", 1, "x");
-    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
-    records_set_end(records, RECORDS_ENDPOINTS, 15);
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
-    records_skip_to(records, RECORDS_ENDPOINTS, 12);
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 10);
-    records_skip_to(records, RECORDS_ENDPOINTS, 20);
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 20);
-    CU_ASSERT(records_end(records, RECORDS_ENDPOINTS) == 20);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE,
+                     at(0, 10));
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 10));
+    records_set_end(records, RECORDS_ENDPOINTS, at(0, 15));
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 10));
+    records_skip_to(records, RECORDS_ENDPOINTS, at(0, 12));
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 10));
+    records_skip_to(records, RECORDS_ENDPOINTS, at(0, 20));
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 20));
+    CU_ASSERT(is_at(records_end(records, RECORDS_ENDPOINTS), 20));
     for (int i = 0; i <= REMOVALS_STORED_MAX; i++) {
         char key[16];
 
         snprintf(key, sizeof(key), "k-%d", i);
         put(records, key, offset++, NULL);
     }
-    CU_ASSERT(records_removals_from(records, RECORDS_ENDPOINTS) == 21);
+    CU_ASSERT(is_at(records_removals_from(records, RECORDS_ENDPOINTS), 21));
     records_free(records);
 }
 
@@ -168,9 +189,10 @@
     put(records, "a", 1, "x");
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER);
     put(records, "b", 2, "x");
-    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE, 10);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE,
+                     at(0, 10));
     CU_ASSERT(seen.removed == 0);
-    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER, 12);
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER, at(0, 12));
     CU_ASSERT(seen.removed == 1);
     records_free(records);
 }
@@ -184,14 +206,13 @@
     struct records *records = records_new(
         &(struct records_options){.changed = on_changed, .ctx = &seen});
 
-    put(records, "a", position_make(1, 1), "x");
-    records_set_end(records, RECORDS_ENDPOINTS, position_make(1, 5));
-    records_set_end(records, RECORDS_CONFIGURATION, position_make(2, 1));
+    put_at(records, "a", at(1, 1), "x");
+    records_set_end(records, RECORDS_ENDPOINTS, at(1, 5));
+    records_set_end(records, RECORDS_CONFIGURATION, at(2, 1));
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER);
-    put(records, "a", position_make(1, 1), "x");
-    put(records, "b", position_make(1, 7), "x");
-    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER,
-                     position_make(1, 10));
+    put_at(records, "a", at(1, 1), "x");
+    put_at(records, "b", at(1, 7), "x");
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER, at(1, 10));
     CU_ASSERT(seen.removed == 0);
     records_free(records);
 }
@@ -215,10 +236,10 @@
         .ctx = &seen,
     });
 
-    put(records, "config", position_make(1, 9), "8");
-    CU_ASSERT(!put(records, "config", position_make(2, 5), "5"));
+    put_at(records, "config", at(1, 9), "8");
+    CU_ASSERT(!put_at(records, "config", at(2, 5), "5"));
     CU_ASSERT_STRING_EQUAL(seen.value, "8");
-    CU_ASSERT(!put(records, "config", position_make(2, 6), "6"));
+    CU_ASSERT(!put_at(records, "config", at(2, 6), "6"));
     CU_ASSERT_STRING_EQUAL(seen.value, "8");
     records_free(records);
 }
--- a/tests/test_restored_order.c
+++ b/tests/test_restored_order.c
@@ -34,16 +34,16 @@
 struct log {
     struct entry entries[LOG_MAX];
     int64_t end;
-    int64_t era;
+    uint64_t era;
 };
 
 struct router {
     struct records *records;
     int values[KEYS];
     struct position_eras eras;
-    int64_t era;
+    struct position_era era;
     int64_t next;
-    int64_t called_era;
+    struct position_era called_era;
 };
 
 struct model {
@@ -71,6 +71,12 @@
 static const struct entry writes[] = {{0, 1}, {1, 1}, {1, 0}};
 static const char *const keys[KEYS] = {"a", "b"};
 
+static bool
+is_same(struct position_era a, struct position_era b)
+{
+    return position_compare_eras(a, b) == 0;
+}
+
 static void
 on_changed(void *ctx, const struct record *record)
 {
@@ -81,7 +87,8 @@
 }
 
 static void
-apply(struct router *router, int64_t position, const struct entry *entry)
+apply(struct router *router, struct position position,
+      const struct entry *entry)
 {
     const char value = (char)('0' + entry->value);
 
@@ -125,12 +132,12 @@
         int value = newest(log, key, &offset);
 
         if (value != 0) {
-            apply(router, position_make(router->era, offset),
+            apply(router, (struct position){router->era, offset},
                   &(struct entry){key, value});
         }
     }
     records_list_end(router->records, TOPIC, RECORDS_FROM_STORE,
-                     position_make(router->era, log->end));
+                     (struct position){router->era, log->end});
     router->next = log->end;
 }
 
@@ -143,17 +150,18 @@
                                              log->era) == POSITION_STALE) {
         return;
     }
-    if (router->era != router->eras.present || router->next > log->end) {
+    if (!is_same(router->era, router->eras.present) ||
+        router->next > log->end) {
         list(router, log);
         return;
     }
     while (router->next < log->end) {
-        apply(router, position_make(router->era, router->next),
+        apply(router, (struct position){router->era, router->next},
               &log->entries[router->next]);
         router->next++;
     }
     records_set_end(router->records, TOPIC,
-                    position_make(router->era, router->next));
+                    (struct position){router->era, router->next});
 }
 
 static void
@@ -182,19 +190,22 @@
 static void
 send_records(const struct router *from, struct router *to)
 {
-    int64_t end = records_end(from->records, TOPIC);
-    int64_t position = records_end(to->records, TOPIC);
+    struct position end = records_end(from->records, TOPIC);
+    struct position position = records_end(to->records, TOPIC);
     struct transfer transfer = {
         .to = to->records,
-        .is_listing = position < records_removals_from(from->records, TOPIC),
+        .is_listing =
+            position_compare(position,
+                             records_removals_from(from->records, TOPIC)) < 0,
     };
 
-    if (end <= position) {
+    if (position_compare(end, position) <= 0) {
         return;
     }
     if (transfer.is_listing) {
         records_list_begin(to->records, TOPIC, RECORDS_FROM_PEER);
-        records_each_since(from->records, TOPIC, 0, send_record, &transfer);
+        records_each_since(from->records, TOPIC, (struct position){0},
+                           send_record, &transfer);
         records_list_end(to->records, TOPIC, RECORDS_FROM_PEER, end);
     }
     else {
@@ -202,10 +213,10 @@
                            &transfer);
         records_set_end(to->records, TOPIC, end);
     }
-    position_observe(&to->eras, position_era(end));
-    if (position_era(end) == to->eras.present) {
-        to->era = position_era(end);
-        to->next = position_offset(end);
+    position_observe(&to->eras, end.era);
+    if (is_same(end.era, to->eras.present)) {
+        to->era = end.era;
+        to->next = end.offset;
     }
 }
 
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -49,17 +49,24 @@
 };
 
 static void
-start(struct direct_harness *harness, size_t routers, size_t isolated)
+start_in_era(struct direct_harness *harness, size_t routers, size_t isolated,
+             int64_t era)
 {
     direct_harness_start(harness, &(struct direct_harness_options){
                                       .routers = routers,
                                       .origins = 2,
                                       .work_us = 1000,
                                       .isolated = isolated,
-                                      .era = 1,
+                                      .era = era,
                                   });
 }
 
+static void
+start(struct direct_harness *harness, size_t routers, size_t isolated)
+{
+    start_in_era(harness, routers, isolated, 1);
+}
+
 static int
 status_of(struct direct_harness *harness, size_t router, const char *path)
 {
@@ -662,6 +669,37 @@
     direct_harness_stop(&harness);
 }
 
+/// The store states eras that begin at this number: what was written after a
+/// restore was not used.
+static void
+test_first_era(int64_t era)
+{
+    struct direct_harness harness;
+
+    start_in_era(&harness, 3, 0, era);
+    drill(&harness);
+    direct_harness_configure(&harness, "key", true, 800);
+    put_entry(&harness, 0, "draining");
+    expect_all(&harness, "/added/", 200);
+    direct_harness_run(&harness, DRAIN_MS);
+    expect_unused(&harness, 0);
+    direct_harness_configure(&harness, "other-key", true, 800);
+    expect_all(&harness, "/look/", 401);
+    direct_harness_stop(&harness);
+}
+
+static void
+test_first_era_is_a_time(void)
+{
+    test_first_era(1765000000);
+}
+
+static void
+test_first_era_is_near_limit(void)
+{
+    test_first_era(INT64_MAX - 1);
+}
+
 /// A store that names an era, and one that has named none so far.
 static void
 test_era_appears(void)
@@ -995,7 +1033,7 @@
     struct message message = {.type = MESSAGE_KNOWN};
 
     peer->version = link_version(link);
-    message.known.ends[RECORDS_CONFIGURATION] = EARLIER_END;
+    message.known.ends[RECORDS_CONFIGURATION].number = EARLIER_END;
     link_send(link, &message);
 }
 
@@ -1012,14 +1050,14 @@
     link_send(link, &(struct message){
                         .type = MESSAGE_RECORD,
                         .record.topic = RECORDS_CONFIGURATION,
-                        .record.position = EARLIER_END - 1,
+                        .record.position.number = EARLIER_END - 1,
                         .record.key = STR_LITERAL("config"),
                         .record.value = str_from(peer->document),
                     });
     link_send(link, &(struct message){
                         .type = MESSAGE_REACHED,
                         .position.topic = RECORDS_CONFIGURATION,
-                        .position.position = EARLIER_END,
+                        .position.position.number = EARLIER_END,
                     });
 }
 
@@ -1118,6 +1156,10 @@
                 test_entry_stays_missing);
     CU_add_test(suite, "own record is not written again", test_own_records);
     CU_add_test(suite, "odd era stops later records", test_odd_eras);
+    CU_add_test(suite, "records are lost if the first era is a time",
+                test_first_era_is_a_time);
+    CU_add_test(suite, "records are lost if the first era is near the limit",
+                test_first_era_is_near_limit);
     CU_add_test(suite, "records are lost after the first era",
                 test_era_appears);
     CU_add_test(suite, "list in pieces across a restore hides records",
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -297,7 +297,7 @@
                     STR_LITERAL("{}"));
     run(&fixture, 500);
     CU_ASSERT(fixture.applied == 3);
-    CU_ASSERT(records_end(fixture.records, RECORDS_ENDPOINTS) == 4);
+    CU_ASSERT(records_end(fixture.records, RECORDS_ENDPOINTS).offset == 4);
     CU_ASSERT(store_is_reachable(fixture.store, RECORDS_ENDPOINTS));
     stop(&fixture);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -8,6 +8,7 @@
 
 #include "core/catalog.h"
 #include "net/http1.h"
+#include "platform/era.h"
 #include "platform/wire.h"
 #include "suites.h"
 
@@ -454,6 +455,45 @@
     CU_ASSERT(!platform_wire.read_evacuation(STR_LITERAL("config"), &zone));
 }
 
+/// Any number of 64 bits but the last is an era; everything else is none.
+static void
+test_eras(void)
+{
+    static const struct {
+        const char *text;
+        uint64_t era;
+    } cases[] = {
+        {"0", 1},
+        {"007", 8},
+        {"8388607", 8388608},
+        {"1765000000", 1765000001},
+        {"9223372036854775807", (uint64_t)INT64_MAX + 1},
+        {"18446744073709551614", UINT64_MAX},
+        {"18446744073709551615", 0},
+        {"18446744073709551616", 0},
+        {"99999999999999999999", 0},
+        {"-1", 0},
+        {"+1", 0},
+        {"1.5", 0},
+        {"1, 2", 0},
+        {"two", 0},
+        {"", 0},
+        {"1\r\nStore-Era: 2", 0},
+    };
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        char head[128];
+        struct http1 http;
+        struct str text;
+
+        snprintf(head, sizeof(head),
+                 "HTTP/1.1 200 OK\r\nStore-Era: %s\r\n\r\n", cases[i].text);
+        CU_ASSERT(parse(&http, HTTP_RESPONSE, head));
+        CU_ASSERT(store_era_read(&http, &text) == cases[i].era);
+        http1_destroy(&http);
+    }
+}
+
 void
 suite_wire(void)
 {
@@ -468,6 +508,7 @@
                 test_request_smuggling_rejected);
     CU_add_test(suite, "endpoint records", test_endpoint_records);
     CU_add_test(suite, "versions of endpoints", test_endpoint_versions);
+    CU_add_test(suite, "eras of the store", test_eras);
     CU_add_test(suite, "configuration", test_configuration);
     CU_add_test(suite, "a configuration changes one route of many",
                 test_configuration_changes_one_route);
