--- a/tests/test_missed_records.c
+++ b/tests/test_missed_records.c
@@ -138,6 +138,10 @@
     direct_harness_run(&fleet.harness, SETTLE_MS);
     CU_ASSERT(change_takes_effect(&fleet, "ready"));
     CU_ASSERT(change_takes_effect(&fleet, "draining"));
+    for (size_t i = 0; i < fleet.routers; i++) {
+        CU_ASSERT(counter_get(&fleet.harness.counters[i], COUNTER_RESTORES) ==
+                  0);
+    }
     stop(&fleet);
 }
 
