records: a peer's record is not listed by the store

Callers saw: an endpoint that was removed while a router started stayed in use there for good, and at the peers that took the router's listing.

Cause: a record that came from a peer between two pages of the store's list marked its key as listed; after the list it counted as a new key.

Change: records carry their source, and only that source's listing counts them. A peer's record of an unknown key from before the last complete listing is ignored. The test 'overlapping listings' did not name sources and relied on either marking both; it now names them, with the same counts.

--- a/core/records.c
+++ b/core/records.c
@@ -128,14 +128,6 @@
     }
 }
 
-static void
-mark_listed(struct entry *entry)
-{
-    for (size_t i = 0; i < RECORDS_SOURCE_COUNT; i++) {
-        entry->listed[i] = true;
-    }
-}
-
 static void
 observe_era(struct records *records, struct position_era era)
 {
@@ -195,7 +187,7 @@
         // A record of an earlier era says nothing of the present one.
         if (position_compare_eras(record->position.era,
                                   entry->record.position.era) >= 0) {
-            mark_listed(entry);
+            entry->listed[record->source] = true;
         }
         if (is_superseded(records, entry, record)) {
             topic->ignored += position_compare(record->position,
@@ -204,12 +196,18 @@
             return false;
         }
     }
+    else if (record->source == RECORDS_FROM_PEER &&
+             is_before(record->position, topic->removals_from)) {
+        // All keys of before are stored: this one was removed.
+        topic->ignored++;
+        return false;
+    }
     else {
         entry = xcalloc(1, sizeof(*entry));
         entry->record.topic = record->topic;
         entry->record.key = str_copy(record->key);
         entry->record.position.offset = -1;
-        mark_listed(entry);
+        entry->listed[record->source] = true;
         HASH_ADD_KEYPTR(hh, topic->entries, entry->record.key.data,
                         entry->record.key.len, entry);
     }
--- a/core/records.h
+++ b/core/records.h
@@ -31,6 +31,7 @@
     enum record_topic topic;
     struct str key;
     struct position position; ///< rises with each write
+    enum records_source source;
     bool removed;
     struct str value;
 };
@@ -55,8 +56,9 @@
 struct records *records_new(const struct records_options *options);
 void records_free(struct records *records);
 
-/// Stores a record if it is newer than the stored one; copies the strings.
-/// True if the value changed.
+/// Stores a record if it is newer than the stored one; copies the strings. A
+/// peer's record of a key that is not stored has to be newer than the last
+/// complete listing. True if the value changed.
 bool records_apply(struct records *records, const struct record *record);
 
 /// Sets the position before which all records of the topic were received. A
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -412,6 +412,7 @@
                       .position = decode_position(
                           mesh, link, (enum record_topic)message->packed.topic,
                           message->packed.position),
+                      .source = RECORDS_FROM_PEER,
                       .value = value,
                   });
     free((char *)value.data);
@@ -577,6 +578,7 @@
                 .position = decode_position(
                     mesh, link, (enum record_topic)message->record.topic,
                     message->record.position),
+                .source = RECORDS_FROM_PEER,
                 .removed = message->record.removed,
                 .value = message->record.value,
             });
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -41,18 +41,26 @@
 }
 
 static bool
-put_at(struct records *records, const char *key, struct position position,
-       const char *value)
+put_from(struct records *records, enum records_source source, const char *key,
+         struct position position, const char *value)
 {
     return records_apply(records, &(struct record){
                                       .topic = RECORDS_ENDPOINTS,
                                       .key = str_from(key),
                                       .position = position,
+                                      .source = source,
                                       .removed = value == NULL,
                                       .value = str_from(value),
                                   });
 }
 
+static bool
+put_at(struct records *records, const char *key, struct position position,
+       const char *value)
+{
+    return put_from(records, RECORDS_FROM_STORE, key, position, value);
+}
+
 static bool
 put(struct records *records, const char *key, int64_t offset,
     const char *value)
@@ -174,8 +182,9 @@
     records_free(records);
 }
 
-/// Listings by the store and by a peer overlap: the start of one does not make
-/// the other remove what it has listed.
+/// Listings by the store and by a peer overlap: each removes what it lacks
+/// itself, and the start of one does not make the other remove what it has
+/// listed.
 static void
 test_overlapping_listings(void)
 {
@@ -189,6 +198,7 @@
     put(records, "a", 1, "x");
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER);
     put(records, "b", 2, "x");
+    put_from(records, RECORDS_FROM_PEER, "b", at(0, 2), "x");
     records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE,
                      at(0, 10));
     CU_ASSERT(seen.removed == 0);
@@ -197,6 +207,27 @@
     records_free(records);
 }
 
+/// A peer sends a removed entry during the store's listing, and once more
+/// after it.
+static void
+test_removed_entry_during_listing(void)
+{
+    struct seen seen = {0};
+    struct records *records = records_new(
+        &(struct records_options){.changed = on_changed, .ctx = &seen});
+
+    records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE);
+    put(records, "b", 2, "x");
+    put_from(records, RECORDS_FROM_PEER, "a", at(0, 1), "x");
+    records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_STORE,
+                     at(0, 10));
+    CU_ASSERT(seen.removed == 1);
+    CU_ASSERT(!put_from(records, RECORDS_FROM_PEER, "a", at(0, 1), "x"));
+    CU_ASSERT(!put_from(records, RECORDS_FROM_PEER, "c", at(0, 3), "x"));
+    CU_ASSERT(put_from(records, RECORDS_FROM_PEER, "c", at(0, 10), "x"));
+    records_free(records);
+}
+
 /// A peer lists a topic that it has not read again since a restore; another
 /// topic shows the new era already. The keys that it lists exist.
 static void
@@ -210,8 +241,8 @@
     records_set_end(records, RECORDS_ENDPOINTS, at(1, 5));
     records_set_end(records, RECORDS_CONFIGURATION, at(2, 1));
     records_list_begin(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER);
-    put_at(records, "a", at(1, 1), "x");
-    put_at(records, "b", at(1, 7), "x");
+    put_from(records, RECORDS_FROM_PEER, "a", at(1, 1), "x");
+    put_from(records, RECORDS_FROM_PEER, "b", at(1, 7), "x");
     records_list_end(records, RECORDS_ENDPOINTS, RECORDS_FROM_PEER, at(1, 10));
     CU_ASSERT(seen.removed == 0);
     records_free(records);
@@ -256,6 +287,8 @@
     CU_add_test(suite, "since", test_since);
     CU_add_test(suite, "removals from", test_removals_from);
     CU_add_test(suite, "overlapping listings", test_overlapping_listings);
+    CU_add_test(suite, "removed entry from a peer during a listing stays",
+                test_removed_entry_during_listing);
     CU_add_test(suite, "listing of an earlier era removes what it lists",
                 test_listing_of_earlier_era);
     CU_add_test(suite, "second older version of a new era replaces a newer",
--- a/tests/test_restored_order.c
+++ b/tests/test_restored_order.c
@@ -180,9 +180,11 @@
 send_record(void *ctx, const struct record *record)
 {
     const struct transfer *transfer = ctx;
+    struct record sent = *record;
 
+    sent.source = RECORDS_FROM_PEER;
     if (!transfer->is_listing || !record->removed) {
-        records_apply(transfer->to, record);
+        records_apply(transfer->to, &sent);
     }
 }
 
