relay: routers offer the configuration that the log lacks

Callers saw: a router that started between the return of a restored store and the rewriting served the older configuration of the copy.

Cause: the others kept the newer one at the position of the copy's record. Their ends were equal to those of the router that started, which never asked.

Change: MESSAGE_KEPT with the version in force goes with the ends while the log has an older one; a router behind that version requests the topic. In records the version decides for each later record, in any era, and an entry is kept whenever the log has the older version.

--- a/core/message.c
+++ b/core/message.c
@@ -178,7 +178,7 @@
         [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
         [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
         [MESSAGE_FAILING] = 1,       [MESSAGE_RATES] = 1,
-        [MESSAGE_BUSY] = 1,
+        [MESSAGE_BUSY] = 1,          [MESSAGE_KEPT] = 1,
     };
 
     return counts[type];
@@ -329,6 +329,9 @@
         }
         put_bool(packer, m->known.reads_store);
         return;
+    case MESSAGE_KEPT:
+        put_uint(packer, m->kept.version);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -875,6 +878,9 @@
         }
         m->known.reads_store = get_bool(cursor);
         return;
+    case MESSAGE_KEPT:
+        m->kept.version = get_uint(cursor, INT64_MAX);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -1185,6 +1191,7 @@
         [MESSAGE_FAILING] = "failing",
         [MESSAGE_RATES] = "rates",
         [MESSAGE_BUSY] = "busy",
+        [MESSAGE_KEPT] = "kept",
     };
 
     return names[type];
--- a/core/records.c
+++ b/core/records.c
@@ -13,7 +13,7 @@
 
 struct entry {
     struct record record;
-    bool is_kept; ///< though a later record had an older version
+    bool is_kept; ///< the log has an older version
     bool listed[RECORDS_SOURCE_COUNT];
     UT_hash_handle hh;
 };
@@ -142,18 +142,30 @@
     }
 }
 
-/// True if the versions of the two decide, and not their positions.
+/// True if the log has had the record before the stored one.
 static bool
-is_by_version(const struct entry *entry, const struct record *record)
+is_earlier(const struct entry *entry, const struct record *record)
+{
+    return !entry->is_kept &&
+           position_compare_eras(record->position.era,
+                                 entry->record.position.era) == 0 &&
+           is_before(record->position, entry->record.position);
+}
+
+/// Compares the versions of the two; 0: their positions decide.
+static int
+compare_versions(const struct records *records, const struct entry *entry,
+                 const struct record *record)
 {
     const struct record *stored = &entry->record;
 
-    return !stored->removed && !record->removed &&
-           (entry->is_kept ||
-            position_compare(stored->position, record->position) == 0 ||
-            position_compare_eras(stored->position.era,
-                                  record->position.era) != 0) &&
-           !str_equal(stored->value, record->value);
+    if (records->options.compare_versions == NULL || stored->removed ||
+        record->removed || is_earlier(entry, record) ||
+        str_equal(stored->value, record->value)) {
+        return 0;
+    }
+    return records->options.compare_versions(records->options.ctx, stored,
+                                             record);
 }
 
 /// True if the record does not replace the stored one.
@@ -162,16 +174,16 @@
               const struct record *record)
 {
     const struct record *stored = &entry->record;
-    int order = 0;
+    int age = position_compare(stored->position, record->position);
+    int order = compare_versions(records, entry, record);
 
-    if (records->options.compare_versions != NULL &&
-        is_by_version(entry, record)) {
-        order = records->options.compare_versions(records->options.ctx, stored,
-                                                  record);
-        entry->is_kept = order > 0;
+    if (order == 0) {
+        entry->is_kept = entry->is_kept && age >= 0;
+        return age >= 0;
     }
-    return order != 0 ? order > 0
-                      : !is_before(stored->position, record->position);
+    // The log has the one with the later position.
+    entry->is_kept = order > 0 ? entry->is_kept || age <= 0 : age >= 0;
+    return order > 0;
 }
 
 bool
@@ -240,6 +252,17 @@
     return records->topics[topic].end;
 }
 
+bool
+records_keep(const struct records *records, enum record_topic topic)
+{
+    const struct entry *entry = records->topics[topic].entries;
+
+    while (entry != NULL && !entry->is_kept) {
+        entry = entry->hh.next;
+    }
+    return entry != NULL;
+}
+
 uint64_t
 records_ignored(const struct records *records, enum record_topic topic)
 {
--- a/core/records.h
+++ b/core/records.h
@@ -1,9 +1,9 @@
 /// The newest record of each key of each topic, received from the platform's
 /// store or from a peer. An older record never replaces a newer one.
 ///
-/// Between records of two eras the position alone does not decide: the copy
-/// from which the store was restored may hold an older version of a document
-/// than the one in force, which stands until a newer version comes.
+/// The position alone does not decide between two versions of a document: the
+/// copy from which the store was restored may hold an older one than that in
+/// force, which stands until a newer version comes.
 #pragma once
 
 #include <stdbool.h>
@@ -65,12 +65,16 @@
 /// lower one than the stored one is ignored.
 void records_set_end(struct records *records, enum record_topic topic,
                      struct position end);
+
 /// Number of records that were not applied since a newer one was stored.
 uint64_t records_ignored(const struct records *records,
                          enum record_topic topic);
 struct position records_end(const struct records *records,
                             enum record_topic topic);
 
+/// True if the log has an older version of a stored document of the topic.
+bool records_keep(const struct records *records, enum record_topic topic);
+
 /// Starts a complete listing of a topic, whose records are passed to
 /// records_apply(). records_list_end() removes the keys that were not listed
 /// and whose position is below `end`.
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -101,6 +101,8 @@
     /// The store has answered again at this time, after it had failed for all
     /// routers.
     void (*recovered)(void *ctx, int64_t at_ms);
+    /// Version of the configuration in force; -1: none.
+    int64_t (*configuration_version)(void *ctx);
     /// True while the store answers reads of the topic.
     bool (*store_answers)(void *ctx, enum record_topic topic);
     void *ctx;
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -345,6 +345,14 @@
     contexts_receive(direct->contexts, items, count);
 }
 
+static int64_t
+on_configuration_version(void *ctx)
+{
+    const struct direct *direct = ctx;
+
+    return direct->catalog != NULL ? catalog_version(direct->catalog) : -1;
+}
+
 static bool
 on_store_answers(void *ctx, enum record_topic topic)
 {
@@ -388,6 +396,7 @@
         .caught_up = on_peer_caught_up,
         .fetch = on_fetch,
         .recovered = on_recovered,
+        .configuration_version = on_configuration_version,
         .store_answers = on_store_answers,
         .ctx = direct,
     };
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -93,6 +93,17 @@
                              (int64_t)(position.number % NUMBER_OFFSETS)};
 }
 
+static void
+send_position(struct link *link, enum message_type type,
+              enum record_topic topic, struct position position)
+{
+    link_send(link, &(struct message){
+                        .type = type,
+                        .position.topic = (uint32_t)topic,
+                        .position.position = encode_position(link, position),
+                    });
+}
+
 static void
 send_topic_ends(struct mesh *mesh, struct link *link)
 {
@@ -106,6 +117,15 @@
         mesh->role != READERS_IDLE &&
         mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
     link_send(link, &message);
+    if (takes_eras(link) &&
+        records_keep(mesh->options.records, RECORDS_CONFIGURATION)) {
+        link_send(link, &(struct message){
+                            .type = MESSAGE_KEPT,
+                            .kept.version =
+                                (uint64_t)mesh->options.configuration_version(
+                                    mesh->options.ctx),
+                        });
+    }
 }
 
 void
@@ -195,12 +215,16 @@
                readers_active(mesh->readers, now_ms) == 0;
     state->requested_ms = now_ms;
     state->behind_since_ms = 0;
-    link_send(peer->link,
-              &(struct message){
-                  .type = any_size ? MESSAGE_WANT : MESSAGE_WANT_SMALL,
-                  .position.topic = (uint32_t)topic,
-                  .position.position = encode_position(peer->link, end),
-              });
+    send_position(peer->link, any_size ? MESSAGE_WANT : MESSAGE_WANT_SMALL,
+                  topic, end);
+}
+
+/// Routers that do not answer are given up: the removal of their records is
+/// not used.
+static bool
+uses_removals(enum record_topic topic)
+{
+    return topic != RECORDS_ROUTERS;
 }
 
 static void
@@ -230,6 +254,30 @@
     }
 }
 
+/// Requests the configuration that the peer has kept, if it is newer: the end
+/// of the topic does not show it.
+static void
+handle_kept(struct mesh *mesh, struct link *link,
+            const struct message *message)
+{
+    struct relay_topic *state = &mesh->topics[RECORDS_CONFIGURATION];
+    int64_t now_ms = mesh_now_ms(mesh);
+    int64_t version = mesh->options.configuration_version(mesh->options.ctx);
+
+    if ((int64_t)message->kept.version <= version ||
+        (state->kept_requested_ms != 0 &&
+         now_ms - state->kept_requested_ms < MESH_REQUEST_TIMEOUT_MS)) {
+        return;
+    }
+    state->kept_requested_ms = now_ms;
+    LOG_INFO("event=configuration-requested peer=" STR_FMT
+             " version=%lld in_force=%lld detail=\"the log has an older one\"",
+             STR_ARG(link_peer_name(link)), (long long)message->kept.version,
+             (long long)version);
+    send_position(link, MESSAGE_WANT, RECORDS_CONFIGURATION,
+                  (struct position){0});
+}
+
 static bool
 is_packed(const struct peer *peer, const struct record *record)
 {
@@ -253,14 +301,6 @@
     return mesh->packed.value;
 }
 
-/// Routers that do not answer are given up: the removal of their records is
-/// not used.
-static bool
-uses_removals(enum record_topic topic)
-{
-    return topic != RECORDS_ROUTERS;
-}
-
 static bool
 takes_listings(const struct peer *peer)
 {
@@ -334,18 +374,6 @@
               });
 }
 
-static void
-send_position(const struct peer *peer, enum message_type type,
-              enum record_topic topic, struct position position)
-{
-    link_send(peer->link,
-              &(struct message){
-                  .type = type,
-                  .position.topic = (uint32_t)topic,
-                  .position.position = encode_position(peer->link, position),
-              });
-}
-
 /// Sends the records from the requested offset on, or a listing if the
 /// requester may know keys whose removal is not stored here.
 static void
@@ -375,15 +403,15 @@
     if (request->type == MESSAGE_WANT_SMALL &&
         (transfer.bytes > SMALL_BYTES_MAX ||
          (!is_complete && !transfer.is_listing))) {
-        send_position(transfer.peer, MESSAGE_OVERSIZE, topic, from);
+        send_position(transfer.peer->link, MESSAGE_OVERSIZE, topic, from);
         return;
     }
     if (transfer.is_listing) {
-        send_position(transfer.peer, MESSAGE_LISTING, topic,
+        send_position(transfer.peer->link, MESSAGE_LISTING, topic,
                       records_end(records, topic));
     }
     records_each_since(records, topic, from, send_record, &transfer);
-    send_position(transfer.peer, MESSAGE_REACHED, topic,
+    send_position(transfer.peer->link, MESSAGE_REACHED, topic,
                   records_end(records, topic));
 }
 
@@ -558,6 +586,9 @@
     case MESSAGE_KNOWN:
         handle_known(mesh, link, message);
         return true;
+    case MESSAGE_KEPT:
+        handle_kept(mesh, link, message);
+        return true;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
         send_records(mesh, link, message);
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -75,6 +75,8 @@
     // Version 6:
     MESSAGE_RATES, ///< rates of requests that endpoints state in their answers
     MESSAGE_BUSY,  ///< loads that busy endpoints state in their answers
+    // Version 8:
+    MESSAGE_KEPT, ///< the log has an older configuration than this router
     MESSAGE_TYPE_END,
 };
 
@@ -358,6 +360,9 @@
             struct message_position ends[MESSAGE_TOPIC_COUNT];
             bool reads_store; ///< the store answers for the endpoints' topic
         } known;
+        struct {
+            uint64_t version;
+        } kept;
         struct {
             uint32_t topic;
             struct message_position position;
