relay: offsets of earlier builds are checked with the store

Callers saw: a router that started beside a peer of an earlier build, with offsets of before a restore, never had the next version.

Cause: an offset was taken as of the present era unless this very process had seen a restore.

Change: where the store states eras, such an end is used only if the store does not answer; otherwise the topic is read, or fetched once.

Evidence: restored-store 'earlier build's offsets hide records at a start' failed before and passes.

--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -35,6 +35,7 @@
     int64_t traffic_ms;       ///< when linked, or when it last reported a load
     int64_t ends_reported_ms; ///< when `ends` was last received
     bool sends_offsets;       ///< without eras, in place of positions
+    struct position offered[RECORDS_TOPIC_COUNT]; ///< ends, if it does
     bool reads_endpoints;            ///< as a peer of version 1 states
     bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
     struct peer *next;
@@ -47,6 +48,7 @@
     /// Until then records are requested from peers whatever their size, since
     /// the store has failed to send them.
     int64_t any_size_until_ms;
+    struct position offered;   ///< highest offset that was verified
     int64_t kept_requested_ms; ///< of a kept record; 0: never
     uint64_t lister;           ///< peer whose listing began last; 0: none
 };
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -227,6 +227,34 @@
     return topic != RECORDS_ROUTERS;
 }
 
+/// Uses an end that a peer states as an offset. It may be one of before a
+/// restore that this router has not seen: where the store states eras it is
+/// read in place of the peer, as long as it answers.
+static void
+use_offset(struct mesh *mesh, struct peer *peer, enum record_topic topic,
+           struct position end)
+{
+    struct relay_topic *state = &mesh->topics[topic];
+    struct position known = records_end(mesh->options.records, topic);
+    bool is_new = position_compare(end, state->offered) > 0;
+
+    peer->offered[topic] = end;
+    peer->ends[topic] = (struct position){0};
+    // Their era is not known once there are two.
+    if (mesh->restored) {
+        return;
+    }
+    if (known.era.number == 0 || !uses_removals(topic)) {
+        peer->ends[topic] = end;
+        return;
+    }
+    if (is_new && position_compare(end, known) > 0 &&
+        !mesh->options.store_answers(mesh->options.ctx, topic)) {
+        state->offered = end;
+        mesh->options.fetch(mesh->options.ctx, topic);
+    }
+}
+
 static void
 handle_known(struct mesh *mesh, struct link *link,
              const struct message *message)
@@ -238,14 +266,17 @@
     }
     peer->sends_offsets = false;
     for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
-        const struct message_position end = message->known.ends[i];
+        enum record_topic topic = (enum record_topic)i;
+        const struct message_position number = message->known.ends[i];
+        struct position end = decode_position(mesh, link, topic, number);
 
-        peer->sends_offsets = peer->sends_offsets || is_offset(link, end);
-        // The era of an offset is not known once there are two.
-        peer->ends[i] =
-            mesh->restored && is_offset(link, end)
-                ? (struct position){0}
-                : decode_position(mesh, link, (enum record_topic)i, end);
+        if (is_offset(link, number)) {
+            peer->sends_offsets = true;
+            use_offset(mesh, peer, topic, end);
+        }
+        else {
+            peer->ends[i] = end;
+        }
     }
     peer->reads_endpoints = message->known.reads_store;
     peer->ends_reported_ms = mesh_now_ms(mesh);
@@ -518,7 +549,14 @@
 mesh_fetch_failed(struct mesh *mesh, enum record_topic topic)
 {
     struct relay_topic *state = &mesh->topics[topic];
+    struct peer *peer;
 
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (peer->sends_offsets && !mesh->restored) {
+            peer->ends[topic] = peer->offered[topic];
+        }
+    }
     state->any_size_until_ms = mesh_now_ms(mesh) + ANY_SIZE_MS;
     state->requested_ms = 0;
     request_records(mesh, topic);
