store: the own record is written again in each new era

Seen by peers: routers that start after a restore do not find a router whose record was written before it had read any.

Cause: only records that had been read showed that an era was new.

Change: the client keeps the era of its own record, and writes it again if that is not the present one.

Evidence: restored-store 'own record of a start is not written again' failed before and passes; 'own record is not written again' counts one write each.

--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -247,7 +247,7 @@
         mesh_note_restore(direct->mesh);
     }
     if (direct->store != NULL) {
-        direct->options.store->restored(direct->store);
+        direct->options.store->restored(direct->store, era);
     }
 }
 
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -41,7 +41,7 @@
     /// Peers have sent newer records than a read in progress begins at.
     void (*catch_up)(void *store, enum record_topic topic);
     /// The store was restored from an older copy.
-    void (*restored)(void *store);
+    void (*restored)(void *store, struct position_era era);
     /// Appends a batch, which is copied, to the log of streams, one at a time;
     /// reports by direct_streams_appended().
     void (*append_streams)(void *store, struct str batch);
