deployment: an evacuation outlasts a restore until it is written again

Callers saw: an evacuated zone got requests from the return of a restored store until the operator had written the record again.

Cause: what the copy lacks counted as removed at once.

Change: for 3 s after a restore the removal of an evacuation is deferred to their end, and dropped if the record returns. core/evacuation has the lapse.

--- a/core/evacuation.c
+++ b/core/evacuation.c
@@ -9,6 +9,7 @@
 struct zone {
     struct str name;
     int64_t begun_ms;
+    int64_t lapse_at_ms; ///< 0: its record is not missing
     UT_hash_handle hh;
 };
 
@@ -58,9 +59,10 @@
 evacuation_begin(struct evacuation *evacuation, struct str name,
                  int64_t now_ms)
 {
-    struct zone *zone;
+    struct zone *zone = find_zone(evacuation, name);
 
-    if (find_zone(evacuation, name) != NULL) {
+    if (zone != NULL) {
+        zone->lapse_at_ms = 0;
         return false;
     }
     zone = xcalloc(1, sizeof(*zone));
@@ -85,6 +87,30 @@
     return now_ms - begun_ms;
 }
 
+bool
+evacuation_lapse(struct evacuation *evacuation, struct str name, int64_t at_ms)
+{
+    struct zone *zone = find_zone(evacuation, name);
+
+    if (zone == NULL) {
+        return false;
+    }
+    zone->lapse_at_ms = at_ms;
+    return true;
+}
+
+struct str
+evacuation_lapsed(const struct evacuation *evacuation, int64_t now_ms)
+{
+    const struct zone *zone = evacuation->zones;
+
+    while (zone != NULL &&
+           (zone->lapse_at_ms == 0 || now_ms < zone->lapse_at_ms)) {
+        zone = zone->hh.next;
+    }
+    return zone != NULL ? zone->name : (struct str){0};
+}
+
 bool
 evacuation_covers(const struct evacuation *evacuation, struct str zone)
 {
--- a/core/evacuation.h
+++ b/core/evacuation.h
@@ -18,7 +18,7 @@
 struct evacuation *evacuation_new(void);
 void evacuation_free(struct evacuation *evacuation);
 
-/// False if the zone is evacuated already.
+/// False if the zone is evacuated already. It does not lapse any more.
 bool evacuation_begin(struct evacuation *evacuation, struct str zone,
                       int64_t now_ms);
 
@@ -26,5 +26,15 @@
 int64_t evacuation_end(struct evacuation *evacuation, struct str zone,
                        int64_t now_ms);
 
+/// The record of an evacuation is missing: the evacuation lapses at this time,
+/// unless it begins again before. False if the zone is not evacuated.
+bool evacuation_lapse(struct evacuation *evacuation, struct str zone,
+                      int64_t at_ms);
+
+/// A zone whose evacuation has lapsed, valid until evacuation_end(); empty:
+/// none.
+struct str evacuation_lapsed(const struct evacuation *evacuation,
+                             int64_t now_ms);
+
 bool evacuation_covers(const struct evacuation *evacuation, struct str zone);
 size_t evacuation_count(const struct evacuation *evacuation);
--- a/direct/deployment.c
+++ b/direct/deployment.c
@@ -1,5 +1,7 @@
 /// Applies the records of the store: configuration, entries of endpoints,
 /// addresses of routers.
+#include <stdlib.h>
+
 #include "core/catalog.h"
 #include "core/evacuation.h"
 #include "direct_private.h"
@@ -14,6 +16,9 @@
 #define LOG_MODULE "deployment"
 
 #define CONFIGURATION_KEY "config"
+/// Time in which the operator writes its records again after a restore of the
+/// store.
+#define REWRITE_MAX_MS 3000
 
 static void
 apply_catalog(struct direct *direct, const struct record *record)
@@ -69,14 +74,31 @@
     peers_apply_early_reports(direct);
 }
 
+static void
+end_evacuation(struct direct *direct, struct str zone, const char *cause)
+{
+    struct str name = str_copy(zone);
+    int64_t lasted_ms = evacuation_end(direct->evacuation, name,
+                                       clock_ms(direct->options.clock));
+
+    if (lasted_ms >= 0) {
+        LOG_INFO("event=zone-returned zone=" STR_FMT
+                 " age_ms=%lld endpoints=%zu cause=\"%s\"",
+                 STR_ARG(name), (long long)lasted_ms,
+                 endpoints_return(direct->endpoints, name), cause);
+    }
+    free((char *)name.data);
+}
+
 /// The operator evacuates an availability zone by a record, and ends that by
-/// its removal.
+/// its removal. After a restore of the store the record may be missing until
+/// the operator has written it again.
 static void
 apply_evacuation(struct direct *direct, const struct record *record,
                  struct str zone)
 {
     int64_t now_ms = clock_ms(direct->options.clock);
-    int64_t lasted_ms;
+    int64_t rewritten_ms = direct->restored_ms + REWRITE_MAX_MS;
 
     if (!record->removed) {
         if (evacuation_begin(direct->evacuation, zone, now_ms)) {
@@ -88,14 +110,28 @@
         }
         return;
     }
-    lasted_ms = evacuation_end(direct->evacuation, zone, now_ms);
-    if (lasted_ms >= 0) {
-        const size_t returned = endpoints_return(direct->endpoints, zone);
+    if (direct->restored_ms == 0 || now_ms >= rewritten_ms) {
+        end_evacuation(direct, zone, "record removed");
+    }
+    else if (evacuation_lapse(direct->evacuation, zone, rewritten_ms)) {
+        LOG_WARNING("event=evacuation-missing zone=" STR_FMT
+                    " offset=%lld wait_ms=%lld "
+                    "detail=\"removed, or not written again since the store "
+                    "was restored\"",
+                    STR_ARG(zone), (long long)record->position.offset,
+                    (long long)(rewritten_ms - now_ms));
+    }
+}
 
-        LOG_INFO("event=zone-returned zone=" STR_FMT
-                 " offset=%lld age_ms=%lld endpoints=%zu",
-                 STR_ARG(zone), (long long)record->position.offset,
-                 (long long)lasted_ms, returned);
+void
+direct_end_lapsed_evacuations(struct direct *direct)
+{
+    struct str zone;
+
+    while ((zone = evacuation_lapsed(direct->evacuation,
+                                     clock_ms(direct->options.clock)))
+               .data != NULL) {
+        end_evacuation(direct, zone, "record missing");
     }
 }
 
@@ -241,6 +277,7 @@
     // Entries that are missing from the copy are written again, as after an
     // outage.
     direct->store_recovered_ms = clock_ms(direct->options.clock);
+    direct->restored_ms = direct->store_recovered_ms;
     endpoints_note_restore(direct->endpoints);
     streams_note_restore(direct);
     if (direct->mesh != NULL) {
--- a/direct/direct.c
+++ b/direct/direct.c
@@ -146,6 +146,7 @@
     (void)events;
     update_standing(direct);
     endpoints_tick(direct->endpoints);
+    direct_end_lapsed_evacuations(direct);
     record_pending(direct);
     services_tick(direct->services);
     streams_tick(direct);
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -75,6 +75,7 @@
     bool was_ready;
     int64_t last_tick_ms;
     int64_t store_recovered_ms; ///< end of the last store outage; 0: none yet
+    int64_t restored_ms; ///< when the last restore was seen; 0: none yet
     bool draining;
     int64_t drain_ms; ///< when draining began
     double prefill_tokens_per_ms;
@@ -86,6 +87,9 @@
 /// Applies a record that this router or a peer has read.
 void direct_apply_record(void *ctx, const struct record *record);
 
+/// Ends the evacuations whose records are still missing after a restore.
+void direct_end_lapsed_evacuations(struct direct *direct);
+
 /// The store was restored from an older copy; called before the first record
 /// of the new era is applied.
 void direct_restored(void *ctx, struct position_era era);
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -33,6 +33,7 @@
 #define AWAY_MS 300
 /// Less than the limit by the time that calls take.
 #define ENTRIES_KEPT_MS 1500
+#define EVACUATION_ENDED_MS 5000
 #define START_MS 2000
 #define ANNOUNCED_MS 5000
 /// More than what is written again after a drill.
@@ -922,7 +923,7 @@
 }
 
 /// The operator evacuates the zone after the copy was made. The evacuation
-/// holds until the record is written again.
+/// holds until the record is written again, or has stayed missing.
 static void
 test_evacuation_missing(void)
 {
@@ -939,6 +940,9 @@
     direct_harness_run(&harness, ENTRIES_KEPT_MS);
     CU_ASSERT(status_of(&harness, 0, "/look/") != 200);
     CU_ASSERT(status_of(&harness, 1, "/look/") != 200);
+    CU_ASSERT(direct_harness_wait(
+        &harness, is_met, &(struct expectation){&harness, 2, "/look/", 200},
+        EVACUATION_ENDED_MS));
     direct_harness_stop(&harness);
 }
 
