relay: long compressed records are sent in parts

Callers saw: a configuration of more than 512 KB when compressed was never in force at a router that the store refused, and each request for it closed a link.

Cause: one record was one message, which is limited to 512 KB.

Change: MESSAGE_PACKED_PART carries what does not fit in front of the MESSAGE_PACKED that ends the record, to peers of version 8.

--- a/core/message.c
+++ b/core/message.c
@@ -179,6 +179,7 @@
         [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
         [MESSAGE_FAILING] = 1,       [MESSAGE_RATES] = 1,
         [MESSAGE_BUSY] = 1,          [MESSAGE_KEPT] = 1,
+        [MESSAGE_PACKED_PART] = 1,
     };
 
     return counts[type];
@@ -332,6 +333,9 @@
     case MESSAGE_KEPT:
         put_uint(packer, m->kept.version);
         return;
+    case MESSAGE_PACKED_PART:
+        put_str(packer, m->packed_part.bytes);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -881,6 +885,9 @@
     case MESSAGE_KEPT:
         m->kept.version = get_uint(cursor, INT64_MAX);
         return;
+    case MESSAGE_PACKED_PART:
+        m->packed_part.bytes = get_str(cursor);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -1192,6 +1199,7 @@
         [MESSAGE_RATES] = "rates",
         [MESSAGE_BUSY] = "busy",
         [MESSAGE_KEPT] = "kept",
+        [MESSAGE_PACKED_PART] = "packed-part",
     };
 
     return names[type];
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <utlist.h>
@@ -120,6 +121,15 @@
     mesh->options.peer_ready(mesh->options.ctx, link);
 }
 
+void
+mesh_peer_free(struct peer *peer)
+{
+    if (peer->parts != NULL) {
+        evbuffer_free(peer->parts);
+    }
+    free(peer);
+}
+
 static void
 remove_link(struct mesh *mesh, struct link *link)
 {
@@ -144,7 +154,7 @@
 
         LL_DELETE(mesh->peers, peer);
         mesh->peer_count--;
-        free(peer);
+        mesh_peer_free(peer);
         LL_SEARCH_SCALAR(mesh->peers, peer, id, id);
         if (peer == NULL) {
             relay_peer_lost(mesh, id);
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -9,6 +9,7 @@
 #include "mesh.h"
 #include "net/accept.h"
 
+struct evbuffer;
 struct evconnlistener;
 struct event;
 struct readers;
@@ -38,6 +39,7 @@
     struct position offered[RECORDS_TOPIC_COUNT]; ///< ends, if it does
     bool reads_endpoints;            ///< as a peer of version 1 states
     bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
+    struct evbuffer *parts; ///< of the next compressed record; NULL: none
     struct peer *next;
 };
 
@@ -107,6 +109,8 @@
 /// Interval of the reports to peers.
 int64_t mesh_report_interval_ms(const struct mesh *mesh);
 
+void mesh_peer_free(struct peer *peer);
+
 /// NULL if the link has not completed its handshake.
 struct peer *mesh_find_peer(const struct mesh *mesh, const struct link *link);
 
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
 #include <utlist.h>
 
 #include "core/pack.h"
@@ -17,6 +18,8 @@
 
 /// Values that are longer are sent compressed.
 #define PACK_BYTES_MIN 1024
+/// Of a compressed value in one message.
+#define PART_BYTES ((size_t)MESSAGE_BYTES_MAX / 2)
 
 /// Records of a topic that are sent to a peer which can read the store itself.
 /// Many peers request a record at once: a larger one would fill the link of
@@ -372,6 +375,30 @@
                            : record->value.len;
 }
 
+static void
+send_packed(const struct transfer *transfer, const struct record *record)
+{
+    struct link *link = transfer->peer->link;
+    struct str value = packed_value(transfer->mesh, record);
+
+    while (takes_eras(link) && value.len > PART_BYTES) {
+        link_send(link, &(struct message){
+                            .type = MESSAGE_PACKED_PART,
+                            .packed_part.bytes = {value.data, PART_BYTES},
+                        });
+        value = (struct str){value.data + PART_BYTES, value.len - PART_BYTES};
+    }
+    link_send(link,
+              &(struct message){
+                  .type = MESSAGE_PACKED,
+                  .packed.topic = (uint32_t)record->topic,
+                  .packed.position = encode_position(link, record->position),
+                  .packed.key = record->key,
+                  .packed.value = value,
+                  .packed.value_bytes = record->value.len,
+              });
+}
+
 static void
 send_record(void *ctx, const struct record *record)
 {
@@ -381,16 +408,7 @@
         return;
     }
     if (is_packed(transfer->peer, record)) {
-        link_send(transfer->peer->link,
-                  &(struct message){
-                      .type = MESSAGE_PACKED,
-                      .packed.topic = (uint32_t)record->topic,
-                      .packed.position = encode_position(transfer->peer->link,
-                                                         record->position),
-                      .packed.key = record->key,
-                      .packed.value = packed_value(transfer->mesh, record),
-                      .packed.value_bytes = record->value.len,
-                  });
+        send_packed(transfer, record);
         return;
     }
     link_send(transfer->peer->link,
@@ -446,23 +464,54 @@
                   records_end(records, topic));
 }
 
+static void
+handle_packed_part(struct mesh *mesh, const struct link *link,
+                   const struct message *message)
+{
+    struct peer *peer = mesh_find_peer(mesh, link);
+    struct str bytes = message->packed_part.bytes;
+
+    if (peer == NULL) {
+        return;
+    }
+    if (peer->parts == NULL) {
+        peer->parts = evbuffer_new();
+    }
+    if (evbuffer_get_length(peer->parts) + bytes.len <= PACK_BYTES_MAX) {
+        evbuffer_add(peer->parts, bytes.data, bytes.len);
+    }
+}
+
+/// The compressed value with the parts that came before it, which are drained
+/// when it has been used.
+static struct str
+join_parts(const struct peer *peer, struct str last)
+{
+    if (peer == NULL || peer->parts == NULL) {
+        return last;
+    }
+    evbuffer_add(peer->parts, last.data, last.len);
+    return (struct str){(const char *)evbuffer_pullup(peer->parts, -1),
+                        evbuffer_get_length(peer->parts)};
+}
+
 static void
 handle_packed(struct mesh *mesh, const struct link *link,
               const struct message *message)
 {
-    struct str value;
+    struct peer *peer = mesh_find_peer(mesh, link);
+    struct str packed = join_parts(peer, message->packed.value);
+    struct str value = {0};
 
-    if (!pack_expand(message->packed.value, message->packed.value_bytes,
-                     &value)) {
+    if (!pack_expand(packed, message->packed.value_bytes, &value)) {
         LOG_WARNING(
             "event=record-rejected peer=" STR_FMT " topic=%s "
             "offset=%llu detail=\"cannot expand %zu bytes to %llu\"",
             STR_ARG(link_peer_name(link)),
             record_topic_name((enum record_topic)message->packed.topic),
-            (unsigned long long)message->packed.position.number,
-            message->packed.value.len,
+            (unsigned long long)message->packed.position.number, packed.len,
             (unsigned long long)message->packed.value_bytes);
-        return;
+        goto out;
     }
     records_apply(mesh->options.records,
                   &(struct record){
@@ -474,7 +523,12 @@
                       .source = RECORDS_FROM_PEER,
                       .value = value,
                   });
+out:
     free((char *)value.data);
+    if (peer != NULL && peer->parts != NULL) {
+        evbuffer_free(peer->parts);
+        peer->parts = NULL;
+    }
 }
 
 static void
@@ -652,6 +706,9 @@
                 .value = message->record.value,
             });
         return true;
+    case MESSAGE_PACKED_PART:
+        handle_packed_part(mesh, link, message);
+        return true;
     case MESSAGE_PACKED:
         handle_packed(mesh, link, message);
         return true;
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -77,6 +77,8 @@
     MESSAGE_BUSY,  ///< loads that busy endpoints state in their answers
     // Version 8:
     MESSAGE_KEPT, ///< the log has an older configuration than this router
+    MESSAGE_PACKED_PART, ///< bytes in front of those of the next
+                         ///< MESSAGE_PACKED
     MESSAGE_TYPE_END,
 };
 
@@ -363,6 +365,9 @@
         struct {
             uint64_t version;
         } kept;
+        struct {
+            struct str bytes;
+        } packed_part;
         struct {
             uint32_t topic;
             struct message_position position;
