streams: one router writes them for all, before their first events are passed on

Evidence: joined-streams 'last streams before a restart of all are lost' fails on (2 of 8 refused) and passes.

--- a/core/builds.c
+++ b/core/builds.c
@@ -77,6 +77,7 @@
     size_t pending_count;
     size_t pending_size;
     size_t taken; ///< of the pending ones, in the batch that is being written
+    uint64_t written; ///< streams that have left the queue
     uint64_t dropped;
 };
 
@@ -366,7 +367,7 @@
     return stream;
 }
 
-void
+bool
 builds_record(struct builds *builds, uint64_t id, uint64_t service,
               uint64_t build)
 {
@@ -380,9 +381,11 @@
     }
     stream = add_stream(builds, id, service, build);
     stream->is_shared = is_shared;
-    if (!is_shared && needs_writing(builds, service, build)) {
-        add_pending(builds, stream);
+    if (is_shared || !needs_writing(builds, service, build)) {
+        return false;
     }
+    add_pending(builds, stream);
+    return true;
 }
 
 void
@@ -604,6 +607,7 @@
     struct seen *seen;
 
     if (done) {
+        builds->written += builds->taken;
         builds->pending_count -= builds->taken;
         if (builds->pending_count > 0) {
             memmove(builds->pending, builds->pending + builds->taken,
@@ -736,18 +740,27 @@
 }
 
 static void
-apply_group(struct builds *builds, const msgpack_object *group, int64_t age_ms)
+apply_group(struct builds *builds, const msgpack_object *group, int64_t age_ms,
+            bool adopts)
 {
     uint64_t service = group[0].via.u64;
     uint64_t build = group[1].via.u64;
     const unsigned char *ids = (const unsigned char *)group[2].via.bin.ptr;
 
     note_logged(builds, service, build, age_ms);
+    if (adopts && group[2].via.bin.size > 0) {
+        builds_see(builds, service, build, 0);
+    }
     for (size_t at = 0; at < group[2].via.bin.size; at += ID_BYTES) {
         uint64_t id = get_id(ids + at);
+        struct stream *stream = find_stream(builds, id);
 
-        if (find_stream(builds, id) == NULL) {
-            add_stream(builds, id, service, build)->is_shared = true;
+        if (stream == NULL) {
+            stream = add_stream(builds, id, service, build);
+            stream->is_shared = !adopts;
+        }
+        if (adopts && !stream->is_shared) {
+            add_pending(builds, stream);
         }
     }
 }
@@ -761,8 +774,9 @@
     return written_ms < (uint64_t)wall_ms ? wall_ms - (int64_t)written_ms : 0;
 }
 
-bool
-builds_apply(struct builds *builds, struct str batch, struct err *err)
+static bool
+apply_batch(struct builds *builds, struct str batch, bool adopts,
+            struct err *err)
 {
     const msgpack_object *elements;
     msgpack_unpacked unpacked;
@@ -794,13 +808,37 @@
         goto out;
     }
     for (size_t i = HEAD_ELEMENTS; i < count; i += GROUP_ELEMENTS) {
-        apply_group(builds, elements + i, age_ms);
+        apply_group(builds, elements + i, age_ms, adopts);
     }
 out:
     msgpack_unpacked_destroy(&unpacked);
     return valid;
 }
 
+bool
+builds_apply(struct builds *builds, struct str batch, struct err *err)
+{
+    return apply_batch(builds, batch, false, err);
+}
+
+bool
+builds_adopt(struct builds *builds, struct str batch, struct err *err)
+{
+    return apply_batch(builds, batch, true, err);
+}
+
+uint64_t
+builds_queued(const struct builds *builds)
+{
+    return builds->written + builds->pending_count;
+}
+
+uint64_t
+builds_written(const struct builds *builds)
+{
+    return builds->written;
+}
+
 size_t
 builds_stream_count(const struct builds *builds)
 {
--- a/core/builds.h
+++ b/core/builds.h
@@ -69,9 +69,10 @@
 void builds_see(struct builds *builds, uint64_t service, uint64_t build,
                 int64_t started_ms);
 
-/// An event of the stream has been passed on. It is written to the log if
-/// another router may refuse it as unknown, or once one may.
-void builds_record(struct builds *builds, uint64_t stream, uint64_t service,
+/// An event of the stream is passed on. It is written to the log if another
+/// router may refuse it as unknown, or once one may. True if it waits for that
+/// since this call.
+bool builds_record(struct builds *builds, uint64_t stream, uint64_t service,
                    uint64_t build);
 
 /// The stream was passed on to its end. Forgets it if no other router has to
@@ -103,6 +104,15 @@
 /// With `done` false the batch is written again with a later one.
 void builds_batch_written(struct builds *builds, bool done);
 
+/// Number of streams that were ever put in the queue to be written, and of
+/// those that have left it.
+uint64_t builds_queued(const struct builds *builds);
+uint64_t builds_written(const struct builds *builds);
+
+/// Applies a batch of another router and takes its streams over, to be written
+/// to the log; false with `err` set if it is malformed.
+bool builds_adopt(struct builds *builds, struct str batch, struct err *err);
+
 /// Applies a batch of the log; false with `err` set if it is malformed.
 bool builds_apply(struct builds *builds, struct str batch, struct err *err);
 
--- a/core/message.c
+++ b/core/message.c
@@ -160,26 +160,47 @@
 field_count(enum message_type type)
 {
     static const size_t counts[MESSAGE_TYPE_END] = {
-        [MESSAGE_HELLO] = 5,         [MESSAGE_PROOF] = 1,
-        [MESSAGE_OFFER] = 21,        [MESSAGE_BODY] = 4,
-        [MESSAGE_ACCEPT] = 8,        [MESSAGE_REFUSE] = 10,
-        [MESSAGE_HEAD] = 4,          [MESSAGE_DATA] = 4,
-        [MESSAGE_END] = 10,          [MESSAGE_FAIL] = 10,
-        [MESSAGE_ACK] = 5,           [MESSAGE_CANCEL] = 3,
-        [MESSAGE_RESUME] = 4,        [MESSAGE_IN_FLIGHT] = 2,
-        [MESSAGE_STATE] = 6,         [MESSAGE_ROUTER] = 1,
-        [MESSAGE_LOADS] = 1,         [MESSAGE_KNOWN] = 4,
-        [MESSAGE_WANT] = 2,          [MESSAGE_RECORD] = 5,
-        [MESSAGE_REACHED] = 2,       [MESSAGE_STRIKE] = 2,
-        [MESSAGE_PLACED] = 1,        [MESSAGE_DOWN] = 1,
-        [MESSAGE_WANT_CONTEXTS] = 0, [MESSAGE_CONTEXTS] = 1,
-        [MESSAGE_BEATS] = 1,         [MESSAGE_WANT_SMALL] = 2,
-        [MESSAGE_OVERSIZE] = 2,      [MESSAGE_PACKED] = 5,
-        [MESSAGE_BLAMES] = 1,        [MESSAGE_ANSWERED] = 1,
-        [MESSAGE_LISTING] = 2,       [MESSAGE_SHARES] = 1,
-        [MESSAGE_FAILING] = 1,       [MESSAGE_RATES] = 1,
-        [MESSAGE_BUSY] = 1,          [MESSAGE_KEPT] = 1,
+        [MESSAGE_HELLO] = 5,
+        [MESSAGE_PROOF] = 1,
+        [MESSAGE_OFFER] = 21,
+        [MESSAGE_BODY] = 4,
+        [MESSAGE_ACCEPT] = 8,
+        [MESSAGE_REFUSE] = 10,
+        [MESSAGE_HEAD] = 4,
+        [MESSAGE_DATA] = 4,
+        [MESSAGE_END] = 10,
+        [MESSAGE_FAIL] = 10,
+        [MESSAGE_ACK] = 5,
+        [MESSAGE_CANCEL] = 3,
+        [MESSAGE_RESUME] = 4,
+        [MESSAGE_IN_FLIGHT] = 2,
+        [MESSAGE_STATE] = 6,
+        [MESSAGE_ROUTER] = 1,
+        [MESSAGE_LOADS] = 1,
+        [MESSAGE_KNOWN] = 4,
+        [MESSAGE_WANT] = 2,
+        [MESSAGE_RECORD] = 5,
+        [MESSAGE_REACHED] = 2,
+        [MESSAGE_STRIKE] = 2,
+        [MESSAGE_PLACED] = 1,
+        [MESSAGE_DOWN] = 1,
+        [MESSAGE_WANT_CONTEXTS] = 0,
+        [MESSAGE_CONTEXTS] = 1,
+        [MESSAGE_BEATS] = 1,
+        [MESSAGE_WANT_SMALL] = 2,
+        [MESSAGE_OVERSIZE] = 2,
+        [MESSAGE_PACKED] = 5,
+        [MESSAGE_BLAMES] = 1,
+        [MESSAGE_ANSWERED] = 1,
+        [MESSAGE_LISTING] = 2,
+        [MESSAGE_SHARES] = 1,
+        [MESSAGE_FAILING] = 1,
+        [MESSAGE_RATES] = 1,
+        [MESSAGE_BUSY] = 1,
+        [MESSAGE_KEPT] = 1,
         [MESSAGE_PACKED_PART] = 1,
+        [MESSAGE_STREAMS] = 2,
+        [MESSAGE_STREAMS_WRITTEN] = 2,
     };
 
     return counts[type];
@@ -313,17 +334,11 @@
     }
 }
 
-/// Encodes the messages between routers.
+/// Encodes the messages by which routers pass on records and streams.
 static void
-put_router_fields(msgpack_packer *packer, const struct message *m)
+put_relay_fields(msgpack_packer *packer, const struct message *m)
 {
     switch (m->type) {
-    case MESSAGE_ROUTER:
-        put_str(packer, m->router.address);
-        return;
-    case MESSAGE_LOADS:
-        put_loads(packer, m->loads.items, m->loads.count);
-        return;
     case MESSAGE_KNOWN:
         for (size_t i = 0; i < MESSAGE_TOPIC_COUNT; i++) {
             put_position(packer, &m->known.ends[i]);
@@ -336,6 +351,14 @@
     case MESSAGE_PACKED_PART:
         put_str(packer, m->packed_part.bytes);
         return;
+    case MESSAGE_STREAMS:
+        put_uint(packer, m->streams.number);
+        put_str(packer, m->streams.batch);
+        return;
+    case MESSAGE_STREAMS_WRITTEN:
+        put_uint(packer, m->streams_written.number);
+        put_bool(packer, m->streams_written.done);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -358,6 +381,22 @@
         put_str(packer, m->packed.value);
         put_uint(packer, m->packed.value_bytes);
         return;
+    default:
+        BUG("message type %d", (int)m->type);
+    }
+}
+
+/// Encodes the messages between routers.
+static void
+put_router_fields(msgpack_packer *packer, const struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_ROUTER:
+        put_str(packer, m->router.address);
+        return;
+    case MESSAGE_LOADS:
+        put_loads(packer, m->loads.items, m->loads.count);
+        return;
     case MESSAGE_PLACED:
         put_placed(packer, m->placed.items, m->placed.count);
         return;
@@ -393,7 +432,7 @@
         put_uint(packer, m->strike.crash_id);
         return;
     default:
-        BUG("message type %d", (int)m->type);
+        put_relay_fields(packer, m);
     }
 }
 
@@ -867,15 +906,9 @@
 }
 
 static void
-get_router_fields(struct cursor *cursor, struct message *m)
+get_relay_fields(struct cursor *cursor, struct message *m)
 {
     switch (m->type) {
-    case MESSAGE_ROUTER:
-        m->router.address = get_str(cursor);
-        return;
-    case MESSAGE_LOADS:
-        get_loads(cursor, m);
-        return;
     case MESSAGE_KNOWN:
         for (size_t i = 0; i < MESSAGE_TOPIC_COUNT; i++) {
             m->known.ends[i] = get_position(cursor);
@@ -888,6 +921,14 @@
     case MESSAGE_PACKED_PART:
         m->packed_part.bytes = get_str(cursor);
         return;
+    case MESSAGE_STREAMS:
+        m->streams.number = get_uint(cursor, UINT64_MAX);
+        m->streams.batch = get_str(cursor);
+        return;
+    case MESSAGE_STREAMS_WRITTEN:
+        m->streams_written.number = get_uint(cursor, UINT64_MAX);
+        m->streams_written.done = get_bool(cursor);
+        return;
     case MESSAGE_WANT:
     case MESSAGE_WANT_SMALL:
     case MESSAGE_OVERSIZE:
@@ -911,6 +952,21 @@
         m->packed.value = get_str(cursor);
         m->packed.value_bytes = get_uint(cursor, UINT64_MAX);
         return;
+    default:
+        cursor->failed = true;
+    }
+}
+
+static void
+get_router_fields(struct cursor *cursor, struct message *m)
+{
+    switch (m->type) {
+    case MESSAGE_ROUTER:
+        m->router.address = get_str(cursor);
+        return;
+    case MESSAGE_LOADS:
+        get_loads(cursor, m);
+        return;
     case MESSAGE_PLACED:
         get_placed(cursor, m);
         return;
@@ -946,7 +1002,7 @@
         m->strike.crash_id = get_u32(cursor);
         return;
     default:
-        cursor->failed = true;
+        get_relay_fields(cursor, m);
     }
 }
 
@@ -1200,6 +1256,8 @@
         [MESSAGE_BUSY] = "busy",
         [MESSAGE_KEPT] = "kept",
         [MESSAGE_PACKED_PART] = "packed-part",
+        [MESSAGE_STREAMS] = "streams",
+        [MESSAGE_STREAMS_WRITTEN] = "streams-written",
     };
 
     return names[type];
--- a/direct/attempt.c
+++ b/direct/attempt.c
@@ -340,8 +340,13 @@
 forward_events(struct exchange *exchange, bool all)
 {
     size_t len;
-    const char *bytes = sse_buffer_take(&exchange->events, all, &len);
+    const char *bytes;
 
+    if (!exchange->response_started && !all && exchange->scan.events > 0 &&
+        !streams_may_begin(exchange)) {
+        return;
+    }
+    bytes = sse_buffer_take(&exchange->events, all, &len);
     if (len == 0 || exchange->caller == NULL) {
         return;
     }
@@ -357,6 +362,14 @@
     caller_send_data(exchange->caller, bytes, len);
 }
 
+void
+attempt_release(struct exchange *exchange)
+{
+    if (exchange->channel != NULL && exchange->caller != NULL) {
+        forward_events(exchange, false);
+    }
+}
+
 /// Ends an attempt whose endpoint sends more than an answer can have, or than
 /// there is memory for. The latter is no fault of the endpoint.
 static void
--- a/direct/attempt.h
+++ b/direct/attempt.h
@@ -15,6 +15,9 @@
 void attempt_failed(struct exchange *exchange, enum attempt_end end,
                     const char *reason);
 
+/// Passes on the events that were held, if the stream may begin.
+void attempt_release(struct exchange *exchange);
+
 /// Counts a failure against the endpoint of the attempt.
 void attempt_record_failure(struct exchange *exchange, const char *reason);
 
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -60,10 +60,10 @@
         struct builds *builds;
         uint64_t reads; ///< of the log, begun
         bool is_reading;
-        bool is_appending;
-        int64_t append_at_ms; ///< when the next batch is due
-        int64_t seen_ms;      ///< when all endpoints were last seen
-        uint64_t dropped;     ///< streams, as last logged
+        struct stream_batches *batches;
+        struct event *held; ///< when streams that wait for the log go on
+        int64_t seen_ms;    ///< when all endpoints were last seen
+        uint64_t dropped;   ///< streams, as last logged
     } streams;
     struct exchange_entry *exchanges;
     struct event *tick;
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -37,7 +37,11 @@
     int64_t started_ms;
     int64_t expires_ms; ///< on the clock: caller's deadline or route's timeout
 
-    uint64_t build;  ///< that began the stream; 0: none yet
+    uint64_t build; ///< that began the stream; 0: none yet
+    struct {
+        uint64_t mark; ///< of builds_written(); 0: not held
+        int64_t until_ms;
+    } hold;          ///< of the first event
     uint64_t stream; ///< of a resumable route: see core/builds.h
     /// Number of the read of the log of streams that it waits for; 0: none.
     uint64_t awaited_read;
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -121,6 +121,62 @@
     mesh->options.peer_ready(mesh->options.ctx, link);
 }
 
+uint64_t
+mesh_id(const struct mesh *mesh)
+{
+    return mesh->id;
+}
+
+static bool
+writes_streams(const struct peer *peer)
+{
+    return link_version(peer->link) >= MESSAGE_VERSION_ERAS;
+}
+
+size_t
+mesh_stream_writers(const struct mesh *mesh, uint64_t *ids, size_t max)
+{
+    const struct peer *peer;
+    size_t count = 0;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (count < max && writes_streams(peer)) {
+            ids[count++] = peer->id;
+        }
+    }
+    return count;
+}
+
+static void
+send_to(struct mesh *mesh, uint64_t id, const struct message *message)
+{
+    struct peer *peer;
+
+    LL_SEARCH_SCALAR(mesh->peers, peer, id, id);
+    if (peer != NULL) {
+        link_send(peer->link, message);
+    }
+}
+
+void
+mesh_send_streams(struct mesh *mesh, uint64_t peer, uint64_t number,
+                  struct str batch)
+{
+    send_to(mesh, peer,
+            &(struct message){.type = MESSAGE_STREAMS,
+                              .streams = {number, batch}});
+}
+
+void
+mesh_send_streams_written(struct mesh *mesh, uint64_t peer, uint64_t number,
+                          bool done)
+{
+    send_to(mesh, peer,
+            &(struct message){.type = MESSAGE_STREAMS_WRITTEN,
+                              .streams_written = {number, done}});
+}
+
 void
 mesh_peer_free(struct peer *peer)
 {
@@ -158,6 +214,7 @@
         LL_SEARCH_SCALAR(mesh->peers, peer, id, id);
         if (peer == NULL) {
             relay_peer_lost(mesh, id);
+            mesh->options.peer_lost(mesh->options.ctx, id);
         }
     }
 }
@@ -234,13 +291,34 @@
     mesh_add(mesh, &address);
 }
 
+/// False if the message is none of those about streams.
+static bool
+handle_streams(struct mesh *mesh, const struct peer *peer,
+               const struct message *message)
+{
+    const struct mesh_options *options = &mesh->options;
+
+    if (message->type == MESSAGE_STREAMS && peer != NULL) {
+        options->streams(options->ctx, peer->id, message->streams.number,
+                         message->streams.batch);
+    }
+    else if (message->type == MESSAGE_STREAMS_WRITTEN && peer != NULL) {
+        options->streams_written(options->ctx, peer->id,
+                                 message->streams_written.number,
+                                 message->streams_written.done);
+    }
+    return message->type == MESSAGE_STREAMS ||
+           message->type == MESSAGE_STREAMS_WRITTEN;
+}
+
 static void
 on_message(void *ctx, struct link *link, const struct message *message)
 {
     struct mesh *mesh = ctx;
     struct peer *peer = mesh_find_peer(mesh, link);
 
-    if (relay_message(mesh, link, message)) {
+    if (relay_message(mesh, link, message) ||
+        handle_streams(mesh, peer, message)) {
         return;
     }
     switch (message->type) {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -101,6 +101,14 @@
     /// The store has answered again at this time, after it had failed for all
     /// routers.
     void (*recovered)(void *ctx, int64_t at_ms);
+    /// A peer has sent a batch of streams to be written to the log; answered
+    /// by mesh_send_streams_written().
+    void (*streams)(void *ctx, uint64_t peer, uint64_t number,
+                    struct str batch);
+    void (*streams_written)(void *ctx, uint64_t peer, uint64_t number,
+                            bool done);
+    /// The last link to a peer has been lost.
+    void (*peer_lost)(void *ctx, uint64_t peer);
     /// Version of the configuration in force; -1: none.
     int64_t (*configuration_version)(void *ctx);
     /// True while the store answers reads of the topic.
@@ -184,6 +192,20 @@
 /// The store answers this router again after a failure.
 void mesh_store_recovered(struct mesh *mesh);
 
+/// Identifies this process to its peers.
+uint64_t mesh_id(const struct mesh *mesh);
+
+/// Writes the ids of the peers that write streams for others; returns their
+/// number.
+size_t mesh_stream_writers(const struct mesh *mesh, uint64_t *ids, size_t max);
+
+/// Sends a batch of streams to a peer, or the answer to one of its batches;
+/// does nothing if it is not linked.
+void mesh_send_streams(struct mesh *mesh, uint64_t peer, uint64_t number,
+                       struct str batch);
+void mesh_send_streams_written(struct mesh *mesh, uint64_t peer,
+                               uint64_t number, bool done);
+
 /// The store was restored from an older copy: offsets of peers that send no
 /// positions are ignored from now on.
 void mesh_note_restore(struct mesh *mesh);
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -13,6 +13,7 @@
 #include "net/log.h"
 #include "rate_limits.h"
 #include "services.h"
+#include "stream_batches.h"
 
 #define LOG_MODULE "peers"
 
@@ -345,6 +346,30 @@
     contexts_receive(direct->contexts, items, count);
 }
 
+static void
+on_streams(void *ctx, uint64_t peer, uint64_t number, struct str batch)
+{
+    const struct direct *direct = ctx;
+
+    stream_batches_receive(direct->streams.batches, peer, number, batch);
+}
+
+static void
+on_streams_written(void *ctx, uint64_t peer, uint64_t number, bool done)
+{
+    const struct direct *direct = ctx;
+
+    stream_batches_replied(direct->streams.batches, peer, number, done);
+}
+
+static void
+on_peer_lost(void *ctx, uint64_t peer)
+{
+    const struct direct *direct = ctx;
+
+    stream_batches_peer_lost(direct->streams.batches, peer);
+}
+
 static int64_t
 on_configuration_version(void *ctx)
 {
@@ -396,6 +421,9 @@
         .caught_up = on_peer_caught_up,
         .fetch = on_fetch,
         .recovered = on_recovered,
+        .streams = on_streams,
+        .streams_written = on_streams_written,
+        .peer_lost = on_peer_lost,
         .configuration_version = on_configuration_version,
         .store_answers = on_store_answers,
         .ctx = direct,
--- a/direct/streams.c
+++ b/direct/streams.c
@@ -4,6 +4,7 @@
 
 #include <event2/event.h>
 
+#include "attempt.h"
 #include "core/builds.h"
 #include "core/catalog.h"
 #include "direct_private.h"
@@ -11,8 +12,10 @@
 #include "endpoints.h"
 #include "exchange.h"
 #include "exchange_state.h"
+#include "mesh.h"
 #include "net/log.h"
 #include "net/timer.h"
+#include "stream_batches.h"
 
 #define LOG_MODULE "streams"
 
@@ -23,12 +26,96 @@
 #define LIFETIME_DEFAULT_MS 60000
 /// Longest wait of a take-up for the log.
 #define READ_WAIT_MS 500
-/// Interval of batches: all routers of the deployment write to the same log.
-#define BATCH_MIN_MS 200
-#define BATCH_PER_ROUTER_MS 10
+/// Longest wait of a first event until its stream is in the log.
+#define FIRST_EVENT_HOLD_MS 150
 /// Interval at which the builds of all endpoints are seen again.
 #define SEE_MS 1000
 
+static uint64_t
+own_id(void *ctx)
+{
+    const struct direct *direct = ctx;
+
+    return direct->mesh != NULL ? mesh_id(direct->mesh) : 0;
+}
+
+static size_t
+stream_writers(void *ctx, uint64_t *ids, size_t max)
+{
+    const struct direct *direct = ctx;
+
+    return direct->mesh != NULL ? mesh_stream_writers(direct->mesh, ids, max)
+                                : 0;
+}
+
+static size_t
+router_count(void *ctx)
+{
+    const struct direct *direct = ctx;
+
+    return direct->mesh != NULL ? mesh_fleet_size(direct->mesh) : 1;
+}
+
+static void
+send_batch(void *ctx, uint64_t peer, uint64_t number, struct str batch)
+{
+    const struct direct *direct = ctx;
+
+    mesh_send_streams(direct->mesh, peer, number, batch);
+}
+
+static void
+reply_to_batch(void *ctx, uint64_t peer, uint64_t number, bool done)
+{
+    const struct direct *direct = ctx;
+
+    mesh_send_streams_written(direct->mesh, peer, number, done);
+}
+
+static void
+append_batch(void *ctx, struct str batch)
+{
+    struct direct *direct = ctx;
+    const struct direct_store *store = direct->options.store;
+
+    if (store->append_streams == NULL) {
+        stream_batches_appended(direct->streams.batches, false);
+        return;
+    }
+    store->append_streams(direct->store, batch);
+}
+
+/// Passes on the first events that were held, as far as their streams are in
+/// the log or have waited long enough.
+static void
+release_held(void *ctx)
+{
+    const struct direct *direct = ctx;
+    struct exchange_entry *entry, *next;
+    bool any = false;
+
+    HASH_ITER(hh, direct->exchanges, entry, next)
+    {
+        struct exchange *exchange = entry->exchange;
+
+        if (exchange->hold.mark > 0 && !exchange->response_started) {
+            any = true;
+            attempt_release(exchange);
+        }
+    }
+    if (any) {
+        timer_start(direct->streams.held, FIRST_EVENT_HOLD_MS);
+    }
+}
+
+static void
+on_held(evutil_socket_t fd, short events, void *ctx)
+{
+    (void)fd;
+    (void)events;
+    release_held(ctx);
+}
+
 void
 streams_start(struct direct *direct)
 {
@@ -37,11 +124,29 @@
         .wall_clock = direct->options.wall_clock,
         .lifetime_ms = LIFETIME_DEFAULT_MS,
     });
+    direct->streams.held =
+        event_new(direct->options.base, -1, 0, on_held, direct);
+    direct->streams.batches =
+        stream_batches_new(&(struct stream_batches_options){
+            .base = direct->options.base,
+            .clock = direct->options.clock,
+            .builds = direct->streams.builds,
+            .own_id = own_id,
+            .peers = stream_writers,
+            .router_count = router_count,
+            .send = send_batch,
+            .reply = reply_to_batch,
+            .append = append_batch,
+            .ended = release_held,
+            .ctx = direct,
+        });
 }
 
 void
 streams_stop(struct direct *direct)
 {
+    stream_batches_free(direct->streams.batches);
+    event_free(direct->streams.held);
     builds_free(direct->streams.builds);
 }
 
@@ -78,27 +183,6 @@
     }
 }
 
-static void
-write_batch(struct direct *direct, int64_t now_ms)
-{
-    const struct direct_store *store = direct->options.store;
-    int64_t interval_ms =
-        BATCH_PER_ROUTER_MS * (int64_t)direct_router_count(direct);
-    struct str batch;
-
-    if (direct->streams.is_appending ||
-        now_ms < direct->streams.append_at_ms ||
-        store->append_streams == NULL ||
-        !builds_take_batch(direct->streams.builds, &batch)) {
-        return;
-    }
-    direct->streams.is_appending = true;
-    direct->streams.append_at_ms =
-        now_ms + (interval_ms > BATCH_MIN_MS ? interval_ms : BATCH_MIN_MS);
-    store->append_streams(direct->store, batch);
-    free((char *)batch.data);
-}
-
 static void
 begin_read(struct direct *direct)
 {
@@ -143,15 +227,13 @@
         // Other routers may know of builds that are out of use by now.
         begin_read(direct);
     }
-    write_batch(direct, now_ms);
+    stream_batches_flush(direct->streams.batches);
     log_dropped(direct);
 }
 
 void
 direct_streams_appended(struct direct *direct, bool done)
 {
-    direct->streams.is_appending = false;
-    builds_batch_written(direct->streams.builds, done);
     counter_add(direct->options.counters,
                 done ? COUNTER_STREAM_BATCHES : COUNTER_STREAM_BATCHES_FAILED,
                 1);
@@ -159,6 +241,7 @@
         LOG_WARNING("event=streams-append-failed pending=%zu",
                     builds_pending_count(direct->streams.builds));
     }
+    stream_batches_appended(direct->streams.batches, done);
 }
 
 void
@@ -187,6 +270,9 @@
 {
     counter_add(direct_counters(exchange->direct), COUNTER_TAKE_UPS_REFUSED,
                 1);
+    LOG_INFO("event=take-up-refused id=%s first=" STR_FMT " service=" STR_FMT,
+             exchange->id, STR_ARG(exchange->facts.resumes),
+             STR_ARG(exchange->service));
     exchange_refuse_not_run(exchange, reason);
 }
 
@@ -340,6 +426,37 @@
                      "read in time");
 }
 
+bool
+streams_may_begin(struct exchange *exchange)
+{
+    struct direct *direct = exchange->direct;
+    const struct builds *builds = direct->streams.builds;
+
+    if (exchange->route->kind != ROUTE_RESUMABLE) {
+        return true;
+    }
+    if (exchange->hold.mark == 0) {
+        bool queued =
+            builds_record(direct->streams.builds, exchange->stream,
+                          builds_service_hash(exchange->endpoint->service),
+                          exchange->endpoint->build);
+
+        if (!queued || !stream_batches_is_prompt(direct->streams.batches)) {
+            return true;
+        }
+        // What is in the log binds the stream.
+        exchange->build = exchange->endpoint->build;
+        exchange->hold.mark = builds_queued(builds);
+        exchange->hold.until_ms = exchange_now(exchange) + FIRST_EVENT_HOLD_MS;
+        stream_batches_flush(direct->streams.batches);
+        if (!event_pending(direct->streams.held, EV_TIMEOUT, NULL)) {
+            timer_start(direct->streams.held, FIRST_EVENT_HOLD_MS);
+        }
+    }
+    return builds_written(builds) >= exchange->hold.mark ||
+           exchange_now(exchange) >= exchange->hold.until_ms;
+}
+
 void
 streams_record(struct exchange *exchange)
 {
--- a/direct/streams.h
+++ b/direct/streams.h
@@ -32,6 +32,10 @@
 /// The log was not read within the time limit: ends the exchange.
 void streams_give_up(struct exchange *exchange);
 
+/// True if the first event of a stream may be passed on. Otherwise it is held
+/// until the stream is in the log: attempt_release() follows.
+bool streams_may_begin(struct exchange *exchange);
+
 /// The first event of a stream is passed on.
 void streams_record(struct exchange *exchange);
 
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -77,8 +77,10 @@
     MESSAGE_BUSY,  ///< loads that busy endpoints state in their answers
     // Version 8:
     MESSAGE_KEPT, ///< the log has an older configuration than this router
-    MESSAGE_PACKED_PART, ///< bytes in front of those of the next
-                         ///< MESSAGE_PACKED
+    MESSAGE_PACKED_PART,     ///< bytes in front of those of the next
+                             ///< MESSAGE_PACKED
+    MESSAGE_STREAMS,         ///< a batch of streams to be written to the log
+    MESSAGE_STREAMS_WRITTEN, ///< answer: whether it was
     MESSAGE_TYPE_END,
 };
 
@@ -368,6 +370,14 @@
         struct {
             struct str bytes;
         } packed_part;
+        struct {
+            uint64_t number;  ///< of the batch, at the sender
+            struct str batch; ///< core/builds.h
+        } streams;
+        struct {
+            uint64_t number;
+            bool done;
+        } streams_written;
         struct {
             uint32_t topic;
             struct message_position position;
--- a/tests/main.c
+++ b/tests/main.c
@@ -43,6 +43,7 @@
     {"link", suite_link},
     {"store", suite_store},
     {"stream-log", suite_stream_log},
+    {"stream-writer", suite_stream_writer},
     {"signals", suite_signals},
     {"readers", suite_readers},
     {"reader cut", suite_reader_cut},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -30,6 +30,7 @@
 void suite_link(void);
 void suite_store(void);
 void suite_stream_log(void);
+void suite_stream_writer(void);
 void suite_signals(void);
 void suite_readers(void);
 void suite_reader_cut(void);
