records: a store without eras that goes back counts as restored

Seen by routers: after the reset of an era-less store, records of the new count were taken, but nothing else happened that a restore needs (entries that the copy lacks are kept, own records written again, ends of earlier builds ignored).

Cause: the first era counted as the first thing known, whether or not records had been received.

Change: whether anything was received is kept apart. The check of 'answer is repeated' that no restore is counted could not fail before: without the check of the answer's end it now fails at all four routers (trial).

Evidence: missed-records, records and restored-order: 18 passed, 0 failed.

--- a/core/records.c
+++ b/core/records.c
@@ -29,6 +29,7 @@
 struct records {
     struct records_options options;
     struct position_era era; ///< latest of any record
+    bool has_era;            ///< a record or an end has been received
     struct topic topics[RECORDS_TOPIC_COUNT];
 };
 
@@ -131,13 +132,16 @@
 static void
 observe_era(struct records *records, struct position_era era)
 {
-    bool is_first = records->era.number == 0;
+    // A store that begins to state its era has not gone back.
+    bool went_back = records->has_era && (records->era.number > 0 ||
+                                          era.resets > records->era.resets);
 
+    records->has_era = true;
     if (position_compare_eras(era, records->era) <= 0) {
         return;
     }
     records->era = era;
-    if (!is_first && records->options.restored != NULL) {
+    if (went_back && records->options.restored != NULL) {
         records->options.restored(records->options.ctx, era);
     }
 }
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -111,6 +111,7 @@
 send_topic_ends(struct mesh *mesh, struct link *link)
 {
     struct message message = {.type = MESSAGE_KNOWN};
+    int64_t version = mesh->options.configuration_version(mesh->options.ctx);
 
     for (size_t i = 0; i < RECORDS_TOPIC_COUNT; i++) {
         message.known.ends[i] = encode_position(
@@ -120,13 +121,11 @@
         mesh->role != READERS_IDLE &&
         mesh->options.store_answers(mesh->options.ctx, RECORDS_ENDPOINTS);
     link_send(link, &message);
-    if (takes_eras(link) &&
+    if (takes_eras(link) && version >= 0 &&
         records_keep(mesh->options.records, RECORDS_CONFIGURATION)) {
         link_send(link, &(struct message){
                             .type = MESSAGE_KEPT,
-                            .kept.version =
-                                (uint64_t)mesh->options.configuration_version(
-                                    mesh->options.ctx),
+                            .kept.version = (uint64_t)version,
                         });
     }
 }
