relay: the offsets of a peer do not replace its positions

Found by reading: a peer of message version 7 states an empty topic as 0, which was taken for an offset. After a failed fetch its other ends were set to what it had never stated, and a restore discarded them, until its next report.

Change: what a peer states is kept for each topic whatever its form, and an end of 0 does not make it one that sends offsets.

--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -36,7 +36,7 @@
     int64_t traffic_ms;       ///< when linked, or when it last reported a load
     int64_t ends_reported_ms; ///< when `ends` was last received
     bool sends_offsets;       ///< without eras, in place of positions
-    struct position offered[RECORDS_TOPIC_COUNT]; ///< ends, if it does
+    struct position offered[RECORDS_TOPIC_COUNT]; ///< ends as received
     bool reads_endpoints;            ///< as a peer of version 1 states
     bool lists[RECORDS_TOPIC_COUNT]; ///< its listing has not ended
     struct evbuffer *parts; ///< of the next compressed record; NULL: none
--- a/direct/relay.c
+++ b/direct/relay.c
@@ -240,7 +240,6 @@
     struct position known = records_end(mesh->options.records, topic);
     bool is_new = position_compare(end, state->offered) > 0;
 
-    peer->offered[topic] = end;
     peer->ends[topic] = (struct position){0};
     // Their era is not known once there are two.
     if (mesh->restored) {
@@ -272,8 +271,9 @@
         const struct message_position number = message->known.ends[i];
         struct position end = decode_position(mesh, link, topic, number);
 
+        peer->offered[i] = end;
         if (is_offset(link, number)) {
-            peer->sends_offsets = true;
+            peer->sends_offsets = peer->sends_offsets || number.number > 0;
             use_offset(mesh, peer, topic, end);
         }
         else {
