streams: refused appends are repeated as rarely as before

Found by reading: the router that writes for all repeated a refused append after 20 ms, 40 calls a second while the store is away (200 ms before). The wait of a first event could be extended up to 300 ms, since each batch that ended started its timer anew.

Change: after a batch that was not written the next one waits as that of a router that stands in; held events are looked at every 25 ms.

Evidence: joined-streams 'refused appends are repeated too often' passes; the suite: 19 passed, 0 failed.

--- a/direct/stream_batches.c
+++ b/direct/stream_batches.c
@@ -84,11 +84,24 @@
     }
 }
 
+static int64_t
+alone_ms(const struct stream_batches *batches)
+{
+    int64_t shared_ms =
+        ALONE_PER_ROUTER_MS *
+        (int64_t)batches->options.router_count(batches->options.ctx);
+
+    return shared_ms > ALONE_MIN_MS ? shared_ms : ALONE_MIN_MS;
+}
+
 static void
 end_batch(struct stream_batches *batches, bool done)
 {
     batches->batch.pending = false;
-    batches->is_slow = batches->is_slow || !done;
+    if (!done) {
+        batches->is_slow = true;
+        batches->due_ms = now_ms(batches) + alone_ms(batches);
+    }
     builds_batch_written(batches->options.builds, done);
     answer_waiting(batches, done);
     batches->options.ended(batches->options.ctx);
@@ -110,16 +123,6 @@
     end_batch(batches, false);
 }
 
-static int64_t
-alone_ms(const struct stream_batches *batches)
-{
-    int64_t shared_ms =
-        ALONE_PER_ROUTER_MS *
-        (int64_t)batches->options.router_count(batches->options.ctx);
-
-    return shared_ms > ALONE_MIN_MS ? shared_ms : ALONE_MIN_MS;
-}
-
 static void
 begin_batch(struct stream_batches *batches, struct str batch)
 {
--- a/direct/streams.c
+++ b/direct/streams.c
@@ -28,6 +28,7 @@
 #define READ_WAIT_MS 500
 /// Longest wait of a first event until its stream is in the log.
 #define FIRST_EVENT_HOLD_MS 150
+#define HELD_CHECK_MS 25
 /// Interval at which the builds of all endpoints are seen again.
 #define SEE_MS 1000
 
@@ -85,6 +86,14 @@
     store->append_streams(direct->store, batch);
 }
 
+static void
+start_held(const struct direct *direct)
+{
+    if (!event_pending(direct->streams.held, EV_TIMEOUT, NULL)) {
+        timer_start(direct->streams.held, HELD_CHECK_MS);
+    }
+}
+
 /// Passes on the first events that were held, as far as their streams are in
 /// the log or have waited long enough.
 static void
@@ -104,7 +113,7 @@
         }
     }
     if (any) {
-        timer_start(direct->streams.held, FIRST_EVENT_HOLD_MS);
+        start_held(direct);
     }
 }
 
@@ -449,9 +458,7 @@
         exchange->hold.mark = builds_queued(builds);
         exchange->hold.until_ms = exchange_now(exchange) + FIRST_EVENT_HOLD_MS;
         stream_batches_flush(direct->streams.batches);
-        if (!event_pending(direct->streams.held, EV_TIMEOUT, NULL)) {
-            timer_start(direct->streams.held, FIRST_EVENT_HOLD_MS);
-        }
+        start_held(direct);
     }
     return builds_written(builds) >= exchange->hold.mark ||
            exchange_now(exchange) >= exchange->hold.until_ms;
--- a/tests/test_joined_streams.c
+++ b/tests/test_joined_streams.c
@@ -19,6 +19,9 @@
 #define BEGIN_MS 2000
 /// Time in which a router writes what is due to the log.
 #define BATCH_MS 500
+/// Least interval of appends of a router that writes its own streams only.
+#define BATCH_MIN_MS 200
+#define REFUSED_MS 2000
 #define READY_MS 5000
 /// A take-up does not wait longer for the log.
 #define TAKE_UP_MAX_MS 800
@@ -567,6 +570,27 @@
     }
 }
 
+/// A store that refuses appends gets no more of them than before streams were
+/// written for all.
+static void
+test_refused_appends(void)
+{
+    struct direct_harness harness;
+    struct direct_call call = {0};
+
+    start(&harness, 1, 4);
+    keyed_store_set_fault(harness.store, KEYED_STORE_BUSY);
+    begin_stream(&harness, 0, &call, "s-0");
+    leave(&harness, &call);
+    direct_harness_run(&harness, REFUSED_MS);
+    CU_ASSERT(
+        counter_get(&harness.counters[0], COUNTER_STREAM_BATCHES_FAILED) > 0);
+    CU_ASSERT(
+        counter_get(&harness.counters[0], COUNTER_STREAM_BATCHES_FAILED) <=
+        REFUSED_MS / BATCH_MIN_MS + 1);
+    direct_harness_stop(&harness);
+}
+
 /// Records of the log that are no batches are passed over.
 static void
 test_odd_records(void)
@@ -705,6 +729,8 @@
     CU_add_test(suite, "only one version", test_only_version);
     CU_add_test(suite, "only a young version", test_young_version);
     CU_add_test(suite, "store away", test_store_away);
+    CU_add_test(suite, "refused appends are repeated too often",
+                test_refused_appends);
     CU_add_test(suite, "reads of the log are shared", test_reads_are_shared);
     CU_add_test(suite, "route to two services", test_split_route);
     CU_add_test(suite, "odd records in the log", test_odd_records);
