--- a/tests/test_joined_streams.c
+++ b/tests/test_joined_streams.c
@@ -417,20 +417,36 @@
     direct_harness_stop(&harness);
 }
 
-/// All routers are stopped as soon as their callers have the first events.
+static uint64_t
+count_batches(const struct direct_harness *harness)
+{
+    return counter_get(&harness->counters[0], COUNTER_STREAM_BATCHES) +
+           counter_get(&harness->counters[1], COUNTER_STREAM_BATCHES);
+}
+
+/// All routers are stopped as soon as a caller has its first event, which
+/// comes right after a batch.
 static void
 test_taken_up_after_sudden_restart(void)
 {
     struct direct_harness harness;
     struct direct_call calls[STREAMS] = {{0}};
     size_t indexes[STREAMS];
+    uint64_t batches = 0;
 
     start(&harness, 2, 4);
     for (size_t i = 0; i < STREAMS; i++) {
         char id[16];
 
         snprintf(id, sizeof(id), "s-%zu", i);
+        if (i == STREAMS - 2) {
+            direct_harness_run(&harness, BATCH_MS);
+            batches = count_batches(&harness);
+        }
         indexes[i] = begin_stream(&harness, 0, &calls[i], id);
+        while (i == STREAMS - 2 && count_batches(&harness) == batches) {
+            direct_harness_run(&harness, 1);
+        }
     }
     for (size_t i = 0; i < STREAMS; i++) {
         if (calls[i].channel != NULL) {
