tests: the slow store's connections are freed

Full stacks (each suite run apart, fast_unwind_on_malloc=0) name the test: the stand-in of 'list in pieces across a restore' and 'before a restore' (restored-store) never frees the four connections that each of them accepts. No code of the routers holds them.

It showed only when the known red tests of the suite were mended: as long as one fails, scripts/test passes over the exit code of the runner as a whole.

--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -723,10 +723,14 @@
     direct_harness_stop(&harness);
 }
 
+#define SLOW_CONNECTIONS 32
+
 /// A store whose answers are written piece by piece.
 struct slow_store {
     struct event_base *base;
     struct evconnlistener *listener;
+    struct bufferevent *connections[SLOW_CONNECTIONS];
+    size_t count;
     struct bufferevent *listing; ///< has received half of its answer
     struct bufferevent *other;   ///< its answer is of the new era
     bool ended;
@@ -797,6 +801,8 @@
     (void)listener;
     (void)address;
     (void)len;
+    CU_ASSERT_FATAL(store->count < SLOW_CONNECTIONS);
+    store->connections[store->count++] = connection;
     bufferevent_setcb(connection, on_slow_request, NULL, NULL, store);
     bufferevent_enable(connection, EV_READ | EV_WRITE);
 }
@@ -887,6 +893,9 @@
     CU_ASSERT_STRING_EQUAL(store.entry, "draining");
     store_free(client);
     records_free(records);
+    for (size_t i = 0; i < store.count; i++) {
+        bufferevent_free(store.connections[i]);
+    }
     evconnlistener_free(store.listener);
     loop_free(store.base);
 }
