--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -560,6 +560,22 @@
     direct_harness_stop(&harness);
 }
 
+/// As test_revoked_key() and test_new_route(), of a store that states no era.
+static void
+test_changes_without_era(void)
+{
+    struct direct_harness harness;
+
+    start_in_era(&harness, 3, 0, 0);
+    keyed_store_set_era_text(harness.store, "");
+    drill(&harness);
+    direct_harness_configure(&harness, "key", true, 800);
+    expect_all(&harness, "/added/", 200);
+    direct_harness_configure(&harness, "other-key", true, 800);
+    expect_all(&harness, "/look/", 401);
+    direct_harness_stop(&harness);
+}
+
 /// The copy has no entry of an endpoint, and the endpoint writes none.
 static void
 test_entry_stays_missing(void)
@@ -594,13 +610,16 @@
 
 /// The copy has no records of the routers. Each writes its own again, once.
 static void
-test_own_records(void)
+test_own_records_in_era(int64_t era)
 {
     struct direct_harness harness;
     struct str addresses[3];
     uint64_t before[3];
 
-    start(&harness, 3, 0);
+    start_in_era(&harness, 3, 0, era);
+    if (era == 0) {
+        keyed_store_set_era_text(harness.store, "");
+    }
     CU_ASSERT_FATAL(
         direct_harness_wait(&harness, is_announced, &harness, START_MS));
     for (size_t i = 0; i < 3; i++) {
@@ -634,6 +653,19 @@
     direct_harness_stop(&harness);
 }
 
+static void
+test_own_records(void)
+{
+    test_own_records_in_era(1);
+}
+
+/// The store states no era: what it answers ends before what was read.
+static void
+test_own_records_without_era(void)
+{
+    test_own_records_in_era(0);
+}
+
 /// The store names what is no era, or a lower one, or one far above; its
 /// offsets go on. The last value is the era again.
 static void
@@ -1165,9 +1197,13 @@
                 test_late_answer);
     CU_add_test(suite, "endpoints missing from the copy are dropped",
                 test_missing_entries);
+    CU_add_test(suite, "changes after a drill of a store without eras",
+                test_changes_without_era);
     CU_add_test(suite, "endpoint that stays missing gets requests",
                 test_entry_stays_missing);
     CU_add_test(suite, "own record is not written again", test_own_records);
+    CU_add_test(suite, "own record is not written again without eras",
+                test_own_records_without_era);
     CU_add_test(suite, "odd era stops later records", test_odd_eras);
     CU_add_test(suite, "records are lost if the first era is a time",
                 test_first_era_is_a_time);
