tests: the position of an earlier build is lost

A peer of message version 7 that knows the configuration, and no record of another topic, states its end; the first request to it is lost, then a fetch fails.

--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -11,8 +11,10 @@
 #include <event2/listener.h>
 
 #include "core/xmalloc.h"
+#include "direct/direct_private.h"
 #include "direct/direct_state.h"
 #include "direct/endpoints.h"
+#include "direct/mesh.h"
 #include "direct_harness.h"
 #include "net/http_client.h"
 #include "net/link.h"
@@ -35,6 +37,8 @@
 #define ENTRIES_KEPT_MS 1500
 #define EVACUATION_ENDED_MS 5000
 #define START_MS 2000
+/// Of a router that the store refuses: a request to a peer is repeated.
+#define PEER_ASKED_MS 2000
 #define ANNOUNCED_MS 5000
 /// More than what is written again after a drill.
 #define LOST_RECORDS 12
@@ -1059,17 +1063,21 @@
     direct_harness_stop(&harness);
 }
 
-/// A stand-in for a router of the version before, which does not follow a
+/// A stand-in for a router of an earlier version, which does not follow a
 /// restore: its end is one of before.
 struct earlier_peer {
     struct link_options options;
     struct counters counters;
     struct link *link;
     uint32_t version;
+    uint64_t end;  ///< of the configuration, as it is sent
+    size_t unread; ///< requests that are not answered yet
     const char *document;
 };
 
 #define EARLIER_END 100
+/// The same of the store's era 1, as version 7 sends it; eras count from 1.
+#define EARLIER_POSITION ((UINT64_C(2) << 40) + EARLIER_END)
 
 static void
 on_earlier_ready(void *ctx, struct link *link)
@@ -1078,7 +1086,7 @@
     struct message message = {.type = MESSAGE_KNOWN};
 
     peer->version = link_version(link);
-    message.known.ends[RECORDS_CONFIGURATION].number = EARLIER_END;
+    message.known.ends[RECORDS_CONFIGURATION].number = peer->end;
     link_send(link, &message);
 }
 
@@ -1092,17 +1100,21 @@
         message->position.topic != RECORDS_CONFIGURATION) {
         return;
     }
+    if (peer->unread > 0) {
+        peer->unread--;
+        return;
+    }
     link_send(link, &(struct message){
                         .type = MESSAGE_RECORD,
                         .record.topic = RECORDS_CONFIGURATION,
-                        .record.position.number = EARLIER_END - 1,
+                        .record.position.number = peer->end - 1,
                         .record.key = STR_LITERAL("config"),
                         .record.value = str_from(peer->document),
                     });
     link_send(link, &(struct message){
                         .type = MESSAGE_REACHED,
                         .position.topic = RECORDS_CONFIGURATION,
-                        .position.position.number = EARLIER_END,
+                        .position.position.number = peer->end,
                     });
 }
 
@@ -1114,44 +1126,48 @@
     ((struct earlier_peer *)ctx)->link = NULL;
 }
 
+/// Links a router of this message version to the first router.
+static void
+connect_earlier(struct earlier_peer *peer, struct direct_harness *harness,
+                uint32_t version)
+{
+    peer->options = (struct link_options){
+        .base = harness->base,
+        .clock = &clock_monotonic,
+        .random = &random_system,
+        .counters = &peer->counters,
+        .name = "earlier",
+        .role = "router",
+        .peer_role = "router",
+        .incarnation = 1,
+        .version = version,
+        .keys = &harness->settings[0].keys,
+        .heartbeat_interval_ms = LINK_HEARTBEAT_INTERVAL_MS,
+        .receive_timeout_ms = LINK_RECEIVE_TIMEOUT_MS,
+        .probe_timeout_ms = LINK_PROBE_TIMEOUT_MS,
+        .handshake_timeout_ms = LINK_HANDSHAKE_TIMEOUT_MS,
+        .output_bytes_max = LINK_OUTPUT_BYTES_MAX,
+        .ready = on_earlier_ready,
+        .message = on_earlier_message,
+        .closed = on_earlier_closed,
+        .ctx = peer,
+    };
+    peer->link = link_connect(&peer->options, &harness->settings[0].links, 0);
+}
+
 /// A router of this build starts after a restore beside one of the build
 /// before, whose offsets are those of before the restore.
 static void
 test_start_beside_earlier_build(void)
 {
     struct direct_harness harness;
-    struct earlier_peer peer = {0};
     char *document = platform_document(3, "key", false, 800, 3000);
+    struct earlier_peer peer = {.end = EARLIER_END, .document = document};
 
     start(&harness, 2, 0);
     // As after a restore that no process of this build has seen.
     CU_ASSERT(keyed_store_era(harness.store) > 0);
-    peer = (struct earlier_peer){
-        .options =
-            {
-                .base = harness.base,
-                .clock = &clock_monotonic,
-                .random = &random_system,
-                .counters = &peer.counters,
-                .name = "earlier",
-                .role = "router",
-                .peer_role = "router",
-                .incarnation = 1,
-                .version = MESSAGE_VERSION_POSITIONS - 1,
-                .keys = &harness.settings[0].keys,
-                .heartbeat_interval_ms = LINK_HEARTBEAT_INTERVAL_MS,
-                .receive_timeout_ms = LINK_RECEIVE_TIMEOUT_MS,
-                .probe_timeout_ms = LINK_PROBE_TIMEOUT_MS,
-                .handshake_timeout_ms = LINK_HANDSHAKE_TIMEOUT_MS,
-                .output_bytes_max = LINK_OUTPUT_BYTES_MAX,
-                .ready = on_earlier_ready,
-                .message = on_earlier_message,
-                .closed = on_earlier_closed,
-                .ctx = &peer,
-            },
-        .document = document,
-    };
-    peer.link = link_connect(&peer.options, &harness.settings[0].links, 0);
+    connect_earlier(&peer, &harness, MESSAGE_VERSION_POSITIONS - 1);
     direct_harness_run(&harness, START_MS);
     CU_ASSERT(peer.version == MESSAGE_VERSION_POSITIONS - 1);
     direct_harness_configure(&harness, "key", true, 800);
@@ -1163,6 +1179,46 @@
     free(document);
 }
 
+static bool
+has_asked_peer(void *ctx)
+{
+    const struct earlier_peer *peer = ctx;
+
+    return peer->unread == 0;
+}
+
+/// A peer of version 7 knows a newer configuration and no record of the other
+/// topics. The first request to it is lost, and then a fetch from the store
+/// fails.
+static void
+test_position_of_earlier_build(void)
+{
+    struct direct_harness harness;
+    char *document = platform_document(9, "key", true, 800, 3000);
+    struct earlier_peer peer = {
+        .end = EARLIER_POSITION,
+        .unread = 1,
+        .document = document,
+    };
+    struct expectation served = {&harness, 1, "/added/", 200};
+
+    start(&harness, 1, 0);
+    CU_ASSERT(status_of(&harness, 0, "/added/") == 404);
+    connect_earlier(&peer, &harness, MESSAGE_VERSION_POSITIONS);
+    keyed_store_set_topic_busy(harness.store, KEYED_STORE_TOPIC_OPERATOR,
+                               true);
+    CU_ASSERT(
+        direct_harness_wait(&harness, has_asked_peer, &peer, PEER_ASKED_MS));
+    mesh_fetch_failed(harness.routers[0]->mesh, RECORDS_CONFIGURATION);
+    CU_ASSERT(direct_harness_wait(&harness, is_met, &served, PEER_ASKED_MS));
+    CU_ASSERT(peer.version == MESSAGE_VERSION_POSITIONS);
+    if (peer.link != NULL) {
+        link_close(peer.link);
+    }
+    direct_harness_stop(&harness);
+    free(document);
+}
+
 void
 suite_restored_store(void)
 {
@@ -1225,6 +1281,8 @@
                 test_starting_router_reverts);
     CU_add_test(suite, "earlier build's offsets hide records at a start",
                 test_start_beside_earlier_build);
+    CU_add_test(suite, "position of an earlier build is lost",
+                test_position_of_earlier_build);
     CU_add_test(suite, "own record of a start is not written again",
                 test_own_record_of_start);
 }
