streams: a router asks its peers before it refuses a take-up

Cause: a router knew only the streams that it had begun or written for others, and what it read from the log, while linked peers knew the others.

Change: an unknown stream is asked for at all linked peers before the take-up is refused (direct/stream_finds, message version 9), at most 150 ms. What is still unknown is refused as before.

--- a/core/builds.c
+++ b/core/builds.c
@@ -14,7 +14,6 @@
 #define HEAD_ELEMENTS 2
 #define GROUP_ELEMENTS 3
 #define GROUPS_MAX 4096
-#define ID_BYTES 8
 /// Percentages of the lifetime of a stream: the interval at which the builds
 /// of a service that has several are named again, and the time for which a
 /// batch that names them holds. A router that is killed before it writes a
@@ -522,11 +521,11 @@
     return false;
 }
 
-static void
-put_id(unsigned char *out, uint64_t id)
+void
+builds_put_id(unsigned char *out, uint64_t id)
 {
-    for (size_t i = 0; i < ID_BYTES; i++) {
-        out[i] = (unsigned char)(id >> (8 * (ID_BYTES - 1 - i)));
+    for (size_t i = 0; i < BUILDS_ID_BYTES; i++) {
+        out[i] = (unsigned char)(id >> (8 * (BUILDS_ID_BYTES - 1 - i)));
     }
 }
 
@@ -535,26 +534,36 @@
 {
     uint64_t id = 0;
 
-    for (size_t i = 0; i < ID_BYTES; i++) {
+    for (size_t i = 0; i < BUILDS_ID_BYTES; i++) {
         id = id << 8 | in[i];
     }
     return id;
 }
 
 static void
-put_group(msgpack_packer *packer, const struct builds *builds,
-          const struct seen *seen, unsigned char *ids)
+put_head(msgpack_packer *packer, const struct builds *builds, size_t groups)
+{
+    msgpack_pack_array(packer, HEAD_ELEMENTS + GROUP_ELEMENTS * groups);
+    msgpack_pack_uint64(packer, FORMAT);
+    msgpack_pack_uint64(packer,
+                        (uint64_t)clock_ms(builds->options.wall_clock));
+}
+
+/// Writes a build and those of the streams that it has begun.
+static void
+put_group(msgpack_packer *packer, uint64_t service, uint64_t build,
+          const struct pending *streams, size_t count, unsigned char *ids)
 {
     size_t len = 0;
 
-    for (size_t i = 0; i < builds->taken; i++) {
-        if (builds->pending[i].build == seen->build) {
-            put_id(ids + len, builds->pending[i].stream);
-            len += ID_BYTES;
+    for (size_t i = 0; i < count; i++) {
+        if (streams[i].build == build) {
+            builds_put_id(ids + len, streams[i].stream);
+            len += BUILDS_ID_BYTES;
         }
     }
-    msgpack_pack_uint64(packer, seen->service);
-    msgpack_pack_uint64(packer, seen->build);
+    msgpack_pack_uint64(packer, service);
+    msgpack_pack_uint64(packer, build);
     msgpack_pack_bin(packer, len);
     msgpack_pack_bin_body(packer, ids, len);
 }
@@ -584,13 +593,11 @@
     }
     msgpack_sbuffer_init(&out);
     msgpack_packer_init(&packer, &out, msgpack_sbuffer_write);
-    ids = xmalloc(ID_BYTES * (builds->taken + 1));
-    msgpack_pack_array(&packer, HEAD_ELEMENTS + GROUP_ELEMENTS * count);
-    msgpack_pack_uint64(&packer, FORMAT);
-    msgpack_pack_uint64(&packer,
-                        (uint64_t)clock_ms(builds->options.wall_clock));
+    ids = xmalloc(BUILDS_ID_BYTES * (builds->taken + 1));
+    put_head(&packer, builds, count);
     for (size_t i = 0; i < count; i++) {
-        put_group(&packer, builds, groups[i], ids);
+        put_group(&packer, groups[i]->service, groups[i]->build,
+                  builds->pending, builds->taken, ids);
     }
     for (size_t i = 0; i < count; i++) {
         groups[i]->named_ms = now_ms(builds);
@@ -601,6 +608,58 @@
     return true;
 }
 
+/// True if an earlier one of the streams has the build of this one.
+static bool
+has_earlier(const struct pending *streams, size_t index)
+{
+    for (size_t i = 0; i < index; i++) {
+        if (streams[i].build == streams[index].build) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+builds_known(const struct builds *builds, struct str ids, struct str *batch)
+{
+    const unsigned char *in = (const unsigned char *)ids.data;
+    size_t asked = ids.len / BUILDS_ID_BYTES;
+    struct pending *known = xcalloc(asked + 1, sizeof(*known));
+    unsigned char *group = xmalloc(ids.len + 1);
+    size_t count = 0;
+    size_t groups = 0;
+    msgpack_sbuffer out;
+    msgpack_packer packer;
+
+    for (size_t i = 0; i < asked; i++) {
+        struct builds_stream stream;
+        uint64_t id = get_id(in + i * BUILDS_ID_BYTES);
+
+        if (builds_find(builds, id, &stream)) {
+            known[count] = (struct pending){id, stream.build, stream.service};
+            groups += has_earlier(known, count) ? 0 : 1;
+            count++;
+        }
+    }
+    if (count > 0) {
+        msgpack_sbuffer_init(&out);
+        msgpack_packer_init(&packer, &out, msgpack_sbuffer_write);
+        put_head(&packer, builds, groups);
+        for (size_t i = 0; i < count; i++) {
+            if (!has_earlier(known, i)) {
+                put_group(&packer, known[i].service, known[i].build, known,
+                          count, group);
+            }
+        }
+        batch->len = out.size;
+        batch->data = msgpack_sbuffer_release(&out);
+    }
+    free(group);
+    free(known);
+    return count > 0;
+}
+
 void
 builds_batch_written(struct builds *builds, bool done)
 {
@@ -704,7 +763,7 @@
 
         if (elements[i].type != (is_ids ? MSGPACK_OBJECT_BIN
                                         : MSGPACK_OBJECT_POSITIVE_INTEGER) ||
-            (is_ids && elements[i].via.bin.size % ID_BYTES != 0)) {
+            (is_ids && elements[i].via.bin.size % BUILDS_ID_BYTES != 0)) {
             return false;
         }
     }
@@ -751,7 +810,7 @@
     if (adopts && group[2].via.bin.size > 0) {
         builds_see(builds, service, build, 0);
     }
-    for (size_t at = 0; at < group[2].via.bin.size; at += ID_BYTES) {
+    for (size_t at = 0; at < group[2].via.bin.size; at += BUILDS_ID_BYTES) {
         uint64_t id = get_id(ids + at);
         struct stream *stream = find_stream(builds, id);
 
--- a/core/builds.h
+++ b/core/builds.h
@@ -23,6 +23,8 @@
 #define BUILDS_PENDING_MAX 20000
 /// Streams in one batch.
 #define BUILDS_BATCH_STREAMS_MAX 2000
+/// Of the id of a stream in a batch.
+#define BUILDS_ID_BYTES 8
 /// Difference between the wall clocks of two routers that is tolerated.
 #define BUILDS_CLOCK_SKEW_MS 5000
 
@@ -83,6 +85,14 @@
 /// written again as far as this router began them or read of them.
 void builds_share_again(struct builds *builds);
 
+/// Writes the id of a stream, of BUILDS_ID_BYTES, as builds_known() reads it.
+void builds_put_id(unsigned char *out, uint64_t stream);
+
+/// A batch of those of the streams that are known, for builds_apply() of
+/// another router; false if none is. The caller frees `.data`.
+bool builds_known(const struct builds *builds, struct str ids,
+                  struct str *batch);
+
 /// The build that began the stream; false if it is not known.
 bool builds_find(const struct builds *builds, uint64_t stream,
                  struct builds_stream *found);
--- a/core/message.c
+++ b/core/message.c
@@ -201,6 +201,8 @@
         [MESSAGE_PACKED_PART] = 1,
         [MESSAGE_STREAMS] = 2,
         [MESSAGE_STREAMS_WRITTEN] = 2,
+        [MESSAGE_FIND_STREAMS] = 2,
+        [MESSAGE_FOUND_STREAMS] = 2,
     };
 
     return counts[type];
@@ -351,7 +353,12 @@
     case MESSAGE_PACKED_PART:
         put_str(packer, m->packed_part.bytes);
         return;
+    case MESSAGE_FIND_STREAMS:
+        put_uint(packer, m->find_streams.number);
+        put_str(packer, m->find_streams.ids);
+        return;
     case MESSAGE_STREAMS:
+    case MESSAGE_FOUND_STREAMS:
         put_uint(packer, m->streams.number);
         put_str(packer, m->streams.batch);
         return;
@@ -921,7 +928,16 @@
     case MESSAGE_PACKED_PART:
         m->packed_part.bytes = get_str(cursor);
         return;
+    case MESSAGE_FIND_STREAMS:
+        m->find_streams.number = get_uint(cursor, UINT64_MAX);
+        m->find_streams.ids = get_str(cursor);
+        cursor->failed =
+            cursor->failed ||
+            m->find_streams.ids.len % MESSAGE_FIND_ID_BYTES != 0 ||
+            m->find_streams.ids.len > MESSAGE_FIND_MAX * MESSAGE_FIND_ID_BYTES;
+        return;
     case MESSAGE_STREAMS:
+    case MESSAGE_FOUND_STREAMS:
         m->streams.number = get_uint(cursor, UINT64_MAX);
         m->streams.batch = get_str(cursor);
         return;
@@ -1258,6 +1274,8 @@
         [MESSAGE_PACKED_PART] = "packed-part",
         [MESSAGE_STREAMS] = "streams",
         [MESSAGE_STREAMS_WRITTEN] = "streams-written",
+        [MESSAGE_FIND_STREAMS] = "find-streams",
+        [MESSAGE_FOUND_STREAMS] = "found-streams",
     };
 
     return names[type];
--- a/direct/direct_private.h
+++ b/direct/direct_private.h
@@ -61,6 +61,7 @@
         uint64_t reads; ///< of the log, begun
         bool is_reading;
         struct stream_batches *batches;
+        struct stream_finds *finds;
         struct event *held; ///< when streams that wait for the log go on
         int64_t seen_ms;    ///< when all endpoints were last seen
         uint64_t dropped;   ///< streams, as last logged
--- a/direct/exchange.c
+++ b/direct/exchange.c
@@ -338,7 +338,7 @@
         exchange_refuse_not_run(exchange,
                                 "configuration or endpoints not received yet");
     }
-    else if (exchange->awaited_read > 0) {
+    else if (exchange->awaited_read > 0 || exchange->find.number > 0) {
         streams_give_up(exchange);
     }
     else if (now_ms >= exchange->expires_ms) {
--- a/direct/exchange_state.h
+++ b/direct/exchange_state.h
@@ -45,6 +45,10 @@
     uint64_t stream; ///< of a resumable route: see core/builds.h
     /// Number of the read of the log of streams that it waits for; 0: none.
     uint64_t awaited_read;
+    struct {
+        uint64_t number;    ///< of the question to the peers; 0: none waits
+        const char *reason; ///< of the refusal if they do not know the stream
+    } find;
     struct endpoint *endpoint;
     struct channel *channel;
     uint64_t tried[EXCHANGE_OFFERS_MAX];
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -177,6 +177,35 @@
                               .streams_written = {number, done}});
 }
 
+size_t
+mesh_find_streams(struct mesh *mesh, uint64_t number, struct str ids)
+{
+    const struct message message = {
+        .type = MESSAGE_FIND_STREAMS,
+        .find_streams = {number, ids},
+    };
+    struct peer *peer;
+    size_t count = 0;
+
+    LL_FOREACH(mesh->peers, peer)
+    {
+        if (link_version(peer->link) >= MESSAGE_VERSION_FINDS) {
+            link_send(peer->link, &message);
+            count++;
+        }
+    }
+    return count;
+}
+
+void
+mesh_send_found(struct mesh *mesh, uint64_t peer, uint64_t number,
+                struct str batch)
+{
+    send_to(mesh, peer,
+            &(struct message){.type = MESSAGE_FOUND_STREAMS,
+                              .streams = {number, batch}});
+}
+
 void
 mesh_peer_free(struct peer *peer)
 {
@@ -298,17 +327,34 @@
 {
     const struct mesh_options *options = &mesh->options;
 
-    if (message->type == MESSAGE_STREAMS && peer != NULL) {
+    if (message->type != MESSAGE_STREAMS &&
+        message->type != MESSAGE_STREAMS_WRITTEN &&
+        message->type != MESSAGE_FIND_STREAMS &&
+        message->type != MESSAGE_FOUND_STREAMS) {
+        return false;
+    }
+    if (peer == NULL) {
+        return true;
+    }
+    if (message->type == MESSAGE_STREAMS) {
         options->streams(options->ctx, peer->id, message->streams.number,
                          message->streams.batch);
     }
-    else if (message->type == MESSAGE_STREAMS_WRITTEN && peer != NULL) {
+    else if (message->type == MESSAGE_STREAMS_WRITTEN) {
         options->streams_written(options->ctx, peer->id,
                                  message->streams_written.number,
                                  message->streams_written.done);
     }
-    return message->type == MESSAGE_STREAMS ||
-           message->type == MESSAGE_STREAMS_WRITTEN;
+    else if (message->type == MESSAGE_FIND_STREAMS) {
+        options->find_streams(options->ctx, peer->id,
+                              message->find_streams.number,
+                              message->find_streams.ids);
+    }
+    else {
+        options->found_streams(options->ctx, message->streams.number,
+                               message->streams.batch);
+    }
+    return true;
 }
 
 static void
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -107,6 +107,11 @@
                     struct str batch);
     void (*streams_written)(void *ctx, uint64_t peer, uint64_t number,
                             bool done);
+    /// A peer asks which builds have begun streams (answered by
+    /// mesh_send_found()), or has answered so.
+    void (*find_streams)(void *ctx, uint64_t peer, uint64_t number,
+                         struct str ids);
+    void (*found_streams)(void *ctx, uint64_t number, struct str batch);
     /// The last link to a peer has been lost.
     void (*peer_lost)(void *ctx, uint64_t peer);
     /// Version of the configuration in force; -1: none.
@@ -206,6 +211,13 @@
 void mesh_send_streams_written(struct mesh *mesh, uint64_t peer,
                                uint64_t number, bool done);
 
+/// Asks all peers which builds have begun these streams; returns the number of
+/// those that will answer.
+size_t mesh_find_streams(struct mesh *mesh, uint64_t number, struct str ids);
+/// Answers a peer; does nothing if it is not linked.
+void mesh_send_found(struct mesh *mesh, uint64_t peer, uint64_t number,
+                     struct str batch);
+
 /// The store was restored from an older copy: offsets of peers that send no
 /// positions are ignored from now on.
 void mesh_note_restore(struct mesh *mesh);
--- a/direct/peers.c
+++ b/direct/peers.c
@@ -14,6 +14,7 @@
 #include "rate_limits.h"
 #include "services.h"
 #include "stream_batches.h"
+#include "stream_finds.h"
 
 #define LOG_MODULE "peers"
 
@@ -362,6 +363,22 @@
     stream_batches_replied(direct->streams.batches, peer, number, done);
 }
 
+static void
+on_find_streams(void *ctx, uint64_t peer, uint64_t number, struct str ids)
+{
+    const struct direct *direct = ctx;
+
+    stream_finds_receive(direct->streams.finds, peer, number, ids);
+}
+
+static void
+on_found_streams(void *ctx, uint64_t number, struct str batch)
+{
+    const struct direct *direct = ctx;
+
+    stream_finds_answered(direct->streams.finds, number, batch);
+}
+
 static void
 on_peer_lost(void *ctx, uint64_t peer)
 {
@@ -423,6 +440,8 @@
         .recovered = on_recovered,
         .streams = on_streams,
         .streams_written = on_streams_written,
+        .find_streams = on_find_streams,
+        .found_streams = on_found_streams,
         .peer_lost = on_peer_lost,
         .configuration_version = on_configuration_version,
         .store_answers = on_store_answers,
--- a/direct/streams.c
+++ b/direct/streams.c
@@ -16,6 +16,7 @@
 #include "net/log.h"
 #include "net/timer.h"
 #include "stream_batches.h"
+#include "stream_finds.h"
 
 #define LOG_MODULE "streams"
 
@@ -26,6 +27,8 @@
 #define LIFETIME_DEFAULT_MS 60000
 /// Longest wait of a take-up for the log.
 #define READ_WAIT_MS 500
+/// Longest wait of a take-up for the peers.
+#define FIND_WAIT_MS 150
 /// Longest wait of a first event until its stream is in the log.
 #define FIRST_EVENT_HOLD_MS 150
 #define HELD_CHECK_MS 25
@@ -73,6 +76,23 @@
     mesh_send_streams_written(direct->mesh, peer, number, done);
 }
 
+static size_t
+ask_peers(void *ctx, uint64_t number, struct str ids)
+{
+    const struct direct *direct = ctx;
+
+    return direct->mesh != NULL ? mesh_find_streams(direct->mesh, number, ids)
+                                : 0;
+}
+
+static void
+reply_found(void *ctx, uint64_t peer, uint64_t number, struct str batch)
+{
+    const struct direct *direct = ctx;
+
+    mesh_send_found(direct->mesh, peer, number, batch);
+}
+
 static void
 append_batch(void *ctx, struct str batch)
 {
@@ -86,6 +106,8 @@
     store->append_streams(direct->store, batch);
 }
 
+static void on_found(void *ctx, uint64_t number, bool ended);
+
 static void
 start_held(const struct direct *direct)
 {
@@ -149,11 +171,20 @@
             .ended = release_held,
             .ctx = direct,
         });
+    direct->streams.finds = stream_finds_new(&(struct stream_finds_options){
+        .base = direct->options.base,
+        .builds = direct->streams.builds,
+        .ask = ask_peers,
+        .reply = reply_found,
+        .answered = on_found,
+        .ctx = direct,
+    });
 }
 
 void
 streams_stop(struct direct *direct)
 {
+    stream_finds_free(direct->streams.finds);
     stream_batches_free(direct->streams.batches);
     event_free(direct->streams.held);
     builds_free(direct->streams.builds);
@@ -326,7 +357,26 @@
     return true;
 }
 
-/// True if a stream that is not known goes on; refuses it otherwise.
+/// Longest wait of the exchange, which has a time limit of its own.
+static void
+start_wait(const struct exchange *exchange, int64_t max_ms)
+{
+    int64_t wait_ms = exchange->expires_ms - exchange_now(exchange);
+
+    timer_start(exchange->timer, wait_ms < max_ms ? wait_ms : max_ms);
+}
+
+/// Asks the peers for the stream before it is refused.
+static void
+find_or_refuse(struct exchange *exchange, const char *reason)
+{
+    exchange->find.reason = reason;
+    exchange->find.number =
+        stream_finds_add(exchange->direct->streams.finds, exchange->stream);
+    start_wait(exchange, FIND_WAIT_MS);
+}
+
+/// True if a stream that is not known goes on.
 static bool
 go_on_unknown(struct exchange *exchange)
 {
@@ -336,15 +386,15 @@
     exchange->service = catalog_pick_target(
         exchange->route, random_unit(direct_random(direct)));
     if (!direct->has_all_endpoints) {
-        refuse(exchange, "the stream is not known, and the endpoints have not "
-                         "all been received yet");
+        find_or_refuse(exchange, "the stream is not known, and the endpoints "
+                                 "have not all been received yet");
         return false;
     }
     verdict = builds_judge_unknown(direct->streams.builds,
                                    builds_service_hash(exchange->service),
                                    &exchange->build);
     if (verdict != BUILDS_GO_ON) {
-        refuse(exchange, builds_verdict_text(verdict));
+        find_or_refuse(exchange, builds_verdict_text(verdict));
         return false;
     }
     counter_add(direct_counters(direct), COUNTER_TAKE_UPS_UNKNOWN, 1);
@@ -357,7 +407,6 @@
 {
     const struct request_facts *facts = &exchange->facts;
     struct direct *direct = exchange->direct;
-    int64_t wait_ms = exchange->expires_ms - exchange_now(exchange);
     bool ended;
 
     if (exchange->route->kind != ROUTE_RESUMABLE) {
@@ -374,8 +423,7 @@
     // A read that is under way may have passed the end of the log before the
     // client asked.
     exchange->awaited_read = direct->streams.reads + 1;
-    timer_start(exchange->timer,
-                wait_ms < READ_WAIT_MS ? wait_ms : READ_WAIT_MS);
+    start_wait(exchange, READ_WAIT_MS);
     if (!direct->streams.is_reading) {
         begin_read(direct);
     }
@@ -390,8 +438,8 @@
     exchange->awaited_read = 0;
     event_del(exchange->timer);
     if (!at_end) {
-        refuse(exchange, "the stream is not known, and the log of streams "
-                         "cannot be read");
+        find_or_refuse(exchange, "the stream is not known, and the log of "
+                                 "streams cannot be read");
         return;
     }
     if (go_on_known(exchange, "log", &ended) ||
@@ -400,6 +448,41 @@
     }
 }
 
+/// Goes on with a stream that is known by now. `at_end`: refuses it otherwise.
+static void
+end_find(struct exchange *exchange, bool at_end)
+{
+    struct builds_stream stream;
+    bool ended;
+
+    if (!at_end && !builds_find(exchange->direct->streams.builds,
+                                exchange->stream, &stream)) {
+        return;
+    }
+    exchange->find.number = 0;
+    event_del(exchange->timer);
+    if (go_on_known(exchange, "peer", &ended)) {
+        exchange_place(exchange);
+    }
+    else if (!ended) {
+        refuse(exchange, exchange->find.reason);
+    }
+}
+
+static void
+on_found(void *ctx, uint64_t number, bool ended)
+{
+    const struct direct *direct = ctx;
+    struct exchange_entry *entry, *next;
+
+    HASH_ITER(hh, direct->exchanges, entry, next)
+    {
+        if (entry->exchange->find.number == number) {
+            end_find(entry->exchange, ended);
+        }
+    }
+}
+
 void
 direct_streams_read(struct direct *direct, bool at_end)
 {
@@ -430,9 +513,13 @@
 void
 streams_give_up(struct exchange *exchange)
 {
+    if (exchange->find.number > 0) {
+        end_find(exchange, true);
+        return;
+    }
     exchange->awaited_read = 0;
-    refuse(exchange, "the stream is not known, and the log of streams was not "
-                     "read in time");
+    find_or_refuse(exchange, "the stream is not known, and the log of streams "
+                             "was not read in time");
 }
 
 bool
--- a/direct/streams.h
+++ b/direct/streams.h
@@ -25,11 +25,12 @@
 void streams_tick(struct direct *direct);
 
 /// Finds the build that began the stream which the request takes up. False if
-/// the exchange waits for a read of the log, or has ended. exchange_place()
-/// goes on with one that has waited.
+/// the exchange waits for a read of the log or for peers, or has ended.
+/// exchange_place() goes on with one that has waited.
 bool streams_filter(struct exchange *exchange);
 
-/// The log was not read within the time limit: ends the exchange.
+/// The log was not read, or the peers have not answered, within the time
+/// limit.
 void streams_give_up(struct exchange *exchange);
 
 /// True if the first event of a stream may be passed on. Otherwise it is held
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -15,8 +15,9 @@
 /// Version of the messages between routers, and the first ones with beats and
 /// compressed records, with blames, with listings, with shares
 /// and failing endpoints, with stated rates, with positions
-/// (core/position.h) in place of offsets, and with eras of any size.
-#define MESSAGE_VERSION_ROUTERS 8
+/// (core/position.h) in place of offsets, with eras of any size, and with
+/// questions about streams.
+#define MESSAGE_VERSION_ROUTERS 9
 #define MESSAGE_VERSION_BEATS 2
 #define MESSAGE_VERSION_BLAMES 3
 #define MESSAGE_VERSION_LISTINGS 4
@@ -24,6 +25,7 @@
 #define MESSAGE_VERSION_RATES 6
 #define MESSAGE_VERSION_POSITIONS 7
 #define MESSAGE_VERSION_ERAS 8
+#define MESSAGE_VERSION_FINDS 9
 #define MESSAGE_BYTES_MAX (512 * 1024)
 #define MESSAGE_HEADERS_MAX 64
 #define MESSAGE_NONCE_BYTES 32
@@ -81,6 +83,9 @@
                              ///< MESSAGE_PACKED
     MESSAGE_STREAMS,         ///< a batch of streams to be written to the log
     MESSAGE_STREAMS_WRITTEN, ///< answer: whether it was
+    // Version 9:
+    MESSAGE_FIND_STREAMS,  ///< which builds have begun these streams
+    MESSAGE_FOUND_STREAMS, ///< answer: a batch of those that are known
     MESSAGE_TYPE_END,
 };
 
@@ -191,6 +196,10 @@
 #define MESSAGE_PLACED_MAX 64
 #define MESSAGE_PLACED_PARTS_MAX 4
 
+/// Streams in one MESSAGE_FIND_STREAMS, and bytes of each.
+#define MESSAGE_FIND_MAX 512
+#define MESSAGE_FIND_ID_BYTES 8
+
 /// Beats in one MESSAGE_BEATS.
 #define MESSAGE_BEATS_MAX 16
 
@@ -371,9 +380,13 @@
             struct str bytes;
         } packed_part;
         struct {
-            uint64_t number;  ///< of the batch, at the sender
-            struct str batch; ///< core/builds.h
-        } streams;
+            uint64_t number;  ///< of the batch or the question
+            struct str batch; ///< core/builds.h; an answer: empty if none is
+        } streams;            ///< _STREAMS and _FOUND_STREAMS
+        struct {
+            uint64_t number; ///< of the question, at the sender
+            struct str ids;
+        } find_streams;
         struct {
             uint64_t number;
             bool done;
--- a/tests/main.c
+++ b/tests/main.c
@@ -42,6 +42,7 @@
     {"leaving", suite_leaving},
     {"link", suite_link},
     {"store", suite_store},
+    {"stream-finds", suite_stream_finds},
     {"stream-log", suite_stream_log},
     {"stream-writer", suite_stream_writer},
     {"signals", suite_signals},
--- a/tests/suites.h
+++ b/tests/suites.h
@@ -29,6 +29,7 @@
 void suite_leaving(void);
 void suite_link(void);
 void suite_store(void);
+void suite_stream_finds(void);
 void suite_stream_log(void);
 void suite_stream_writer(void);
 void suite_signals(void);
--- a/tests/test_builds.c
+++ b/tests/test_builds.c
@@ -516,6 +516,50 @@
     free(history);
 }
 
+static void
+put_ids(unsigned char *ids, const uint64_t *streams, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        builds_put_id(ids + i * BUILDS_ID_BYTES, streams[i]);
+    }
+}
+
+/// A router asks another one for streams: it learns of those that are known
+/// there, and of no other.
+static void
+test_asked_streams(void)
+{
+    static const uint64_t asked[] = {1, 2, 3, 4, UINT64_MAX, 6};
+    unsigned char ids[sizeof(asked)];
+    struct str text = {(const char *)ids, sizeof(ids)};
+    struct builds *first, *second;
+    struct str batch = {0};
+    struct err err = {0};
+
+    reset_time();
+    first = new_router();
+    second = new_router();
+    put_ids(ids, asked, 6);
+    CU_ASSERT(!builds_known(first, text, &batch));
+    builds_record(first, 1, SERVICE, V1);
+    builds_record(first, 3, SERVICE, V2);
+    builds_record(first, 4, SERVICE, V1);
+    builds_record(first, UINT64_MAX, OTHER_SERVICE, ELSEWHERE);
+    builds_record(first, 7, SERVICE, V2);
+    CU_ASSERT_FATAL(builds_known(first, text, &batch));
+    CU_ASSERT(builds_apply(second, batch, &err));
+    free((char *)batch.data);
+    CU_ASSERT(build_of(second, 1) == V1 && build_of(second, 4) == V1);
+    CU_ASSERT(build_of(second, 3) == V2);
+    CU_ASSERT(build_of(second, UINT64_MAX) == ELSEWHERE);
+    CU_ASSERT(build_of(second, 2) == 0 && build_of(second, 6) == 0);
+    CU_ASSERT(build_of(second, 7) == 0);
+    pass_ms(LIFETIME_MS);
+    CU_ASSERT(!builds_known(first, text, &batch));
+    builds_free(first);
+    builds_free(second);
+}
+
 /// Failed appends are written again, with what has come meanwhile, in batches
 /// of a bounded length; beyond the bound on what waits streams are dropped.
 static void
@@ -645,6 +689,7 @@
     CU_add_test(suite, "written of a young build", test_written_of_young);
     CU_add_test(suite, "killed before a batch", test_killed_before_batch);
     CU_add_test(suite, "random histories", test_histories);
+    CU_add_test(suite, "asked streams", test_asked_streams);
     CU_add_test(suite, "failed appends", test_failed_appends);
     CU_add_test(suite, "odd bytes", test_odd_bytes);
     CU_add_test(suite, "damaged batch", test_damaged_batch);
--- a/tests/test_joined_streams.c
+++ b/tests/test_joined_streams.c
@@ -299,7 +299,7 @@
         char id[16], again[16];
 
         snprintf(id, sizeof(id), "s-%zu", i);
-        snprintf(again, sizeof(again), "t-%zu", i);
+        snprintf(again, sizeof(again), "t-%zu-%zu", router, i);
         take_up(harness, router, &call, again, id);
         CU_ASSERT(call.status == 200);
         check_events(&call, 3);
@@ -593,6 +593,46 @@
     }
 }
 
+/// Streams begin at one router after the store has gone away, and are taken up
+/// at the others: one of them wrote for that router, one did not.
+static void
+test_store_away_elsewhere(void)
+{
+    static const enum keyed_store_fault faults[] = {
+        KEYED_STORE_BUSY, KEYED_STORE_NO_ANSWER, KEYED_STORE_AWAY};
+
+    for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+        struct direct_harness harness;
+        size_t indexes[STREAMS];
+
+        start(&harness, 3, 4);
+        keyed_store_set_fault(harness.store, faults[i]);
+        begin_streams(&harness, 0, indexes);
+        check_taken_up(&harness, 1, indexes);
+        check_taken_up(&harness, 2, indexes);
+        CU_ASSERT(take_up_once(&harness, 2, "t-x", "never-seen") == 503);
+        direct_harness_stop(&harness);
+    }
+}
+
+/// A router starts while the store is away: its peers have passed on the
+/// configuration and the endpoints, and know the streams.
+static void
+test_store_away_at_start(void)
+{
+    struct direct_harness harness;
+    size_t indexes[STREAMS];
+
+    start(&harness, 3, 4);
+    begin_streams(&harness, 0, indexes);
+    keyed_store_set_fault(harness.store, KEYED_STORE_AWAY);
+    direct_harness_stop_router(&harness, 2);
+    direct_harness_start_router(&harness, 2);
+    CU_ASSERT(direct_harness_wait(&harness, are_ready, &harness, READY_MS));
+    check_taken_up(&harness, 2, indexes);
+    direct_harness_stop(&harness);
+}
+
 /// A store that refuses appends gets no more of them than before streams were
 /// written for all.
 static void
@@ -752,6 +792,10 @@
     CU_add_test(suite, "only one version", test_only_version);
     CU_add_test(suite, "only a young version", test_young_version);
     CU_add_test(suite, "store away", test_store_away);
+    CU_add_test(suite, "refused at other routers while the store is away",
+                test_store_away_elsewhere);
+    CU_add_test(suite, "refused at a router that starts without the store",
+                test_store_away_at_start);
     CU_add_test(suite, "refused appends are repeated too often",
                 test_refused_appends);
     CU_add_test(suite, "reads of the log are shared", test_reads_are_shared);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -130,6 +130,56 @@
     message_codec_free(codec);
 }
 
+/// A question about streams and its answer; ids that are cut off, and more
+/// than a message may have.
+static void
+test_streams_round_trip(void)
+{
+    static char bytes[(MESSAGE_FIND_MAX + 1) * MESSAGE_FIND_ID_BYTES];
+    static const struct {
+        size_t len;
+        bool valid;
+    } cases[] = {
+        {0, true},
+        {MESSAGE_FIND_ID_BYTES, true},
+        {MESSAGE_FIND_MAX * MESSAGE_FIND_ID_BYTES, true},
+        {MESSAGE_FIND_ID_BYTES - 1, false},
+        {sizeof(bytes), false},
+    };
+    struct message_codec *codec = message_codec_new();
+    struct message decoded;
+    struct err err = {0};
+
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        const struct message question = {
+            .type = MESSAGE_FIND_STREAMS,
+            .find_streams = {UINT64_MAX, {bytes, cases[i].len}},
+        };
+        bool valid = message_decode(codec, message_encode(codec, &question),
+                                    &decoded, &err);
+
+        CU_ASSERT(valid == cases[i].valid);
+        if (valid) {
+            CU_ASSERT(decoded.find_streams.number == UINT64_MAX);
+            CU_ASSERT(decoded.find_streams.ids.len == cases[i].len);
+        }
+    }
+    for (size_t i = 0; i < 2; i++) {
+        struct str batch = i == 0 ? (struct str){0} : STR_LITERAL("batch");
+        const struct message answer = {
+            .type = MESSAGE_FOUND_STREAMS,
+            .streams = {7, batch},
+        };
+
+        CU_ASSERT_FATAL(message_decode(codec, message_encode(codec, &answer),
+                                       &decoded, &err));
+        CU_ASSERT(decoded.type == MESSAGE_FOUND_STREAMS);
+        CU_ASSERT(decoded.streams.number == 7);
+        CU_ASSERT(str_equal(decoded.streams.batch, batch));
+    }
+    message_codec_free(codec);
+}
+
 static void
 test_contexts_round_trip(void)
 {
@@ -515,6 +565,7 @@
     CU_pSuite suite = CU_add_suite("message", NULL, NULL);
 
     CU_add_test(suite, "positions round trip", test_positions_round_trip);
+    CU_add_test(suite, "streams round trip", test_streams_round_trip);
     CU_add_test(suite, "offer round trip", test_offer_round_trip);
     CU_add_test(suite, "contexts round trip", test_contexts_round_trip);
     CU_add_test(suite, "beats round trip", test_beats_round_trip);
