streams: peers keep copies while the log takes no batches

Callers saw: take-ups refused after routers were killed while the store was away, although the versions that began their streams still served.

Cause: while the store is away a batch reaches nobody: the writing router refuses it, is avoided, and each router repeats its own appends. What a killed router had begun meanwhile was unknown to all.

Change: streams that wait to be written are copied once to three peers as soon as batches fail or are late (MESSAGE_FOUND_STREAMS with number 0).

--- a/core/builds.c
+++ b/core/builds.c
@@ -75,7 +75,8 @@
     struct pending *pending;
     size_t pending_count;
     size_t pending_size;
-    size_t taken; ///< of the pending ones, in the batch that is being written
+    size_t taken;  ///< of the pending ones, in the batch that is being written
+    size_t copied; ///< of the pending ones, by builds_take_copy()
     uint64_t written; ///< streams that have left the queue
     uint64_t dropped;
 };
@@ -404,6 +405,9 @@
     struct seen *seen;
 
     builds->pending_count = builds->taken;
+    if (builds->copied > builds->pending_count) {
+        builds->copied = builds->pending_count;
+    }
     for (stream = builds->streams; stream != NULL; stream = stream->hh.next) {
         stream->is_shared = false;
     }
@@ -620,52 +624,81 @@
     return false;
 }
 
+/// Writes a batch of these streams.
+static void
+encode_streams(const struct builds *builds, const struct pending *streams,
+               size_t count, struct str *batch)
+{
+    unsigned char *ids = xmalloc(count * BUILDS_ID_BYTES);
+    size_t groups = 0;
+    msgpack_sbuffer out;
+    msgpack_packer packer;
+
+    for (size_t i = 0; i < count; i++) {
+        groups += has_earlier(streams, i) ? 0 : 1;
+    }
+    msgpack_sbuffer_init(&out);
+    msgpack_packer_init(&packer, &out, msgpack_sbuffer_write);
+    put_head(&packer, builds, groups);
+    for (size_t i = 0; i < count; i++) {
+        if (!has_earlier(streams, i)) {
+            put_group(&packer, streams[i].service, streams[i].build, streams,
+                      count, ids);
+        }
+    }
+    free(ids);
+    batch->len = out.size;
+    batch->data = msgpack_sbuffer_release(&out);
+}
+
 bool
 builds_known(const struct builds *builds, struct str ids, struct str *batch)
 {
     const unsigned char *in = (const unsigned char *)ids.data;
     size_t asked = ids.len / BUILDS_ID_BYTES;
     struct pending *known = xcalloc(asked + 1, sizeof(*known));
-    unsigned char *group = xmalloc(ids.len + 1);
     size_t count = 0;
-    size_t groups = 0;
-    msgpack_sbuffer out;
-    msgpack_packer packer;
 
     for (size_t i = 0; i < asked; i++) {
         struct builds_stream stream;
         uint64_t id = get_id(in + i * BUILDS_ID_BYTES);
 
         if (builds_find(builds, id, &stream)) {
-            known[count] = (struct pending){id, stream.build, stream.service};
-            groups += has_earlier(known, count) ? 0 : 1;
-            count++;
+            known[count++] =
+                (struct pending){id, stream.build, stream.service};
         }
     }
     if (count > 0) {
-        msgpack_sbuffer_init(&out);
-        msgpack_packer_init(&packer, &out, msgpack_sbuffer_write);
-        put_head(&packer, builds, groups);
-        for (size_t i = 0; i < count; i++) {
-            if (!has_earlier(known, i)) {
-                put_group(&packer, known[i].service, known[i].build, known,
-                          count, group);
-            }
-        }
-        batch->len = out.size;
-        batch->data = msgpack_sbuffer_release(&out);
+        encode_streams(builds, known, count, batch);
     }
-    free(group);
     free(known);
     return count > 0;
 }
 
+bool
+builds_take_copy(struct builds *builds, struct str *batch)
+{
+    size_t count = builds->pending_count - builds->copied;
+
+    if (count == 0) {
+        return false;
+    }
+    if (count > BUILDS_COPY_STREAMS_MAX) {
+        count = BUILDS_COPY_STREAMS_MAX;
+    }
+    encode_streams(builds, builds->pending + builds->copied, count, batch);
+    builds->copied += count;
+    return true;
+}
+
 void
 builds_batch_written(struct builds *builds, bool done)
 {
     struct seen *seen;
 
     if (done) {
+        builds->copied -=
+            builds->copied < builds->taken ? builds->copied : builds->taken;
         builds->written += builds->taken;
         builds->pending_count -= builds->taken;
         if (builds->pending_count > 0) {
--- a/core/builds.h
+++ b/core/builds.h
@@ -21,6 +21,8 @@
 /// Streams that wait to be written to the log at most; further ones are
 /// dropped.
 #define BUILDS_PENDING_MAX 20000
+/// Streams in one copy of those that wait.
+#define BUILDS_COPY_STREAMS_MAX 500
 /// Streams in one batch.
 #define BUILDS_BATCH_STREAMS_MAX 2000
 /// Of the id of a stream in a batch.
@@ -93,6 +95,11 @@
 bool builds_known(const struct builds *builds, struct str ids,
                   struct str *batch);
 
+/// A batch of the streams that wait to be written and were not in such a copy
+/// yet, for builds_apply() of other routers; false if there is none. The
+/// caller frees `.data`.
+bool builds_take_copy(struct builds *builds, struct str *batch);
+
 /// The build that began the stream; false if it is not known.
 bool builds_find(const struct builds *builds, uint64_t stream,
                  struct builds_stream *found);
--- a/direct/mesh.c
+++ b/direct/mesh.c
@@ -28,6 +28,8 @@
 /// this time.
 #define FLEET_SIZE_HOLD_MS 30000
 #define LISTEN_BACKLOG 64
+/// Peers that a copy of streams is sent to.
+#define STREAM_COPIES ((size_t)3)
 /// A router that has reported no load for this long has no traffic.
 #define TRAFFIC_HOLD_MS 10000
 /// Time in which routers whose traffic has begun at the same moment know this
@@ -206,6 +208,32 @@
                               .streams = {number, batch}});
 }
 
+void
+mesh_copy_streams(struct mesh *mesh, struct str batch)
+{
+    const struct message message = {
+        .type = MESSAGE_FOUND_STREAMS,
+        .streams = {0, batch},
+    };
+    size_t first = mesh->peer_count > 0
+                       ? mesh->copies * STREAM_COPIES % mesh->peer_count
+                       : 0;
+    size_t index = 0;
+    struct peer *peer;
+
+    mesh->copies++;
+    LL_FOREACH(mesh->peers, peer)
+    {
+        size_t behind = (index + mesh->peer_count - first) % mesh->peer_count;
+
+        if (behind < STREAM_COPIES &&
+            link_version(peer->link) >= MESSAGE_VERSION_FINDS) {
+            link_send(peer->link, &message);
+        }
+        index++;
+    }
+}
+
 void
 mesh_peer_free(struct peer *peer)
 {
--- a/direct/mesh.h
+++ b/direct/mesh.h
@@ -218,6 +218,9 @@
 void mesh_send_found(struct mesh *mesh, uint64_t peer, uint64_t number,
                      struct str batch);
 
+/// Sends streams to some peers, others than the time before, which keep them.
+void mesh_copy_streams(struct mesh *mesh, struct str batch);
+
 /// The store was restored from an older copy: offsets of peers that send no
 /// positions are ignored from now on.
 void mesh_note_restore(struct mesh *mesh);
--- a/direct/mesh_private.h
+++ b/direct/mesh_private.h
@@ -81,6 +81,7 @@
     enum readers_role role;
     bool draining;
     size_t round_robin; ///< selects one of equal peers for a request
+    size_t copies;      ///< of streams that were sent, to some peers each
     struct message_load loads[MESSAGE_LOADS_MAX];
     struct message_share shares[MESSAGE_SHARES_MAX];
     struct message_placed placed[MESSAGE_PLACED_MAX]; ///< to be sent
--- a/direct/stream_batches.c
+++ b/direct/stream_batches.c
@@ -15,6 +15,10 @@
 
 /// Time in which streams are gathered before a batch is sent.
 #define GATHER_MS 5
+/// Interval of copies to peers while batches are not written, and the time
+/// after which one that is under way counts as such.
+#define COPY_INTERVAL_MS 50
+#define LATE_MS 100
 /// Time in which another router has to write a batch.
 #define REPLY_MAX_MS 700
 /// Interval of appends of a router that stands in for the one that writes: all
@@ -44,7 +48,9 @@
         int64_t begun_ms;
     } batch;
     int64_t due_ms;
-    bool is_slow; ///< the last batch was not written, or as a stand-in
+    bool is_slow;    ///< the last batch was not written, or as a stand-in
+    bool is_failing; ///< the last batch was not written
+    int64_t copy_ms; ///< when the next copy is due
     struct waiting *waiting;
 };
 
@@ -98,6 +104,7 @@
 end_batch(struct stream_batches *batches, bool done)
 {
     batches->batch.pending = false;
+    batches->is_failing = !done;
     if (!done) {
         batches->is_slow = true;
         batches->due_ms = now_ms(batches) + alone_ms(batches);
@@ -150,11 +157,30 @@
     options->append(options->ctx, batch);
 }
 
+/// While the log takes no batches, a stream is also known to some peers: its
+/// client may come back after this router was killed.
+static void
+copy_waiting(struct stream_batches *batches)
+{
+    bool is_late = batches->batch.pending &&
+                   now_ms(batches) - batches->batch.begun_ms >= LATE_MS;
+    struct str batch;
+
+    if ((batches->is_failing || is_late) &&
+        now_ms(batches) >= batches->copy_ms &&
+        builds_take_copy(batches->options.builds, &batch)) {
+        batches->copy_ms = now_ms(batches) + COPY_INTERVAL_MS;
+        batches->options.copy(batches->options.ctx, batch);
+        free((char *)batch.data);
+    }
+}
+
 void
 stream_batches_flush(struct stream_batches *batches)
 {
     struct str batch;
 
+    copy_waiting(batches);
     if (batches->batch.pending) {
         if (batches->batch.writer != 0 &&
             now_ms(batches) - batches->batch.begun_ms >= REPLY_MAX_MS) {
--- a/direct/stream_batches.h
+++ b/direct/stream_batches.h
@@ -25,6 +25,8 @@
     void (*reply)(void *ctx, uint64_t peer, uint64_t number, bool done);
     /// Appends to the log; reported by stream_batches_appended().
     void (*append)(void *ctx, struct str batch);
+    /// Sends streams that wait to be written to a few peers, which keep them.
+    void (*copy)(void *ctx, struct str batch);
     /// A batch was written, or was not.
     void (*ended)(void *ctx);
     void *ctx;
--- a/direct/streams.c
+++ b/direct/streams.c
@@ -93,6 +93,16 @@
     mesh_send_found(direct->mesh, peer, number, batch);
 }
 
+static void
+copy_to_peers(void *ctx, struct str batch)
+{
+    const struct direct *direct = ctx;
+
+    if (direct->mesh != NULL) {
+        mesh_copy_streams(direct->mesh, batch);
+    }
+}
+
 static void
 append_batch(void *ctx, struct str batch)
 {
@@ -168,6 +178,7 @@
             .send = send_batch,
             .reply = reply_to_batch,
             .append = append_batch,
+            .copy = copy_to_peers,
             .ended = release_held,
             .ctx = direct,
         });
--- a/include/dandelionvalve/message.h
+++ b/include/dandelionvalve/message.h
@@ -85,7 +85,8 @@
     MESSAGE_STREAMS_WRITTEN, ///< answer: whether it was
     // Version 9:
     MESSAGE_FIND_STREAMS,  ///< which builds have begun these streams
-    MESSAGE_FOUND_STREAMS, ///< answer: a batch of those that are known
+    MESSAGE_FOUND_STREAMS, ///< answer: a batch of those that are known; number
+                           ///< 0: not asked for, they are not in the log yet
     MESSAGE_TYPE_END,
 };
 
--- a/tests/test_builds.c
+++ b/tests/test_builds.c
@@ -560,6 +560,49 @@
     builds_free(second);
 }
 
+/// What waits to be written is copied once, also when batches fail and when
+/// some of it is written in between.
+static void
+test_copies(void)
+{
+    struct builds *first, *second;
+    struct str batch;
+    struct err err = {0};
+
+    reset_time();
+    first = new_router();
+    second = new_router();
+    builds_see(first, SERVICE, V1, 1);
+    builds_see(first, SERVICE, V2, 1);
+    for (uint64_t i = 1; i <= BUILDS_COPY_STREAMS_MAX + 1; i++) {
+        CU_ASSERT(builds_record(first, i, SERVICE, i % 2 == 0 ? V1 : V2));
+    }
+    for (size_t i = 0; i < 2; i++) {
+        CU_ASSERT_FATAL(builds_take_copy(first, &batch));
+        CU_ASSERT(builds_apply(second, batch, &err));
+        free((char *)batch.data);
+    }
+    CU_ASSERT(!builds_take_copy(first, &batch));
+    CU_ASSERT(build_of(second, 1) == V2 && build_of(second, 2) == V1);
+    CU_ASSERT(build_of(second, BUILDS_COPY_STREAMS_MAX + 1) == V2);
+    CU_ASSERT_FATAL(builds_take_batch(first, &batch));
+    free((char *)batch.data);
+    CU_ASSERT(builds_record(first, 1000, SERVICE, V1));
+    builds_batch_written(first, false);
+    CU_ASSERT_FATAL(builds_take_batch(first, &batch));
+    free((char *)batch.data);
+    CU_ASSERT(builds_record(first, 1001, SERVICE, V1));
+    builds_batch_written(first, true);
+    CU_ASSERT_FATAL(builds_take_copy(first, &batch));
+    CU_ASSERT(builds_apply(second, batch, &err));
+    free((char *)batch.data);
+    CU_ASSERT(build_of(second, 1001) == V1);
+    // It was written before it was copied.
+    CU_ASSERT(build_of(second, 1000) == 0);
+    builds_free(first);
+    builds_free(second);
+}
+
 /// Failed appends are written again, with what has come meanwhile, in batches
 /// of a bounded length; beyond the bound on what waits streams are dropped.
 static void
@@ -690,6 +733,7 @@
     CU_add_test(suite, "killed before a batch", test_killed_before_batch);
     CU_add_test(suite, "random histories", test_histories);
     CU_add_test(suite, "asked streams", test_asked_streams);
+    CU_add_test(suite, "copies of waiting streams", test_copies);
     CU_add_test(suite, "failed appends", test_failed_appends);
     CU_add_test(suite, "odd bytes", test_odd_bytes);
     CU_add_test(suite, "damaged batch", test_damaged_batch);
--- a/tests/test_joined_streams.c
+++ b/tests/test_joined_streams.c
@@ -633,6 +633,23 @@
     direct_harness_stop(&harness);
 }
 
+/// The router that began streams is gone while the store is still away.
+static void
+test_router_gone_without_store(void)
+{
+    struct direct_harness harness;
+    size_t indexes[STREAMS];
+
+    start(&harness, 3, 4);
+    keyed_store_set_fault(harness.store, KEYED_STORE_AWAY);
+    begin_streams(&harness, 0, indexes);
+    direct_harness_stop_router(&harness, 0);
+    check_taken_up(&harness, 1, indexes);
+    check_taken_up(&harness, 2, indexes);
+    direct_harness_start_router(&harness, 0);
+    direct_harness_stop(&harness);
+}
+
 /// A store that refuses appends gets no more of them than before streams were
 /// written for all.
 static void
@@ -796,6 +813,8 @@
                 test_store_away_elsewhere);
     CU_add_test(suite, "refused at a router that starts without the store",
                 test_store_away_at_start);
+    CU_add_test(suite, "streams of a router that is gone without the store",
+                test_router_gone_without_store);
     CU_add_test(suite, "refused appends are repeated too often",
                 test_refused_appends);
     CU_add_test(suite, "reads of the log are shared", test_reads_are_shared);
