soak: endpoints have ports that no outgoing connection takes

Cause: an endpoint of the soak listened on a port that the kernel had chosen from those of outgoing connections. When it crashes, its listener is closed before the port is bound again; another process took it in between.

Change: ports_unused() for endpoints, as for the routers. That the port was taken so is inferred from the code: the process that did is not known.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -110,7 +110,7 @@
     origin->origin = origin_new(
         &(struct origin_options){
             .base = soak->base,
-            .address = ports_any(),
+            .address = ports_unused(),
             .name = origin->id,
             .work_us = WORK_US,
             .events = SOAK_EVENTS,
