stream-finds: a question's end isn't reported to who adds streams

Found by reading, seen by no caller: a router without peers of message version 9 which has more than 512 take-ups for one question ended the first 512 requests from inside the loop over all requests; that loop's next one could be among them and be used after it was freed.

Change: the timer reports such ends.

Evidence: stream-finds 'question ends while streams are added' fails before (answers are reported while streams are added) and passes.

--- a/direct/stream_finds.c
+++ b/direct/stream_finds.c
@@ -24,6 +24,7 @@
 struct question {
     uint64_t number;
     size_t missing; ///< peers that have not answered
+    bool ends;      ///< there was no peer, which is to be reported
 };
 
 struct stream_finds {
@@ -35,6 +36,8 @@
     struct question sent[QUESTIONS_MAX];
 };
 
+/// The end of a question without peers is reported by the timer: who adds a
+/// stream may go through the requests that wait.
 static void
 ask(struct stream_finds *finds)
 {
@@ -45,17 +48,27 @@
     question->number = finds->number;
     question->missing =
         finds->options.ask(finds->options.ctx, question->number, ids);
-    if (question->missing == 0) {
-        finds->options.answered(finds->options.ctx, question->number, true);
-    }
+    question->ends = question->missing == 0;
 }
 
 static void
 on_timer(evutil_socket_t fd, short events, void *ctx)
 {
+    struct stream_finds *finds = ctx;
+
     (void)fd;
     (void)events;
-    ask(ctx);
+    ask(finds);
+    for (uint64_t i = 1; i <= QUESTIONS_MAX; i++) {
+        struct question *question =
+            &finds->sent[(finds->number + i) % QUESTIONS_MAX];
+
+        if (question->ends) {
+            question->ends = false;
+            finds->options.answered(finds->options.ctx, question->number,
+                                    true);
+        }
+    }
 }
 
 struct stream_finds *
--- a/tests/test_stream_finds.c
+++ b/tests/test_stream_finds.c
@@ -189,6 +189,26 @@
     stop(&fixture);
 }
 
+/// Nobody can be asked for more streams than a question may have. Its end was
+/// reported to the caller that was still adding streams: the requests that
+/// ended then may be those that the caller comes to next.
+static void
+test_end_while_adding(void)
+{
+    struct fixture fixture;
+    uint64_t number = 0;
+
+    start(&fixture, 0);
+    for (uint64_t i = 0; i <= 2 * MESSAGE_FIND_MAX; i++) {
+        number = stream_finds_add(fixture.finds, i);
+        CU_ASSERT(fixture.answers == 0);
+    }
+    run(&fixture);
+    CU_ASSERT(fixture.answers == 3 && fixture.answered == number);
+    CU_ASSERT(fixture.ended);
+    stop(&fixture);
+}
+
 void
 suite_stream_finds(void)
 {
@@ -197,5 +217,7 @@
     CU_add_test(suite, "streams share a question", test_shared_question);
     CU_add_test(suite, "answers end a question", test_answers);
     CU_add_test(suite, "no peers", test_no_peers);
+    CU_add_test(suite, "question ends while streams are added",
+                test_end_while_adding);
     CU_add_test(suite, "peer is answered", test_peer_is_answered);
 }
